Lay the module, the wire formats and the shared types

The types that all parts meet at come first, so that parts can be built side by side: API objects, configuration view, membership view, replicated table and proposer interfaces, timer service, wire formats.

--- /dev/null
+++ b/cmd/auburndale/main.go
@@ -0,0 +1,13 @@
+// Command auburndale serves many language models, adapters and plain services
+// on few accelerators. Its roles are subcommands.
+package main
+
+import (
+	"os"
+
+	"github.com/auburndale/auburndale/internal/aubcli"
+)
+
+func main() {
+	os.Exit(aubcli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/aubcontrol/error.go
@@ -0,0 +1,42 @@
+package aubcontrol
+
+import (
+	"fmt"
+	"time"
+)
+
+// NotCommittedError says that a command was not and will never be committed.
+type NotCommittedError struct {
+	Reason string
+	// RetryAfter is when trying again makes sense.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *NotCommittedError) Error() string {
+	if e.Err == nil {
+		return "command not committed: " + e.Reason
+	}
+	return fmt.Sprintf("command not committed: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotCommittedError) Unwrap() error { return e.Err }
+
+// UncertainError says that a command may or may not be committed.
+type UncertainError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *UncertainError) Error() string {
+	if e.Err == nil {
+		return "command may be committed: " + e.Reason
+	}
+	return fmt.Sprintf("command may be committed: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UncertainError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/aubstate/aubquery/config.go
@@ -0,0 +1,147 @@
+// Package aubquery holds the read side of the replicated configuration: an
+// immutable picture of every object that accepted tickets left.
+package aubquery
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// Config is one version of the configuration. It is immutable.
+type Config struct {
+	version    uint64
+	workspaces map[string]aubapi.Workspace
+	keys       map[string][]aubapi.Key
+	models     map[string]aubapi.Model
+	adapters   map[string]aubapi.Adapter
+	routes     []aubapi.Route
+}
+
+// ConfigOpts lists what a configuration holds.
+type ConfigOpts struct {
+	Version    uint64
+	Workspaces []aubapi.Workspace
+	Keys       []aubapi.Key
+	Models     []aubapi.Model
+	Adapters   []aubapi.Adapter
+	Routes     []aubapi.Route
+}
+
+// NewConfig builds a configuration and its indexes.
+func NewConfig(opts ConfigOpts) Config {
+	c := Config{
+		version:    opts.Version,
+		workspaces: indexBy(opts.Workspaces, func(w aubapi.Workspace) string { return w.Name }),
+		keys:       make(map[string][]aubapi.Key),
+		models:     indexBy(opts.Models, func(m aubapi.Model) string { return m.Name }),
+		adapters:   indexBy(opts.Adapters, func(a aubapi.Adapter) string { return a.Name }),
+		routes:     slices.Clone(opts.Routes),
+	}
+	for _, k := range opts.Keys {
+		c.keys[k.Lookup] = append(c.keys[k.Lookup], k)
+	}
+	// Longest prefix first, so that the first match is the one that counts.
+	slices.SortStableFunc(c.routes, func(a, b aubapi.Route) int {
+		if d := len(b.Prefix) - len(a.Prefix); d != 0 {
+			return d
+		}
+		return strings.Compare(a.Prefix, b.Prefix)
+	})
+	return c
+}
+
+// Version returns the configuration version; it only grows.
+func (c Config) Version() uint64 { return c.version }
+
+// Workspace returns the workspace of the name.
+func (c Config) Workspace(name string) (aubapi.Workspace, bool) {
+	w, ok := c.workspaces[name]
+	return w, ok
+}
+
+// Workspaces returns all workspaces in order of name.
+func (c Config) Workspaces() []aubapi.Workspace { return sortedValues(c.workspaces) }
+
+// Keys returns the keys that share a lookup value.
+func (c Config) Keys(lookup string) []aubapi.Key { return c.keys[lookup] }
+
+// Model returns the model of the name.
+func (c Config) Model(name string) (aubapi.Model, bool) {
+	m, ok := c.models[name]
+	return m, ok
+}
+
+// Models returns all models in order of name.
+func (c Config) Models() []aubapi.Model { return sortedValues(c.models) }
+
+// Adapter returns the adapter of the name.
+func (c Config) Adapter(name string) (aubapi.Adapter, bool) {
+	a, ok := c.adapters[name]
+	return a, ok
+}
+
+// Adapters returns all adapters in order of name.
+func (c Config) Adapters() []aubapi.Adapter { return sortedValues(c.adapters) }
+
+// Routes returns all routes, longest prefix first.
+func (c Config) Routes() []aubapi.Route { return slices.Clone(c.routes) }
+
+// Route returns the route with the longest prefix of path. A prefix matches
+// whole path segments only.
+func (c Config) Route(path string) (aubapi.Route, bool) {
+	for _, r := range c.routes {
+		if matchesPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return aubapi.Route{}, false
+}
+
+// Admits reports whether a list of workspaces admits the named one.
+func Admits(workspaces []string, name string) bool {
+	return slices.Contains(workspaces, name) || slices.Contains(workspaces, aubapi.AnyWorkspace)
+}
+
+// Source gives the configuration in force in this process.
+type Source interface {
+	// Config returns the newest configuration known here.
+	Config() Config
+	// ConfirmedAt returns the local monotonic time at which the configuration was
+	// last known to be the leader's newest; zero if never since the start.
+	ConfirmedAt() time.Time
+	// Changed returns a channel that is closed when a newer configuration than
+	// the given version is in force.
+	Changed(version uint64) <-chan struct{}
+}
+
+func matchesPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/")
+}
+
+func indexBy[T any](values []T, name func(T) string) map[string]T {
+	index := make(map[string]T, len(values))
+	for _, v := range values {
+		index[name(v)] = v
+	}
+	return index
+}
+
+func sortedValues[T any](index map[string]T) []T {
+	names := make([]string, 0, len(index))
+	for name := range index {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	values := make([]T, 0, len(names))
+	for _, name := range names {
+		values = append(values, index[name])
+	}
+	return values
+}
--- /dev/null
+++ b/internal/aubtimer/real.go
@@ -0,0 +1,50 @@
+package aubtimer
+
+import (
+	"context"
+	"time"
+)
+
+// Real is the timer service over the machine's clock.
+type Real struct{}
+
+var _ Service = Real{}
+
+// NewReal returns the machine's timer service.
+func NewReal() Real { return Real{} }
+
+// Now implements Service.
+func (Real) Now() time.Time { return time.Now() }
+
+// Subscribe implements Service.
+func (Real) Subscribe(ctx context.Context, every time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	go func() {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-t.C:
+				offer(c, now)
+			}
+		}
+	}()
+	return c
+}
+
+// After implements Service.
+func (Real) After(ctx context.Context, d time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	t := time.AfterFunc(d, func() { offer(c, time.Now()) })
+	context.AfterFunc(ctx, func() { t.Stop() })
+	return c
+}
+
+func offer(c chan<- time.Time, now time.Time) {
+	select {
+	case c <- now:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/aubapi/ticket.go
@@ -0,0 +1,54 @@
+package aubapi
+
+// ObjectID names one configuration object.
+type ObjectID struct {
+	Kind Kind   `json:"kind" yaml:"kind"`
+	Name string `json:"name" yaml:"name"`
+}
+
+// Ticket is one numbered change. It carries the whole new state of every
+// object it touches and is applied whole or not at all.
+type Ticket struct {
+	Number     uint64      `json:"number" yaml:"number"`
+	Workspaces []Workspace `json:"workspaces,omitempty" yaml:"workspaces,omitempty"`
+	Keys       []Key       `json:"keys,omitempty" yaml:"keys,omitempty"`
+	Models     []Model     `json:"models,omitempty" yaml:"models,omitempty"`
+	Adapters   []Adapter   `json:"adapters,omitempty" yaml:"adapters,omitempty"`
+	Routes     []Route     `json:"routes,omitempty" yaml:"routes,omitempty"`
+	Remove     []ObjectID  `json:"remove,omitempty" yaml:"remove,omitempty"`
+}
+
+// TicketStatus is the final outcome of a ticket.
+type TicketStatus string
+
+// Outcomes of a ticket.
+const (
+	TicketAccepted   TicketStatus = "accepted"
+	TicketConflict   TicketStatus = "conflict"
+	TicketSuperseded TicketStatus = "superseded"
+	TicketInvalid    TicketStatus = "invalid"
+)
+
+// TicketOutcome is the recorded answer to a ticket; a repeat of the same
+// number and content gets the same outcome.
+type TicketOutcome struct {
+	Number uint64       `json:"number" yaml:"number"`
+	Status TicketStatus `json:"status" yaml:"status"`
+	// Version is the configuration version that the ticket produced; 0 unless accepted.
+	Version uint64 `json:"version,omitempty" yaml:"version,omitempty"`
+	// Faults lists every fault of an invalid, superseded or conflicting ticket.
+	Faults []Fault `json:"faults,omitempty" yaml:"faults,omitempty"`
+	// InForce is true when every known process confirmed the version; only
+	// answered to an operator who asked to wait.
+	InForce bool `json:"in_force,omitempty" yaml:"in_force,omitempty"`
+	// Unconfirmed names every known process that has not confirmed the version.
+	Unconfirmed []string `json:"unconfirmed,omitempty" yaml:"unconfirmed,omitempty"`
+}
+
+// Fault is one thing wrong with an input.
+type Fault struct {
+	// Path is the place in the document, such as models[2].memory_bytes.
+	Path string `json:"path" yaml:"path"`
+	// Reason says what is wrong and what is allowed.
+	Reason string `json:"reason" yaml:"reason"`
+}
