--- /dev/null
+++ b/internal/aubcontrol/clock.go
@@ -0,0 +1,29 @@
+package aubcontrol
+
+import "time"
+
+// replicatedClock is the clock that commands carry. An entry in a new leader's
+// log was stamped before its election, so going on from the applied value by
+// the time since the election never outruns real time.
+type replicatedClock struct {
+	applied time.Duration
+	base    time.Duration
+	baseAt  time.Time
+}
+
+func (c *replicatedClock) apply(stamp time.Duration) time.Duration {
+	c.applied = max(c.applied, stamp)
+	return c.applied
+}
+
+func (c *replicatedClock) elected(at time.Time) {
+	c.base = c.applied
+	c.baseAt = at
+}
+
+func (c *replicatedClock) stamp(now time.Time) time.Duration {
+	if c.baseAt.IsZero() {
+		return c.applied
+	}
+	return max(c.applied, c.base+now.Sub(c.baseAt))
+}
--- a/internal/aubcontrol/error.go
+++ b/internal/aubcontrol/error.go
@@ -40,3 +40,21 @@
 
 // Unwrap returns the cause.
 func (e *UncertainError) Unwrap() error { return e.Err }
+
+// TableError says that a replicated table can't be used.
+type TableError struct {
+	Table  string
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *TableError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("replicated table %q: %s", e.Table, e.Reason)
+	}
+	return fmt.Sprintf("replicated table %q: %s: %v", e.Table, e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *TableError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/aubcontrol/opts.go
@@ -0,0 +1,59 @@
+package aubcontrol
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+)
+
+// Dial opens a gRPC connection to host:port. The replica closes it.
+type Dial func(address string) (*grpc.ClientConn, error)
+
+// Peer is a control replica by name and gRPC address, host:port.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// ReplicaOpts configures a control replica.
+type ReplicaOpts struct {
+	// Member is this replica's name; it stays the same when its disk is replaced.
+	Member  string
+	Address string
+	// Voters lists the replicas that form the site, this one included.
+	Voters []Peer
+	// DataDir is the folder of the replica's own state.
+	DataDir string
+	Tables  []Table
+	Dial    func(address string) (*grpc.ClientConn, error)
+	// ElectionTimeout is the least silence of the leader that starts an election;
+	// zero means 300 ms. Followers draw between it and its double.
+	ElectionTimeout time.Duration
+	// Heartbeat is the interval of the leader's messages; zero means 60 ms.
+	Heartbeat time.Duration
+	// ApplyTimeout bounds an Apply or Confirm whose context has no deadline; zero
+	// means 10 s.
+	ApplyTimeout time.Duration
+}
+
+// Status is what a replica knows of itself and its site.
+type Status struct {
+	Member string
+	// Leader is the name of the known leader, or empty.
+	Leader   string
+	Term     uint64
+	Applied  uint64
+	Commit   uint64
+	Voters   []Peer
+	Learners []Peer
+}
+
+// RemoteOpts configures access from a process without a replica.
+type RemoteOpts struct {
+	// Addresses of the control replicas, host:port.
+	Addresses []string
+	Dial      func(address string) (*grpc.ClientConn, error)
+	// ApplyTimeout bounds an Apply or Confirm whose context has no deadline; zero
+	// means 10 s.
+	ApplyTimeout time.Duration
+}
