--- /dev/null
+++ b/internal/aubconsensus/api.go
@@ -0,0 +1,133 @@
+package aubconsensus
+
+import (
+	"context"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// proposal is one command on its way; result receives once.
+type proposal struct {
+	data   []byte
+	term   uint64
+	result chan outcome
+}
+
+// outcome is what became of a proposal or read.
+type outcome struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
+// Propose commits a command and returns its index and result. Errors are
+// *NotLeaderError, *OverwrittenError and *CommandSizeError when it is certainly
+// not committed, *UnknownOutcomeError otherwise.
+func (n *Node) Propose(ctx context.Context, data []byte) (uint64, []byte, error) {
+	if len(data) > MaxCommandBytes {
+		return 0, nil, &CommandSizeError{Bytes: len(data)}
+	}
+	p := &proposal{data: data, result: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return 0, nil, &NotLeaderError{}
+	case <-n.done:
+		return 0, nil, &NotLeaderError{}
+	}
+	o := n.await(ctx, p.result)
+	return o.index, o.data, o.err
+}
+
+// ReadIndex returns the commit index that a quorum confirmed as the leader's
+// after the call. It fails with *NotLeaderError elsewhere.
+func (n *Node) ReadIndex(ctx context.Context) (uint64, error) {
+	result := make(chan outcome, 1)
+	if err := n.call(ctx, func() { n.startRead(result) }); err != nil {
+		return 0, err
+	}
+	o := n.await(ctx, result)
+	return o.index, o.err
+}
+
+// WaitApplied waits until the entry at the index is applied here.
+func (n *Node) WaitApplied(ctx context.Context, index uint64) error {
+	result := make(chan outcome, 1)
+	if err := n.call(ctx, func() { n.startWait(index, result) }); err != nil {
+		return err
+	}
+	return n.await(ctx, result).err
+}
+
+// Leading returns the term and true while this node holds the leader's lease by
+// its own monotonic clock.
+func (n *Node) Leading() (uint64, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.published
+	return p.status.Term, p.leading && n.common.Timer.Now().Before(p.leaseUntil)
+}
+
+// Status returns what the node knows.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.published.status
+}
+
+// Deliver hands a received message to the node. It drops it when the node is behind.
+func (n *Node) Deliver(m *aubwire.ConsensusMessage) {
+	select {
+	case n.inbox <- m:
+	default:
+	}
+}
+
+// Done is closed when the node stopped.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Err returns a *StoppedError once the node stopped, or nil.
+func (n *Node) Err() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.err
+}
+
+// call runs f on the node's goroutine and returns once it ran.
+func (n *Node) call(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	call := func() {
+		f()
+		close(ran)
+	}
+	select {
+	case n.calls <- call:
+	case <-ctx.Done():
+		return &UnknownOutcomeError{Err: ctx.Err()}
+	case <-n.done:
+		return n.Err()
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-n.done:
+		return n.Err()
+	}
+}
+
+func (n *Node) await(ctx context.Context, result <-chan outcome) outcome {
+	select {
+	case o := <-result:
+		return o
+	case <-ctx.Done():
+		return outcome{err: &UnknownOutcomeError{Err: ctx.Err()}}
+	case <-n.done:
+	}
+	// The outcome may have come together with the end.
+	select {
+	case o := <-result:
+		return o
+	default:
+		return outcome{err: &UnknownOutcomeError{Err: n.Err()}}
+	}
+}
--- /dev/null
+++ b/internal/aubconsensus/change.go
@@ -0,0 +1,170 @@
+package aubconsensus
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// replacement is an operator's wish: joining takes the dead voter's place.
+type replacement struct {
+	dead    string
+	joining Peer
+}
+
+// canChange reports whether a change of the members may start: one at a time.
+func (n *Node) canChange() bool {
+	return n.lead != nil && n.lead.ready && n.lead.transfer == nil &&
+		!n.log.membership().isJoint() && n.log.membershipIndex() <= n.commit
+}
+
+func (n *Node) appendMembership(next membership) {
+	data, err := proto.Marshal(next.wire)
+	if err != nil {
+		n.stop(err)
+		return
+	}
+	n.appendOwn(aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP, data)
+}
+
+// admit takes a member that is not in the set in as a learner, if its name is
+// one to be filled.
+func (n *Node) admit(m *aubwire.ConsensusMember) {
+	members := n.log.membership()
+	if _, ok := members.member(m.GetDiskId()); ok || !n.canChange() {
+		return
+	}
+	replaces, ok := n.vacancy(m)
+	if !ok {
+		return
+	}
+	n.common.Log.Info("Replica joins as a learner.", zap.String("member", m.GetName()), zap.String("replaces", replaces))
+	n.appendMembership(members.withLearner(&aubwire.ConsensusMember{
+		DiskId:   m.GetDiskId(),
+		Name:     m.GetName(),
+		Address:  m.GetAddress(),
+		Replaces: replaces,
+	}))
+}
+
+// vacancy returns the name of the voter that the member replaces, empty when it
+// comes in addition.
+func (n *Node) vacancy(m *aubwire.ConsensusMember) (string, bool) {
+	if voter, ok := n.log.membership().voterNamed(m.GetName()); ok {
+		if n.isActive(voter.GetDiskId()) {
+			n.common.Log.Warn("Replica refused: its name is in use on another disk.", zap.String("member", m.GetName()))
+			return "", false
+		}
+		return m.GetName(), true
+	}
+	if r := n.lead.replacement; r != nil && r.joining.Name == m.GetName() {
+		return r.dead, true
+	}
+	isListed := slices.ContainsFunc(n.opts.Voters, func(p Peer) bool { return p.Name == m.GetName() })
+	return "", isListed && n.hasRoom(m.GetName())
+}
+
+// hasRoom reports whether the settings list more voters than there are.
+func (n *Node) hasRoom(name string) bool {
+	members := n.log.membership().wire
+	count := len(members.GetVoters())
+	for _, l := range members.GetLearners() {
+		if l.GetReplaces() == "" && l.GetName() != name {
+			count++
+		}
+	}
+	return count < len(n.opts.Voters)
+}
+
+// promoteIfWhole makes a learner a voter once it holds everything committed.
+func (n *Node) promoteIfWhole(id string, p *progress) {
+	members := n.log.membership()
+	learner, ok := findMember(members.wire.GetLearners(), id)
+	if !ok || !n.canChange() || p.match < n.commit || p.match < n.lead.startIndex {
+		return
+	}
+	n.common.Log.Info("Learner becomes a voter.", zap.String("member", learner.GetName()))
+	n.appendMembership(members.withPromotion(learner))
+}
+
+// applyMembership ends the joint phase once it is committed.
+func (n *Node) applyMembership(e *aubwire.LogEntry) {
+	if n.lead == nil || n.log.membershipIndex() != e.GetIndex() {
+		return
+	}
+	if members := n.log.membership(); members.isJoint() {
+		n.appendMembership(members.withoutOutgoing())
+	}
+}
+
+// ReplaceMember replaces a dead voter by a joining replica that runs on an empty
+// data folder. It returns once the new voter holds everything committed and the
+// dead one has no vote. Doing it again goes on with or confirms a change.
+func (n *Node) ReplaceMember(ctx context.Context, dead string, joining Peer) error {
+	if dead == n.opts.Self.Name {
+		return &ChangeError{Reason: "the leader can't replace itself; transfer the leadership first"}
+	}
+	for {
+		done, err := n.checkReplacement(ctx, dead, joining)
+		if done || err != nil {
+			return err
+		}
+		// The answer to Hello names the joining replica's disk.
+		n.invite(ctx, joining)
+		if err := aubtimer.Wait(ctx, n.common.Timer, helloInterval); err != nil {
+			return &UnknownOutcomeError{Err: err}
+		}
+	}
+}
+
+func (n *Node) checkReplacement(ctx context.Context, dead string, joining Peer) (done bool, err error) {
+	callErr := n.call(ctx, func() { done, err = n.noteReplacement(dead, joining) })
+	if callErr != nil {
+		return false, callErr
+	}
+	return done, err
+}
+
+func (n *Node) noteReplacement(dead string, joining Peer) (bool, error) {
+	if n.lead == nil {
+		return false, &NotLeaderError{Leader: n.otherLeader()}
+	}
+	members := n.log.membership()
+	_, deadVotes := members.voterNamed(dead)
+	_, joined := members.voterNamed(joining.Name)
+	isSettled := !members.isJoint() && n.log.membershipIndex() <= n.commit
+	switch {
+	case joined && !deadVotes && isSettled:
+		n.lead.replacement = nil
+		return true, nil
+	case joined && deadVotes && dead != joining.Name:
+		return false, &ChangeError{Reason: joining.Name + " is a voter already and " + dead + " still is one"}
+	case !joined && !deadVotes && isSettled:
+		return false, &ChangeError{Reason: dead + " is not a voter"}
+	}
+	n.lead.replacement = &replacement{dead: dead, joining: joining}
+	return false, nil
+}
+
+// invite asks the joining replica for its disk id and admits it.
+func (n *Node) invite(ctx context.Context, joining Peer) {
+	ctx, cancel := context.WithTimeout(ctx, n.opts.ElectionTimeout)
+	defer cancel()
+	resp, err := n.opts.Transport.Hello(ctx, joining.Address, &aubwire.HelloRequest{Member: n.self, ClusterId: n.Status().ClusterID})
+	if err != nil || resp.GetMember().GetName() != joining.Name {
+		return
+	}
+	if id := resp.GetMembership().GetClusterId(); id != "" && id != n.Status().ClusterID {
+		return
+	}
+	_ = n.call(ctx, func() {
+		if n.lead != nil {
+			n.admit(resp.GetMember())
+		}
+	})
+}
--- /dev/null
+++ b/internal/aubconsensus/election.go
@@ -0,0 +1,176 @@
+package aubconsensus
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+func (n *Node) tick() {
+	if n.lead != nil {
+		n.tickLeader()
+		return
+	}
+	if n.now().Before(n.electionDue) || !n.log.membership().isVoter(n.self.GetDiskId()) {
+		return
+	}
+	n.startPreVote()
+}
+
+func (n *Node) resetElection() {
+	d := n.opts.ElectionTimeout
+	jitter := time.Duration(n.opts.Rand.Int64N(int64(d)))
+	n.electionDue = n.now().Add(d + jitter)
+}
+
+func (n *Node) becomeFollower(term uint64, leaderID string) {
+	if term > n.term {
+		n.term = term
+		n.vote = ""
+		n.hardDirty = true
+	}
+	n.role = follower
+	n.leaderID = leaderID
+	n.resetElection()
+	if n.lead == nil {
+		return
+	}
+	n.common.Log.Info("Leadership ended.", zap.Uint64("term", n.lead.term))
+	n.revokeLease()
+	n.endLeadership()
+}
+
+// revokeLease takes effect before any message of the same iteration leaves.
+func (n *Node) revokeLease() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.published.leading = false
+}
+
+// hearLeader follows the sender of a leader's message of this term.
+func (n *Node) hearLeader(m *aubwire.ConsensusMessage) {
+	if n.role != follower || n.leaderID != m.GetFrom() {
+		n.becomeFollower(m.GetTerm(), m.GetFrom())
+	}
+	n.heardAt = n.now()
+	n.resetElection()
+}
+
+// startPreVote asks whether an election could be won, without changing the term.
+func (n *Node) startPreVote() {
+	n.role = preCandidate
+	n.leaderID = ""
+	n.votes = map[string]bool{n.self.GetDiskId(): true}
+	n.resetElection()
+	if n.log.membership().hasQuorum(n.hasVote) {
+		n.startElection(false)
+		return
+	}
+	n.requestVotes(n.term+1, &aubwire.VoteRequest{Pre: true})
+}
+
+func (n *Node) startElection(transfer bool) {
+	n.role = candidate
+	n.leaderID = ""
+	n.term++
+	n.vote = n.self.GetDiskId()
+	n.hardDirty = true
+	n.votes = map[string]bool{n.self.GetDiskId(): true}
+	n.resetElection()
+	if n.log.membership().hasQuorum(n.hasVote) {
+		n.becomeLeader()
+		return
+	}
+	n.requestVotes(n.term, &aubwire.VoteRequest{Transfer: transfer})
+}
+
+func (n *Node) requestVotes(term uint64, req *aubwire.VoteRequest) {
+	req.LastIndex = n.log.lastIndex()
+	req.LastTerm = n.log.lastTerm()
+	members := n.log.membership()
+	for _, m := range members.all() {
+		if m.GetDiskId() == n.self.GetDiskId() || !members.isVoter(m.GetDiskId()) {
+			continue
+		}
+		message := &aubwire.ConsensusMessage{Term: term, Body: &aubwire.ConsensusMessage_Vote{Vote: req}}
+		if o, ok := n.address(m.GetDiskId(), message); ok {
+			n.sendAfter = append(n.sendAfter, o)
+		}
+	}
+}
+
+// stepVote answers a request for a vote.
+func (n *Node) stepVote(m *aubwire.ConsensusMessage, req *aubwire.VoteRequest) {
+	if m.GetTerm() < n.term || (n.hearsLeader() && !req.GetTransfer()) {
+		n.answerVote(m, req.GetPre(), false, n.term)
+		return
+	}
+	if req.GetPre() {
+		granted := m.GetTerm() > n.term && n.isUpToDate(req)
+		n.answerVote(m, true, granted, m.GetTerm())
+		return
+	}
+	if m.GetTerm() > n.term {
+		n.becomeFollower(m.GetTerm(), "")
+	}
+	granted := n.isUpToDate(req) && (n.vote == "" || n.vote == m.GetFrom()) && n.lead == nil
+	if granted {
+		n.vote = m.GetFrom()
+		n.hardDirty = true
+		n.resetElection()
+	}
+	n.answerVote(m, false, granted, n.term)
+}
+
+func (n *Node) answerVote(m *aubwire.ConsensusMessage, pre, granted bool, term uint64) {
+	n.reply(m, &aubwire.ConsensusMessage{Term: term, Body: &aubwire.ConsensusMessage_VoteResponse{
+		VoteResponse: &aubwire.VoteResponse{Pre: pre, Granted: granted},
+	}})
+}
+
+// hearsLeader reports whether a leader may hold a lease that rests on this member.
+func (n *Node) hearsLeader() bool {
+	if n.lead != nil {
+		return true
+	}
+	return n.now().Sub(n.heardAt) < n.opts.ElectionTimeout
+}
+
+func (n *Node) isUpToDate(req *aubwire.VoteRequest) bool {
+	if term := n.log.lastTerm(); req.GetLastTerm() != term {
+		return req.GetLastTerm() > term
+	}
+	return req.GetLastIndex() >= n.log.lastIndex()
+}
+
+func (n *Node) stepVoteResponse(m *aubwire.ConsensusMessage, resp *aubwire.VoteResponse) {
+	if !resp.GetGranted() {
+		return
+	}
+	isPre := n.role == preCandidate && resp.GetPre() && m.GetTerm() == n.term+1
+	isReal := n.role == candidate && !resp.GetPre() && m.GetTerm() == n.term
+	if !isPre && !isReal {
+		return
+	}
+	n.votes[m.GetFrom()] = true
+	if !n.log.membership().hasQuorum(n.hasVote) {
+		return
+	}
+	if isPre {
+		n.startElection(false)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) hasVote(id string) bool { return n.votes[id] }
+
+// stepTransfer starts an election at once because the leader handed over.
+func (n *Node) stepTransfer() {
+	if n.lead != nil || !n.log.membership().isVoter(n.self.GetDiskId()) {
+		return
+	}
+	n.startElection(true)
+}
--- /dev/null
+++ b/internal/aubconsensus/join.go
@@ -0,0 +1,193 @@
+package aubconsensus
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// helloAnswer is what the replica at one address of the settings said.
+type helloAnswer struct {
+	peer Peer
+	resp *aubwire.HelloResponse
+}
+
+// Hello answers another replica's question. The leader takes in a caller whose
+// disk is not part of the members.
+func (n *Node) Hello(ctx context.Context, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	var resp *aubwire.HelloResponse
+	err := n.call(ctx, func() { resp = n.answerHello(req) })
+	return resp, err
+}
+
+func (n *Node) answerHello(req *aubwire.HelloRequest) *aubwire.HelloResponse {
+	members := n.log.membership()
+	resp := &aubwire.HelloResponse{
+		Member:      n.self,
+		Membership:  members.wire,
+		AfterDamage: n.opts.Disk.AfterDamage(),
+	}
+	if m, ok := members.member(n.leaderID); ok {
+		resp.Leader = m
+	}
+	// Only a caller that holds this cluster already is taken in.
+	if n.lead != nil && req.GetClusterId() == n.clusterID() {
+		n.admit(req.GetMember())
+	}
+	return resp
+}
+
+// sayHello asks the other replicas what they hold while this one has no vote.
+func (n *Node) sayHello(ctx context.Context) {
+	ticks := n.common.Timer.Subscribe(ctx, min(helloInterval, n.opts.ElectionTimeout))
+	for {
+		if n.isLost() {
+			n.askAll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.done:
+			return
+		case <-ticks:
+		}
+	}
+}
+
+// isLost reports whether this replica has no vote or knows no leader.
+func (n *Node) isLost() bool {
+	status := n.Status()
+	return !status.IsVoter || status.Leader.Name == ""
+}
+
+func (n *Node) askAll(ctx context.Context) {
+	status := n.Status()
+	ctx, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	peers := n.helloTargets(status)
+	answers := make([]helloAnswer, len(peers))
+	for i, p := range peers {
+		wg.Go(func() {
+			req := &aubwire.HelloRequest{Member: n.self, ClusterId: status.ClusterID}
+			resp, err := n.opts.Transport.Hello(ctx, p.Address, req)
+			if err == nil {
+				answers[i] = helloAnswer{peer: p, resp: resp}
+			}
+		})
+	}
+	wg.Wait()
+	_ = n.call(ctx, func() { n.takeAnswers(answers) })
+}
+
+// helloTargets returns the peers of the settings and of the known membership.
+func (n *Node) helloTargets(status Status) []Peer {
+	var peers []Peer
+	known := map[string]bool{n.opts.Self.Address: true}
+	for _, p := range append(append([]Peer(nil), n.opts.Voters...), append(status.Voters, status.Leader)...) {
+		if p.Address != "" && !known[p.Address] {
+			known[p.Address] = true
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
+func (n *Node) takeAnswers(answers []helloAnswer) {
+	if n.clusterID() != "" {
+		n.reportNoVote(answers)
+		return
+	}
+	for _, a := range answers {
+		if a.resp.GetMembership().GetClusterId() != "" {
+			n.adopt(a.resp.GetMembership())
+			return
+		}
+	}
+	if n.mayForm(answers) {
+		n.form(answers)
+	}
+}
+
+// adopt joins an existing cluster. This disk has acknowledged nothing yet, so it
+// can vote only if it was one of the disks that formed the cluster.
+func (n *Node) adopt(wire *aubwire.Membership) {
+	n.common.Log.Info("Cluster found.", zap.String("cluster", wire.GetClusterId()))
+	n.log.setSnapshot(&aubwire.LogSnapshot{Membership: wire})
+	n.resetElection()
+}
+
+// mayForm reports whether this replica forms the cluster: it has the lowest name
+// and every other replica answered that it holds nothing and never did.
+func (n *Node) mayForm(answers []helloAnswer) bool {
+	others := 0
+	for _, v := range n.opts.Voters {
+		if v.Name == n.opts.Self.Name {
+			continue
+		}
+		if strings.Compare(v.Name, n.opts.Self.Name) < 0 {
+			return false
+		}
+		others++
+	}
+	if n.opts.Disk.AfterDamage() {
+		n.common.Log.Error("Store was damaged and no replica holds the cluster; an operator must restore it.")
+		return false
+	}
+	answered := 0
+	for _, a := range answers {
+		if a.resp != nil && a.resp.GetMember().GetName() == a.peer.Name && !a.resp.GetAfterDamage() {
+			answered++
+		}
+	}
+	return answered == others
+}
+
+func (n *Node) form(answers []helloAnswer) {
+	wire := &aubwire.Membership{ClusterId: uuid.NewString(), Voters: []*aubwire.ConsensusMember{n.self}}
+	for _, a := range answers {
+		wire.Voters = append(wire.Voters, &aubwire.ConsensusMember{
+			DiskId:  a.resp.GetMember().GetDiskId(),
+			Name:    a.peer.Name,
+			Address: a.peer.Address,
+		})
+	}
+	n.common.Log.Info("Cluster is formed.", zap.String("cluster", wire.GetClusterId()))
+	n.log.setSnapshot(&aubwire.LogSnapshot{Membership: wire})
+	n.electionDue = n.now()
+}
+
+// reportNoVote says why this replica can't take part yet.
+func (n *Node) reportNoVote(answers []helloAnswer) {
+	if n.leaderID != "" {
+		return
+	}
+	isVoter := n.log.membership().isVoter(n.self.GetDiskId())
+	for _, a := range answers {
+		if id := a.resp.GetMembership().GetClusterId(); id != "" && id != n.clusterID() {
+			n.common.Log.Error("Replica belongs to another cluster than its peer.", zap.String("peer", a.peer.Name))
+		}
+		if isVoter && n.isRemovedBy(a.resp) {
+			n.common.Log.Error("This disk was replaced and has no vote any more; start on an empty data folder.")
+			return
+		}
+	}
+	if !isVoter {
+		n.common.Log.Warn("Replica has no vote and no leader takes it in; a majority of disks may be lost.")
+	}
+}
+
+// isRemovedBy reports whether a replica with a leader knows a membership without
+// this disk.
+func (n *Node) isRemovedBy(resp *aubwire.HelloResponse) bool {
+	if resp.GetLeader() == nil || resp.GetMembership().GetClusterId() != n.clusterID() {
+		return false
+	}
+	_, ok := membership{wire: resp.GetMembership()}.member(n.self.GetDiskId())
+	return !ok
+}
--- /dev/null
+++ b/internal/aubconsensus/leader.go
@@ -0,0 +1,197 @@
+package aubconsensus
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// leadership is the state of one term of leading.
+type leadership struct {
+	term  uint64
+	since time.Time
+	// startIndex is the empty entry that opened the term.
+	startIndex uint64
+	// ready is set once the start entry is applied: the state holds everything
+	// that earlier leaders committed.
+	ready         bool
+	progress      map[string]*progress
+	round         uint64
+	broadcastAt   time.Time
+	wantBroadcast bool
+	reads         []pendingRead
+	transfer      *transfer
+	replacement   *replacement
+}
+
+// progress is what the leader knows of one member.
+type progress struct {
+	match uint64
+	next  uint64
+	// ackedAt is the send time of the newest message answered, since the term's start.
+	ackedAt    time.Duration
+	ackedRound uint64
+	// answeredAt is when the last answer came.
+	answeredAt time.Time
+	snapshot   *outgoingSnapshot
+}
+
+func (n *Node) becomeLeader() {
+	n.role = leader
+	n.leaderID = n.self.GetDiskId()
+	n.lead = &leadership{
+		term:       n.term,
+		since:      n.now(),
+		startIndex: n.log.lastIndex() + 1,
+		progress:   make(map[string]*progress),
+	}
+	n.syncProgress()
+	n.common.Log.Info("Leadership begins.", zap.Uint64("term", n.term))
+	n.appendOwn(aubwire.EntryKind_ENTRY_KIND_EMPTY, nil)
+}
+
+// endLeadership drops the state of the term. Proposals in the log keep waiting:
+// the next leader may commit them.
+func (n *Node) endLeadership() {
+	l := n.lead
+	n.lead = nil
+	for _, r := range l.reads {
+		r.result <- outcome{err: &NotLeaderError{}}
+	}
+}
+
+// syncProgress follows the newest membership.
+func (n *Node) syncProgress() {
+	members := n.log.membership()
+	for id := range n.lead.progress {
+		if _, ok := members.member(id); !ok {
+			delete(n.lead.progress, id)
+		}
+	}
+	for _, m := range members.all() {
+		id := m.GetDiskId()
+		if _, ok := n.lead.progress[id]; !ok && id != n.self.GetDiskId() {
+			n.lead.progress[id] = &progress{next: n.log.lastIndex() + 1}
+		}
+	}
+}
+
+// appendOwn appends an entry of the leader's own term.
+func (n *Node) appendOwn(kind aubwire.EntryKind, data []byte) uint64 {
+	e := &aubwire.LogEntry{Index: n.log.lastIndex() + 1, Term: n.term, Kind: kind, Data: data}
+	if err := n.log.append(e); err != nil {
+		n.stop(err)
+	}
+	n.lead.wantBroadcast = true
+	return e.GetIndex()
+}
+
+// propose appends a command, or refuses it when this node can't.
+func (n *Node) propose(p *proposal) {
+	if n.lead == nil || !n.lead.ready || n.lead.transfer != nil {
+		p.result <- outcome{err: &NotLeaderError{Leader: n.otherLeader()}}
+		return
+	}
+	p.term = n.term
+	index := n.appendOwn(aubwire.EntryKind_ENTRY_KIND_COMMAND, p.data)
+	n.waiters[index] = p
+}
+
+// otherLeader returns the leader to turn to instead of this node.
+func (n *Node) otherLeader() Peer {
+	if n.leaderID == n.self.GetDiskId() {
+		return Peer{}
+	}
+	return n.leaderPeer()
+}
+
+func (n *Node) tickLeader() {
+	l := n.lead
+	now := n.now()
+	if now.Sub(l.since.Add(n.quorumAck(now))) > n.opts.ElectionTimeout {
+		n.common.Log.Warn("Majority is silent; the leader steps down.")
+		n.becomeFollower(n.term, "")
+		return
+	}
+	if now.Sub(l.broadcastAt) >= n.opts.Heartbeat {
+		l.wantBroadcast = true
+	}
+	n.tickTransfer(now)
+}
+
+// quorumAck returns the send time, since the term's start, of the newest message
+// that a quorum has answered.
+func (n *Node) quorumAck(now time.Time) time.Duration {
+	return time.Duration(quorumValue(n.log.membership(), func(id string) int64 {
+		if id == n.self.GetDiskId() {
+			return int64(now.Sub(n.lead.since))
+		}
+		return int64(n.progressOf(id).ackedAt)
+	}))
+}
+
+func (n *Node) leaseUntil() time.Time {
+	return n.lead.since.Add(n.quorumAck(n.now())).Add(n.opts.lease())
+}
+
+// progressOf returns the progress of a member; a zero one if it has none.
+func (n *Node) progressOf(id string) *progress {
+	if p, ok := n.lead.progress[id]; ok {
+		return p
+	}
+	return &progress{}
+}
+
+// noteAnswer records that a member heard the leader.
+func (n *Node) noteAnswer(p *progress, round uint64, sentAtNs int64) {
+	p.answeredAt = n.now()
+	p.ackedAt = max(p.ackedAt, time.Duration(sentAtNs))
+	p.ackedRound = max(p.ackedRound, round)
+}
+
+// isActive reports whether the member answered within an election timeout.
+func (n *Node) isActive(id string) bool {
+	if id == n.self.GetDiskId() {
+		return true
+	}
+	p := n.progressOf(id)
+	return !p.answeredAt.IsZero() && n.now().Sub(p.answeredAt) < n.opts.ElectionTimeout
+}
+
+// advanceCommit commits what a quorum holds, once it is of the leader's term.
+func (n *Node) advanceCommit() {
+	index := quorumValue(n.log.membership(), func(id string) uint64 {
+		if id == n.self.GetDiskId() {
+			return n.log.lastIndex()
+		}
+		return n.progressOf(id).match
+	})
+	if term, ok := n.log.term(index); index <= n.commit || !ok || term != n.term {
+		return
+	}
+	n.commit = index
+	n.lead.wantBroadcast = true
+}
+
+// completeReads answers the reads whose round a quorum has confirmed.
+func (n *Node) completeReads() {
+	l := n.lead
+	round := quorumValue(n.log.membership(), func(id string) uint64 {
+		if id == n.self.GetDiskId() {
+			return math.MaxUint64
+		}
+		return n.progressOf(id).ackedRound
+	})
+	kept := l.reads[:0]
+	for _, r := range l.reads {
+		if r.round > round || r.index > n.commit {
+			kept = append(kept, r)
+			continue
+		}
+		r.result <- outcome{index: r.index}
+	}
+	l.reads = kept
+}
--- /dev/null
+++ b/internal/aubconsensus/log.go
@@ -0,0 +1,191 @@
+package aubconsensus
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubstore"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// memoryLog is the part of the log that is not compacted yet, the membership at
+// each index, and the update that makes all changes durable.
+type memoryLog struct {
+	entries     []*aubwire.LogEntry
+	snapIndex   uint64
+	snapTerm    uint64
+	memberships []indexedMembership
+	update      aubstore.Update
+}
+
+type indexedMembership struct {
+	index uint64
+	set   membership
+}
+
+func newMemoryLog(state aubstore.State) (*memoryLog, error) {
+	l := &memoryLog{entries: state.Entries, snapIndex: state.Snapshot.GetIndex(), snapTerm: state.Snapshot.GetTerm()}
+	l.memberships = []indexedMembership{{index: l.snapIndex, set: membership{wire: state.Snapshot.GetMembership()}}}
+	for _, e := range l.entries {
+		if e.GetIndex() <= l.snapIndex {
+			continue
+		}
+		if err := l.noteMembership(e); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func (l *memoryLog) noteMembership(e *aubwire.LogEntry) error {
+	if e.GetKind() != aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		return nil
+	}
+	wire := &aubwire.Membership{}
+	if err := proto.Unmarshal(e.GetData(), wire); err != nil {
+		return err
+	}
+	l.memberships = append(l.memberships, indexedMembership{index: e.GetIndex(), set: membership{wire: wire}})
+	return nil
+}
+
+// membership returns the newest set; it counts as soon as it is in the log.
+func (l *memoryLog) membership() membership { return l.memberships[len(l.memberships)-1].set }
+
+// membershipIndex returns the index of the newest set.
+func (l *memoryLog) membershipIndex() uint64 { return l.memberships[len(l.memberships)-1].index }
+
+// membershipAt returns the set in force at the index.
+func (l *memoryLog) membershipAt(index uint64) membership {
+	set := l.memberships[0].set
+	for _, m := range l.memberships {
+		if m.index <= index {
+			set = m.set
+		}
+	}
+	return set
+}
+
+func (l *memoryLog) lastIndex() uint64 {
+	if n := len(l.entries); n > 0 {
+		return max(l.entries[n-1].GetIndex(), l.snapIndex)
+	}
+	return l.snapIndex
+}
+
+func (l *memoryLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at the index while it is known.
+func (l *memoryLog) term(index uint64) (uint64, bool) {
+	if e, ok := l.entry(index); ok {
+		return e.GetTerm(), true
+	}
+	if index == l.snapIndex {
+		return l.snapTerm, true
+	}
+	return 0, false
+}
+
+func (l *memoryLog) entry(index uint64) (*aubwire.LogEntry, bool) {
+	if len(l.entries) == 0 || index < l.entries[0].GetIndex() {
+		return nil, false
+	}
+	i := index - l.entries[0].GetIndex()
+	if i >= uint64(len(l.entries)) {
+		return nil, false
+	}
+	return l.entries[i], true
+}
+
+// slice returns entries from the index on, of at most maxBytes but at least one.
+func (l *memoryLog) slice(from uint64, maxBytes int) []*aubwire.LogEntry {
+	if _, ok := l.entry(from); !ok {
+		return nil
+	}
+	rest := l.entries[from-l.entries[0].GetIndex():]
+	size := 0
+	for i, e := range rest {
+		size += len(e.GetData())
+		if i > 0 && size > maxBytes {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
+
+// append adds entries at the end of the log.
+func (l *memoryLog) append(entries ...*aubwire.LogEntry) error {
+	for _, e := range entries {
+		if err := l.noteMembership(e); err != nil {
+			return err
+		}
+	}
+	l.entries = append(l.entries, entries...)
+	l.update.Entries = append(l.update.Entries, entries...)
+	return nil
+}
+
+// truncate removes the entries from the index on.
+func (l *memoryLog) truncate(from uint64) {
+	if e := l.entries; len(e) > 0 && from >= e[0].GetIndex() {
+		l.entries = slices.Clone(e[:from-e[0].GetIndex()])
+	} else {
+		l.entries = nil
+	}
+	for len(l.memberships) > 1 && l.membershipIndex() >= from {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+	l.update.Entries = slices.DeleteFunc(l.update.Entries, func(e *aubwire.LogEntry) bool { return e.GetIndex() >= from })
+	if l.update.TruncateFrom == 0 || from < l.update.TruncateFrom {
+		l.update.TruncateFrom = from
+	}
+}
+
+// compact puts a snapshot of the applied state in place of older entries, of
+// which it keeps a few for slow followers.
+func (l *memoryLog) compact(snap *aubwire.LogSnapshot, keep uint64) {
+	l.setSnapshot(snap)
+	if snap.GetIndex() <= keep || len(l.entries) == 0 {
+		return
+	}
+	last := snap.GetIndex() - keep
+	first := l.entries[0].GetIndex()
+	if last < first {
+		return
+	}
+	l.entries = slices.Clone(l.entries[last-first+1:])
+	l.update.CompactTo = last
+}
+
+// replace puts a received snapshot in place of the whole log.
+func (l *memoryLog) replace(snap *aubwire.LogSnapshot) {
+	l.entries = nil
+	l.update.Entries = nil
+	l.update.TruncateFrom = 1
+	l.memberships = nil
+	l.setSnapshot(snap)
+}
+
+func (l *memoryLog) setSnapshot(snap *aubwire.LogSnapshot) {
+	l.snapIndex = snap.GetIndex()
+	l.snapTerm = snap.GetTerm()
+	l.update.Snapshot = snap
+	kept := []indexedMembership{{index: l.snapIndex, set: membership{wire: snap.GetMembership()}}}
+	for _, m := range l.memberships {
+		if m.index > l.snapIndex {
+			kept = append(kept, m)
+		}
+	}
+	l.memberships = kept
+}
+
+// takeUpdate returns the changes since the last call.
+func (l *memoryLog) takeUpdate() aubstore.Update {
+	u := l.update
+	l.update = aubstore.Update{}
+	return u
+}
--- /dev/null
+++ b/internal/aubconsensus/read.go
@@ -0,0 +1,48 @@
+package aubconsensus
+
+// pendingRead waits until a quorum answered a round that began after it.
+type pendingRead struct {
+	round  uint64
+	index  uint64
+	result chan outcome
+}
+
+// appliedWaiter waits until an index is applied.
+type appliedWaiter struct {
+	index  uint64
+	result chan outcome
+}
+
+func (n *Node) startRead(result chan outcome) {
+	l := n.lead
+	if l == nil || l.transfer != nil {
+		result <- outcome{err: &NotLeaderError{Leader: n.otherLeader()}}
+		return
+	}
+	l.reads = append(l.reads, pendingRead{
+		round:  l.round + 1,
+		index:  max(n.commit, l.startIndex),
+		result: result,
+	})
+	l.wantBroadcast = true
+}
+
+func (n *Node) startWait(index uint64, result chan outcome) {
+	if n.applied >= index {
+		result <- outcome{index: n.applied}
+		return
+	}
+	n.appliedWaiters = append(n.appliedWaiters, appliedWaiter{index: index, result: result})
+}
+
+func (n *Node) completeWaits() {
+	kept := n.appliedWaiters[:0]
+	for _, w := range n.appliedWaiters {
+		if w.index > n.applied {
+			kept = append(kept, w)
+			continue
+		}
+		w.result <- outcome{index: n.applied}
+	}
+	n.appliedWaiters = kept
+}
--- /dev/null
+++ b/internal/aubconsensus/service.go
@@ -0,0 +1,59 @@
+package aubconsensus
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// Service serves a node to the other replicas.
+type Service struct {
+	aubwire.UnimplementedConsensusServer
+
+	node *Node
+}
+
+// NewService returns the gRPC service of the node.
+func NewService(node *Node) *Service { return &Service{node: node} }
+
+// Deliver implements the gRPC service.
+func (s *Service) Deliver(_ context.Context, req *aubwire.DeliverRequest) (*aubwire.DeliverResponse, error) {
+	if err := s.node.Err(); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	for _, m := range req.GetMessages() {
+		s.node.Deliver(m)
+	}
+	return &aubwire.DeliverResponse{}, nil
+}
+
+// Hello implements the gRPC service.
+func (s *Service) Hello(ctx context.Context, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	resp, err := s.node.Hello(ctx, req)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return resp, nil
+}
+
+// ReplaceMember implements the gRPC service.
+func (s *Service) ReplaceMember(ctx context.Context, req *aubwire.ReplaceMemberRequest) (*aubwire.ReplaceMemberResponse, error) {
+	joining := Peer{Name: req.GetJoiningName(), Address: req.GetJoiningAddress()}
+	err := s.node.ReplaceMember(ctx, req.GetDead(), joining)
+	var refused *ChangeError
+	var elsewhere *NotLeaderError
+	switch {
+	case err == nil:
+		return &aubwire.ReplaceMemberResponse{}, nil
+	case errors.As(err, &refused):
+		return nil, status.Error(codes.FailedPrecondition, refused.Reason)
+	case errors.As(err, &elsewhere):
+		return nil, status.Error(codes.Aborted, elsewhere.Error())
+	default:
+		return nil, status.Error(codes.Unknown, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/aubconsensus/snapshot.go
@@ -0,0 +1,193 @@
+package aubconsensus
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const maxSnapshotBytes = 256 << 20
+
+// outgoingSnapshot is a snapshot on its way to a member, one chunk at a time.
+type outgoingSnapshot struct {
+	index    uint64
+	term     uint64
+	data     []byte
+	checksum uint64
+	offset   uint64
+	sentAt   time.Time
+}
+
+// incomingSnapshot gathers the chunks of one snapshot.
+type incomingSnapshot struct {
+	index    uint64
+	checksum uint64
+	total    uint64
+	data     []byte
+}
+
+// compactIfDue replaces applied entries by a snapshot of the machine.
+func (n *Node) compactIfDue() {
+	if n.Err() != nil {
+		return
+	}
+	isLong := n.applied-n.log.snapIndex >= n.opts.SnapshotEvery
+	if !isLong && n.appliedBytes < n.opts.SnapshotBytes {
+		return
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		n.stop(err)
+		return
+	}
+	term, ok := n.log.term(n.applied)
+	if !ok {
+		return
+	}
+	n.appliedBytes = 0
+	n.log.compact(&aubwire.LogSnapshot{
+		Index:      n.applied,
+		Term:       term,
+		Membership: n.log.membershipAt(n.applied).wire,
+		Data:       data,
+	}, n.opts.KeepEntries)
+}
+
+// sendSnapshot sends the next chunk, or again one that got no answer in time.
+func (n *Node) sendSnapshot(id string, p *progress) {
+	s := p.snapshot
+	if s == nil {
+		if s = n.loadOutgoing(); s == nil {
+			return
+		}
+		p.snapshot = s
+	}
+	if n.now().Sub(s.sentAt) < n.opts.ElectionTimeout {
+		return
+	}
+	s.sentAt = n.now()
+	end := min(s.offset+chunkBytes, uint64(len(s.data)))
+	n.sendMember(id, &aubwire.ConsensusMessage{Body: &aubwire.ConsensusMessage_Snapshot{
+		Snapshot: &aubwire.SnapshotChunk{
+			Index:        s.index,
+			SnapshotTerm: s.term,
+			Offset:       s.offset,
+			Data:         s.data[s.offset:end],
+			Total:        uint64(len(s.data)),
+			Checksum:     s.checksum,
+			Round:        n.lead.round,
+			SentAtNs:     int64(n.now().Sub(n.lead.since)),
+		},
+	}})
+}
+
+func (n *Node) loadOutgoing() *outgoingSnapshot {
+	snap, err := n.opts.Disk.LoadSnapshot()
+	if err != nil {
+		n.stop(err)
+		return nil
+	}
+	data, err := proto.Marshal(snap)
+	if err != nil {
+		n.stop(err)
+		return nil
+	}
+	return &outgoingSnapshot{
+		index:    snap.GetIndex(),
+		term:     snap.GetTerm(),
+		data:     data,
+		checksum: xxhash.Sum64(data),
+	}
+}
+
+func (n *Node) stepSnapshotResponse(m *aubwire.ConsensusMessage, resp *aubwire.SnapshotResponse) {
+	if n.lead == nil {
+		return
+	}
+	p, ok := n.lead.progress[m.GetFrom()]
+	if !ok {
+		return
+	}
+	n.noteAnswer(p, resp.GetRound(), resp.GetSentAtNs())
+	if resp.GetInstalled() {
+		p.match = max(p.match, resp.GetIndex())
+		p.next = max(p.next, p.match+1)
+		p.snapshot = nil
+		n.promoteIfWhole(m.GetFrom(), p)
+		n.sendAppend(m.GetFrom(), p)
+		return
+	}
+	s := p.snapshot
+	if s == nil || s.index != resp.GetIndex() || resp.GetOffset() > uint64(len(s.data)) {
+		return
+	}
+	if resp.GetOffset() == s.offset {
+		return
+	}
+	s.offset = resp.GetOffset()
+	s.sentAt = time.Time{}
+	n.sendSnapshot(m.GetFrom(), p)
+}
+
+// stepSnapshot takes in one chunk and installs the snapshot when it is whole.
+func (n *Node) stepSnapshot(m *aubwire.ConsensusMessage, chunk *aubwire.SnapshotChunk) {
+	resp := &aubwire.SnapshotResponse{Index: chunk.GetIndex(), Round: chunk.GetRound(), SentAtNs: chunk.GetSentAtNs()}
+	defer func() {
+		n.reply(m, &aubwire.ConsensusMessage{Body: &aubwire.ConsensusMessage_SnapshotResponse{SnapshotResponse: resp}})
+	}()
+	if n.holds(chunk) {
+		resp.Installed = true
+		return
+	}
+	if chunk.GetTotal() > maxSnapshotBytes {
+		n.common.Log.Error("Snapshot is too large.", zap.Uint64("bytes", chunk.GetTotal()))
+		return
+	}
+	in := n.incoming
+	if in == nil || in.index != chunk.GetIndex() || in.checksum != chunk.GetChecksum() {
+		in = &incomingSnapshot{index: chunk.GetIndex(), checksum: chunk.GetChecksum(), total: chunk.GetTotal()}
+		n.incoming = in
+	}
+	if chunk.GetOffset() == uint64(len(in.data)) {
+		in.data = append(in.data, chunk.GetData()...)
+	}
+	resp.Offset = uint64(len(in.data))
+	if resp.GetOffset() < in.total {
+		return
+	}
+	n.incoming = nil
+	resp.Offset = 0
+	resp.Installed = n.installSnapshot(in)
+}
+
+// holds reports whether the log holds everything the snapshot does. Entries
+// beyond it may be acknowledged, so they must not be dropped for it.
+func (n *Node) holds(chunk *aubwire.SnapshotChunk) bool {
+	if chunk.GetIndex() <= n.commit {
+		return true
+	}
+	term, ok := n.log.term(chunk.GetIndex())
+	if !ok || term != chunk.GetSnapshotTerm() {
+		return false
+	}
+	n.commit = chunk.GetIndex()
+	return true
+}
+
+func (n *Node) installSnapshot(in *incomingSnapshot) bool {
+	snap := &aubwire.LogSnapshot{}
+	if xxhash.Sum64(in.data) != in.checksum || proto.Unmarshal(in.data, snap) != nil {
+		n.common.Log.Warn("Received snapshot is damaged.")
+		return false
+	}
+	n.log.replace(snap)
+	n.commit = snap.GetIndex()
+	n.install = snap
+	n.skipWaiters(snap.GetIndex())
+	n.common.Log.Info("Snapshot installed.", zap.Uint64("index", snap.GetIndex()))
+	return true
+}
--- /dev/null
+++ b/internal/aubconsensus/step.go
@@ -0,0 +1,86 @@
+package aubconsensus
+
+import (
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// step handles one received message.
+func (n *Node) step(m *aubwire.ConsensusMessage) {
+	if m.GetTo() != n.self.GetDiskId() || m.GetClusterId() != n.clusterID() || m.GetClusterId() == "" {
+		return
+	}
+	if vote := m.GetVote(); vote != nil {
+		n.stepVote(m, vote)
+		return
+	}
+	if m.GetTerm() < n.term {
+		n.answerOldLeader(m)
+		return
+	}
+	if isGrantedPreVote(m) {
+		n.stepVoteResponse(m, m.GetVoteResponse())
+		return
+	}
+	if m.GetTerm() > n.term {
+		n.becomeFollower(m.GetTerm(), "")
+	}
+	switch body := m.GetBody().(type) {
+	case *aubwire.ConsensusMessage_Append:
+		n.hearLeader(m)
+		n.stepAppend(m, body.Append)
+	case *aubwire.ConsensusMessage_Snapshot:
+		n.hearLeader(m)
+		n.stepSnapshot(m, body.Snapshot)
+	case *aubwire.ConsensusMessage_AppendResponse:
+		n.stepAppendResponse(m, body.AppendResponse)
+	case *aubwire.ConsensusMessage_SnapshotResponse:
+		n.stepSnapshotResponse(m, body.SnapshotResponse)
+	case *aubwire.ConsensusMessage_VoteResponse:
+		n.stepVoteResponse(m, body.VoteResponse)
+	case *aubwire.ConsensusMessage_Transfer:
+		n.stepTransfer()
+	}
+}
+
+// answerOldLeader tells a leader of an older term that it was replaced.
+func (n *Node) answerOldLeader(m *aubwire.ConsensusMessage) {
+	if m.GetAppend() == nil && m.GetSnapshot() == nil {
+		return
+	}
+	n.reply(m, &aubwire.ConsensusMessage{Body: &aubwire.ConsensusMessage_AppendResponse{
+		AppendResponse: &aubwire.AppendResponse{Rejected: true},
+	}})
+}
+
+// reply sends an answer once everything of this iteration is synced.
+func (n *Node) reply(to, answer *aubwire.ConsensusMessage) {
+	n.fill(to.GetFrom(), answer)
+	n.sendAfter = append(n.sendAfter, outgoing{address: to.GetFromAddress(), message: answer})
+}
+
+// address completes a message to a member.
+func (n *Node) address(id string, m *aubwire.ConsensusMessage) (outgoing, bool) {
+	member, ok := n.log.membership().member(id)
+	if !ok {
+		return outgoing{}, false
+	}
+	n.fill(id, m)
+	return outgoing{address: member.GetAddress(), message: m}, true
+}
+
+func (n *Node) fill(to string, m *aubwire.ConsensusMessage) {
+	m.ClusterId = n.clusterID()
+	m.From = n.self.GetDiskId()
+	m.FromAddress = n.self.GetAddress()
+	m.To = to
+	if m.GetTerm() == 0 {
+		m.Term = n.term
+	}
+}
+
+func (n *Node) clusterID() string { return n.log.membership().wire.GetClusterId() }
+
+func isGrantedPreVote(m *aubwire.ConsensusMessage) bool {
+	r := m.GetVoteResponse()
+	return r.GetPre() && r.GetGranted()
+}
--- /dev/null
+++ b/internal/aubconsensus/transfer.go
@@ -0,0 +1,88 @@
+package aubconsensus
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// transfer is a handover of the leadership that is under way.
+type transfer struct {
+	target string
+	until  time.Time
+}
+
+// TransferLeadership hands the leadership to the voter that holds most. It
+// returns once another member leads; on a node that does not lead it does nothing.
+func (n *Node) TransferLeadership(ctx context.Context) error {
+	var started bool
+	var refused error
+	if err := n.call(ctx, func() { started, refused = n.startTransfer() }); err != nil {
+		return err
+	}
+	if refused != nil || !started {
+		return refused
+	}
+	for {
+		if err := aubtimer.Wait(ctx, n.common.Timer, n.opts.Heartbeat/ticksInHeartbeat); err != nil {
+			return &UnknownOutcomeError{Err: err}
+		}
+		status := n.Status()
+		if !status.LeaderHere && status.Leader.Name != "" {
+			return nil
+		}
+		if n.Err() != nil {
+			return n.Err()
+		}
+	}
+}
+
+func (n *Node) startTransfer() (started bool, err error) {
+	if n.lead == nil {
+		return false, nil
+	}
+	var target string
+	var match uint64
+	for _, v := range n.log.membership().wire.GetVoters() {
+		id := v.GetDiskId()
+		if id == n.self.GetDiskId() || !n.isActive(id) {
+			continue
+		}
+		if p := n.progressOf(id); target == "" || p.match > match {
+			target = id
+			match = p.match
+		}
+	}
+	if target == "" {
+		return false, &ChangeError{Reason: "no other voter answers"}
+	}
+	n.lead.transfer = &transfer{target: target, until: n.now().Add(n.opts.ElectionTimeout)}
+	n.lead.wantBroadcast = true
+	return true, nil
+}
+
+// tickTransfer hands over once the target holds the whole log. The lease ends
+// before the message leaves, and this term is not led any more.
+func (n *Node) tickTransfer(now time.Time) {
+	l := n.lead
+	if l.transfer == nil {
+		return
+	}
+	if n.progressOf(l.transfer.target).match < n.log.lastIndex() {
+		if now.After(l.transfer.until) {
+			n.common.Log.Warn("Leadership was not handed over: the target is behind.")
+			l.transfer = nil
+		}
+		return
+	}
+	target := l.transfer.target
+	n.common.Log.Info("Leadership is handed over.", zap.Uint64("term", n.term))
+	n.becomeFollower(n.term, "")
+	n.sendMember(target, &aubwire.ConsensusMessage{
+		Body: &aubwire.ConsensusMessage_Transfer{Transfer: &aubwire.TransferLeadership{}},
+	})
+}
--- /dev/null
+++ b/internal/aubconsensus/transport.go
@@ -0,0 +1,173 @@
+package aubconsensus
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	linkQueue     = 1024
+	deliverBytes  = 2 << 20
+	deliverCount  = 64
+	redialBackoff = 50 * time.Millisecond
+)
+
+// RemoteTransport carries messages by gRPC, over one connection for each
+// address. A call that gets no answer in time opens a new connection, so that a
+// silent one is not waited for.
+//
+// Lock order: mu is taken alone.
+type RemoteTransport struct {
+	common  aubcommon.Common
+	ctx     context.Context
+	dial    func(address string) (*grpc.ClientConn, error)
+	timeout time.Duration
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+var _ Transport = (*RemoteTransport)(nil)
+
+// NewRemoteTransport returns a transport that ends with ctx. The timeout bounds
+// one call.
+func NewRemoteTransport(ctx context.Context, common aubcommon.Common, dial func(address string) (*grpc.ClientConn, error), timeout time.Duration) *RemoteTransport {
+	return &RemoteTransport{
+		common:  common.WithPart("transport"),
+		ctx:     ctx,
+		dial:    dial,
+		timeout: timeout,
+		links:   make(map[string]*link),
+	}
+}
+
+// Send implements Transport.
+func (t *RemoteTransport) Send(address string, m *aubwire.ConsensusMessage) {
+	t.link(address).offer(m)
+}
+
+// Hello implements Transport.
+func (t *RemoteTransport) Hello(ctx context.Context, address string, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	conn, err := t.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return aubwire.NewConsensusClient(conn).Hello(ctx, req)
+}
+
+func (t *RemoteTransport) link(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[address]
+	if !ok {
+		l = newLink(t, address)
+		t.links[address] = l
+	}
+	return l
+}
+
+// link sends the messages for one address in order.
+type link struct {
+	transport *RemoteTransport
+	address   string
+	queue     chan *aubwire.ConsensusMessage
+	conn      *grpc.ClientConn
+}
+
+func newLink(t *RemoteTransport, address string) *link {
+	l := &link{transport: t, address: address, queue: make(chan *aubwire.ConsensusMessage, linkQueue)}
+	go func() {
+		defer l.close()
+		for {
+			select {
+			case <-t.ctx.Done():
+				return
+			case m := <-l.queue:
+				l.deliver(l.batch(m))
+			}
+		}
+	}()
+	return l
+}
+
+// offer drops the message when the queue is full; the protocol sends it again.
+func (l *link) offer(m *aubwire.ConsensusMessage) {
+	select {
+	case l.queue <- m:
+	default:
+	}
+}
+
+// batch adds what else is waiting to the first message.
+func (l *link) batch(first *aubwire.ConsensusMessage) []*aubwire.ConsensusMessage {
+	messages := []*aubwire.ConsensusMessage{first}
+	size := proto.Size(first)
+	for size < deliverBytes && len(messages) < deliverCount {
+		select {
+		case m := <-l.queue:
+			messages = append(messages, m)
+			size += proto.Size(m)
+		default:
+			return messages
+		}
+	}
+	return messages
+}
+
+func (l *link) deliver(messages []*aubwire.ConsensusMessage) {
+	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.timeout)
+	defer cancel()
+	err := l.connect()
+	if err == nil {
+		_, err = aubwire.NewConsensusClient(l.conn).Deliver(ctx, &aubwire.DeliverRequest{Messages: messages})
+	}
+	if err == nil {
+		return
+	}
+	l.transport.common.Log.Debug("Messages not delivered.", zap.String("address", l.address), zap.Error(err))
+	l.close()
+	// The queued messages are old by now; the protocol sends newer ones.
+	l.discard()
+	select {
+	case <-l.transport.ctx.Done():
+	case <-l.transport.common.Timer.After(l.transport.ctx, redialBackoff):
+	}
+}
+
+func (l *link) connect() error {
+	if l.conn != nil {
+		return nil
+	}
+	conn, err := l.transport.dial(l.address)
+	if err != nil {
+		return err
+	}
+	l.conn = conn
+	return nil
+}
+
+func (l *link) close() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+func (l *link) discard() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/aubcontrol/convert.go
@@ -0,0 +1,84 @@
+package aubcontrol
+
+import (
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+)
+
+// Status codes of the Control service that say a command is not committed. The
+// gRPC library sends none of them on its own.
+const (
+	codeNotCommitted = codes.Aborted
+	codeFinal        = codes.InvalidArgument
+	codeExpired      = codes.OutOfRange
+)
+
+// fromConsensus turns an error of the replicated log.
+func fromConsensus(err error) error {
+	var elsewhere *aubconsensus.NotLeaderError
+	var overwritten *aubconsensus.OverwrittenError
+	var size *aubconsensus.CommandSizeError
+	switch {
+	case errors.As(err, &elsewhere):
+		return &NotCommittedError{Reason: "this replica does not lead", Err: err}
+	case errors.As(err, &overwritten):
+		return &NotCommittedError{Reason: "another leader took over", Err: err}
+	case errors.As(err, &size):
+		return &NotCommittedError{Reason: "command is too large", Err: errors.Join(errFinal, err)}
+	default:
+		return &UncertainError{Reason: "the log gave no answer", Err: err}
+	}
+}
+
+// fromChange turns an error of a change of members or leader.
+func fromChange(err error) error {
+	if err == nil {
+		return nil
+	}
+	var refused *aubconsensus.ChangeError
+	if errors.As(err, &refused) {
+		return &MembershipError{Reason: refused.Reason}
+	}
+	return &MembershipError{Reason: "the change is not complete", Err: err}
+}
+
+// toStatus turns an error of a send into a gRPC status.
+func toStatus(err error) error {
+	switch {
+	case !isNotCommitted(err):
+		return status.Error(codes.Unknown, err.Error())
+	case errors.Is(err, errFinal):
+		return status.Error(codeFinal, err.Error())
+	case errors.Is(err, errExpired):
+		return status.Error(codeExpired, err.Error())
+	default:
+		return status.Error(codeNotCommitted, err.Error())
+	}
+}
+
+// fromStatus turns the error of a call; wasSent is false when the request never
+// left this process.
+func fromStatus(err error, wasSent bool) error {
+	reason := status.Convert(err).Message()
+	switch status.Code(err) {
+	case codeNotCommitted:
+		return &NotCommittedError{Reason: reason}
+	case codeFinal:
+		return &NotCommittedError{Reason: reason, Err: errFinal}
+	case codeExpired:
+		return &NotCommittedError{Reason: reason, Err: errExpired}
+	}
+	if !wasSent {
+		return &NotCommittedError{Reason: "control replica can't be reached", Err: err}
+	}
+	return &UncertainError{Reason: "control replica gave no answer", Err: err}
+}
+
+func isNotCommitted(err error) bool {
+	var refused *NotCommittedError
+	return errors.As(err, &refused)
+}
--- a/internal/aubcontrol/error.go
+++ b/internal/aubcontrol/error.go
@@ -58,3 +58,45 @@
 
 // Unwrap returns the cause.
 func (e *TableError) Unwrap() error { return e.Err }
+
+// NotConfirmedError says that a read could not be confirmed.
+type NotConfirmedError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *NotConfirmedError) Error() string {
+	return fmt.Sprintf("read not confirmed: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotConfirmedError) Unwrap() error { return e.Err }
+
+// MembershipError says that a change of members or leader is refused or not complete.
+type MembershipError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *MembershipError) Error() string {
+	if e.Err == nil {
+		return "membership change refused: " + e.Reason
+	}
+	return fmt.Sprintf("membership change failed: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *MembershipError) Unwrap() error { return e.Err }
+
+// StorageError says that the replica's data folder can't be used.
+type StorageError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *StorageError) Error() string { return fmt.Sprintf("control replica storage: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *StorageError) Unwrap() error { return e.Err }
--- a/internal/aubcontrol/remote.go
+++ b/internal/aubcontrol/remote.go
@@ -2,14 +2,31 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"time"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 // Remote commits commands and confirms reads through the control replicas for a
-// process that carries none.
+// process that carries none. It asks them in turn, the last one that answered
+// first. Close it when it is no longer needed.
+//
+// Lock order: mu is taken alone.
 type Remote struct {
-	opts RemoteOpts
+	opts   RemoteOpts
+	timer  aubtimer.Service
+	pool   *connPool
+	sender sender
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	current int
+	clockMs int64
+	clockAt time.Time
 }
 
 var (
@@ -18,16 +35,107 @@
 )
 
 // NewRemote returns access through the replicas.
-func NewRemote(_ aubcommon.Common, opts RemoteOpts) *Remote {
-	return &Remote{opts: opts}
+func NewRemote(common aubcommon.Common, opts RemoteOpts) *Remote {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Remote{
+		opts:   opts,
+		timer:  common.Timer,
+		pool:   newConnPool(ctx, opts.Dial),
+		cancel: cancel,
+	}
+	r.sender = sender{timer: common.Timer, timeout: opts.ApplyTimeout, try: r.try}
+	return r
 }
 
+// Close closes the connections.
+func (r *Remote) Close() { r.cancel() }
+
 // Apply implements Proposer.
-func (r *Remote) Apply(context.Context, string, []byte) (Result, error) {
-	return Result{}, &NotCommittedError{Reason: "no control replica reachable"}
+func (r *Remote) Apply(ctx context.Context, table string, body []byte) (Result, error) {
+	return r.sender.apply(ctx, table, body)
+}
+
+func (r *Remote) try(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
+	address, err := r.address()
+	if err != nil {
+		return nil, err
+	}
+	if req.GetIssuedMs() == 0 {
+		if req.IssuedMs, err = r.issueClock(ctx, address); err != nil {
+			r.moveOn(address)
+			return nil, &NotCommittedError{Reason: "no leader answered", Err: err}
+		}
+	}
+	resp, err := r.pool.apply(ctx, address, req)
+	if err != nil && !errors.Is(err, errFinal) && !errors.Is(err, errExpired) {
+		r.moveOn(address)
+	}
+	return resp, err
+}
+
+// issueClock returns a replicated clock that the leader showed not long ago.
+func (r *Remote) issueClock(ctx context.Context, address string) (int64, error) {
+	r.mu.Lock()
+	clockMs, at := r.clockMs, r.clockAt
+	r.mu.Unlock()
+	if !at.IsZero() && r.timer.Now().Sub(at) < clockRefresh {
+		return clockMs, nil
+	}
+	resp, err := r.readIndex(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	return max(resp.GetClockMs(), 1), nil
+}
+
+// readIndex asks one replica and keeps the clock of its answer.
+func (r *Remote) readIndex(ctx context.Context, address string) (*aubwire.ReadIndexResponse, error) {
+	asked := r.timer.Now()
+	resp, err := r.pool.readIndex(ctx, address, false)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clockMs = max(resp.GetClockMs(), 1)
+	r.clockAt = asked
+	return resp, nil
+}
+
+// Confirm implements Reader: it returns the index that the leader had committed.
+func (r *Remote) Confirm(ctx context.Context) (uint64, error) {
+	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
+	defer cancel()
+	return retryRead(ctx, r.timer, func(ctx context.Context) (uint64, error) {
+		address, err := r.address()
+		if err != nil {
+			return 0, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		resp, err := r.readIndex(ctx, address)
+		if err != nil {
+			r.moveOn(address)
+			return 0, err
+		}
+		return resp.GetIndex(), nil
+	})
+}
+
+func (r *Remote) address() (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.opts.Addresses) == 0 {
+		return "", &NotCommittedError{Reason: "no control replica is set", Err: errFinal}
+	}
+	return r.opts.Addresses[r.current], nil
 }
 
-// Confirm implements Reader.
-func (r *Remote) Confirm(context.Context) (uint64, error) {
-	return 0, &NotCommittedError{Reason: "no control replica reachable"}
+// moveOn turns to the next replica unless another call did so already.
+func (r *Remote) moveOn(failed string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.opts.Addresses[r.current] == failed {
+		r.current = (r.current + 1) % len(r.opts.Addresses)
+	}
 }
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -2,25 +2,40 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+	"github.com/auburndale/auburndale/internal/aubstore"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// Replica is one control replica. This version holds a single voter's state in
-// memory only.
+const (
+	defaultApplyTimeout = 10 * time.Second
+	// clockRefresh is the age at which a leader's clock is asked for again.
+	clockRefresh = 10 * time.Second
+)
+
+// Replica is one control replica: the replicated log, the machine over it, and
+// the way to the leader.
+//
+// Lock order: mu is taken alone.
 type Replica struct {
 	common  aubcommon.Common
 	opts    ReplicaOpts
 	machine *Machine
-	done    chan struct{}
+	node    *aubconsensus.Node
+	pool    *connPool
+	sender  sender
 
-	mu    sync.Mutex
-	index uint64
+	mu      sync.Mutex
+	clockMs int64
+	clockAt time.Time
 }
 
 var (
@@ -29,67 +44,252 @@
 	_ Leadership = (*Replica)(nil)
 )
 
-// NewReplica starts a replica; ctx ends it.
-func NewReplica(_ context.Context, common aubcommon.Common, opts ReplicaOpts) (*Replica, error) {
+// NewReplica opens the data folder and starts a replica; ctx ends it. Serve it
+// with Register: the replicas form the site once all voters of the settings
+// have met for the first time.
+func NewReplica(ctx context.Context, common aubcommon.Common, opts ReplicaOpts) (*Replica, error) {
 	machine, err := NewMachine(opts.Tables)
 	if err != nil {
 		return nil, err
 	}
-	machine.Elected(common.Timer.Now())
-	return &Replica{common: common, opts: opts, machine: machine, done: make(chan struct{})}, nil
+	disk, err := aubstore.Open(common, aubstore.Opts{DataDir: opts.DataDir, Member: opts.Member})
+	if err != nil {
+		return nil, &StorageError{Err: err}
+	}
+	if opts.ElectionTimeout == 0 {
+		opts.ElectionTimeout = aubconsensus.DefaultElectionTimeout
+	}
+	node, err := aubconsensus.NewNode(ctx, common, aubconsensus.Opts{
+		Self:            aubconsensus.Peer{Name: opts.Member, Address: opts.Address},
+		Voters:          toConsensusPeers(opts.Voters),
+		Disk:            disk,
+		Transport:       aubconsensus.NewRemoteTransport(ctx, common, opts.Dial, 2*opts.ElectionTimeout),
+		Machine:         machine,
+		ElectionTimeout: opts.ElectionTimeout,
+		Heartbeat:       opts.Heartbeat,
+	})
+	if err != nil {
+		_ = disk.Close()
+		return nil, &StorageError{Err: err}
+	}
+	r := &Replica{
+		common:  common.WithPart("replica"),
+		opts:    opts,
+		machine: machine,
+		node:    node,
+		pool:    newConnPool(ctx, opts.Dial),
+	}
+	r.sender = sender{timer: common.Timer, timeout: opts.ApplyTimeout, try: r.try}
+	return r, nil
 }
 
 // Register serves the replica on a gRPC server.
-func (r *Replica) Register(grpc.ServiceRegistrar) {}
+func (r *Replica) Register(s grpc.ServiceRegistrar) {
+	aubwire.RegisterControlServer(s, &controlService{replica: r})
+	aubwire.RegisterConsensusServer(s, aubconsensus.NewService(r.node))
+}
 
 // Apply implements Proposer.
-func (r *Replica) Apply(_ context.Context, table string, body []byte) (Result, error) {
-	if !r.machine.HasTable(table) {
-		return Result{}, &NotCommittedError{Reason: "unknown table " + table}
+func (r *Replica) Apply(ctx context.Context, table string, body []byte) (Result, error) {
+	return r.sender.apply(ctx, table, body)
+}
+
+// try sends a command once: into the log here, or to the leader.
+func (r *Replica) try(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
+	if !r.machine.HasTable(req.GetTable()) {
+		return nil, &NotCommittedError{Reason: "unknown table " + req.GetTable(), Err: errFinal}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	leader, here, err := r.leader()
+	if err != nil {
+		return nil, err
+	}
+	if here {
+		return r.propose(ctx, req)
+	}
+	if req.GetForwarded() {
+		return nil, &NotCommittedError{Reason: "this replica does not lead"}
+	}
+	if req.GetIssuedMs() == 0 {
+		if req.IssuedMs, err = r.leaderClock(ctx, leader); err != nil {
+			return nil, &NotCommittedError{Reason: "leader did not answer", Err: err}
+		}
+	}
+	forward := proto.CloneOf(req)
+	forward.Forwarded = true
+	return r.pool.apply(ctx, leader.Address, forward)
+}
+
+// leader returns the known leader and whether it is this replica.
+func (r *Replica) leader() (aubconsensus.Peer, bool, error) {
+	if err := r.node.Err(); err != nil {
+		return aubconsensus.Peer{}, false, &NotCommittedError{Reason: "replica stopped", Err: errors.Join(errFinal, err)}
+	}
+	status := r.node.Status()
+	if status.Leader.Name == "" && !status.LeaderHere {
+		return aubconsensus.Peer{}, false, &NotCommittedError{Reason: "no leader is known"}
+	}
+	return status.Leader, status.LeaderHere, nil
+}
+
+func (r *Replica) propose(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
 	stamp := r.machine.Stamp(r.common.Timer.Now()).Milliseconds()
-	data, err := proto.Marshal(&aubwire.Envelope{Table: table, Body: body, ClockMs: stamp, IssuedMs: stamp})
+	if req.GetIssuedMs() == 0 {
+		// The clock starts at zero, which stands for unknown.
+		req.IssuedMs = max(stamp, 1)
+	}
+	data, err := proto.Marshal(&aubwire.Envelope{
+		Table:     req.GetTable(),
+		Body:      req.GetBody(),
+		ClockMs:   stamp,
+		CommandId: req.GetCommandId(),
+		IssuedMs:  req.GetIssuedMs(),
+	})
 	if err != nil {
-		return Result{}, &NotCommittedError{Reason: "command can't be encoded", Err: err}
+		return nil, &NotCommittedError{Reason: "command can't be encoded", Err: errors.Join(errFinal, err)}
+	}
+	_, encoded, err := r.node.Propose(ctx, data)
+	if err != nil {
+		return nil, fromConsensus(err)
 	}
-	r.index++
 	result := &aubwire.CommandResult{}
-	if err := proto.Unmarshal(r.machine.Apply(r.index, data), result); err != nil {
-		return Result{}, &UncertainError{Reason: "result can't be decoded", Err: err}
+	if err := proto.Unmarshal(encoded, result); err != nil {
+		return nil, &UncertainError{Reason: "result can't be decoded", Err: err}
 	}
-	return Result{Index: result.GetIndex(), Body: result.GetResult()}, nil
+	if result.GetCommandId() != req.GetCommandId() {
+		return nil, &NotCommittedError{Reason: "command came too long after its issue", Err: errExpired}
+	}
+	return &aubwire.ApplyResponse{Result: result.GetResult(), Index: result.GetIndex(), ClockMs: result.GetClockMs()}, nil
 }
 
-// Confirm implements Reader.
-func (r *Replica) Confirm(context.Context) (uint64, error) {
+// leaderClock returns a replicated clock that the leader showed not long ago.
+func (r *Replica) leaderClock(ctx context.Context, leader aubconsensus.Peer) (int64, error) {
+	r.mu.Lock()
+	clockMs, at := r.clockMs, r.clockAt
+	r.mu.Unlock()
+	now := r.common.Timer.Now()
+	if !at.IsZero() && now.Sub(at) < clockRefresh {
+		return clockMs, nil
+	}
+	resp, err := r.pool.readIndex(ctx, leader.Address, true)
+	if err != nil {
+		return 0, err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.index, nil
+	r.clockMs = max(resp.GetClockMs(), 1)
+	r.clockAt = now
+	return r.clockMs, nil
+}
+
+// Confirm implements Reader.
+func (r *Replica) Confirm(ctx context.Context) (uint64, error) {
+	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
+	defer cancel()
+	return r.confirm(ctx)
+}
+
+func (r *Replica) confirm(ctx context.Context) (uint64, error) {
+	index, err := retryRead(ctx, r.common.Timer, r.tryReadIndex)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.node.WaitApplied(ctx, index); err != nil {
+		return 0, &NotConfirmedError{Reason: "local state is behind", Err: err}
+	}
+	return index, nil
+}
+
+func (r *Replica) tryReadIndex(ctx context.Context) (uint64, error) {
+	leader, here, err := r.leader()
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if here {
+		return r.node.ReadIndex(ctx)
+	}
+	resp, err := r.pool.readIndex(ctx, leader.Address, true)
+	return resp.GetIndex(), err
+}
+
+// WaitReady waits until the state is at or above the leader's confirmed index.
+func (r *Replica) WaitReady(ctx context.Context) error {
+	_, err := r.confirm(ctx)
+	return err
 }
 
 // Leading implements Leadership.
-func (r *Replica) Leading() (uint64, bool) { return 1, true }
+func (r *Replica) Leading() (uint64, bool) { return r.node.Leading() }
+
+// Clock returns the replicated clock of the last applied command.
+func (r *Replica) Clock() time.Duration { return r.machine.Clock() }
 
 // Status returns what the replica knows of the site.
 func (r *Replica) Status() Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return Status{Member: r.opts.Member, Leader: r.opts.Member, Term: 1, Applied: r.index, Commit: r.index, Voters: r.opts.Voters}
+	s := r.node.Status()
+	return Status{
+		Member:   r.opts.Member,
+		Leader:   s.Leader.Name,
+		Term:     s.Term,
+		Applied:  s.Applied,
+		Commit:   s.Commit,
+		Voters:   fromConsensusPeers(s.Voters),
+		Learners: fromConsensusPeers(s.Learners),
+	}
+}
+
+// TransferLeadership hands the leadership to another voter. On a replica that
+// does not lead it does nothing.
+func (r *Replica) TransferLeadership(ctx context.Context) error {
+	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
+	defer cancel()
+	return fromChange(r.node.TransferLeadership(ctx))
 }
 
-// TransferLeadership hands the leadership to another voter.
-func (r *Replica) TransferLeadership(context.Context) error { return nil }
+// ReplaceMember replaces a dead voter by a joining replica that runs on an empty
+// data folder, and returns once the new voter holds everything committed. It may
+// be called on any replica and again after an error.
+func (r *Replica) ReplaceMember(ctx context.Context, dead string, joining Peer) error {
+	leader, here, err := r.leader()
+	if err != nil {
+		return &MembershipError{Reason: "no leader is known", Err: err}
+	}
+	if here {
+		return fromChange(r.node.ReplaceMember(ctx, dead, aubconsensus.Peer(joining)))
+	}
+	return r.pool.replaceMember(ctx, leader.Address, &aubwire.ReplaceMemberRequest{
+		Dead:           dead,
+		JoiningName:    joining.Name,
+		JoiningAddress: joining.Address,
+	})
+}
 
-// ReplaceMember replaces a dead voter by a joining replica.
-func (r *Replica) ReplaceMember(context.Context, string, Peer) error { return nil }
+// Done is closed when the replica stopped, by its context or a failed storage.
+func (r *Replica) Done() <-chan struct{} { return r.node.Done() }
 
-// WaitReady waits until the state is at or above the leader's confirmed index.
-func (r *Replica) WaitReady(context.Context) error { return nil }
+// Err returns the failure that stopped the replica, or nil while it runs and
+// after its context ended.
+func (r *Replica) Err() error {
+	var stopped *aubconsensus.StoppedError
+	if !errors.As(r.node.Err(), &stopped) || stopped.Err == nil {
+		return nil
+	}
+	return &StorageError{Err: stopped.Err}
+}
 
-// Done is closed when the storage failed and the replica stopped.
-func (r *Replica) Done() <-chan struct{} { return r.done }
+func toConsensusPeers(peers []Peer) []aubconsensus.Peer {
+	all := make([]aubconsensus.Peer, 0, len(peers))
+	for _, p := range peers {
+		all = append(all, aubconsensus.Peer(p))
+	}
+	return all
+}
 
-// Err returns why the replica stopped, or nil.
-func (r *Replica) Err() error { return nil }
+func fromConsensusPeers(peers []aubconsensus.Peer) []Peer {
+	all := make([]Peer, 0, len(peers))
+	for _, p := range peers {
+		all = append(all, Peer(p))
+	}
+	return all
+}
--- /dev/null
+++ b/internal/aubcontrol/replica_test.go
@@ -0,0 +1,153 @@
+package aubcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+const testTimeout = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// instance is one replica with its listener; stop ends both.
+type instance struct {
+	replica *aubcontrol.Replica
+	table   *journal
+	stop    func()
+}
+
+// site is a set of replicas on loopback.
+type site struct {
+	t     testing.TB
+	dir   string
+	peers []aubcontrol.Peer
+	all   map[string]*instance
+}
+
+func newSite(t testing.TB, names ...string) *site {
+	s := &site{t: t, dir: t.TempDir(), all: make(map[string]*instance)}
+	for _, name := range names {
+		s.peers = append(s.peers, aubcontrol.Peer{Name: name, Address: freeAddress(t)})
+	}
+	for _, name := range names {
+		s.start(name)
+	}
+	t.Cleanup(func() {
+		for _, i := range s.all {
+			i.stop()
+		}
+	})
+	return s
+}
+
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) address(name string) string {
+	for _, p := range s.peers {
+		if p.Name == name {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+func (s *site) start(name string) *instance {
+	ctx, cancel := context.WithCancel(context.Background())
+	table := &journal{}
+	address := s.address(name)
+	r, err := aubcontrol.NewReplica(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubcontrol.ReplicaOpts{
+		Member:  name,
+		Address: address,
+		Voters:  s.peers,
+		DataDir: filepath.Join(s.dir, name),
+		Tables:  []aubcontrol.Table{table},
+		Dial:    dial,
+	})
+	qt.Assert(s.t, err, qt.IsNil)
+	l, err := net.Listen("tcp", address)
+	qt.Assert(s.t, err, qt.IsNil)
+	server := grpc.NewServer()
+	r.Register(server)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(l)
+	}()
+	i := &instance{replica: r, table: table}
+	i.stop = func() {
+		server.Stop()
+		cancel()
+		<-served
+		<-r.Done()
+		delete(s.all, name)
+	}
+	s.all[name] = i
+	return i
+}
+
+func (s *site) addresses() []string {
+	addresses := make([]string, 0, len(s.peers))
+	for _, p := range s.peers {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
+func newContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestReplicasApplyFromEveryProcess(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}} {
+		t.Run(fmt.Sprint(len(names)), func(t *testing.T) {
+			s := newSite(t, names...)
+			ctx := newContext(t)
+			remote := aubcontrol.NewRemote(aubcommon.NewCommon(aubtimer.NewReal()), aubcontrol.RemoteOpts{Addresses: s.addresses(), Dial: dial})
+			defer remote.Close()
+
+			var want strings.Builder
+			proposers := make([]aubcontrol.Proposer, 0, 1+len(names))
+			proposers = append(proposers, remote)
+			for _, name := range names {
+				proposers = append(proposers, s.all[name].replica)
+			}
+			for i, p := range proposers {
+				fmt.Fprint(&want, i)
+				result, err := p.Apply(ctx, "journal", fmt.Append(nil, i))
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, string(result.Body), qt.Equals, want.String())
+			}
+			for _, name := range names {
+				_, err := s.all[name].replica.Confirm(ctx)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			_, err := remote.Confirm(ctx)
+			qt.Assert(t, err, qt.IsNil)
+		})
+	}
+}
--- /dev/null
+++ b/internal/aubcontrol/sender.go
@@ -0,0 +1,110 @@
+package aubcontrol
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// attemptTimeout bounds one send, so that a silent connection is left for another.
+	attemptTimeout = 2 * time.Second
+	retryInterval  = 25 * time.Millisecond
+	retryAfter     = time.Second
+)
+
+var (
+	// errFinal marks a refusal that trying again does not change.
+	errFinal = errors.New("trying again does not help")
+	// errExpired marks a command that came too long after its issue.
+	errExpired = errors.New("command expired")
+)
+
+// sender sends a command until its outcome is known. All sends of one command
+// carry one id, so that it is applied once.
+type sender struct {
+	timer   aubtimer.Service
+	timeout time.Duration
+	// try sends once; its errors are *NotCommittedError and *UncertainError.
+	try func(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error)
+}
+
+func (s sender) apply(ctx context.Context, table string, body []byte) (Result, error) {
+	ctx, cancel := withDefaultTimeout(ctx, s.timeout)
+	defer cancel()
+	req := &aubwire.ApplyRequest{Table: table, Body: body, CommandId: uuid.NewString()}
+	isUncertain := false
+	for {
+		resp, err := s.tryOnce(ctx, req)
+		if err == nil {
+			return Result{Index: resp.GetIndex(), Body: resp.GetResult()}, nil
+		}
+		isUncertain = isUncertain || !isNotCommitted(err)
+		isExpired := errors.Is(err, errExpired)
+		if isExpired && !isUncertain {
+			req.CommandId = uuid.NewString()
+			req.IssuedMs = 0
+		}
+		if errors.Is(err, errFinal) || (isExpired && isUncertain) || s.wait(ctx) != nil {
+			return Result{}, outcomeError(err, isUncertain)
+		}
+	}
+}
+
+func (s sender) tryOnce(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return s.try(ctx, req)
+}
+
+func (s sender) wait(ctx context.Context) error {
+	return aubtimer.Wait(ctx, s.timer, retryInterval)
+}
+
+// outcomeError turns the last error into the answer for all sends together.
+func outcomeError(err error, isUncertain bool) error {
+	if isUncertain {
+		var uncertain *UncertainError
+		if errors.As(err, &uncertain) {
+			return uncertain
+		}
+		return &UncertainError{Reason: "an earlier send may have been committed", Err: err}
+	}
+	var refused *NotCommittedError
+	if errors.As(err, &refused) {
+		answer := *refused
+		if !errors.Is(err, errFinal) {
+			answer.RetryAfter = retryAfter
+		}
+		return &answer
+	}
+	return &UncertainError{Reason: "outcome is unknown", Err: err}
+}
+
+// retryRead reads until it gets an answer or ctx ends; reads have no effect.
+func retryRead(ctx context.Context, timer aubtimer.Service, read func(ctx context.Context) (uint64, error)) (uint64, error) {
+	for {
+		index, err := read(ctx)
+		if err == nil {
+			return index, nil
+		}
+		if errors.Is(err, errFinal) || aubtimer.Wait(ctx, timer, retryInterval) != nil {
+			return 0, &NotConfirmedError{Reason: "no leader confirmed the read", Err: err}
+		}
+	}
+}
+
+func withDefaultTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	if timeout == 0 {
+		timeout = defaultApplyTimeout
+	}
+	return context.WithTimeout(ctx, timeout)
+}
--- /dev/null
+++ b/internal/aubstore/database.go
@@ -0,0 +1,164 @@
+package aubstore
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+)
+
+const (
+	databaseFile = "replica.db"
+	rewriteFile  = "replica.db.tmp"
+	damagedFile  = "replica.db.damaged"
+	fileMode     = 0o600
+	folderMode   = 0o700
+	lockTimeout  = 5 * time.Second
+	// rewriteBatch is the size of one transaction while the file is rewritten, bytes.
+	rewriteBatch = 1 << 20
+
+	// Layout of the library's two meta pages: a page header, then the fields up
+	// to a checksum over them.
+	pageHeaderBytes  = 16
+	metaBytes        = 64
+	metaSumOffset    = metaBytes - 8
+	metaPageCountOff = 40
+	metaPageSizeOff  = 8
+)
+
+// openDatabase opens the database in the folder. An existing file is rewritten
+// whole and synced first: after a failed sync the system may show pages that
+// never reached the disk, and from here on they count as written.
+func openDatabase(opts Opts) (*bbolt.DB, error) {
+	if err := os.MkdirAll(opts.DataDir, folderMode); err != nil {
+		return nil, &WriteError{Op: "create folder", Err: err}
+	}
+	path := filepath.Join(opts.DataDir, databaseFile)
+	if err := prepare(path, filepath.Join(opts.DataDir, rewriteFile)); err != nil {
+		return nil, err
+	}
+	var db *bbolt.DB
+	err := guard(func() error {
+		var err error
+		db, err = bbolt.Open(path, fileMode, &bbolt.Options{
+			Timeout:      lockTimeout,
+			FreelistType: bbolt.FreelistMapType,
+			MaxSize:      opts.MaxBytes,
+		})
+		return err
+	})
+	if err != nil {
+		return nil, &WriteError{Op: "open", Err: err}
+	}
+	return db, syncFolder(opts.DataDir)
+}
+
+func prepare(path, tmp string) error {
+	if err := os.Remove(tmp); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return &WriteError{Op: "remove", Err: err}
+	}
+	info, err := os.Stat(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return &WriteError{Op: "stat", Err: err}
+	}
+	if info.Size() == 0 {
+		return nil
+	}
+	if err := verifyMeta(path, info.Size()); err != nil {
+		return err
+	}
+	return rewrite(path, tmp)
+}
+
+func rewrite(path, tmp string) error {
+	src, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return &CorruptError{Detail: "database can't be opened", Err: err}
+	}
+	defer src.Close()
+	if err := guard(func() error { return src.View(verifyPages) }); err != nil {
+		return err
+	}
+	dst, err := bbolt.Open(tmp, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return &WriteError{Op: "rewrite", Err: err}
+	}
+	if err := guard(func() error { return bbolt.Compact(dst, src, rewriteBatch) }); err != nil {
+		_ = dst.Close()
+		return err
+	}
+	if err := dst.Close(); err != nil {
+		return &WriteError{Op: "rewrite", Err: err}
+	}
+	if err := os.Rename(tmp, path); err != nil {
+		return &WriteError{Op: "rewrite", Err: err}
+	}
+	return nil
+}
+
+// verifyMeta refuses a file with a damaged meta page. The library would fall
+// back to the older page and so forget writes that were acknowledged.
+func verifyMeta(path string, size int64) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return &WriteError{Op: "open", Err: err}
+	}
+	defer f.Close()
+	first, err := readMeta(f, 0)
+	if err != nil {
+		return err
+	}
+	pageSize := int64(binary.NativeEndian.Uint32(first[metaPageSizeOff:]))
+	second, err := readMeta(f, pageSize)
+	if err != nil {
+		return err
+	}
+	pages := max(binary.NativeEndian.Uint64(first[metaPageCountOff:]), binary.NativeEndian.Uint64(second[metaPageCountOff:]))
+	if pages > uint64(size/pageSize) {
+		return &CorruptError{Detail: "database file is cut short"}
+	}
+	return nil
+}
+
+func readMeta(f io.ReaderAt, offset int64) ([]byte, error) {
+	meta := make([]byte, metaBytes)
+	if _, err := f.ReadAt(meta, offset+pageHeaderBytes); err != nil {
+		return nil, &CorruptError{Detail: "meta page can't be read", Err: err}
+	}
+	h := fnv.New64a()
+	_, _ = h.Write(meta[:metaSumOffset])
+	if h.Sum64() != binary.NativeEndian.Uint64(meta[metaSumOffset:]) {
+		return nil, &CorruptError{Detail: fmt.Sprintf("meta page at offset %d has a wrong checksum", offset)}
+	}
+	return meta, nil
+}
+
+func syncFolder(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return &WriteError{Op: "open folder", Err: err}
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return &WriteError{Op: "sync folder", Err: err}
+	}
+	return nil
+}
+
+// setAside keeps the damaged file for inspection, instead of an earlier one.
+func setAside(dir string) error {
+	if err := os.Rename(filepath.Join(dir, databaseFile), filepath.Join(dir, damagedFile)); err != nil {
+		return &WriteError{Op: "set aside", Err: err}
+	}
+	return syncFolder(dir)
+}
--- /dev/null
+++ b/internal/aubstore/read.go
@@ -0,0 +1,83 @@
+package aubstore
+
+import (
+	"fmt"
+
+	"go.etcd.io/bbolt"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// readAll verifies and returns everything; the identity of a new store is nil.
+func readAll(tx *bbolt.Tx) (*aubwire.DiskIdentity, State, error) {
+	state := State{HardState: &aubwire.HardState{}}
+	meta := tx.Bucket(metaBucket)
+	log := tx.Bucket(logBucket)
+	if meta == nil && log == nil {
+		return nil, state, nil
+	}
+	if meta == nil || log == nil {
+		return nil, state, &CorruptError{Detail: "a bucket is missing"}
+	}
+	if err := verifyPages(tx); err != nil {
+		return nil, state, err
+	}
+	identity := &aubwire.DiskIdentity{}
+	if err := decode(identityKey, meta.Get(identityKey), identity); err != nil {
+		return nil, state, err
+	}
+	if err := decode(hardStateKey, meta.Get(hardStateKey), state.HardState); err != nil {
+		return nil, state, err
+	}
+	var err error
+	if state.Snapshot, err = readSnapshot(tx); err != nil {
+		return nil, state, err
+	}
+	state.Entries, err = readEntries(log, state.Snapshot)
+	return identity, state, err
+}
+
+func verifyPages(tx *bbolt.Tx) error {
+	var first error
+	for err := range tx.Check() {
+		if first == nil {
+			first = &CorruptError{Detail: "pages are inconsistent", Err: err}
+		}
+	}
+	return first
+}
+
+func readSnapshot(tx *bbolt.Tx) (*aubwire.LogSnapshot, error) {
+	record := tx.Bucket(metaBucket).Get(snapshotKey)
+	if record == nil {
+		return nil, nil
+	}
+	snap := &aubwire.LogSnapshot{}
+	if err := decode(snapshotKey, record, snap); err != nil {
+		return nil, err
+	}
+	return snap, nil
+}
+
+// readEntries returns all entries; they must be without gaps and join the snapshot.
+func readEntries(log *bbolt.Bucket, snap *aubwire.LogSnapshot) ([]*aubwire.LogEntry, error) {
+	var entries []*aubwire.LogEntry
+	err := log.ForEach(func(key, record []byte) error {
+		e := &aubwire.LogEntry{}
+		if err := decode(key, record, e); err != nil {
+			return err
+		}
+		if n := len(entries); n > 0 && e.GetIndex() != entries[n-1].GetIndex()+1 {
+			return &CorruptError{Detail: fmt.Sprintf("log has a gap before entry %d", e.GetIndex())}
+		}
+		entries = append(entries, e)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) > 0 && entries[0].GetIndex() > snap.GetIndex()+1 {
+		return nil, &CorruptError{Detail: fmt.Sprintf("log begins at entry %d, after the snapshot", entries[0].GetIndex())}
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/aubstore/store.go
@@ -0,0 +1,177 @@
+// Package aubstore keeps a control replica's durable state in one data folder:
+// log entries, term and vote, the last snapshot and the identity of the disk.
+// Every write is synced before it returns. After a failed write or sync the
+// store refuses all work for good, because what the disk holds is unknown.
+package aubstore
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/google/uuid"
+	"go.etcd.io/bbolt"
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// State is everything a store holds.
+type State struct {
+	// HardState is never nil.
+	HardState *aubwire.HardState
+	// Snapshot is nil until the member belongs to a cluster.
+	Snapshot *aubwire.LogSnapshot
+	// Entries are contiguous by index.
+	Entries []*aubwire.LogEntry
+}
+
+// Update is one atomic, synced change of the store. Removals come before entries.
+type Update struct {
+	// HardState replaces term and vote unless nil.
+	HardState *aubwire.HardState
+	// Snapshot replaces the last snapshot unless nil.
+	Snapshot *aubwire.LogSnapshot
+	// CompactTo removes the entries up to and with this index; zero removes none.
+	CompactTo uint64
+	// TruncateFrom removes the entries from this index on; zero removes none.
+	TruncateFrom uint64
+	Entries      []*aubwire.LogEntry
+}
+
+// IsEmpty reports whether the update changes nothing.
+func (u Update) IsEmpty() bool {
+	return u.HardState == nil && u.Snapshot == nil && u.CompactTo == 0 &&
+		u.TruncateFrom == 0 && len(u.Entries) == 0
+}
+
+// Opts configures a store.
+type Opts struct {
+	// DataDir is the folder; it is created when it does not exist.
+	DataDir string
+	// Member is the name the folder belongs to.
+	Member string
+	// MaxBytes bounds the database file; zero leaves it to the disk.
+	MaxBytes int
+}
+
+// Store is the durable state of one replica.
+//
+// Lock order: mu is taken alone.
+type Store struct {
+	common aubcommon.Common
+	db     *bbolt.DB
+	disk   *aubwire.DiskIdentity
+	state  State
+
+	mu     sync.Mutex
+	failed error
+}
+
+// Open opens or creates the store and verifies all it holds. A damaged store
+// counts as a lost disk: its file is set aside and an empty store with another
+// identity takes its place.
+func Open(common aubcommon.Common, opts Opts) (*Store, error) {
+	common = common.WithPart("store")
+	s, err := open(common, opts, false)
+	var damage *CorruptError
+	if !errors.As(err, &damage) {
+		return s, err
+	}
+	common.Log.Error("Store is damaged; its file is set aside and the disk counts as lost.", zap.Error(err))
+	if err := setAside(opts.DataDir); err != nil {
+		return nil, err
+	}
+	return open(common, opts, true)
+}
+
+func open(common aubcommon.Common, opts Opts, afterDamage bool) (*Store, error) {
+	db, err := openDatabase(opts)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{common: common, db: db}
+	if err := s.start(opts.Member, afterDamage); err != nil {
+		_ = db.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) start(member string, afterDamage bool) error {
+	var identity *aubwire.DiskIdentity
+	err := guard(func() error {
+		return s.db.View(func(tx *bbolt.Tx) error {
+			var err error
+			identity, s.state, err = readAll(tx)
+			return err
+		})
+	})
+	if err != nil {
+		return err
+	}
+	if identity == nil {
+		identity = &aubwire.DiskIdentity{Member: member, DiskId: uuid.NewString(), AfterDamage: afterDamage}
+		if err := s.db.Update(func(tx *bbolt.Tx) error { return create(tx, identity) }); err != nil {
+			return &WriteError{Op: "create", Err: err}
+		}
+	}
+	if identity.GetMember() != member {
+		return &IdentityError{Want: member, Have: identity.GetMember()}
+	}
+	s.disk = identity
+	return nil
+}
+
+// DiskID returns the identity that the disk got at its first start.
+func (s *Store) DiskID() string { return s.disk.GetDiskId() }
+
+// AfterDamage reports whether the store took the place of a damaged one.
+func (s *Store) AfterDamage() bool { return s.disk.GetAfterDamage() }
+
+// Load returns what the store held when it was opened; it may be called once.
+func (s *Store) Load() (State, error) {
+	state := s.state
+	s.state = State{}
+	return state, nil
+}
+
+// Save executes the update and returns once it is synced. After an error every
+// call fails.
+func (s *Store) Save(u Update) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	err := s.db.Update(func(tx *bbolt.Tx) error { return write(tx, u) })
+	if err == nil {
+		return nil
+	}
+	s.failed = &WriteError{Op: "save", Err: err}
+	s.common.Log.Error("Write or sync failed; the store stops for good.", zap.Error(err))
+	return s.failed
+}
+
+// LoadSnapshot returns the last snapshot, or nil.
+func (s *Store) LoadSnapshot() (*aubwire.LogSnapshot, error) {
+	var snap *aubwire.LogSnapshot
+	err := guard(func() error {
+		return s.db.View(func(tx *bbolt.Tx) error {
+			var err error
+			snap, err = readSnapshot(tx)
+			return err
+		})
+	})
+	return snap, err
+}
+
+// Close releases the folder.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = &WriteError{Op: "save", Err: errors.New("store is closed")}
+	}
+	return s.db.Close()
+}
