Check histories of concurrent clients under faults

Clients append and read over real nodes, with fakes for network and disk only; reads go through the read index at any replica and through the lease at the leader.

--- /dev/null
+++ b/internal/aubconsensus/cluster_test.go
@@ -0,0 +1,254 @@
+package aubconsensus_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+const (
+	electionTimeout = 150 * time.Millisecond
+	heartbeat       = 25 * time.Millisecond
+	testTimeout     = 60 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// listMachine keeps one text for each key; a command "key value" appends to it.
+type listMachine struct {
+	mu    sync.Mutex
+	texts map[string]string
+}
+
+func newListMachine() *listMachine { return &listMachine{texts: make(map[string]string)} }
+
+func (m *listMachine) Apply(_ uint64, data []byte) []byte {
+	key, value, _ := strings.Cut(string(data), " ")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.texts[key] += value + ","
+	return []byte(m.texts[key])
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return json.Marshal(m.texts)
+}
+
+func (m *listMachine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.texts = make(map[string]string)
+	return json.Unmarshal(data, &m.texts)
+}
+
+func (m *listMachine) Elected(time.Time) {}
+
+func (m *listMachine) get(key string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.texts[key]
+}
+
+// process is one running replica.
+type process struct {
+	node    *aubconsensus.Node
+	machine *listMachine
+	cancel  context.CancelFunc
+}
+
+// cluster runs replicas over fake disks and a fake network.
+type cluster struct {
+	t       *testing.T
+	network *fakeNetwork
+	peers   []aubconsensus.Peer
+	rand    *rand.Rand
+
+	mu       sync.Mutex
+	platters map[string]*platter
+	running  map[string]*process
+}
+
+func newCluster(t *testing.T, size int, seed uint64) *cluster {
+	c := &cluster{
+		t:        t,
+		network:  newFakeNetwork(seed),
+		rand:     rand.New(rand.NewPCG(seed, 2)),
+		platters: make(map[string]*platter),
+		running:  make(map[string]*process),
+	}
+	for _, name := range []string{"a", "b", "c", "d", "e"}[:size] {
+		c.peers = append(c.peers, aubconsensus.Peer{Name: name, Address: name})
+		c.platters[name] = newPlatter(false)
+	}
+	for _, p := range c.peers {
+		c.start(p.Name)
+	}
+	t.Cleanup(func() {
+		for _, name := range c.names() {
+			c.network.thaw(name)
+			c.kill(name)
+		}
+	})
+	c.leader()
+	return c
+}
+
+func (c *cluster) names() []string {
+	names := make([]string, 0, len(c.peers))
+	for _, p := range c.peers {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+func (c *cluster) start(name string) {
+	c.mu.Lock()
+	disk := c.platters[name].open()
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	machine := newListMachine()
+	node, err := aubconsensus.NewNode(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubconsensus.Opts{
+		Self:            aubconsensus.Peer{Name: name, Address: name},
+		Voters:          c.peers,
+		Disk:            disk,
+		Transport:       endpoint{network: c.network, self: name},
+		Machine:         machine,
+		ElectionTimeout: electionTimeout,
+		Heartbeat:       heartbeat,
+		SnapshotEvery:   40,
+		KeepEntries:     10,
+	})
+	qt.Assert(c.t, err, qt.IsNil)
+	c.mu.Lock()
+	c.running[name] = &process{node: node, machine: machine, cancel: cancel}
+	c.mu.Unlock()
+	c.network.attach(name, node)
+}
+
+// kill ends a replica at once: what it has not synced is lost.
+func (c *cluster) kill(name string) {
+	c.network.detach(name)
+	c.mu.Lock()
+	p, ok := c.running[name]
+	delete(c.running, name)
+	c.platters[name].setFault(crashBeforeSync)
+	c.mu.Unlock()
+	if !ok {
+		return
+	}
+	p.cancel()
+	<-p.node.Done()
+}
+
+func (c *cluster) restart(name string) {
+	c.kill(name)
+	c.start(name)
+}
+
+// loseDisk kills a replica and gives its name an empty disk.
+func (c *cluster) loseDisk(name string, afterDamage bool) {
+	c.kill(name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.platters[name] = newPlatter(afterDamage)
+}
+
+// fail makes the next write of a replica fail and waits until it stopped.
+func (c *cluster) fail(name string, fault diskFault) {
+	p, ok := c.process(name)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	c.platters[name].setFault(fault)
+	c.mu.Unlock()
+	c.eventually("replica stops after a failed write", func() bool {
+		select {
+		case <-p.node.Done():
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func (c *cluster) process(name string) (*process, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.running[name]
+	return p, ok
+}
+
+// leader waits for a replica that holds the lease and returns its name.
+func (c *cluster) leader() string {
+	var found string
+	c.eventually("a leader is elected", func() bool {
+		for _, name := range c.names() {
+			if p, ok := c.process(name); ok {
+				if _, leads := p.node.Leading(); leads {
+					found = name
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// any returns the name of some replica other than the given ones.
+func (c *cluster) any(others ...string) string {
+	for {
+		name := c.peers[c.rand.IntN(len(c.peers))].Name
+		taken := false
+		for _, o := range others {
+			taken = taken || o == name
+		}
+		if !taken {
+			return name
+		}
+	}
+}
+
+// waitVoter waits until the replica has a vote and the membership is settled.
+func (c *cluster) waitVoter(name string) {
+	c.eventually(name+" is a voter", func() bool {
+		p, ok := c.process(name)
+		if !ok {
+			return false
+		}
+		s := p.node.Status()
+		return s.IsVoter && !s.InChange && s.Leader.Name != "" && len(s.Voters) == len(c.peers)
+	})
+}
+
+func (c *cluster) eventually(what string, holds func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for !holds() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(heartbeat / 5)
+	}
+}
+
+// run lets the clients work for some election timeouts.
+func (c *cluster) run(timeouts int) { time.Sleep(time.Duration(timeouts) * electionTimeout) }
+
+func newContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), testTimeout)
+}
--- /dev/null
+++ b/internal/aubconsensus/fake_network_test.go
@@ -0,0 +1,167 @@
+package aubconsensus_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+var errNoRoute = errors.New("fake network: no route")
+
+// route is one direction between two addresses.
+type route struct{ from, to string }
+
+// fakeNetwork carries messages between nodes of one process.
+type fakeNetwork struct {
+	mu     sync.Mutex
+	rand   *rand.Rand
+	nodes  map[string]*aubconsensus.Node
+	cuts   map[route]bool
+	frozen map[string]chan struct{}
+	// noise is the share of messages that are lost, and as many late and doubled.
+	noise float64
+}
+
+func newFakeNetwork(seed uint64) *fakeNetwork {
+	return &fakeNetwork{
+		rand:   rand.New(rand.NewPCG(seed, 1)),
+		nodes:  make(map[string]*aubconsensus.Node),
+		cuts:   make(map[route]bool),
+		frozen: make(map[string]chan struct{}),
+	}
+}
+
+// endpoint is the network as seen from one address.
+type endpoint struct {
+	network *fakeNetwork
+	self    string
+}
+
+func (e endpoint) Send(address string, m *aubwire.ConsensusMessage) {
+	e.network.waitThawed(e.self)
+	e.network.send(e.self, address, proto.CloneOf(m))
+}
+
+func (e endpoint) Hello(ctx context.Context, address string, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	n := e.network
+	node, ok := n.reach(e.self, address)
+	if !ok {
+		return nil, errNoRoute
+	}
+	resp, err := node.Hello(ctx, proto.CloneOf(req))
+	if _, ok := n.reach(address, e.self); !ok || err != nil {
+		return nil, errNoRoute
+	}
+	return proto.CloneOf(resp), nil
+}
+
+func (n *fakeNetwork) reach(from, to string) (*aubconsensus.Node, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node, ok := n.nodes[to]
+	return node, ok && !n.cuts[route{from, to}]
+}
+
+func (n *fakeNetwork) send(from, to string, m *aubwire.ConsensusMessage) {
+	n.mu.Lock()
+	noise := n.noise
+	lost := n.rand.Float64() < noise
+	doubled := n.rand.Float64() < noise
+	late := n.rand.Float64() < noise
+	delay := time.Duration(n.rand.Int64N(int64(2 * electionTimeout)))
+	n.mu.Unlock()
+	if doubled {
+		time.AfterFunc(delay, func() { n.deliver(from, to, m) })
+	}
+	switch {
+	case lost:
+	case late:
+		time.AfterFunc(delay, func() { n.deliver(from, to, m) })
+	default:
+		n.deliver(from, to, m)
+	}
+}
+
+func (n *fakeNetwork) deliver(from, to string, m *aubwire.ConsensusMessage) {
+	if node, ok := n.reach(from, to); ok {
+		node.Deliver(proto.CloneOf(m))
+	}
+}
+
+func (n *fakeNetwork) attach(address string, node *aubconsensus.Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[address] = node
+}
+
+func (n *fakeNetwork) detach(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, address)
+}
+
+func (n *fakeNetwork) cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[route{from, to}] = true
+}
+
+// isolate cuts an address from the others in the given directions.
+func (n *fakeNetwork) isolate(address string, others []string, inbound, outbound bool) {
+	for _, other := range others {
+		if other == address {
+			continue
+		}
+		if inbound {
+			n.cut(other, address)
+		}
+		if outbound {
+			n.cut(address, other)
+		}
+	}
+}
+
+func (n *fakeNetwork) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+	n.noise = 0
+}
+
+func (n *fakeNetwork) setNoise(noise float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noise = noise
+}
+
+// freeze stops the node at an address where it next sends, until thaw.
+func (n *fakeNetwork) freeze(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[address] = make(chan struct{})
+}
+
+func (n *fakeNetwork) thaw(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c, ok := n.frozen[address]; ok {
+		close(c)
+		delete(n.frozen, address)
+	}
+}
+
+func (n *fakeNetwork) waitThawed(address string) {
+	n.mu.Lock()
+	c, ok := n.frozen[address]
+	n.mu.Unlock()
+	if ok {
+		<-c
+	}
+}
--- /dev/null
+++ b/internal/aubconsensus/history_test.go
@@ -0,0 +1,267 @@
+package aubconsensus_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+)
+
+const (
+	clientCount  = 4
+	opTimeout    = 3 * electionTimeout
+	checkTimeout = 30 * time.Second
+)
+
+// listInput is an append, or a read when the value is empty.
+type listInput struct {
+	key   string
+	value string
+}
+
+// listOutput is the text of the key; unknown when no answer came.
+type listOutput struct {
+	text    string
+	unknown bool
+}
+
+func inputOf(v any) listInput {
+	in, _ := v.(listInput)
+	return in
+}
+
+func outputOf(v any) listOutput {
+	out, _ := v.(listOutput)
+	return out
+}
+
+var listModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			key := inputOf(op.Input).key
+			byKey[key] = append(byKey[key], op)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byKey))
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in, out, text := inputOf(input), outputOf(output), fmt.Sprint(state)
+		if in.value != "" {
+			text += in.value + ","
+		}
+		return out.unknown || out.text == text, text
+	},
+}
+
+// recorder runs clients and keeps their history.
+type recorder struct {
+	c      *cluster
+	start  time.Time
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	ops     []porcupine.Operation
+	refused []listInput
+	appends int
+	reads   int
+}
+
+func startClients(c *cluster, seed uint64) *recorder {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &recorder{c: c, start: time.Now(), cancel: cancel}
+	for id := range clientCount {
+		random := rand.New(rand.NewPCG(seed, uint64(id)))
+		r.wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				r.once(ctx, random, id, i)
+			}
+		})
+	}
+	return r
+}
+
+func (r *recorder) once(ctx context.Context, random *rand.Rand, id, i int) {
+	in := listInput{key: fmt.Sprintf("k%d", random.IntN(3))}
+	switch random.IntN(4) {
+	case 0:
+		r.read(ctx, id, in)
+	case 1:
+		r.leaseRead(id, in)
+	default:
+		in.value = fmt.Sprintf("%d.%d", id, i)
+		r.append(ctx, random, id, in)
+	}
+	time.Sleep(time.Duration(random.Int64N(int64(8 * time.Millisecond))))
+}
+
+// append sends to one replica after another until one takes the command.
+func (r *recorder) append(ctx context.Context, random *rand.Rand, id int, in listInput) {
+	call := r.now()
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		p, ok := r.c.process(r.c.peers[random.IntN(len(r.c.peers))].Name)
+		if !ok {
+			continue
+		}
+		_, text, err := p.node.Propose(ctx, []byte(in.key+" "+in.value))
+		var unknown *aubconsensus.UnknownOutcomeError
+		if errors.As(err, &unknown) {
+			r.note(porcupine.Operation{ClientId: id, Input: in, Call: call, Output: listOutput{unknown: true}, Return: math.MaxInt64})
+			return
+		}
+		if err == nil {
+			r.note(porcupine.Operation{ClientId: id, Input: in, Call: call, Output: listOutput{text: string(text)}, Return: r.now()})
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused = append(r.refused, in)
+}
+
+// read confirms an index at the leader and reads at some replica.
+func (r *recorder) read(ctx context.Context, id int, in listInput) {
+	call := r.now()
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	defer cancel()
+	for _, name := range r.c.names() {
+		p, ok := r.c.process(name)
+		if !ok {
+			continue
+		}
+		index, err := p.node.ReadIndex(ctx)
+		if err != nil {
+			continue
+		}
+		for _, at := range r.c.names() {
+			if q, ok := r.c.process(at); ok && q.node.WaitApplied(ctx, index) == nil {
+				r.note(porcupine.Operation{ClientId: id, Input: in, Call: call, Output: listOutput{text: q.machine.get(in.key)}, Return: r.now()})
+				return
+			}
+		}
+	}
+}
+
+// leaseRead reads at a leader and checks its lease after the read. A freeze of
+// the process falls between the two.
+func (r *recorder) leaseRead(id int, in listInput) {
+	call := r.now()
+	for _, name := range r.c.names() {
+		p, ok := r.c.process(name)
+		if !ok {
+			continue
+		}
+		if _, leads := p.node.Leading(); !leads {
+			continue
+		}
+		r.c.network.waitThawed(name)
+		text := p.machine.get(in.key)
+		if _, leads := p.node.Leading(); leads {
+			r.note(porcupine.Operation{ClientId: id, Input: in, Call: call, Output: listOutput{text: text}, Return: r.now()})
+			return
+		}
+	}
+}
+
+// resolveUnknown settles the appends without an answer by the final text, which
+// loses no strictness: one that is in the text must have returned the text up to
+// itself, and one that is not can only take effect after the final read.
+func (r *recorder) resolveUnknown(key, text string) {
+	kept := r.ops[:0]
+	for _, op := range r.ops {
+		in, out := inputOf(op.Input), outputOf(op.Output)
+		if in.key != key || !out.unknown {
+			kept = append(kept, op)
+			continue
+		}
+		before, _, found := strings.Cut(","+text, ","+in.value+",")
+		if !found {
+			continue
+		}
+		op.Output = listOutput{text: strings.TrimPrefix(before+","+in.value+",", ",")}
+		kept = append(kept, op)
+	}
+	r.ops = kept
+}
+
+func (r *recorder) now() int64 { return int64(time.Since(r.start)) }
+
+func (r *recorder) note(op porcupine.Operation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, op)
+	if inputOf(op.Input).value == "" {
+		r.reads++
+	} else if !outputOf(op.Output).unknown {
+		r.appends++
+	}
+}
+
+// progress waits until so many more appends were answered.
+func (r *recorder) progress(more int) {
+	r.mu.Lock()
+	want := r.appends + more
+	r.mu.Unlock()
+	r.c.eventually("clients make progress", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.appends >= want
+	})
+}
+
+// finish stops the clients and checks the history: linearizable, nothing that was
+// called not committed is there, and all replicas are equal.
+func (r *recorder) finish() {
+	t := r.c.t
+	r.cancel()
+	r.wg.Wait()
+	leader, _ := r.c.process(r.c.leader())
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var index uint64
+	r.c.eventually("final read is confirmed", func() bool {
+		var err error
+		leader, _ = r.c.process(r.c.leader())
+		index, err = leader.node.ReadIndex(ctx)
+		return err == nil
+	})
+	for _, key := range []string{"k0", "k1", "k2"} {
+		var want string
+		for i, name := range r.c.names() {
+			p, ok := r.c.process(name)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s runs", name))
+			qt.Assert(t, p.node.WaitApplied(ctx, index), qt.IsNil, qt.Commentf(name))
+			text := p.machine.get(key)
+			if i == 0 {
+				want = text
+				r.note(porcupine.Operation{Input: listInput{key: key}, Call: r.now(), Output: listOutput{text: text}, Return: r.now()})
+			}
+			qt.Assert(t, text, qt.Equals, want, qt.Commentf("replica %s", name))
+		}
+		r.resolveUnknown(key, want)
+		for _, in := range r.refused {
+			isThere := in.key == key && strings.Contains(","+want, ","+in.value+",")
+			qt.Assert(t, isThere, qt.IsFalse, qt.Commentf("%v was called not committed", in))
+		}
+	}
+	result := porcupine.CheckOperationsTimeout(listModel, r.ops, checkTimeout)
+	qt.Assert(t, result, qt.Equals, porcupine.Ok)
+	t.Logf("%d appends, %d reads, %d refused, %d operations in all", r.appends, r.reads, len(r.refused), len(r.ops))
+}
