Restore after a lost majority, replace members, test store and processes

A restored site has another cluster id, so older folders do not fit it. Replicas whose stores were damaged never form a new site.

The store's tests flip bytes, cut the file and mix pages of before and after a write: it holds what was acknowledged or is another, empty disk. All connections muted at once: the next command is committed on new ones.

--- /dev/null
+++ b/internal/aubconsensus/change_test.go
@@ -0,0 +1,166 @@
+package aubconsensus_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubconsensus"
+)
+
+// append commits one value, whoever leads.
+func (c *cluster) append(key, value string) {
+	ctx, cancel := newContext()
+	defer cancel()
+	c.eventually("append is committed", func() bool {
+		for _, name := range c.names() {
+			p, ok := c.process(name)
+			if !ok {
+				continue
+			}
+			if _, _, err := p.node.Propose(ctx, []byte(key+" "+value)); err == nil {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (c *cluster) hasEverywhere(key, want string) {
+	for _, name := range c.names() {
+		c.eventually("replica "+name+" holds "+want, func() bool {
+			p, ok := c.process(name)
+			return ok && p.machine.get(key) == want
+		})
+	}
+}
+
+func TestLostMajorityIsRefusedUntilRestored(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, size, uint64(size))
+			c.append("k", "kept")
+			c.hasEverywhere("k", "kept,")
+			survivor := c.peers[size-1].Name
+			for _, name := range c.names()[:size/2+1] {
+				c.loseDisk(name, false)
+			}
+			for _, name := range c.names()[:size/2+1] {
+				c.start(name)
+			}
+			c.refusesCommands()
+
+			for _, name := range c.names() {
+				c.kill(name)
+			}
+			self := aubconsensus.Peer{Name: survivor, Address: survivor}
+			_, err := aubconsensus.RestoreSurvivor(c.platters[survivor].open(), self)
+			qt.Assert(t, err, qt.IsNil)
+			c.start(survivor)
+			for _, name := range c.names()[:size-1] {
+				c.loseDisk(name, false)
+				c.start(name)
+			}
+			for _, name := range c.names() {
+				c.waitVoter(name)
+			}
+			c.append("k", "new")
+			c.hasEverywhere("k", "kept,new,")
+		})
+	}
+}
+
+// refusesCommands checks for a while that no replica leads or takes a command.
+func (c *cluster) refusesCommands() {
+	ctx, cancel := newContext()
+	defer cancel()
+	for range 10 {
+		c.run(1)
+		for _, name := range c.names() {
+			p, ok := c.process(name)
+			qt.Assert(c.t, ok, qt.IsTrue)
+			_, _, err := p.node.Propose(ctx, []byte("k lost"))
+			var refused *aubconsensus.NotLeaderError
+			qt.Assert(c.t, errors.As(err, &refused), qt.IsTrue, qt.Commentf("%s: %v", name, err))
+			_, leads := p.node.Leading()
+			qt.Assert(c.t, leads, qt.IsFalse)
+		}
+	}
+}
+
+func TestRestoreRefusesWrongFolders(t *testing.T) {
+	self := aubconsensus.Peer{Name: "a", Address: "a"}
+	empty := newPlatter(false)
+	var refused *aubconsensus.RestoreError
+	_, err := aubconsensus.RestoreSurvivor(empty.open(), self)
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+
+	c := newCluster(t, 1, 1)
+	c.append("k", "v")
+	c.kill("a")
+	held, err := c.platters["a"].open().LoadSnapshot()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = aubconsensus.RestoreSnapshot(c.platters["a"].open(), self, held)
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+}
+
+// TestDamagedStoresNeverFormACluster starts replicas whose stores were damaged:
+// they can't know what was lost with them.
+func TestDamagedStoresNeverFormACluster(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	for _, name := range c.names() {
+		c.loseDisk(name, name == "b")
+	}
+	for _, name := range c.names() {
+		c.start(name)
+	}
+	c.refusesCommands()
+}
+
+func TestReplaceMemberByAnother(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, size, uint64(size))
+			c.append("k", "1")
+			dead := c.any(c.leader())
+			c.kill(dead)
+			old := c.platters[dead]
+			c.platters["x"] = newPlatter(false)
+			joining := aubconsensus.Peer{Name: "x", Address: "x"}
+			c.start("x")
+			for i, p := range c.peers {
+				if p.Name == dead {
+					c.peers[i] = joining
+				}
+			}
+			c.replace(dead, joining)
+			c.replace(dead, joining)
+
+			// The old disk wakes up with its old belief: it must not count.
+			c.platters[dead] = old
+			c.start(dead)
+			lost := c.any("x", c.leader())
+			c.kill(lost)
+			c.append("k", "2")
+			c.run(4)
+			_, leads := c.running[dead].node.Leading()
+			qt.Assert(t, leads, qt.IsFalse)
+			c.kill(dead)
+			c.start(lost)
+			c.hasEverywhere("k", "1,2,")
+		})
+	}
+}
+
+func (c *cluster) replace(dead string, joining aubconsensus.Peer) {
+	ctx, cancel := newContext()
+	defer cancel()
+	c.eventually("member is replaced", func() bool {
+		p, ok := c.process(c.leader())
+		return ok && p.node.ReplaceMember(ctx, dead, joining) == nil
+	})
+}
--- a/internal/aubcontrol/error.go
+++ b/internal/aubcontrol/error.go
@@ -100,3 +100,20 @@
 
 // Unwrap returns the cause.
 func (e *StorageError) Unwrap() error { return e.Err }
+
+// RestoreError says why a restore is refused.
+type RestoreError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *RestoreError) Error() string {
+	if e.Err == nil {
+		return "restore refused: " + e.Reason
+	}
+	return fmt.Sprintf("restore refused: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *RestoreError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/aubcontrol/kill_test.go
@@ -0,0 +1,145 @@
+package aubcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// childEnv makes the test binary a replica: folder, own name, then name=address
+// of every replica, separated by commas.
+const childEnv = "AUBCONTROL_TEST_REPLICA"
+
+func TestMain(m *testing.M) {
+	if spec := os.Getenv(childEnv); spec != "" {
+		runChild(strings.Split(spec, ","))
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func runChild(spec []string) {
+	dir, self := spec[0], spec[1]
+	opts := aubcontrol.ReplicaOpts{Member: self, DataDir: dir, Tables: []aubcontrol.Table{&journal{}}, Dial: dial}
+	for _, peer := range spec[2:] {
+		name, address, _ := strings.Cut(peer, "=")
+		opts.Voters = append(opts.Voters, aubcontrol.Peer{Name: name, Address: address})
+		if name == self {
+			opts.Address = address
+		}
+	}
+	r, err := aubcontrol.NewReplica(context.Background(), aubcommon.NewCommon(aubtimer.NewReal()), opts)
+	if err != nil {
+		panic(err)
+	}
+	l, err := net.Listen("tcp", opts.Address)
+	if err != nil {
+		panic(err)
+	}
+	server := grpc.NewServer()
+	r.Register(server)
+	panic(server.Serve(l))
+}
+
+// children are replicas as processes of their own.
+type children struct {
+	t       *testing.T
+	dir     string
+	peers   []string
+	running map[string]*exec.Cmd
+}
+
+func (c *children) start(name string) {
+	binary, err := os.Executable()
+	qt.Assert(c.t, err, qt.IsNil)
+	cmd := exec.Command(binary)
+	spec := append([]string{filepath.Join(c.dir, name), name}, c.peers...)
+	cmd.Env = append(os.Environ(), childEnv+"="+strings.Join(spec, ","))
+	cmd.Stderr = os.Stderr
+	qt.Assert(c.t, cmd.Start(), qt.IsNil)
+	c.running[name] = cmd
+}
+
+func (c *children) kill(name string) {
+	cmd := c.running[name]
+	qt.Assert(c.t, cmd.Process.Kill(), qt.IsNil)
+	_ = cmd.Wait()
+}
+
+// TestKilledProcessesLoseNothing kills replica processes with SIGKILL while
+// clients append. What was answered is there once and in the answered order.
+func TestKilledProcessesLoseNothing(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	c := &children{t: t, dir: t.TempDir(), running: make(map[string]*exec.Cmd)}
+	addresses := make([]string, 0, len(names))
+	for _, name := range names {
+		addresses = append(addresses, freeAddress(t))
+		c.peers = append(c.peers, name+"="+addresses[len(addresses)-1])
+	}
+	for _, name := range names {
+		c.start(name)
+	}
+	t.Cleanup(func() {
+		for _, name := range names {
+			c.kill(name)
+		}
+	})
+
+	ctx := newContext(t)
+	remote := aubcontrol.NewRemote(aubcommon.NewCommon(aubtimer.NewReal()), aubcontrol.RemoteOpts{Addresses: addresses, Dial: dial})
+	t.Cleanup(remote.Close)
+	_, err := remote.Apply(ctx, "journal", []byte("start,"))
+	qt.Assert(t, err, qt.IsNil)
+
+	answers := make(map[string]string)
+	working, stop := context.WithCancel(ctx)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for id := range 4 {
+		wg.Go(func() {
+			for i := 0; working.Err() == nil; i++ {
+				value := fmt.Sprintf("%d.%d,", id, i)
+				if result, err := remote.Apply(ctx, "journal", []byte(value)); err == nil {
+					mu.Lock()
+					answers[value] = string(result.Body)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(3, 3))
+	for range 5 {
+		name := names[random.IntN(len(names))]
+		c.kill(name)
+		_, err := remote.Apply(ctx, "journal", []byte("-,"))
+		qt.Assert(t, err, qt.IsNil)
+		c.start(name)
+		_, err = remote.Apply(ctx, "journal", []byte("+,"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	stop()
+	wg.Wait()
+	result, err := remote.Apply(ctx, "journal", []byte("end,"))
+	qt.Assert(t, err, qt.IsNil)
+	final := string(result.Body)
+	for value, answer := range answers {
+		qt.Assert(t, strings.HasPrefix(final, answer), qt.IsTrue, qt.Commentf("answer to %q is not a prefix of the final state", value))
+		qt.Assert(t, strings.Count(","+final, ","+value), qt.Equals, 1, qt.Commentf("value %q", value))
+	}
+	t.Logf("%d commands were answered", len(answers))
+}
--- /dev/null
+++ b/internal/aubcontrol/remote_test.go
@@ -0,0 +1,213 @@
+package aubcontrol_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// forgetful passes Apply on to a replica and loses the first answers.
+type forgetful struct {
+	aubwire.UnimplementedControlServer
+
+	client aubwire.ControlClient
+	mu     sync.Mutex
+	losses int
+}
+
+func (f *forgetful) Apply(ctx context.Context, req *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
+	resp, err := f.client.Apply(ctx, req)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.losses > 0 && err == nil {
+		f.losses--
+		return nil, status.Error(codes.Unavailable, "answer lost")
+	}
+	return resp, err
+}
+
+func (f *forgetful) ReadIndex(ctx context.Context, req *aubwire.ReadIndexRequest) (*aubwire.ReadIndexResponse, error) {
+	return f.client.ReadIndex(ctx, req)
+}
+
+func serve(t *testing.T, control aubwire.ControlServer) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := grpc.NewServer()
+	aubwire.RegisterControlServer(server, control)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(l)
+	}()
+	t.Cleanup(func() {
+		server.Stop()
+		<-served
+	})
+	return l.Addr().String()
+}
+
+func newRemote(t *testing.T, addresses ...string) *aubcontrol.Remote {
+	r := aubcontrol.NewRemote(aubcommon.NewCommon(aubtimer.NewReal()), aubcontrol.RemoteOpts{Addresses: addresses, Dial: dial})
+	t.Cleanup(r.Close)
+	return r
+}
+
+func TestResendAfterLostAnswerAppliesOnce(t *testing.T) {
+	s := newSite(t, "a")
+	ctx := newContext(t)
+	conn, err := dial(s.address("a"))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	address := serve(t, &forgetful{client: aubwire.NewControlClient(conn), losses: 3})
+
+	result, err := newRemote(t, address).Apply(ctx, "journal", []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(result.Body), qt.Equals, "x")
+}
+
+// slow takes a command and never answers.
+type slow struct {
+	aubwire.UnimplementedControlServer
+}
+
+func (slow) Apply(ctx context.Context, _ *aubwire.ApplyRequest) (*aubwire.ApplyResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (slow) ReadIndex(context.Context, *aubwire.ReadIndexRequest) (*aubwire.ReadIndexResponse, error) {
+	return &aubwire.ReadIndexResponse{Index: 1, ClockMs: 1}, nil
+}
+
+func TestErrorsSayWhatIsKnown(t *testing.T) {
+	s := newSite(t, "a")
+	for name, tc := range map[string]struct {
+		address   string
+		table     string
+		committed bool
+	}{
+		"nothing listens":       {address: freeAddress(t), table: "journal"},
+		"unknown table":         {address: s.address("a"), table: "none"},
+		"taken but no answer":   {address: serve(t, slow{}), table: "journal", committed: true},
+		"answer lost each time": {address: serve(t, &forgetful{client: newClient(t, s.address("a")), losses: 1000}), table: "journal", committed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := newRemote(t, tc.address).Apply(ctx, tc.table, []byte("x"))
+			var refused *aubcontrol.NotCommittedError
+			var uncertain *aubcontrol.UncertainError
+			qt.Assert(t, errors.As(err, &refused), qt.Equals, !tc.committed, qt.Commentf("%v", err))
+			qt.Assert(t, errors.As(err, &uncertain), qt.Equals, tc.committed, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func newClient(t *testing.T, address string) aubwire.ControlClient {
+	conn, err := dial(address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return aubwire.NewControlClient(conn)
+}
+
+// silencer makes connections that can go silent for good.
+type silencer struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+// silentConn loses everything once muted, as if something between the ends had
+// forgotten the connection.
+type silentConn struct {
+	net.Conn
+
+	muted chan struct{}
+	ended chan struct{}
+	once  sync.Once
+}
+
+func (s *silencer) dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			c := &silentConn{Conn: conn, muted: make(chan struct{}), ended: make(chan struct{})}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.conns = append(s.conns, c)
+			return c, nil
+		}))
+}
+
+func (s *silencer) muteAll() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		close(c.muted)
+	}
+	n := len(s.conns)
+	s.conns = nil
+	return n
+}
+
+func (c *silentConn) isMuted() bool {
+	select {
+	case <-c.muted:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.isMuted() {
+		<-c.ended
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.isMuted() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	quiet := &silencer{}
+	s := newSiteWith(t, quiet.dial, "a", "b", "c")
+	ctx := newContext(t)
+	remote := aubcontrol.NewRemote(aubcommon.NewCommon(aubtimer.NewReal()), aubcontrol.RemoteOpts{Addresses: s.addresses(), Dial: quiet.dial})
+	defer remote.Close()
+	_, err := remote.Apply(ctx, "journal", []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+
+	qt.Assert(t, quiet.muteAll() > 3, qt.IsTrue)
+	result, err := remote.Apply(ctx, "journal", []byte("y"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(result.Body), qt.Equals, "xy")
+}
--- /dev/null
+++ b/internal/aubstore/store_test.go
@@ -0,0 +1,241 @@
+package aubstore_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubstore"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const pageBytes = 4096
+
+var common = aubcommon.NewCommon(aubtimer.NewManual(time.Unix(0, 0)))
+
+func open(t testing.TB, dir string, maxBytes int) *aubstore.Store {
+	t.Helper()
+	s, err := aubstore.Open(common, aubstore.Opts{DataDir: dir, Member: "a", MaxBytes: maxBytes})
+	qt.Assert(t, err, qt.IsNil)
+	return s
+}
+
+// load opens the folder and returns what it holds and which disk it is.
+func load(t testing.TB, dir string) (state aubstore.State, diskID string, afterDamage bool) {
+	t.Helper()
+	s := open(t, dir, 0)
+	defer s.Close()
+	state, err := s.Load()
+	qt.Assert(t, err, qt.IsNil)
+	return state, s.DiskID(), s.AfterDamage()
+}
+
+func entry(index, term uint64, size int) *aubwire.LogEntry {
+	data := bytes.Repeat([]byte{byte(index)}, size)
+	return &aubwire.LogEntry{Index: index, Term: term, Kind: aubwire.EntryKind_ENTRY_KIND_COMMAND, Data: data}
+}
+
+func snapshot(index uint64) *aubwire.LogSnapshot {
+	members := &aubwire.Membership{ClusterId: "x"}
+	return &aubwire.LogSnapshot{Index: index, Term: 1, Membership: members, Data: bytes.Repeat([]byte("s"), 100)}
+}
+
+func isEqual(a, b aubstore.State) bool {
+	if !proto.Equal(a.HardState, b.HardState) || !proto.Equal(a.Snapshot, b.Snapshot) || len(a.Entries) != len(b.Entries) {
+		return false
+	}
+	for i := range a.Entries {
+		if !proto.Equal(a.Entries[i], b.Entries[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestStoreKeepsEveryUpdate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		dir, err := os.MkdirTemp(t.TempDir(), "store")
+		qt.Assert(t, err, qt.IsNil)
+		s := open(t, dir, 0)
+		id := s.DiskID()
+		want := aubstore.State{HardState: &aubwire.HardState{}, Snapshot: snapshot(0)}
+		qt.Assert(t, s.Save(aubstore.Update{Snapshot: want.Snapshot}), qt.IsNil)
+		for range rapid.IntRange(1, 12).Draw(rt, "updates") {
+			u := drawUpdate(rt, want)
+			qt.Assert(t, s.Save(u), qt.IsNil)
+			want = apply(want, u)
+		}
+		qt.Assert(t, s.Close(), qt.IsNil)
+		got, gotID, afterDamage := load(t, dir)
+		qt.Assert(t, isEqual(got, want), qt.IsTrue, qt.Commentf("got %v, want %v", got, want))
+		qt.Assert(t, gotID, qt.Equals, id)
+		qt.Assert(t, afterDamage, qt.IsFalse)
+	})
+}
+
+func drawUpdate(rt *rapid.T, s aubstore.State) aubstore.Update {
+	first, last := s.Snapshot.GetIndex()+1, s.Snapshot.GetIndex()
+	if n := len(s.Entries); n > 0 {
+		first, last = s.Entries[0].GetIndex(), s.Entries[n-1].GetIndex()
+	}
+	switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+	case 0:
+		return aubstore.Update{HardState: &aubwire.HardState{Term: rapid.Uint64().Draw(rt, "term"), Vote: "v"}}
+	case 1:
+		from := rapid.Uint64Range(max(first, s.Snapshot.GetIndex()+1), last+1).Draw(rt, "from")
+		return aubstore.Update{TruncateFrom: from, Entries: []*aubwire.LogEntry{entry(from, 9, 10)}}
+	case 2:
+		at := rapid.Uint64Range(s.Snapshot.GetIndex(), last).Draw(rt, "at")
+		return aubstore.Update{Snapshot: snapshot(at), CompactTo: at}
+	default:
+		return aubstore.Update{Entries: []*aubwire.LogEntry{entry(last+1, 1, 700), entry(last+2, 2, 0)}}
+	}
+}
+
+func apply(s aubstore.State, u aubstore.Update) aubstore.State {
+	if u.HardState != nil {
+		s.HardState = u.HardState
+	}
+	if u.Snapshot != nil {
+		s.Snapshot = u.Snapshot
+	}
+	var kept []*aubwire.LogEntry
+	for _, e := range s.Entries {
+		if e.GetIndex() > u.CompactTo && (u.TruncateFrom == 0 || e.GetIndex() < u.TruncateFrom) {
+			kept = append(kept, e)
+		}
+	}
+	s.Entries = append(kept, u.Entries...)
+	return s
+}
+
+// fill writes a store of several pages and returns its file and state.
+func fill(t testing.TB, dir string) (string, aubstore.State, string) {
+	s := open(t, dir, 0)
+	u := aubstore.Update{Snapshot: snapshot(0), HardState: &aubwire.HardState{Term: 3, Vote: "v"}}
+	for i := uint64(1); i <= 40; i++ {
+		u.Entries = append(u.Entries, entry(i, 1, 300))
+	}
+	qt.Assert(t, s.Save(u), qt.IsNil)
+	qt.Assert(t, s.Close(), qt.IsNil)
+	return filepath.Join(dir, "replica.db"), apply(aubstore.State{}, u), s.DiskID()
+}
+
+// TestDamageIsALostDisk flips bytes and cuts the file: the store holds exactly
+// what was acknowledged, or is another, empty disk.
+func TestDamageIsALostDisk(t *testing.T) {
+	dir := t.TempDir()
+	path, want, id := fill(t, dir)
+	whole, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	random := rand.New(rand.NewPCG(7, 7))
+	lost := 0
+	check := func(what string, data []byte) {
+		qt.Assert(t, os.WriteFile(path, data, 0o600), qt.IsNil)
+		got, gotID, afterDamage := load(t, dir)
+		if afterDamage {
+			lost++
+			qt.Assert(t, gotID, qt.Not(qt.Equals), id, qt.Commentf(what))
+			qt.Assert(t, got.Snapshot, qt.IsNil, qt.Commentf(what))
+			return
+		}
+		qt.Assert(t, gotID, qt.Equals, id, qt.Commentf(what))
+		qt.Assert(t, isEqual(got, want), qt.IsTrue, qt.Commentf(what))
+	}
+	for range 120 {
+		data := bytes.Clone(whole)
+		at := random.IntN(len(data))
+		data[at] ^= byte(1 + random.IntN(255))
+		check(fmt.Sprintf("byte %d", at), data)
+	}
+	for page := range 2 {
+		for field := 16; field < 80; field += 8 {
+			data := bytes.Clone(whole)
+			data[page*pageBytes+field] ^= 1
+			check(fmt.Sprintf("meta %d field %d", page, field), data)
+		}
+	}
+	for range 15 {
+		size := 1 + random.IntN(len(whole)-1)
+		check(fmt.Sprintf("cut to %d", size), whole[:size])
+	}
+	qt.Assert(t, lost > 30, qt.IsTrue, qt.Commentf("%d of the damages were found", lost))
+}
+
+// TestTornWriteIsWholeOrAbsent mixes the pages of the file before and after a
+// write, as a crash before its sync can.
+func TestTornWriteIsWholeOrAbsent(t *testing.T) {
+	dir := t.TempDir()
+	path, before, id := fill(t, dir)
+	s := open(t, dir, 0)
+	old, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	u := aubstore.Update{TruncateFrom: 20, Entries: []*aubwire.LogEntry{entry(20, 2, 3000), entry(21, 2, 3000)}}
+	qt.Assert(t, s.Save(u), qt.IsNil)
+	qt.Assert(t, s.Close(), qt.IsNil)
+	next, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	after := apply(before, u)
+
+	random := rand.New(rand.NewPCG(8, 8))
+	for i := range 60 {
+		torn := bytes.Clone(next)
+		for at := 2 * pageBytes; at < len(old); at += pageBytes {
+			if random.IntN(2) == 0 {
+				copy(torn[at:at+pageBytes], old[at:])
+			}
+		}
+		copy(torn[:2*pageBytes], old)
+		qt.Assert(t, os.WriteFile(path, torn, 0o600), qt.IsNil)
+		got, gotID, afterDamage := load(t, dir)
+		qt.Assert(t, afterDamage, qt.IsFalse)
+		qt.Assert(t, gotID, qt.Equals, id)
+		qt.Assert(t, isEqual(got, before), qt.IsTrue, qt.Commentf("mix %d", i))
+	}
+	qt.Assert(t, os.WriteFile(path, next, 0o600), qt.IsNil)
+	got, _, _ := load(t, dir)
+	qt.Assert(t, isEqual(got, after), qt.IsTrue)
+}
+
+func TestFullDiskStopsTheStoreForGood(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, 128<<10)
+	want := aubstore.State{HardState: &aubwire.HardState{}}
+	first := aubstore.Update{Snapshot: snapshot(0)}
+	qt.Assert(t, s.Save(first), qt.IsNil)
+	want = apply(want, first)
+	var failed error
+	for i := uint64(1); failed == nil; i++ {
+		u := aubstore.Update{Entries: []*aubwire.LogEntry{entry(i, 1, 10_000)}}
+		if failed = s.Save(u); failed == nil {
+			want = apply(want, u)
+		}
+	}
+	var writeErr *aubstore.WriteError
+	qt.Assert(t, errors.As(failed, &writeErr), qt.IsTrue)
+	qt.Assert(t, s.Save(aubstore.Update{HardState: &aubwire.HardState{Term: 1}}), qt.ErrorIs, failed)
+	qt.Assert(t, s.Close(), qt.IsNil)
+
+	got, _, afterDamage := load(t, dir)
+	qt.Assert(t, afterDamage, qt.IsFalse)
+	qt.Assert(t, isEqual(got, want), qt.IsTrue)
+}
+
+func TestFolderOfAnotherMemberIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	fill(t, dir)
+	_, err := aubstore.Open(common, aubstore.Opts{DataDir: dir, Member: "b"})
+	var identity *aubstore.IdentityError
+	qt.Assert(t, errors.As(err, &identity), qt.IsTrue)
+}
