--- a/internal/aubconsensus/change_test.go
+++ b/internal/aubconsensus/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -164,3 +165,57 @@
 		return ok && p.node.ReplaceMember(ctx, dead, joining) == nil
 	})
 }
+
+// TestWakingLeaderConfirmsNothingOld queues reads at a frozen leader while
+// another one commits: on waking it may refuse them or wait, not answer from what
+// it knew.
+func TestWakingLeaderConfirmsNothingOld(t *testing.T) {
+	const readers = 64
+	c := newCluster(t, 3, 9)
+	c.append("k", "0")
+	for round := range 4 {
+		frozen := c.leader()
+		p, ok := c.process(frozen)
+		qt.Assert(t, ok, qt.IsTrue)
+		c.network.isolate(frozen, c.names(), true, true)
+		c.network.freeze(frozen)
+		var committed uint64
+		c.eventually("another leader commits", func() bool {
+			index, ok := c.appendBeside(frozen, fmt.Sprint(round))
+			committed = index
+			return ok
+		})
+		ctx, cancel := newContext()
+		var wg sync.WaitGroup
+		for range readers {
+			wg.Go(func() {
+				index, err := p.node.ReadIndex(ctx)
+				qt.Check(t, err != nil || index >= committed, qt.IsTrue, qt.Commentf("confirmed %d, committed %d", index, committed))
+			})
+		}
+		c.run(1)
+		_, leads := p.node.Leading()
+		qt.Check(t, leads, qt.IsFalse)
+		c.network.thaw(frozen)
+		wg.Wait()
+		cancel()
+		c.network.heal()
+	}
+}
+
+// appendBeside commits a value at any replica but the named one.
+func (c *cluster) appendBeside(name, value string) (uint64, bool) {
+	for _, other := range c.names() {
+		p, ok := c.process(other)
+		if !ok || other == name {
+			continue
+		}
+		ctx, cancel := newContext()
+		index, _, err := p.node.Propose(ctx, []byte("k "+value))
+		cancel()
+		if err == nil {
+			return index, true
+		}
+	}
+	return 0, false
+}
--- a/internal/aubconsensus/fake_network_test.go
+++ b/internal/aubconsensus/fake_network_test.go
@@ -25,6 +25,7 @@
 	nodes  map[string]*aubconsensus.Node
 	cuts   map[route]bool
 	frozen map[string]chan struct{}
+	taps   map[route]chan *aubwire.ConsensusMessage
 	// noise is the share of messages that are lost, and as many late and doubled.
 	noise float64
 }
@@ -35,6 +36,7 @@
 		nodes:  make(map[string]*aubconsensus.Node),
 		cuts:   make(map[route]bool),
 		frozen: make(map[string]chan struct{}),
+		taps:   make(map[route]chan *aubwire.ConsensusMessage),
 	}
 }
 
@@ -76,7 +78,12 @@
 	doubled := n.rand.Float64() < noise
 	late := n.rand.Float64() < noise
 	delay := time.Duration(n.rand.Int64N(int64(2 * electionTimeout)))
+	tap := n.taps[route{from, to}]
 	n.mu.Unlock()
+	select {
+	case tap <- m:
+	default:
+	}
 	if doubled {
 		time.AfterFunc(delay, func() { n.deliver(from, to, m) })
 	}
@@ -165,3 +172,12 @@
 		<-c
 	}
 }
+
+// tap returns the messages that are sent on a route from now on.
+func (n *fakeNetwork) tap(from, to string) <-chan *aubwire.ConsensusMessage {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	tap := make(chan *aubwire.ConsensusMessage, 1000)
+	n.taps[route{from, to}] = tap
+	return tap
+}
