Bound the outcomes kept for resends; never call an uncertain command refused

Now 8,192 outcomes and 2 MB at most; a command issued no later than a dropped outcome is refused and issued anew.

The test of the errors found that an uncertain answer could wrap the refusal of the last send, so that errors.As took it for "not committed". The chain no longer holds it.

--- a/internal/aubconsensus/change_test.go
+++ b/internal/aubconsensus/change_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/auburndale/auburndale/internal/aubconsensus"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 // append commits one value, whoever leads.
@@ -219,3 +220,27 @@
 	}
 	return 0, false
 }
+
+// TestLearnerWithoutTheLogGetsNoVote lets a learner hear the leader but not
+// receive the snapshot that it needs.
+func TestLearnerWithoutTheLogGetsNoVote(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	for i := range 60 {
+		c.append("k", fmt.Sprint(i))
+	}
+	lost := c.any(c.leader())
+	c.loseDisk(lost, false)
+	c.network.drop(func(m *aubwire.ConsensusMessage) bool { return m.GetSnapshot() != nil })
+	c.start(lost)
+	c.eventually("the replica is a learner", func() bool {
+		p, _ := c.process(c.leader())
+		return len(p.node.Status().Learners) == 1
+	})
+	c.run(5)
+	p, _ := c.process(c.leader())
+	qt.Assert(t, p.node.Status().Learners, qt.HasLen, 1)
+	c.network.drop(nil)
+	c.waitVoter(lost)
+	other, _ := c.process(lost)
+	qt.Assert(t, other.machine.get("k"), qt.Contains, "59,")
+}
--- a/internal/aubconsensus/fake_network_test.go
+++ b/internal/aubconsensus/fake_network_test.go
@@ -26,6 +26,8 @@
 	cuts   map[route]bool
 	frozen map[string]chan struct{}
 	taps   map[route]chan *aubwire.ConsensusMessage
+	// dropped tells which messages are lost; nil means none.
+	dropped func(m *aubwire.ConsensusMessage) bool
 	// noise is the share of messages that are lost, and as many late and doubled.
 	noise float64
 }
@@ -74,7 +76,7 @@
 func (n *fakeNetwork) send(from, to string, m *aubwire.ConsensusMessage) {
 	n.mu.Lock()
 	noise := n.noise
-	lost := n.rand.Float64() < noise
+	lost := n.rand.Float64() < noise || (n.dropped != nil && n.dropped(m))
 	doubled := n.rand.Float64() < noise
 	late := n.rand.Float64() < noise
 	delay := time.Duration(n.rand.Int64N(int64(2 * electionTimeout)))
@@ -173,6 +175,12 @@
 	}
 }
 
+func (n *fakeNetwork) drop(dropped func(m *aubwire.ConsensusMessage) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dropped = dropped
+}
+
 // tap returns the messages that are sent on a route from now on.
 func (n *fakeNetwork) tap(from, to string) <-chan *aubwire.ConsensusMessage {
 	n.mu.Lock()
--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -13,7 +13,7 @@
 const (
 	DefaultElectionTimeout = 300 * time.Millisecond
 	DefaultHeartbeat       = 60 * time.Millisecond
-	DefaultSnapshotEvery   = 1024
+	DefaultSnapshotEvery   = 4096
 	DefaultSnapshotBytes   = 4 << 20
 	DefaultKeepEntries     = 256
 
--- /dev/null
+++ b/internal/aubcontrol/bench_test.go
@@ -0,0 +1,107 @@
+package aubcontrol_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+)
+
+const benchBody = 200
+
+// counterTable keeps one counter; its answers have a fixed size.
+type counterTable struct{ n uint64 }
+
+func (c *counterTable) Name() string { return "counter" }
+
+func (c *counterTable) Apply(aubcontrol.Command) []byte {
+	c.n++
+	return []byte{1}
+}
+
+func (c *counterTable) Snapshot() ([]byte, error) { return fmt.Append(nil, c.n), nil }
+
+func (c *counterTable) Restore(data []byte) error {
+	_, err := fmt.Sscan(string(data), &c.n)
+	return err
+}
+
+// BenchmarkApply commits commands at the leader. Reported are the latency of one
+// command, the commands of all clients a second, the file bytes a command and the
+// heap bytes a command that stay behind.
+func BenchmarkApply(b *testing.B) {
+	for _, replicas := range []int{1, 3} {
+		for _, clients := range []int{1, 16, 128} {
+			b.Run(fmt.Sprintf("replicas=%d/clients=%d", replicas, clients), func(b *testing.B) {
+				benchmarkApply(b, replicas, clients)
+			})
+		}
+	}
+}
+
+func benchmarkApply(b *testing.B, replicas, clients int) {
+	names := []string{"a", "b", "c"}[:replicas]
+	s := newSite(b, names...)
+	ctx := newContext(b)
+	body := bytes.Repeat([]byte("x"), benchBody)
+	_, err := s.all["a"].replica.Apply(ctx, "counter", body)
+	qt.Assert(b, err, qt.IsNil)
+	leader := s.all[s.all["a"].replica.Status().Leader].replica
+
+	latency := hdrhistogram.New(1, int64(testTimeout/time.Microsecond), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	heap := heapBytes()
+	b.ResetTimer()
+	for range clients {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				start := time.Now()
+				_, err := leader.Apply(ctx, "counter", body)
+				took := time.Since(start)
+				qt.Check(b, err, qt.IsNil)
+				mu.Lock()
+				_ = latency.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	n := float64(b.N)
+	b.ReportMetric(n/b.Elapsed().Seconds(), "commands/s")
+	b.ReportMetric(float64(latency.ValueAtQuantile(50)), "p50_us")
+	b.ReportMetric(float64(latency.ValueAtQuantile(99)), "p99_us")
+	b.ReportMetric(float64(fileBytes(b, s))/float64(replicas), "file_B/replica")
+	b.ReportMetric((heapBytes()-heap)/n/float64(replicas), "heap_B/command")
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func fileBytes(b *testing.B, s *site) int64 {
+	var sum int64
+	for _, p := range s.peers {
+		info, err := os.Stat(filepath.Join(s.dir, p.Name, "replica.db"))
+		qt.Assert(b, err, qt.IsNil)
+		sum += info.Size()
+	}
+	return sum
+}
--- a/internal/aubcontrol/machine.go
+++ b/internal/aubcontrol/machine.go
@@ -45,15 +45,16 @@
 		return encodeResult(&aubwire.CommandResult{Index: index})
 	}
 	clock := m.advance(index, env.GetClockMs())
-	m.recent.expire(clock)
+	m.recent.trim(clock)
 	if known, ok := m.recent.find(env.GetCommandId()); ok {
 		return encodeResult(known)
 	}
-	if isExpired(env, clock) {
+	if m.recent.refuses(env, clock) {
 		return encodeResult(&aubwire.CommandResult{Index: index, ClockMs: clock.Milliseconds()})
 	}
 	result := &aubwire.CommandResult{
 		CommandId: env.GetCommandId(),
+		IssuedMs:  env.GetIssuedMs(),
 		Index:     index,
 		ClockMs:   clock.Milliseconds(),
 		Result:    m.dispatch(index, clock, env),
--- a/internal/aubcontrol/machine_test.go
+++ b/internal/aubcontrol/machine_test.go
@@ -1,6 +1,7 @@
 package aubcontrol_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,27 @@
 	apply(t, m, 2, command("b", "x", 4_000, 4_000))
 	qt.Assert(t, table.clocks, qt.DeepEquals, []time.Duration{5 * time.Second, 5 * time.Second})
 }
+
+func TestMachineForgetsWithinBoundsAndAppliesNothingTwice(t *testing.T) {
+	const count = 10_000
+	m, err := aubcontrol.NewMachine([]aubcontrol.Table{&counterTable{}})
+	qt.Assert(t, err, qt.IsNil)
+	numbered := func(i int64) *aubwire.Envelope {
+		return &aubwire.Envelope{Table: "counter", CommandId: fmt.Sprint(i), ClockMs: i, IssuedMs: i}
+	}
+	for i := int64(1); i <= count; i++ {
+		apply(t, m, uint64(i), numbered(i))
+	}
+	refused := 0
+	for i := int64(1); i <= count; i++ {
+		again := numbered(i)
+		again.ClockMs = count
+		result := apply(t, m, uint64(count+i), again)
+		if result.GetCommandId() == "" {
+			refused++
+			continue
+		}
+		qt.Assert(t, result.GetIndex(), qt.Equals, uint64(i))
+	}
+	qt.Assert(t, refused, qt.Equals, count-8192)
+}
--- a/internal/aubcontrol/recent.go
+++ b/internal/aubcontrol/recent.go
@@ -9,18 +9,23 @@
 )
 
 const (
-	// commandLifetime is how long after its issue a command may still be applied.
+	// commandLifetime is how long after its issue a command may be applied.
 	commandLifetime = time.Minute
-	// recentRetention outlives every resend of a command that can be applied.
-	recentRetention = 2 * commandLifetime
 	recentTableName = "recent_commands"
+
+	maxRecentCount = 8192
+	maxRecentBytes = 2 << 20
 )
 
-// recentCommands keeps the outcomes of recent commands by id. It is part of the
-// replicated state and used by the applying goroutine only.
+// recentCommands keeps the outcomes of recent commands by id, a bounded number of
+// them. A command issued no later than one whose outcome was dropped is refused,
+// because it may be a resend. It is part of the replicated state and used by the
+// applying goroutine only.
 type recentCommands struct {
-	results []*aubwire.CommandResult
-	byID    map[string]*aubwire.CommandResult
+	results   []*aubwire.CommandResult
+	byID      map[string]*aubwire.CommandResult
+	bytes     int
+	forgotten time.Duration
 }
 
 var _ Table = (*recentCommands)(nil)
@@ -46,23 +51,38 @@
 	}
 	r.results = append(r.results, result)
 	r.byID[result.GetCommandId()] = result
+	r.bytes += len(result.GetResult())
 }
 
-// expire drops what no resend can ask for any more.
-func (r *recentCommands) expire(clock time.Duration) {
-	oldest := (clock - recentRetention).Milliseconds()
+// trim drops what no resend can ask for any more, and what exceeds the bounds.
+func (r *recentCommands) trim(clock time.Duration) {
 	n := 0
-	for n < len(r.results) && r.results[n].GetClockMs() < oldest {
-		delete(r.byID, r.results[n].GetCommandId())
+	for ; n < len(r.results); n++ {
+		isOver := len(r.results)-n > maxRecentCount || r.bytes > maxRecentBytes
+		if !isOver && !isLate(issuedAt(r.results[n]), clock) {
+			break
+		}
+		r.drop(r.results[n])
 		r.results[n] = nil
-		n++
 	}
 	r.results = r.results[n:]
 }
 
+func (r *recentCommands) drop(result *aubwire.CommandResult) {
+	delete(r.byID, result.GetCommandId())
+	r.bytes -= len(result.GetResult())
+	r.forgotten = max(r.forgotten, issuedAt(result))
+}
+
+// refuses reports whether a command may be a resend whose outcome is forgotten.
+func (r *recentCommands) refuses(env *aubwire.Envelope, clock time.Duration) bool {
+	issued := issuedAt(env)
+	return isLate(issued, clock) || issued <= r.forgotten
+}
+
 // Snapshot implements Table.
 func (r *recentCommands) Snapshot() ([]byte, error) {
-	return proto.Marshal(&aubwire.CommandResults{Results: r.results})
+	return proto.Marshal(&aubwire.CommandResults{Results: r.results, ForgottenMs: r.forgotten.Milliseconds()})
 }
 
 // Restore implements Table.
@@ -72,14 +92,15 @@
 		return err
 	}
 	*r = *newRecentCommands()
+	r.forgotten = time.Duration(all.GetForgottenMs()) * time.Millisecond
 	for _, result := range all.GetResults() {
 		r.add(result)
 	}
 	return nil
 }
 
-// isExpired reports whether a command comes so long after its issue that the
-// outcome of an earlier send may be forgotten already.
-func isExpired(env *aubwire.Envelope, clock time.Duration) bool {
-	return clock-time.Duration(env.GetIssuedMs())*time.Millisecond > commandLifetime
+func issuedAt(m interface{ GetIssuedMs() int64 }) time.Duration {
+	return time.Duration(m.GetIssuedMs()) * time.Millisecond
 }
+
+func isLate(issued, clock time.Duration) bool { return clock-issued > commandLifetime }
--- a/internal/aubcontrol/remote.go
+++ b/internal/aubcontrol/remote.go
@@ -67,7 +67,11 @@
 		}
 	}
 	resp, err := r.pool.apply(ctx, address, req)
-	if err != nil && !errors.Is(err, errFinal) && !errors.Is(err, errExpired) {
+	switch {
+	case err == nil, errors.Is(err, errFinal):
+	case errors.Is(err, errExpired):
+		r.forgetClock()
+	default:
 		r.moveOn(address)
 	}
 	return resp, err
@@ -102,6 +106,13 @@
 	return resp, nil
 }
 
+// forgetClock makes the next command ask the leader for its clock again.
+func (r *Remote) forgetClock() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clockAt = time.Time{}
+}
+
 // Confirm implements Reader: it returns the index that the leader had committed.
 func (r *Remote) Confirm(ctx context.Context) (uint64, error) {
 	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -116,7 +116,11 @@
 	}
 	forward := proto.CloneOf(req)
 	forward.Forwarded = true
-	return r.pool.apply(ctx, leader.Address, forward)
+	resp, err := r.pool.apply(ctx, leader.Address, forward)
+	if errors.Is(err, errExpired) {
+		r.forgetClock()
+	}
+	return resp, err
 }
 
 // leader returns the known leader and whether it is this replica.
@@ -181,6 +185,13 @@
 	return r.clockMs, nil
 }
 
+// forgetClock makes the next command ask the leader for its clock again.
+func (r *Replica) forgetClock() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clockAt = time.Time{}
+}
+
 // Confirm implements Reader.
 func (r *Replica) Confirm(ctx context.Context) (uint64, error) {
 	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
--- a/internal/aubcontrol/replica_test.go
+++ b/internal/aubcontrol/replica_test.go
@@ -83,7 +83,7 @@
 		Address: address,
 		Voters:  s.peers,
 		DataDir: filepath.Join(s.dir, name),
-		Tables:  []aubcontrol.Table{table},
+		Tables:  []aubcontrol.Table{table, &counterTable{}},
 		Dial:    s.dial,
 	})
 	qt.Assert(s.t, err, qt.IsNil)
--- a/internal/aubcontrol/sender.go
+++ b/internal/aubcontrol/sender.go
@@ -73,7 +73,8 @@
 		if errors.As(err, &uncertain) {
 			return uncertain
 		}
-		return &UncertainError{Reason: "an earlier send may have been committed", Err: err}
+		// A *NotCommittedError of the last send must not show through.
+		return &UncertainError{Reason: "an earlier send had no answer; the last one: " + err.Error()}
 	}
 	var refused *NotCommittedError
 	if errors.As(err, &refused) {
--- /dev/null
+++ b/internal/aubstore/bench_test.go
@@ -0,0 +1,43 @@
+package aubstore_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubstore"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// BenchmarkSave writes batches of entries, each batch with one synced write.
+func BenchmarkSave(b *testing.B) {
+	for _, batch := range []int{1, 16, 256} {
+		for _, size := range []int{200, 2000} {
+			b.Run(fmt.Sprintf("batch=%d/bytes=%d", batch, size), func(b *testing.B) {
+				dir := b.TempDir()
+				s := open(b, dir, 0)
+				defer s.Close()
+				qt.Assert(b, s.Save(aubstore.Update{Snapshot: snapshot(0)}), qt.IsNil)
+				index := uint64(0)
+				b.ResetTimer()
+				for b.Loop() {
+					var u aubstore.Update
+					for range batch {
+						index++
+						u.Entries = append(u.Entries, entry(index, 1, size))
+					}
+					qt.Assert(b, s.Save(u), qt.IsNil)
+				}
+				b.StopTimer()
+				info, err := os.Stat(filepath.Join(dir, "replica.db"))
+				qt.Assert(b, err, qt.IsNil)
+				b.ReportMetric(float64(info.Size())/float64(index), "file_B/entry")
+				b.ReportMetric(float64(proto.Size(&aubwire.LogEntry{Index: index, Term: 1, Data: make([]byte, size)})), "wire_B/entry")
+			})
+		}
+	}
+}
