Notice vanished records and damaged pages before the library follows them

Cause: a trial that flipped bits in every page header was killed by the machine after 85 s: the library follows a damaged page reference without end. A damaged element count makes the last records vanish without any checksum failing. And a second process on a folder in use would have taken the file for damaged and set it aside.

Now the file's page references are verified inside the file before the library opens it (read-only, so that a damaged free list is not read), a summary record says what the store must hold, and a lock keeps other processes out.

Ruled out: the library's own check; it does not notice a smaller count and runs in a goroutine whose faults can't be caught.

--- a/internal/aubstore/database.go
+++ b/internal/aubstore/database.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
 const (
@@ -37,9 +37,6 @@
 // whole and synced first: after a failed sync the system may show pages that
 // never reached the disk, and from here on they count as written.
 func openDatabase(opts Opts) (*bbolt.DB, error) {
-	if err := os.MkdirAll(opts.DataDir, folderMode); err != nil {
-		return nil, &WriteError{Op: "create folder", Err: err}
-	}
 	path := filepath.Join(opts.DataDir, databaseFile)
 	if err := prepare(path, filepath.Join(opts.DataDir, rewriteFile)); err != nil {
 		return nil, err
@@ -74,28 +71,30 @@
 	if info.Size() == 0 {
 		return nil
 	}
-	if err := verifyMeta(path, info.Size()); err != nil {
+	if err := verifyFile(path); err != nil {
 		return err
 	}
 	return rewrite(path, tmp)
 }
 
 func rewrite(path, tmp string) error {
-	src, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	var src *bbolt.DB
+	err := guard(func() error {
+		var err error
+		src, err = bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
+		return err
+	})
 	if err != nil {
-		return &CorruptError{Detail: "database can't be opened", Err: err}
+		return toOpenError(err)
 	}
 	defer src.Close()
-	if err := guard(func() error { return src.View(verifyPages) }); err != nil {
-		return err
-	}
 	dst, err := bbolt.Open(tmp, fileMode, &bbolt.Options{Timeout: lockTimeout})
 	if err != nil {
 		return &WriteError{Op: "rewrite", Err: err}
 	}
 	if err := guard(func() error { return bbolt.Compact(dst, src, rewriteBatch) }); err != nil {
 		_ = dst.Close()
-		return err
+		return toOpenError(err)
 	}
 	if err := dst.Close(); err != nil {
 		return &WriteError{Op: "rewrite", Err: err}
@@ -106,35 +105,56 @@
 	return nil
 }
 
-// verifyMeta refuses a file with a damaged meta page. The library would fall
-// back to the older page and so forget writes that were acknowledged.
-func verifyMeta(path string, size int64) error {
-	f, err := os.Open(path)
+// toOpenError tells damage from a file that can't be used now.
+func toOpenError(err error) error {
+	var damage *CorruptError
+	if errors.As(err, &damage) {
+		return damage
+	}
+	for _, invalid := range []error{
+		berrors.ErrInvalid, berrors.ErrVersionMismatch, berrors.ErrChecksum, berrors.ErrInvalidMapping,
+		berrors.ErrBucketExists, berrors.ErrBucketNameRequired, berrors.ErrKeyRequired, berrors.ErrKeyTooLarge, berrors.ErrIncompatibleValue,
+	} {
+		if errors.Is(err, invalid) {
+			return &CorruptError{Detail: "database is not readable", Err: err}
+		}
+	}
+	return &WriteError{Op: "open", Err: err}
+}
+
+// verifyFile refuses a damaged file. It asks for both meta pages: the library
+// would fall back from a damaged one to the older and so forget writes that were
+// acknowledged.
+func verifyFile(path string) error {
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return &WriteError{Op: "open", Err: err}
+		return &WriteError{Op: "read", Err: err}
 	}
-	defer f.Close()
-	first, err := readMeta(f, 0)
+	first, err := readMeta(data, 0)
 	if err != nil {
 		return err
 	}
-	pageSize := int64(binary.NativeEndian.Uint32(first[metaPageSizeOff:]))
-	second, err := readMeta(f, pageSize)
+	pageSize := uint64(binary.NativeEndian.Uint32(first[metaPageSizeOff:]))
+	second, err := readMeta(data, pageSize)
 	if err != nil {
 		return err
 	}
-	pages := max(binary.NativeEndian.Uint64(first[metaPageCountOff:]), binary.NativeEndian.Uint64(second[metaPageCountOff:]))
-	if pages > uint64(size/pageSize) {
+	newest := first
+	if binary.NativeEndian.Uint64(second[metaTxIDOffset:]) > binary.NativeEndian.Uint64(first[metaTxIDOffset:]) {
+		newest = second
+	}
+	if binary.NativeEndian.Uint64(newest[metaPageCountOff:]) > uint64(len(data))/pageSize {
 		return &CorruptError{Detail: "database file is cut short"}
 	}
-	return nil
+	return verifyPages(data, newest)
 }
 
-func readMeta(f io.ReaderAt, offset int64) ([]byte, error) {
-	meta := make([]byte, metaBytes)
-	if _, err := f.ReadAt(meta, offset+pageHeaderBytes); err != nil {
-		return nil, &CorruptError{Detail: "meta page can't be read", Err: err}
+func readMeta(data []byte, offset uint64) ([]byte, error) {
+	end := offset + pageHeaderBytes + metaBytes
+	if end > uint64(len(data)) {
+		return nil, &CorruptError{Detail: "database file is cut short"}
 	}
+	meta := data[offset+pageHeaderBytes : end]
 	h := fnv.New64a()
 	_, _ = h.Write(meta[:metaSumOffset])
 	if h.Sum64() != binary.NativeEndian.Uint64(meta[metaSumOffset:]) {
--- a/internal/aubstore/error.go
+++ b/internal/aubstore/error.go
@@ -41,3 +41,13 @@
 func (e *IdentityError) Error() string {
 	return fmt.Sprintf("data folder belongs to member %q, not to %q", e.Have, e.Want)
 }
+
+// InUseError says that another process has the folder open.
+type InUseError struct {
+	Dir string
+}
+
+// Error implements error.
+func (e *InUseError) Error() string {
+	return fmt.Sprintf("data folder %s is in use by another process", e.Dir)
+}
--- /dev/null
+++ b/internal/aubstore/lock.go
@@ -0,0 +1,38 @@
+package aubstore
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+const lockFile = "lock"
+
+// folderLock keeps other processes out of a data folder.
+type folderLock struct {
+	file *os.File
+}
+
+func lockFolder(dir string) (*folderLock, error) {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, &WriteError{Op: "create folder", Err: err}
+	}
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, &WriteError{Op: "open lock", Err: err}
+	}
+	err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if err == nil {
+		return &folderLock{file: f}, nil
+	}
+	_ = f.Close()
+	if errors.Is(err, unix.EWOULDBLOCK) {
+		return nil, &InUseError{Dir: dir}
+	}
+	return nil, &WriteError{Op: "lock", Err: err}
+}
+
+// release lets other processes in; the system does so as well when a process ends.
+func (l *folderLock) release() { _ = l.file.Close() }
--- a/internal/aubstore/read.go
+++ b/internal/aubstore/read.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -19,9 +20,6 @@
 	if meta == nil || log == nil {
 		return nil, state, &CorruptError{Detail: "a bucket is missing"}
 	}
-	if err := verifyPages(tx); err != nil {
-		return nil, state, err
-	}
 	identity := &aubwire.DiskIdentity{}
 	if err := decode(identityKey, meta.Get(identityKey), identity); err != nil {
 		return nil, state, err
@@ -33,18 +31,35 @@
 	if state.Snapshot, err = readSnapshot(tx); err != nil {
 		return nil, state, err
 	}
-	state.Entries, err = readEntries(log, state.Snapshot)
-	return identity, state, err
+	if state.Entries, err = readEntries(log, state.Snapshot); err != nil {
+		return nil, state, err
+	}
+	return identity, state, verifySummary(meta, state)
 }
 
-func verifyPages(tx *bbolt.Tx) error {
-	var first error
-	for err := range tx.Check() {
-		if first == nil {
-			first = &CorruptError{Detail: "pages are inconsistent", Err: err}
-		}
+// verifySummary notices records that vanished with a part of a page.
+func verifySummary(meta *bbolt.Bucket, state State) error {
+	want := &aubwire.StoreSummary{}
+	if err := decode(summaryKey, meta.Get(summaryKey), want); err != nil {
+		return err
+	}
+	if !proto.Equal(want, summarize(state)) {
+		return &CorruptError{Detail: "records are missing"}
+	}
+	return nil
+}
+
+func summarize(state State) *aubwire.StoreSummary {
+	s := &aubwire.StoreSummary{
+		HasSnapshot:   state.Snapshot != nil,
+		SnapshotIndex: state.Snapshot.GetIndex(),
+		Entries:       uint64(len(state.Entries)),
+	}
+	if n := len(state.Entries); n > 0 {
+		s.LastIndex = state.Entries[n-1].GetIndex()
+		s.LastTerm = state.Entries[n-1].GetTerm()
 	}
-	return first
+	return s
 }
 
 func readSnapshot(tx *bbolt.Tx) (*aubwire.LogSnapshot, error) {
--- a/internal/aubstore/record.go
+++ b/internal/aubstore/record.go
@@ -24,6 +24,7 @@
 	identityKey  = []byte("identity")
 	hardStateKey = []byte("hard_state")
 	snapshotKey  = []byte("snapshot")
+	summaryKey   = []byte("summary")
 )
 
 // encode puts a checksum over key and value before the value, so that a value
@@ -82,6 +83,9 @@
 	if err := put(meta, hardStateKey, &aubwire.HardState{}); err != nil {
 		return err
 	}
+	if err := put(meta, summaryKey, &aubwire.StoreSummary{}); err != nil {
+		return err
+	}
 	return put(meta, identityKey, identity)
 }
 
--- a/internal/aubstore/store.go
+++ b/internal/aubstore/store.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"go.etcd.io/bbolt"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -63,9 +64,11 @@
 	db     *bbolt.DB
 	disk   *aubwire.DiskIdentity
 	state  State
+	lock   *folderLock
 
-	mu     sync.Mutex
-	failed error
+	mu      sync.Mutex
+	failed  error
+	summary *aubwire.StoreSummary
 }
 
 // Open opens or creates the store and verifies all it holds. A damaged store
@@ -73,6 +76,20 @@
 // identity takes its place.
 func Open(common aubcommon.Common, opts Opts) (*Store, error) {
 	common = common.WithPart("store")
+	lock, err := lockFolder(opts.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	s, err := openLocked(common, opts)
+	if err != nil {
+		lock.release()
+		return nil, err
+	}
+	s.lock = lock
+	return s, nil
+}
+
+func openLocked(common aubcommon.Common, opts Opts) (*Store, error) {
 	s, err := open(common, opts, false)
 	var damage *CorruptError
 	if !errors.As(err, &damage) {
@@ -110,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	s.summary = summarize(s.state)
 	if identity == nil {
 		identity = &aubwire.DiskIdentity{Member: member, DiskId: uuid.NewString(), AfterDamage: afterDamage}
 		if err := s.db.Update(func(tx *bbolt.Tx) error { return create(tx, identity) }); err != nil {
@@ -144,8 +162,10 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error { return write(tx, u) })
+	next := proto.CloneOf(s.summary)
+	err := s.db.Update(func(tx *bbolt.Tx) error { return write(tx, u, next) })
 	if err == nil {
+		s.summary = next
 		return nil
 	}
 	s.failed = &WriteError{Op: "save", Err: err}
@@ -173,5 +193,7 @@
 	if s.failed == nil {
 		s.failed = &WriteError{Op: "save", Err: errors.New("store is closed")}
 	}
-	return s.db.Close()
+	err := s.db.Close()
+	s.lock.release()
+	return err
 }
--- a/internal/aubstore/store_test.go
+++ b/internal/aubstore/store_test.go
@@ -159,11 +159,11 @@
 		data[at] ^= byte(1 + random.IntN(255))
 		check(fmt.Sprintf("byte %d", at), data)
 	}
-	for page := range 2 {
-		for field := 16; field < 80; field += 8 {
+	for at := 0; at < len(whole); at += pageBytes {
+		for field := range 96 {
 			data := bytes.Clone(whole)
-			data[page*pageBytes+field] ^= 1
-			check(fmt.Sprintf("meta %d field %d", page, field), data)
+			data[at+field] ^= 1 << random.IntN(8)
+			check(fmt.Sprintf("page at %d, byte %d", at, field), data)
 		}
 	}
 	for range 15 {
@@ -239,3 +239,17 @@
 	var identity *aubstore.IdentityError
 	qt.Assert(t, errors.As(err, &identity), qt.IsTrue)
 }
+
+func TestFolderInUseIsLeftAlone(t *testing.T) {
+	dir := t.TempDir()
+	_, want, id := fill(t, dir)
+	s := open(t, dir, 0)
+	_, err := aubstore.Open(common, aubstore.Opts{DataDir: dir, Member: "a"})
+	var inUse *aubstore.InUseError
+	qt.Assert(t, errors.As(err, &inUse), qt.IsTrue)
+	qt.Assert(t, s.Save(aubstore.Update{HardState: want.HardState}), qt.IsNil)
+	qt.Assert(t, s.Close(), qt.IsNil)
+	got, gotID, _ := load(t, dir)
+	qt.Assert(t, gotID, qt.Equals, id)
+	qt.Assert(t, isEqual(got, want), qt.IsTrue)
+}
--- a/internal/aubstore/write.go
+++ b/internal/aubstore/write.go
@@ -4,9 +4,12 @@
 	"bytes"
 
 	"go.etcd.io/bbolt"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-func write(tx *bbolt.Tx, u Update) error {
+// write executes the update and brings the summary up to date.
+func write(tx *bbolt.Tx, u Update, summary *aubwire.StoreSummary) error {
 	meta := tx.Bucket(metaBucket)
 	log := tx.Bucket(logBucket)
 	if u.HardState != nil {
@@ -18,36 +21,59 @@
 		if err := put(meta, snapshotKey, u.Snapshot); err != nil {
 			return err
 		}
+		summary.HasSnapshot = true
+		summary.SnapshotIndex = u.Snapshot.GetIndex()
 	}
-	if err := removeEntries(log, u); err != nil {
+	removed, err := removeEntries(log, u)
+	if err != nil {
 		return err
 	}
+	summary.Entries += uint64(len(u.Entries)) - removed
 	for _, e := range u.Entries {
 		if err := put(log, indexKey(e.GetIndex()), e); err != nil {
 			return err
 		}
 	}
+	if err := noteLast(log, summary); err != nil {
+		return err
+	}
+	return put(meta, summaryKey, summary)
+}
+
+func noteLast(log *bbolt.Bucket, summary *aubwire.StoreSummary) error {
+	last := &aubwire.LogEntry{}
+	if key, record := log.Cursor().Last(); key != nil {
+		if err := decode(key, record, last); err != nil {
+			return err
+		}
+	}
+	summary.LastIndex = last.GetIndex()
+	summary.LastTerm = last.GetTerm()
 	return nil
 }
 
-func removeEntries(log *bbolt.Bucket, u Update) error {
+// removeEntries returns how many entries it removed.
+func removeEntries(log *bbolt.Bucket, u Update) (uint64, error) {
+	removed := uint64(0)
 	c := log.Cursor()
 	if u.CompactTo > 0 {
 		last := indexKey(u.CompactTo)
 		for k, _ := c.First(); k != nil && bytes.Compare(k, last) <= 0; k, _ = c.First() {
 			if err := c.Delete(); err != nil {
-				return err
+				return removed, err
 			}
+			removed++
 		}
 	}
 	if u.TruncateFrom == 0 {
-		return nil
+		return removed, nil
 	}
 	first := indexKey(u.TruncateFrom)
 	for k, _ := c.Seek(first); k != nil; k, _ = c.Seek(first) {
 		if err := c.Delete(); err != nil {
-			return err
+			return removed, err
 		}
+		removed++
 	}
-	return nil
+	return removed, nil
 }
