Add settings, log, metrics scope and transport

Every process is built from these four. A settings file is checked whole: each fault is reported with line, path, value and what is allowed.

--- /dev/null
+++ b/internal/aubmetric/scope.go
@@ -0,0 +1,39 @@
+// Package aubmetric builds the metrics scope of a process and the page that the
+// platform scrapes.
+package aubmetric
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is the time between two flushes of the scope.
+const reportInterval = time.Second
+
+// Metrics is the root scope of a process and its scrape page.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns a root scope whose names begin with auburndale_ and whose
+// series carry the instance and its availability zone.
+func NewMetrics(instance, zone string) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "auburndale",
+		Tags:                   map[string]string{"instance": instance, "zone": zone},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close flushes and ends the scope.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/internal/aubsettings/default.go
@@ -0,0 +1,45 @@
+package aubsettings
+
+import "time"
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	return Settings{
+		Log:        Log{Format: "json", Level: "info"},
+		Membership: Membership{Interval: seconds(0.5), Timeout: seconds(3)},
+		Control:    Control{Heartbeat: seconds(0.08), Election: seconds(0.4)},
+		Caller: Caller{
+			MaxBody:        16 << 20,
+			RequestTimeout: seconds(600),
+			QueueTimeout:   seconds(30),
+			WriteTimeout:   seconds(30),
+		},
+		Limits:    Limits{Policy: "leased", FloorFraction: 0.2, Lease: seconds(10)},
+		Queue:     Queue{Policy: "weighted_fair", PerBackend: 32, MaxWaiting: 1024},
+		Routing:   Routing{Policy: "expected_first_token", RetryShare: 0.1, Attempts: 3},
+		Placement: defaultPlacement(),
+		Objectives: Objectives{
+			FirstToken:   seconds(0.56),
+			InterToken:   seconds(0.031),
+			Share:        0.95,
+			Availability: 0.999,
+			WithinRate:   0.999,
+		},
+		Shutdown: Shutdown{Delay: seconds(2), Timeout: seconds(120)},
+	}
+}
+
+func defaultPlacement() Placement {
+	return Placement{
+		Policy:              "marginal_attainment",
+		Objective:           "worst_served_workspace",
+		Interval:            seconds(1),
+		StoreRate:           1.5,
+		StoreConcurrency:    4,
+		AdapterLoadsAtOnce:  30,
+		DemandHalfLife:      seconds(30),
+		LostBackendPatience: seconds(3),
+	}
+}
+
+func seconds(n float64) Duration { return Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/internal/aubsettings/load.go
@@ -0,0 +1,181 @@
+package aubsettings
+
+import (
+	"encoding"
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/samber/oops"
+	"go.yaml.in/yaml/v3"
+)
+
+// Load reads and checks a settings file. A *FaultsError lists every fault.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, oops.In("settings").Wrapf(err, "read settings file %s", file)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks the text of a settings file; file only names it in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Default()
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		return s, &FaultsError{File: file, Faults: []Fault{{Line: 1, Path: "file", Allowed: err.Error()}}}
+	}
+	d := decoder{}
+	if len(doc.Content) > 0 {
+		d.decode(doc.Content[0], reflect.ValueOf(&s).Elem(), "", "")
+	}
+	d.requireValues(reflect.ValueOf(s), "")
+	d.checkTogether(s)
+	if len(d.faults) > 0 {
+		return s, &FaultsError{File: file, Faults: d.faults}
+	}
+	return s, nil
+}
+
+// decoder walks a document beside the settings struct and gathers faults.
+type decoder struct {
+	faults []Fault
+}
+
+func (d *decoder) decode(n *yaml.Node, v reflect.Value, path, allowed string) {
+	if n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.decodeText(n, u, path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(n, v, path)
+	case reflect.Slice:
+		d.decodeSlice(n, v, path)
+	default:
+		d.decodeScalar(n, v, path, allowed)
+	}
+}
+
+func (d *decoder) decodeText(n *yaml.Node, u encoding.TextUnmarshaler, path string) {
+	if n.Kind != yaml.ScalarNode {
+		d.add(n, path, "allowed: a single value")
+		return
+	}
+	if err := u.UnmarshalText([]byte(n.Value)); err != nil {
+		d.add(n, path, err.Error())
+	}
+}
+
+func (d *decoder) decodeStruct(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind != yaml.MappingNode {
+		d.add(n, path, "allowed: a group of settings")
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		name := n.Content[i]
+		field, ok := fieldByName(v.Type(), name.Value)
+		at := join(path, name.Value)
+		switch {
+		case !ok:
+			d.add(name, at, "unknown setting; allowed: "+strings.Join(fieldNames(v.Type()), ", "))
+		case seen[name.Value]:
+			d.add(name, at, "the setting stands twice")
+		default:
+			seen[name.Value] = true
+			d.decode(n.Content[i+1], v.FieldByIndex(field.Index), at, field.Tag.Get("allowed"))
+		}
+	}
+}
+
+func (d *decoder) decodeSlice(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind != yaml.SequenceNode {
+		d.add(n, path, "allowed: a list")
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, item := range n.Content {
+		d.decode(item, list.Index(i), fmt.Sprintf("%s[%d]", path, i), "")
+	}
+	v.Set(list)
+}
+
+func (d *decoder) decodeScalar(n *yaml.Node, v reflect.Value, path, allowed string) {
+	if n.Kind != yaml.ScalarNode {
+		d.add(n, path, "allowed: a single value")
+		return
+	}
+	if allowed != "" && !slices.Contains(strings.Fields(allowed), n.Value) {
+		d.add(n, path, "allowed: "+strings.Join(strings.Fields(allowed), ", "))
+		return
+	}
+	if err := n.Decode(v.Addr().Interface()); err != nil {
+		d.add(n, path, "allowed: "+typeName(v.Type()))
+		return
+	}
+	if v.CanInt() && v.Int() < 0 || v.CanFloat() && v.Float() < 0 {
+		d.add(n, path, "allowed: 0 or more")
+	}
+}
+
+// requireValues adds a fault for every required setting that is empty.
+func (d *decoder) requireValues(v reflect.Value, path string) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		at := join(path, field.Tag.Get("yaml"))
+		if field.Tag.Get("required") == "true" && v.Field(i).IsZero() {
+			d.faults = append(d.faults, Fault{Path: at, Allowed: "the setting is required"})
+		}
+		if v.Field(i).Kind() == reflect.Struct {
+			d.requireValues(v.Field(i), at)
+		}
+	}
+}
+
+func (d *decoder) add(n *yaml.Node, path, allowed string) {
+	d.faults = append(d.faults, Fault{Line: n.Line, Path: path, Value: n.Value, Allowed: allowed})
+}
+
+func fieldByName(t reflect.Type, name string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("yaml") == name {
+			return t.Field(i), true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Tag.Get("yaml"))
+	}
+	return names
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a text"
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/aubsettings/settings.go
@@ -0,0 +1,146 @@
+// Package aubsettings defines the settings of every role, their defaults, the
+// checks of a settings file and the generated reference page.
+package aubsettings
+
+// Settings is the whole of a process's settings. The doc tag is the text of the
+// reference page, the allowed tag the fixed set of a choice.
+type Settings struct {
+	Name       string     `yaml:"name" doc:"Name of the process, unique in the site." required:"true"`
+	Zone       string     `yaml:"zone" doc:"Availability zone of the process." required:"true"`
+	SecretFile string     `yaml:"secret_file" doc:"File with the secret that the site's processes share; it authenticates datagrams."`
+	Log        Log        `yaml:"log" doc:"Logging."`
+	Internal   Internal   `yaml:"internal" doc:"Listener for the site's own processes (gRPC)."`
+	Membership Membership `yaml:"membership" doc:"Liveness and load datagrams (UDP)."`
+	Control    Control    `yaml:"control" doc:"Replicated state."`
+	Caller     Caller     `yaml:"caller" doc:"Listener for callers (HTTP)."`
+	Admin      Admin      `yaml:"admin" doc:"Listener for operators (HTTP)."`
+	Platform   Platform   `yaml:"platform" doc:"Listener for health checks and metrics (HTTP)."`
+	Limits     Limits     `yaml:"limits" doc:"Token limits of workspaces."`
+	Queue      Queue      `yaml:"queue" doc:"Admission and fair queueing."`
+	Routing    Routing    `yaml:"routing" doc:"Choice of the backend server."`
+	Placement  Placement  `yaml:"placement" doc:"Placement of models and adapters."`
+	Agent      Agent      `yaml:"agent" doc:"The backend server beside an agent."`
+	Objectives Objectives `yaml:"objectives" doc:"Service-level objectives for the burn report."`
+	Shutdown   Shutdown   `yaml:"shutdown" doc:"Graceful shutdown."`
+}
+
+// Log is the settings of logging.
+type Log struct {
+	Format Choice `yaml:"format" allowed:"json console" doc:"Format of log lines."`
+	Level  Choice `yaml:"level" allowed:"debug info warn error" doc:"Least level that is written."`
+}
+
+// TLS is the settings of a listener's certificates.
+type TLS struct {
+	CertFile string `yaml:"cert_file" doc:"PEM certificate chain; TLS is off while empty. The file is read again when it changes."`
+	KeyFile  string `yaml:"key_file" doc:"PEM private key of the certificate."`
+	CAFile   string `yaml:"ca_file" doc:"PEM certificates that sign peers; peers must show a certificate when set."`
+}
+
+// Internal is the settings of the listener for the site's own processes.
+type Internal struct {
+	Listen Address `yaml:"listen" doc:"IP number and port that the process listens on and announces."`
+	TLS    TLS     `yaml:"tls" doc:"Certificates between the site's processes."`
+}
+
+// Membership is the settings of the datagrams.
+type Membership struct {
+	Listen   Address   `yaml:"listen" doc:"IP number and UDP port that the process listens on."`
+	Seeds    []Address `yaml:"seeds" doc:"UDP addresses of the entry instances."`
+	Interval Duration  `yaml:"interval" doc:"Time between two announcements."`
+	Timeout  Duration  `yaml:"timeout" doc:"Silence after which a process counts as lost."`
+}
+
+// Control is the settings of the replicated state.
+type Control struct {
+	DataDir   string    `yaml:"data_dir" doc:"Data folder of the control replica; a process without it carries no replica."`
+	Voters    []Peer    `yaml:"voters" doc:"Control replicas at the first start, this one included."`
+	Addresses []Address `yaml:"addresses" doc:"Internal addresses of the control replicas, for a process that carries none."`
+	Heartbeat Duration  `yaml:"heartbeat" doc:"Time between two messages of the leader."`
+	Election  Duration  `yaml:"election" doc:"Least silence of the leader before an election."`
+}
+
+// Peer is one control replica.
+type Peer struct {
+	Name    string  `yaml:"name" doc:"Name of the process."`
+	Address Address `yaml:"address" doc:"Internal address of the process."`
+}
+
+// Caller is the settings of the listener for callers.
+type Caller struct {
+	Listen         Address  `yaml:"listen" doc:"IP number and port for callers."`
+	TLS            TLS      `yaml:"tls" doc:"Certificates for callers."`
+	MaxBody        Size     `yaml:"max_body" doc:"Largest request body."`
+	RequestTimeout Duration `yaml:"request_timeout" doc:"Longest time one request may take."`
+	QueueTimeout   Duration `yaml:"queue_timeout" doc:"Longest time one request may wait for a backend server."`
+	WriteTimeout   Duration `yaml:"write_timeout" doc:"Longest time a caller may take to accept one piece of an answer."`
+}
+
+// Admin is the settings of the listener for operators.
+type Admin struct {
+	Listen         Address `yaml:"listen" doc:"IP number and port for operators."`
+	TLS            TLS     `yaml:"tls" doc:"Certificates for operators."`
+	CredentialFile string  `yaml:"credential_file" doc:"File with the operators' bearer credential."`
+}
+
+// Platform is the settings of the listener for the platform.
+type Platform struct {
+	Listen Address `yaml:"listen" doc:"IP number and port for /healthz, /readyz and /metrics."`
+}
+
+// Limits is the settings of token limits.
+type Limits struct {
+	Policy        Choice   `yaml:"policy" allowed:"leased equal_shares" doc:"How a workspace's allowance is shared between instances."`
+	FloorFraction Fraction `yaml:"floor_fraction" doc:"Share of every allowance that the zones keep as standing floors."`
+	Lease         Duration `yaml:"lease" doc:"Life of tokens granted to an instance."`
+}
+
+// Queue is the settings of admission.
+type Queue struct {
+	Policy     Choice `yaml:"policy" allowed:"weighted_fair first_come" doc:"Order in which waiting requests run."`
+	PerBackend int    `yaml:"per_backend" doc:"Requests that run at once for each ready backend server."`
+	MaxWaiting int    `yaml:"max_waiting" doc:"Requests that may wait."`
+}
+
+// Routing is the settings of the choice of the backend server.
+type Routing struct {
+	Policy     Choice   `yaml:"policy" allowed:"expected_first_token least_in_flight round_robin" doc:"How the backend server is chosen."`
+	RetryShare Fraction `yaml:"retry_share" doc:"Retries as a share of the requests."`
+	Attempts   int      `yaml:"attempts" doc:"Most sends of one request."`
+}
+
+// Placement is the settings of placement.
+type Placement struct {
+	Policy              Choice   `yaml:"policy" allowed:"marginal_attainment least_recently_used" doc:"How copies of models are placed."`
+	Objective           Choice   `yaml:"objective" allowed:"worst_served_workspace refusals_within_rate" doc:"What placement weighs first."`
+	Interval            Duration `yaml:"interval" doc:"Time between two plans."`
+	StoreRate           float64  `yaml:"store_rate" doc:"Loads a second that the weight store allows."`
+	StoreConcurrency    int      `yaml:"store_concurrency" doc:"Loads at once at the weight store's full speed."`
+	AdapterLoadsAtOnce  int      `yaml:"adapter_loads_at_once" doc:"Adapter loads in flight at full speed."`
+	DemandHalfLife      Duration `yaml:"demand_half_life" doc:"Half-life of the demand average."`
+	LostBackendPatience Duration `yaml:"lost_backend_patience" doc:"Time before a lost backend server's copies are replaced."`
+}
+
+// Agent is the settings of the backend server beside an agent.
+type Agent struct {
+	EngineURL  string   `yaml:"engine_url" doc:"Base address of the model engine beside the agent."`
+	ServiceURL string   `yaml:"service_url" doc:"Base address of the plain service beside the agent."`
+	Services   []string `yaml:"services" doc:"Names of the plain services that the backend server answers."`
+	Memory     Size     `yaml:"memory" doc:"Accelerator memory of the backend server."`
+	DataDir    string   `yaml:"data_dir" doc:"Folder in which the agent keeps its order ledger and its configuration copy; empty keeps none."`
+}
+
+// Objectives is the settings of the service levels.
+type Objectives struct {
+	FirstToken   Duration `yaml:"first_token" doc:"First token within this time."`
+	InterToken   Duration `yaml:"inter_token" doc:"Time between two tokens within this time."`
+	Share        Fraction `yaml:"share" doc:"Share of requests that must meet a time objective."`
+	Availability Fraction `yaml:"availability" doc:"Share of requests that must be answered."`
+	WithinRate   Fraction `yaml:"within_rate" doc:"Share of requests within rate that must not be refused."`
+}
+
+// Shutdown is the settings of the graceful shutdown.
+type Shutdown struct {
+	Delay   Duration `yaml:"delay" doc:"Time between not ready and closing listeners, for the balancer to notice."`
+	Timeout Duration `yaml:"timeout" doc:"Longest time that running requests get to finish."`
+}
--- /dev/null
+++ b/internal/aubtransport/grpc.go
@@ -0,0 +1,70 @@
+package aubtransport
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// keepaliveTime is the idle time after which a connection is probed.
+	keepaliveTime = 10 * time.Second
+	// keepaliveTimeout is how long a probe may go unanswered.
+	keepaliveTimeout = 3 * time.Second
+	// maxMessage is the largest gRPC message in bytes; snapshots travel in pieces.
+	maxMessage = 24 << 20
+	// maxBackoff bounds the pause between two attempts to connect.
+	maxBackoff = 2 * time.Second
+	// minConnect is the least time one attempt to connect gets.
+	minConnect = 2 * time.Second
+)
+
+// Transport dials and serves gRPC between the site's processes.
+type Transport struct {
+	certs *Certificates
+}
+
+// NewTransport returns a transport; certs is nil while TLS is off.
+func NewTransport(certs *Certificates) *Transport { return &Transport{certs: certs} }
+
+// Dial returns a connection to the address. It connects in the background.
+func (t *Transport) Dial(address string) (*grpc.ClientConn, error) {
+	retry := backoff.DefaultConfig
+	retry.BaseDelay = 100 * time.Millisecond
+	retry.MaxDelay = maxBackoff
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(t.clientCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: minConnect}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+	)
+}
+
+// NewServer returns a server for the site's own processes.
+func (t *Transport) NewServer() *grpc.Server {
+	return grpc.NewServer(
+		grpc.Creds(t.serverCredentials()),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	)
+}
+
+func (t *Transport) clientCredentials() credentials.TransportCredentials {
+	if t.certs == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(t.certs.ClientConfig())
+}
+
+func (t *Transport) serverCredentials() credentials.TransportCredentials {
+	if t.certs == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(t.certs.ServerConfig())
+}
