--- /dev/null
+++ b/internal/aubpoison/table.go
@@ -0,0 +1,165 @@
+// Package aubpoison keeps which requests were running when backend servers died.
+// A fingerprint tied to two deaths is refused in the whole site for a time.
+package aubpoison
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// TableName names the replicated table.
+const TableName = "poison"
+
+const (
+	// blockDeaths is the number of deaths from which a fingerprint is refused.
+	blockDeaths = 2
+	// keep is how long a fingerprint stays suspected or refused after its last death.
+	keep = 30 * time.Minute
+	// maxSuspects bounds the table; the oldest go first.
+	maxSuspects = 20_000
+)
+
+// Verdict says how a request with a fingerprint is treated.
+type Verdict int
+
+// Verdicts.
+const (
+	// VerdictClear runs as usual.
+	VerdictClear Verdict = iota
+	// VerdictSuspect runs with no other suspect on the same backend server.
+	VerdictSuspect
+	// VerdictBlocked is refused.
+	VerdictBlocked
+)
+
+type suspect struct {
+	deaths uint32
+	until  time.Duration
+}
+
+// Table is the replicated table of suspects. Its lock is a leaf: nothing else is
+// locked while it is held.
+type Table struct {
+	mu       sync.RWMutex
+	clock    time.Duration
+	suspects map[string]suspect
+	seen     map[string]time.Duration
+}
+
+var _ aubcontrol.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{suspects: make(map[string]suspect), seen: make(map[string]time.Duration)}
+}
+
+// Name implements aubcontrol.Table.
+func (t *Table) Name() string { return TableName }
+
+// Apply implements aubcontrol.Table: it counts one death for each fingerprint.
+func (t *Table) Apply(cmd aubcontrol.Command) []byte {
+	var death aubwire.PoisonDeath
+	if err := proto.Unmarshal(cmd.Body, &death); err != nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clock = cmd.Clock
+	t.dropExpired()
+	if _, ok := t.seen[death.GetDeathId()]; ok {
+		return nil
+	}
+	until := cmd.Clock + keep
+	t.seen[death.GetDeathId()] = until
+	for _, fp := range death.GetFingerprints() {
+		t.suspects[fp] = suspect{deaths: t.suspects[fp].deaths + 1, until: until}
+	}
+	t.dropOldest()
+	return nil
+}
+
+// Verdict returns how a request with the fingerprint is treated and, when it is
+// blocked, for how long at most.
+func (t *Table) Verdict(fingerprint string) (Verdict, time.Duration) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s, ok := t.suspects[fingerprint]
+	switch {
+	case !ok || s.until <= t.clock:
+		return VerdictClear, 0
+	case s.deaths >= blockDeaths:
+		return VerdictBlocked, s.until - t.clock
+	default:
+		return VerdictSuspect, 0
+	}
+}
+
+// Snapshot implements aubcontrol.Table.
+func (t *Table) Snapshot() ([]byte, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	snap := &aubwire.PoisonSnapshot{}
+	for _, fp := range slices.Sorted(maps.Keys(t.suspects)) {
+		s := t.suspects[fp]
+		snap.Suspects = append(snap.Suspects, &aubwire.PoisonSuspect{Fingerprint: fp, Deaths: s.deaths, UntilMs: s.until.Milliseconds()})
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.seen)) {
+		snap.Seen = append(snap.Seen, &aubwire.PoisonSeen{DeathId: id, UntilMs: t.seen[id].Milliseconds()})
+	}
+	data, err := proto.Marshal(snap)
+	return data, oops.In("poison").Wrapf(err, "encode snapshot")
+}
+
+// Restore implements aubcontrol.Table.
+func (t *Table) Restore(data []byte) error {
+	var snap aubwire.PoisonSnapshot
+	if err := proto.Unmarshal(data, &snap); err != nil {
+		return oops.In("poison").Wrapf(err, "decode snapshot")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects = make(map[string]suspect, len(snap.GetSuspects()))
+	t.seen = make(map[string]time.Duration, len(snap.GetSeen()))
+	for _, s := range snap.GetSuspects() {
+		t.suspects[s.GetFingerprint()] = suspect{deaths: s.GetDeaths(), until: time.Duration(s.GetUntilMs()) * time.Millisecond}
+	}
+	for _, s := range snap.GetSeen() {
+		t.seen[s.GetDeathId()] = time.Duration(s.GetUntilMs()) * time.Millisecond
+	}
+	return nil
+}
+
+func (t *Table) dropExpired() {
+	for fp, s := range t.suspects {
+		if s.until <= t.clock {
+			delete(t.suspects, fp)
+		}
+	}
+	for id, until := range t.seen {
+		if until <= t.clock {
+			delete(t.seen, id)
+		}
+	}
+}
+
+// dropOldest keeps the table within its bound. Ties go by fingerprint, so that
+// every replica drops the same ones.
+func (t *Table) dropOldest() {
+	excess := len(t.suspects) - maxSuspects
+	if excess <= 0 {
+		return
+	}
+	fps := slices.Sorted(maps.Keys(t.suspects))
+	slices.SortStableFunc(fps, func(a, b string) int { return int(t.suspects[a].until - t.suspects[b].until) })
+	for _, fp := range fps[:excess] {
+		delete(t.suspects, fp)
+	}
+}
--- /dev/null
+++ b/internal/aubpoison/table_test.go
@@ -0,0 +1,80 @@
+package aubpoison_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubpoison"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+type step struct {
+	at           time.Duration
+	id           string
+	fingerprints []string
+}
+
+func TestVerdicts(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+		want  map[string]aubpoison.Verdict
+	}{
+		{
+			name:  "one death makes suspects of all in flight",
+			steps: []step{{id: "d1", fingerprints: []string{"bad", "good"}}},
+			want:  map[string]aubpoison.Verdict{"bad": aubpoison.VerdictSuspect, "good": aubpoison.VerdictSuspect, "other": aubpoison.VerdictClear},
+		},
+		{
+			name:  "a second death blocks only what was in both",
+			steps: []step{{id: "d1", fingerprints: []string{"bad", "good"}}, {id: "d2", fingerprints: []string{"bad", "late"}}},
+			want:  map[string]aubpoison.Verdict{"bad": aubpoison.VerdictBlocked, "good": aubpoison.VerdictSuspect, "late": aubpoison.VerdictSuspect},
+		},
+		{
+			name:  "a death told twice counts once",
+			steps: []step{{id: "d1", fingerprints: []string{"bad"}}, {id: "d1", fingerprints: []string{"bad"}}},
+			want:  map[string]aubpoison.Verdict{"bad": aubpoison.VerdictSuspect},
+		},
+		{
+			name:  "suspicion ends",
+			steps: []step{{id: "d1", fingerprints: []string{"bad"}}, {at: time.Hour, id: "d2", fingerprints: []string{"new"}}},
+			want:  map[string]aubpoison.Verdict{"bad": aubpoison.VerdictClear, "new": aubpoison.VerdictSuspect},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := aubpoison.NewTable()
+			for i, s := range tt.steps {
+				table.Apply(aubcontrol.Command{Index: uint64(i + 1), Clock: s.at, Body: encode(t, s)})
+			}
+			checkVerdicts(t, table, tt.want)
+
+			data, err := table.Snapshot()
+			qt.Assert(t, err, qt.IsNil)
+			restored := aubpoison.NewTable()
+			qt.Assert(t, restored.Restore(data), qt.IsNil)
+			again, err := restored.Snapshot()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again, qt.DeepEquals, data)
+		})
+	}
+}
+
+func checkVerdicts(t *testing.T, table *aubpoison.Table, want map[string]aubpoison.Verdict) {
+	t.Helper()
+	for fp, verdict := range want {
+		got, _ := table.Verdict(fp)
+		qt.Check(t, got, qt.Equals, verdict, qt.Commentf("fingerprint %s", fp))
+	}
+}
+
+func encode(t *testing.T, s step) []byte {
+	t.Helper()
+	data, err := proto.Marshal(&aubwire.PoisonDeath{Backend: "b", DeathId: s.id, Fingerprints: s.fingerprints})
+	qt.Assert(t, err, qt.IsNil)
+	return data
+}
--- a/internal/aubsettings/check.go
+++ b/internal/aubsettings/check.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"slices"
+	"strings"
 )
 
 // checkTogether adds the faults that only show between settings.
@@ -58,10 +59,23 @@
 	}
 	u, err := url.Parse(text)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		d.faults = append(d.faults, Fault{Path: path, Value: text, Allowed: "allowed: a base address, such as http://10.0.0.7:9000"})
+		d.addPath(path, "allowed: a base address, such as http://10.0.0.7:9000")
 	}
 }
 
+// addPath adds a fault of a setting by its path. A setting that the file does not
+// name is reported at the nearest group that it does.
 func (d *decoder) addPath(path, allowed string) {
-	d.faults = append(d.faults, Fault{Path: path, Allowed: allowed})
+	f := Fault{Line: 1, Path: path, Allowed: allowed}
+	if n, ok := d.places[path]; ok {
+		f.Line, f.Value = n.Line, n.Value
+	} else if n, ok := d.places[parent(path)]; ok {
+		f.Line = n.Line
+	}
+	d.faults = append(d.faults, f)
+}
+
+func parent(path string) string {
+	i := strings.LastIndexByte(path, '.')
+	return path[:max(i, 0)]
 }
--- a/internal/aubsettings/default.go
+++ b/internal/aubsettings/default.go
@@ -18,6 +18,14 @@
 		Queue:     Queue{Policy: "weighted_fair", PerBackend: 32, MaxWaiting: 1024},
 		Routing:   Routing{Policy: "expected_first_token", RetryShare: 0.1, Attempts: 3},
 		Placement: defaultPlacement(),
+		Standin: Standin{
+			Memory:         48 << 30,
+			PrefillRate:    20000,
+			InterToken:     seconds(0.008),
+			InterTokenStep: seconds(0.0002),
+			MaxBatch:       64,
+			LoadTime:       seconds(1),
+		},
 		Objectives: Objectives{
 			FirstToken:   seconds(0.56),
 			InterToken:   seconds(0.031),
--- /dev/null
+++ b/internal/aubsettings/generate.go
@@ -0,0 +1,3 @@
+package aubsettings
+
+//go:generate sh -c "go run ../../cmd/auburndale settings reference > ../../docs/SETTINGS.md"
--- a/internal/aubsettings/load.go
+++ b/internal/aubsettings/load.go
@@ -28,7 +28,7 @@
 	if err := yaml.Unmarshal(data, &doc); err != nil {
 		return s, &FaultsError{File: file, Faults: []Fault{{Line: 1, Path: "file", Allowed: err.Error()}}}
 	}
-	d := decoder{}
+	d := decoder{places: map[string]*yaml.Node{}}
 	if len(doc.Content) > 0 {
 		d.decode(doc.Content[0], reflect.ValueOf(&s).Elem(), "", "")
 	}
@@ -43,12 +43,15 @@
 // decoder walks a document beside the settings struct and gathers faults.
 type decoder struct {
 	faults []Fault
+	// places holds the node of every setting that the file names.
+	places map[string]*yaml.Node
 }
 
 func (d *decoder) decode(n *yaml.Node, v reflect.Value, path, allowed string) {
 	if n.Kind == yaml.AliasNode {
 		n = n.Alias
 	}
+	d.places[path] = n
 	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.decodeText(n, u, path)
 		return
@@ -131,7 +134,7 @@
 		field := v.Type().Field(i)
 		at := join(path, field.Tag.Get("yaml"))
 		if field.Tag.Get("required") == "true" && v.Field(i).IsZero() {
-			d.faults = append(d.faults, Fault{Path: at, Allowed: "the setting is required"})
+			d.addPath(at, "the setting is required")
 		}
 		if v.Field(i).Kind() == reflect.Struct {
 			d.requireValues(v.Field(i), at)
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -20,6 +20,7 @@
 	Routing    Routing    `yaml:"routing" doc:"Choice of the backend server."`
 	Placement  Placement  `yaml:"placement" doc:"Placement of models and adapters."`
 	Agent      Agent      `yaml:"agent" doc:"The backend server beside an agent."`
+	Standin    Standin    `yaml:"standin" doc:"Stand-in engine or plain service, for tests and measurements."`
 	Objectives Objectives `yaml:"objectives" doc:"Service-level objectives for the burn report."`
 	Shutdown   Shutdown   `yaml:"shutdown" doc:"Graceful shutdown."`
 }
@@ -144,3 +145,17 @@
 	Delay   Duration `yaml:"delay" doc:"Time between not ready and closing listeners, for the balancer to notice."`
 	Timeout Duration `yaml:"timeout" doc:"Longest time that running requests get to finish."`
 }
+
+// Standin is the settings of a stand-in engine or plain service.
+type Standin struct {
+	Listen         Address  `yaml:"listen" doc:"IP number and port that the stand-in listens on."`
+	Service        string   `yaml:"service" doc:"Name of the plain service; a model engine while empty."`
+	Memory         Size     `yaml:"memory" doc:"Accelerator memory of the engine."`
+	PrefillRate    float64  `yaml:"prefill_rate" doc:"Prompt tokens a second."`
+	InterToken     Duration `yaml:"inter_token" doc:"Time between two tokens of one answer in a batch of one."`
+	InterTokenStep Duration `yaml:"inter_token_step" doc:"Time that each further answer in the batch adds between two tokens."`
+	MaxBatch       int      `yaml:"max_batch" doc:"Answers generated at once."`
+	LoadTime       Duration `yaml:"load_time" doc:"Time that one model load takes at the weight store's full speed."`
+	StoreURL       string   `yaml:"store_url" doc:"Base address of a weight store that engines share; each has its own while empty."`
+	IgnoreFence    bool     `yaml:"ignore_fence" doc:"Ignore fencing numbers, as some engines do."`
+}
--- a/internal/aubstate/aubquery/config.go
+++ b/internal/aubstate/aubquery/config.go
@@ -3,6 +3,7 @@
 package aubquery
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -134,13 +135,8 @@
 }
 
 func sortedValues[T any](index map[string]T) []T {
-	names := make([]string, 0, len(index))
-	for name := range index {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	values := make([]T, 0, len(names))
-	for _, name := range names {
+	values := make([]T, 0, len(index))
+	for _, name := range slices.Sorted(maps.Keys(index)) {
 		values = append(values, index[name])
 	}
 	return values
