--- /dev/null
+++ b/internal/aubadmin/query.go
@@ -0,0 +1,133 @@
+package aubadmin
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+const (
+	// confirmedHeader is false when the answer may be older than the leader's state.
+	confirmedHeader = "Config-Confirmed"
+	// versionHeader is the configuration version that the answer shows.
+	versionHeader = "Config-Version"
+
+	retryAfterUnconfirmed = 2 * time.Second
+)
+
+// queries answers reads.
+type queries struct {
+	common aubcommon.Common
+	opts   HandlerOpts
+}
+
+func newQueries(common aubcommon.Common, opts HandlerOpts) *queries {
+	return &queries{common: common, opts: opts}
+}
+
+func (q *queries) ticket(w http.ResponseWriter, r *http.Request) {
+	number, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		writeProblem(w, problem{status: http.StatusBadRequest, code: "invalid_number", detail: "the path names no ticket number"})
+		return
+	}
+	confirmed := q.confirm(r)
+	outcome, ok := q.opts.State.Outcome(number)
+	if ok {
+		writeAnswer(w, r, http.StatusOK, outcome)
+		return
+	}
+	if !confirmed {
+		writeProblem(w, problem{
+			status: http.StatusServiceUnavailable, code: "not_confirmed", retryAfter: retryAfterUnconfirmed,
+			detail: fmt.Sprintf("ticket %d is not known here, and the control leader can't be reached to confirm that", number),
+		})
+		return
+	}
+	writeProblem(w, problem{
+		status: http.StatusNotFound, code: "unknown_ticket",
+		detail: fmt.Sprintf("no outcome of ticket %d is kept", number),
+	})
+}
+
+func (q *queries) workspaces(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, r, http.StatusOK, q.read(w, r).Workspaces())
+}
+
+func (q *queries) models(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, r, http.StatusOK, q.read(w, r).Models())
+}
+
+func (q *queries) adapters(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, r, http.StatusOK, q.read(w, r).Adapters())
+}
+
+func (q *queries) routes(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, r, http.StatusOK, q.read(w, r).Opts().Routes)
+}
+
+// keys never shows lookup values, salts or hashes.
+func (q *queries) keys(w http.ResponseWriter, r *http.Request) {
+	stored := q.read(w, r).AllKeys()
+	infos := make([]aubapi.KeyInfo, 0, len(stored))
+	for _, k := range stored {
+		infos = append(infos, aubapi.KeyInfo{Name: k.Name, Workspace: k.Workspace, Withdrawn: k.Withdrawn})
+	}
+	writeAnswer(w, r, http.StatusOK, infos)
+}
+
+func (q *queries) version(w http.ResponseWriter, r *http.Request) {
+	cfg := q.read(w, r)
+	writeAnswer(w, r, http.StatusOK, aubapi.ConfigVersion{
+		Version: cfg.Version(),
+		Digest:  hex.EncodeToString(cfg.Digest().Bytes()),
+	})
+}
+
+func (q *queries) members(w http.ResponseWriter, r *http.Request) {
+	view := q.opts.Members.View()
+	members := make([]aubapi.Member, 0, len(view.Members()))
+	for _, m := range view.Members() {
+		members = append(members, memberOf(view, m))
+	}
+	writeAnswer(w, r, http.StatusOK, members)
+}
+
+// read returns the configuration, confirmed by the leader where it can be
+// reached, and notes version and confirmation in the headers.
+func (q *queries) read(w http.ResponseWriter, r *http.Request) aubquery.Config {
+	confirmed := q.confirm(r)
+	cfg := q.opts.State.Config()
+	w.Header().Set(confirmedHeader, strconv.FormatBool(confirmed))
+	w.Header().Set(versionHeader, strconv.FormatUint(cfg.Version(), 10))
+	return cfg
+}
+
+func (q *queries) confirm(r *http.Request) bool {
+	ctx, cancel := withTimeout(r.Context(), q.common.Timer, confirmTimeout)
+	defer cancel()
+	_, err := q.opts.Reader.Confirm(ctx)
+	return err == nil
+}
+
+func memberOf(view aubmembership.View, m aubmembership.Member) aubapi.Member {
+	a := m.Announcement
+	return aubapi.Member{
+		Name:          a.GetName(),
+		Role:          strings.ToLower(strings.TrimPrefix(a.GetRole().String(), "ROLE_")),
+		Zone:          a.GetZone(),
+		Address:       a.GetAddress(),
+		Incarnation:   a.GetIncarnation(),
+		Leaving:       a.GetLeaving(),
+		ConfigVersion: a.GetConfigVersion(),
+		HeardAgoMS:    view.At().Sub(m.HeardAt).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/aubadmin/ticket.go
@@ -0,0 +1,166 @@
+package aubadmin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubstate"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcommand"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// retryAfterUncertain is when a ticket of unknown outcome may be sent again.
+const retryAfterUncertain = time.Second
+
+// tickets takes change tickets.
+type tickets struct {
+	common aubcommon.Common
+	opts   HandlerOpts
+	waiter waiter
+}
+
+func newTickets(common aubcommon.Common, opts HandlerOpts) *tickets {
+	return &tickets{common: common, opts: opts, waiter: waiter{common: common, members: opts.Members}}
+}
+
+func (t *tickets) put(w http.ResponseWriter, r *http.Request) {
+	wait, err := parseWait(r.URL.Query().Get("wait"))
+	if err != nil {
+		writeProblem(w, problem{status: http.StatusBadRequest, code: "invalid_wait", detail: err.Error()})
+		return
+	}
+	ticket, refusal := readTicket(r)
+	if refusal != nil {
+		writeProblem(w, *refusal)
+		return
+	}
+	outcome, err := t.decide(r.Context(), ticket)
+	if err != nil {
+		writeProblem(w, commitProblem(ticket.Number, err))
+		return
+	}
+	t.common.Log.Info("ticket decided", zap.Uint64("ticket", outcome.Number),
+		zap.String("status", string(outcome.Status)), zap.Uint64("version", outcome.Version))
+	if outcome.Status == aubapi.TicketAccepted && wait > 0 {
+		outcome.Unconfirmed = t.waiter.waitInForce(r.Context(), outcome.Version, wait)
+		outcome.InForce = len(outcome.Unconfirmed) == 0
+	}
+	writeAnswer(w, r, outcomeStatus(outcome.Status), outcome)
+}
+
+// decide checks the ticket's content and commits it. What depends on other
+// tickets is decided in the order of the log.
+func (t *tickets) decide(ctx context.Context, ticket aubapi.Ticket) (aubapi.TicketOutcome, error) {
+	if faults := aubcommand.CheckTicket(ticket); len(faults) > 0 {
+		// Faults against the configuration are added, so that the operator sees all at once.
+		faults = append(faults, aubcommand.CheckReferences(t.opts.State.Config(), ticket)...)
+		return aubapi.TicketOutcome{Number: ticket.Number, Status: aubapi.TicketInvalid, Faults: faults}, nil
+	}
+	body, err := aubcodec.EncodeTicket(ticket)
+	if err != nil {
+		return aubapi.TicketOutcome{}, &aubcontrol.NotCommittedError{Reason: "the ticket can't be encoded", Err: err}
+	}
+	ctx, cancel := withTimeout(ctx, t.common.Timer, applyTimeout)
+	defer cancel()
+	result, err := t.opts.Proposer.Apply(ctx, aubstate.TableName, body)
+	if err != nil {
+		return aubapi.TicketOutcome{}, err
+	}
+	return aubcodec.DecodeOutcome(result.Body)
+}
+
+func readTicket(r *http.Request) (aubapi.Ticket, *problem) {
+	number, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		return aubapi.Ticket{}, &problem{
+			status: http.StatusBadRequest, code: "invalid_number",
+			detail: fmt.Sprintf("%q is no ticket number; allowed is 1 to %d", r.PathValue("number"), uint64(aubcommand.MaxNumber)),
+		}
+	}
+	format, ok := aubapi.FormatOf(r.Header.Get("Content-Type"))
+	if !ok {
+		return aubapi.Ticket{}, &problem{
+			status: http.StatusUnsupportedMediaType, code: "unsupported_media_type",
+			detail: "allowed are application/yaml and application/json",
+		}
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, aubapi.MaxTicketBytes+1))
+	if err != nil {
+		return aubapi.Ticket{}, &problem{status: http.StatusBadRequest, code: "incomplete_body", detail: "the body ended early"}
+	}
+	return decodeTicket(data, format, number)
+}
+
+func decodeTicket(data []byte, format aubapi.Format, number uint64) (aubapi.Ticket, *problem) {
+	if len(data) > aubapi.MaxTicketBytes {
+		return aubapi.Ticket{}, &problem{
+			status: http.StatusRequestEntityTooLarge, code: "ticket_too_large",
+			detail: fmt.Sprintf("a ticket has at most %d bytes", aubapi.MaxTicketBytes),
+		}
+	}
+	ticket, err := aubapi.DecodeTicket(data, format)
+	if err != nil {
+		return aubapi.Ticket{}, &problem{status: http.StatusBadRequest, code: "malformed_ticket", detail: err.Error()}
+	}
+	if ticket.Number == 0 {
+		ticket.Number = number
+	}
+	if ticket.Number != number {
+		return aubapi.Ticket{}, &problem{
+			status: http.StatusBadRequest, code: "invalid_number",
+			detail: fmt.Sprintf("the path names ticket %d and the document ticket %d", number, ticket.Number),
+		}
+	}
+	return ticket, nil
+}
+
+// commitProblem turns an error of the commit into its answer.
+func commitProblem(number uint64, err error) problem {
+	if notCommitted, ok := errors.AsType[*aubcontrol.NotCommittedError](err); ok {
+		retryAfter := notCommitted.RetryAfter
+		if retryAfter <= 0 {
+			retryAfter = retryAfterUncertain
+		}
+		return problem{
+			status: http.StatusServiceUnavailable, code: "not_committed", retryAfter: retryAfter,
+			detail: fmt.Sprintf("this request did not commit ticket %d and never will: %s", number, notCommitted.Reason),
+		}
+	}
+	return problem{
+		status: http.StatusGatewayTimeout, code: "uncertain", execution: aubapi.ExecutionMayHaveRun, retryAfter: retryAfterUncertain,
+		detail: fmt.Sprintf("ticket %d may or may not be committed; send the same ticket again, "+
+			"it is applied once at most and gets its first outcome", number),
+	}
+}
+
+func outcomeStatus(status aubapi.TicketStatus) int {
+	switch status {
+	case aubapi.TicketAccepted:
+		return http.StatusOK
+	case aubapi.TicketInvalid:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusConflict
+	}
+}
+
+func parseWait(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, fmt.Errorf("wait is %q; allowed is a duration of 0s to %s, such as 20s", text, maxWait)
+	}
+	return wait, nil
+}
--- /dev/null
+++ b/internal/aubadmin/wait.go
@@ -0,0 +1,66 @@
+package aubadmin
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// waitInterval is how often the announced versions are looked at.
+const waitInterval = 50 * time.Millisecond
+
+// waiter waits until every known process has confirmed a version.
+type waiter struct {
+	common  aubcommon.Common
+	members aubmembership.Source
+}
+
+// waitInForce returns as soon as every known process announced the version or a
+// later one, at the latest after the wait, with the names of those that did not.
+func (w waiter) waitInForce(ctx context.Context, version uint64, wait time.Duration) []string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticks := w.common.Timer.Subscribe(ctx, waitInterval)
+	deadline := w.common.Timer.After(ctx, wait)
+	for {
+		missing := unconfirmed(w.members.View(), version)
+		if len(missing) == 0 {
+			return nil
+		}
+		select {
+		case <-ticks:
+		case <-deadline:
+			return unconfirmed(w.members.View(), version)
+		case <-ctx.Done():
+			return missing
+		}
+	}
+}
+
+// unconfirmed returns the names of the members below the version, in order.
+func unconfirmed(view aubmembership.View, version uint64) []string {
+	var names []string
+	for _, m := range view.Members() {
+		if m.Announcement.GetConfigVersion() < version {
+			names = append(names, m.Announcement.GetName())
+		}
+	}
+	return names
+}
+
+// withTimeout returns a context that ends after d on the timer service.
+func withTimeout(ctx context.Context, timer aubtimer.Service, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	expired := timer.After(ctx, d)
+	go func() {
+		select {
+		case <-expired:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/internal/aubauth/strip.go
@@ -0,0 +1,257 @@
+package aubauth
+
+import (
+	"encoding/base64"
+	"net/http"
+	"net/url"
+	"regexp"
+	"strings"
+)
+
+// minScanChars is the least length of a presented value that is searched for
+// elsewhere; shorter ones would hit by chance.
+const minScanChars = 8
+
+const (
+	bearerScheme = "bearer"
+	cookieHeader = "Cookie"
+)
+
+// credentialHeaders never go on to a backend server.
+var credentialHeaders = []string{
+	"Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key", "Apikey", "X-Api-Token", "X-Auth-Token",
+	"X-Access-Token", "X-Goog-Api-Key", "Openai-Api-Key", "Ocp-Apim-Subscription-Key", "Authentication",
+	"X-Authorization", "X-Forwarded-Authorization", "X-Original-Authorization",
+}
+
+// credentialParams never go on to a backend server.
+var credentialParams = []string{
+	"key", "api_key", "apikey", "api-key", "x-api-key", "access_token", "access-token",
+	"auth_token", "authorization", "bearer", "bearer_token", "subscription-key",
+}
+
+// generatedSecret finds keys that NewKey made, whether the request shows them
+// as its own or not. The text searched is in lower case.
+var generatedSecret = regexp.MustCompile(secretPrefix + `[a-z0-9_-]{43}`)
+
+// PresentedKey returns the key that a request shows: the bearer token, else
+// X-Api-Key, else Api-Key. It is empty when there is none or more than one value.
+func PresentedKey(h http.Header) string {
+	for _, name := range []string{"Authorization", "X-Api-Key", "Api-Key"} {
+		values := h.Values(name)
+		if len(values) == 0 {
+			continue
+		}
+		if len(values) > 1 {
+			return ""
+		}
+		if name != "Authorization" {
+			return strings.TrimSpace(values[0])
+		}
+		return bearerToken(values[0])
+	}
+	return ""
+}
+
+func bearerToken(value string) string {
+	scheme, token, ok := strings.Cut(strings.TrimSpace(value), " ")
+	if !ok || !strings.EqualFold(scheme, bearerScheme) {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// StripKey takes the key out of the headers and the address of a request that
+// goes on to a backend server.
+func StripKey(h http.Header, u *url.URL) {
+	s := NewStripper(h, u)
+	s.StripHeader(h)
+	s.StripURL(u)
+}
+
+// Stripper takes the keys that one request shows out of its parts. It is
+// immutable. Bodies are out of its reach.
+type Stripper struct {
+	// secrets are in lower case.
+	secrets []string
+}
+
+// NewStripper notes every value that the request shows where a key may stand.
+func NewStripper(h http.Header, u *url.URL) Stripper {
+	var s Stripper
+	for _, name := range credentialHeaders {
+		for _, value := range h.Values(name) {
+			s = s.withCredential(value)
+		}
+	}
+	if u == nil {
+		return s
+	}
+	for name, values := range u.Query() {
+		if !isCredentialParam(name) {
+			continue
+		}
+		for _, value := range values {
+			s = s.withCredential(value)
+		}
+	}
+	if password, ok := u.User.Password(); ok {
+		s = s.withCredential(password)
+	}
+	return s
+}
+
+// withCredential notes the value without its scheme and, of the basic scheme,
+// both parts.
+func (s Stripper) withCredential(value string) Stripper {
+	token := strings.TrimSpace(value)
+	if _, rest, ok := strings.Cut(token, " "); ok {
+		token = strings.TrimSpace(rest)
+	}
+	s = s.withSecret(token)
+	if decoded, ok := decodeBase64(token); ok {
+		for part := range strings.SplitSeq(decoded, ":") {
+			s = s.withSecret(part)
+		}
+	}
+	return s
+}
+
+func (s Stripper) withSecret(secret string) Stripper {
+	if len(secret) >= minScanChars {
+		s.secrets = append(s.secrets[:len(s.secrets):len(s.secrets)], strings.ToLower(secret))
+	}
+	return s
+}
+
+// StripHeader removes credential headers and every header or trailer whose name
+// or value holds a key. Lists of trailer names stay.
+func (s Stripper) StripHeader(h http.Header) {
+	s.stripCookies(h)
+	for name, values := range h {
+		if isCredentialHeader(name) || s.Holds(name) || s.holdsAny(values) {
+			delete(h, name)
+		}
+	}
+}
+
+// stripCookies removes the cookies that are credentials or hold a key and keeps the others.
+func (s Stripper) stripCookies(h http.Header) {
+	values, ok := h[cookieHeader]
+	if !ok {
+		return
+	}
+	var kept []string
+	for pair := range strings.SplitSeq(strings.Join(values, "; "), ";") {
+		pair = strings.TrimSpace(pair)
+		name, _, _ := strings.Cut(pair, "=")
+		if pair != "" && !isCredentialParam(name) && !s.Holds(pair) {
+			kept = append(kept, pair)
+		}
+	}
+	delete(h, cookieHeader)
+	if len(kept) > 0 {
+		h[cookieHeader] = []string{strings.Join(kept, "; ")}
+	}
+}
+
+// StripURL removes user info, the fragment and every query parameter that is a
+// credential or holds a key. The order of the others stays.
+func (s Stripper) StripURL(u *url.URL) {
+	if u == nil {
+		return
+	}
+	u.User = nil
+	u.Fragment = ""
+	u.RawFragment = ""
+	u.RawQuery = s.stripQuery(u.RawQuery)
+	u.ForceQuery = false
+}
+
+func (s Stripper) stripQuery(raw string) string {
+	var kept []string
+	for pair := range strings.SplitSeq(raw, "&") {
+		name, value, _ := strings.Cut(pair, "=")
+		if pair == "" || isCredentialParam(unescape(name)) || s.Holds(name) || s.Holds(value) || s.Holds(pair) {
+			continue
+		}
+		kept = append(kept, pair)
+	}
+	return strings.Join(kept, "&")
+}
+
+// Holds reports whether the text holds a key: as it is, in other case,
+// percent-encoded up to twice, or in base64.
+func (s Stripper) Holds(text string) bool {
+	once := unescape(text)
+	return s.holdsPlain(text) || s.holdsPlain(once) || s.holdsPlain(unescape(once)) || s.holdsEncoded(once)
+}
+
+func (s Stripper) holdsAny(values []string) bool {
+	for _, v := range values {
+		if s.Holds(v) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s Stripper) holdsPlain(text string) bool {
+	lower := strings.ToLower(text)
+	for _, secret := range s.secrets {
+		if strings.Contains(lower, secret) {
+			return true
+		}
+	}
+	return generatedSecret.MatchString(lower)
+}
+
+func (s Stripper) holdsEncoded(text string) bool {
+	for word := range strings.FieldsFuncSeq(text, isBase64Break) {
+		if decoded, ok := decodeBase64(word); ok && s.holdsPlain(decoded) {
+			return true
+		}
+	}
+	return false
+}
+
+func isBase64Break(r rune) bool {
+	return strings.ContainsRune(" \t,;:\"'", r)
+}
+
+func decodeBase64(text string) (string, bool) {
+	text = strings.TrimRight(text, "=")
+	for _, encoding := range []*base64.Encoding{base64.RawStdEncoding, base64.RawURLEncoding} {
+		if decoded, err := encoding.DecodeString(text); err == nil {
+			return string(decoded), true
+		}
+	}
+	return "", false
+}
+
+// unescape decodes percent-encoding and leaves text that has none as it is.
+func unescape(text string) string {
+	decoded, err := url.QueryUnescape(text)
+	if err != nil {
+		return text
+	}
+	return decoded
+}
+
+func isCredentialHeader(name string) bool {
+	for _, credential := range credentialHeaders {
+		if strings.EqualFold(name, credential) {
+			return true
+		}
+	}
+	return false
+}
+
+func isCredentialParam(name string) bool {
+	for _, credential := range credentialParams {
+		if strings.EqualFold(name, credential) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/aubcli/admin.go
@@ -0,0 +1,89 @@
+package aubcli
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/auburndale/auburndale/pkg/aubclient"
+)
+
+const (
+	defaultAdminURL = "http://127.0.0.1:8081"
+
+	// credentialEnv names the file of the operator's credential.
+	credentialEnv = "AUBURNDALE_CREDENTIAL_FILE"
+)
+
+// streams is where a command writes.
+type streams struct {
+	out, errOut io.Writer
+}
+
+// usageError prints the fault. Its result makes the program show the command's
+// help and exit with ExitUsage.
+func (s streams) usageError(format string, args ...any) error {
+	fmt.Fprintf(s.errOut, "auburndale: "+format+"\n", args...)
+	return flag.ErrHelp
+}
+
+// parseMixed parses flags that stand after or between the arguments, which the
+// flag package leaves alone, and returns the arguments.
+func (s streams) parseMixed(fs *flag.FlagSet, args []string) ([]string, error) {
+	var operands []string
+	for len(args) > 0 {
+		if args[0] == "-" || !strings.HasPrefix(args[0], "-") {
+			operands = append(operands, args[0])
+			args = args[1:]
+			continue
+		}
+		if err := fs.Parse(args); err != nil {
+			// The flag package printed the fault.
+			return nil, flag.ErrHelp
+		}
+		args = fs.Args()
+	}
+	return operands, nil
+}
+
+func (s streams) newFlagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(s.errOut)
+	return fs
+}
+
+// adminFlags are the flags of every command that calls the administration API.
+type adminFlags struct {
+	admin          string
+	credentialFile string
+}
+
+func (f *adminFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.admin, "admin", defaultAdminURL, "address of the administration listener")
+	fs.StringVar(&f.credentialFile, "credential_file", os.Getenv(credentialEnv),
+		"file that holds the operator's credential; the default is the value of "+credentialEnv)
+}
+
+// newClient returns a client, or a usage error that names the flag at fault.
+func (f *adminFlags) newClient(s streams) (*aubclient.Client, error) {
+	address, err := url.Parse(f.admin)
+	if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+		return nil, s.usageError("-admin is %q; allowed is an address such as %s", f.admin, defaultAdminURL)
+	}
+	if f.credentialFile == "" {
+		return nil, s.usageError("-credential_file is missing; name the file that holds the operator's credential")
+	}
+	credential, err := os.ReadFile(f.credentialFile)
+	if err != nil {
+		return nil, fmt.Errorf("-credential_file: %w", err)
+	}
+	text := strings.TrimSpace(string(credential))
+	if text == "" {
+		return nil, errors.New("-credential_file: " + f.credentialFile + " is empty")
+	}
+	return aubclient.NewClient(aubclient.ClientOpts{BaseURL: f.admin, Credential: text}), nil
+}
--- /dev/null
+++ b/internal/aubstate/aubcodec/ticket.go
@@ -0,0 +1,71 @@
+package aubcodec
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// EncodeTicket returns the command that carries the ticket.
+func EncodeTicket(t aubapi.Ticket) ([]byte, error) {
+	return proto.Marshal(&aubwire.TicketCommand{
+		Number:  t.Number,
+		Objects: ObjectsToWire(TicketObjects(t)),
+		Remove:  IDsToWire(t.Remove),
+	})
+}
+
+// DecodeTicket returns the ticket that a command carries.
+func DecodeTicket(body []byte) (aubapi.Ticket, error) {
+	var cmd aubwire.TicketCommand
+	if err := proto.Unmarshal(body, &cmd); err != nil {
+		return aubapi.Ticket{}, err
+	}
+	o := ObjectsFromWire(0, cmd.GetObjects())
+	return aubapi.Ticket{
+		Number:     cmd.GetNumber(),
+		Workspaces: o.Workspaces,
+		Keys:       o.Keys,
+		Models:     o.Models,
+		Adapters:   o.Adapters,
+		Routes:     o.Routes,
+		Remove:     IDsFromWire(cmd.GetRemove()),
+	}, nil
+}
+
+// TicketObjects returns the objects that a ticket sets.
+func TicketObjects(t aubapi.Ticket) aubquery.ConfigOpts {
+	return aubquery.ConfigOpts{
+		Workspaces: t.Workspaces,
+		Keys:       t.Keys,
+		Models:     t.Models,
+		Adapters:   t.Adapters,
+		Routes:     t.Routes,
+	}
+}
+
+// EncodeOutcome returns the result that carries the outcome.
+func EncodeOutcome(o aubapi.TicketOutcome) ([]byte, error) {
+	return proto.Marshal(&aubwire.TicketResult{
+		Number:  o.Number,
+		Status:  string(o.Status),
+		Version: o.Version,
+		Faults:  FaultsToWire(o.Faults),
+	})
+}
+
+// DecodeOutcome returns the outcome that a result carries.
+func DecodeOutcome(body []byte) (aubapi.TicketOutcome, error) {
+	var r aubwire.TicketResult
+	if err := proto.Unmarshal(body, &r); err != nil {
+		return aubapi.TicketOutcome{}, err
+	}
+	return aubapi.TicketOutcome{
+		Number:  r.GetNumber(),
+		Status:  aubapi.TicketStatus(r.GetStatus()),
+		Version: r.GetVersion(),
+		Faults:  FaultsFromWire(r.GetFaults()),
+	}, nil
+}
--- /dev/null
+++ b/internal/aubstate/aubcommand/check.go
@@ -0,0 +1,223 @@
+package aubcommand
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// Bounds of one ticket.
+const (
+	// MaxNumber is the highest ticket number, the largest integer that every JSON
+	// reader keeps exactly.
+	MaxNumber = 1<<53 - 1
+	// MaxObjects bounds the objects that one ticket touches.
+	MaxObjects = 10_000
+
+	maxTokens         = 1 << 50
+	maxWeight         = 1_000_000
+	maxCopies         = 10_000
+	maxSeconds        = 7 * 24 * 3600
+	maxMemoryBytes    = 1 << 50
+	maxWorkspaces     = 10_000
+	maxPrefixBytes    = 1024
+	keyLookupHexBytes = 4
+	keySaltMinBytes   = 16
+	keySaltMaxBytes   = 64
+	keyHashBytes      = 32
+)
+
+// namePattern admits the names of model hubs, with slashes, colons and at signs.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@-]{0,127}$`)
+
+const nameRule = "a name has 1 to 128 letters, digits and . _ : / @ -, and begins with a letter or digit"
+
+// reservedPrefixes are the paths of the system's own interfaces.
+var reservedPrefixes = []string{"/v1", "/admin", "/healthz", "/readyz", "/metrics"}
+
+// CheckTicket returns every fault of the ticket that shows without the
+// configuration. Its verdict depends on the content alone, so a repeat gets the same.
+func CheckTicket(t aubapi.Ticket) []aubapi.Fault {
+	c := &checker{}
+	c.checkNumber(t)
+	for i, w := range t.Workspaces {
+		c.checkWorkspace(fmt.Sprintf("workspaces[%d]", i), w)
+	}
+	for i, k := range t.Keys {
+		c.checkKey(fmt.Sprintf("keys[%d]", i), k)
+	}
+	for i, m := range t.Models {
+		c.checkModel(fmt.Sprintf("models[%d]", i), m)
+	}
+	for i, a := range t.Adapters {
+		c.checkAdapter(fmt.Sprintf("adapters[%d]", i), a)
+	}
+	for i, r := range t.Routes {
+		c.checkRoute(fmt.Sprintf("routes[%d]", i), r)
+	}
+	for i, id := range t.Remove {
+		c.checkRemoval(fmt.Sprintf("remove[%d]", i), id)
+	}
+	return c.faults
+}
+
+// checker collects faults and the objects seen so far.
+type checker struct {
+	faults []aubapi.Fault
+	seen   map[aubapi.ObjectID]string
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.faults = append(c.faults, aubapi.Fault{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) checkNumber(t aubapi.Ticket) {
+	if t.Number < 1 || t.Number > MaxNumber {
+		c.add("number", "is %d; allowed is 1 to %d", t.Number, uint64(MaxNumber))
+	}
+	n := len(TouchedIDs(t))
+	if n == 0 {
+		c.add("", "the ticket touches no object")
+	}
+	if n > MaxObjects {
+		c.add("", "the ticket touches %d objects; allowed are %d", n, MaxObjects)
+	}
+}
+
+func (c *checker) checkWorkspace(path string, w aubapi.Workspace) {
+	c.checkID(path, aubapi.KindWorkspace, w.Name)
+	c.checkRange(path+".rate", w.Rate, 1, maxTokens)
+	c.checkRange(path+".burst", w.Burst, 1, maxTokens)
+	c.checkRange(path+".weight", w.Weight, 0, maxWeight)
+	switch w.CutOff {
+	case "", aubapi.CutOffServe:
+		if w.CutOffBound != 0 {
+			c.add(path+".cut_off_bound_seconds", "is %d; it has a meaning only with cut_off refuse", w.CutOffBound)
+		}
+	case aubapi.CutOffRefuse:
+		c.checkRange(path+".cut_off_bound_seconds", w.CutOffBound, 1, maxSeconds)
+	default:
+		c.add(path+".cut_off", "is %q; allowed are serve and refuse", w.CutOff)
+	}
+}
+
+func (c *checker) checkKey(path string, k aubapi.Key) {
+	c.checkID(path, aubapi.KindKey, k.Name)
+	c.checkName(path+".workspace", k.Workspace)
+	c.checkHex(path+".lookup", k.Lookup, keyLookupHexBytes, keyLookupHexBytes)
+	c.checkHex(path+".salt", k.Salt, keySaltMinBytes, keySaltMaxBytes)
+	c.checkHex(path+".hash", k.Hash, keyHashBytes, keyHashBytes)
+}
+
+func (c *checker) checkModel(path string, m aubapi.Model) {
+	c.checkID(path, aubapi.KindModel, m.Name)
+	c.checkRange(path+".memory_bytes", m.MemoryBytes, 1, maxMemoryBytes)
+	c.checkRange(path+".max_output_tokens", m.MaxOutputTokens, 0, maxTokens)
+	c.checkRange(path+".bytes_per_token", m.BytesPerToken, 0, maxTokens)
+	c.checkRange(path+".copies", int64(m.Copies), 0, maxCopies)
+	c.checkWorkspaces(path, m.Workspaces)
+}
+
+func (c *checker) checkAdapter(path string, a aubapi.Adapter) {
+	c.checkID(path, aubapi.KindAdapter, a.Name)
+	c.checkName(path+".model", a.Model)
+	c.checkRange(path+".memory_bytes", a.MemoryBytes, 1, maxMemoryBytes)
+	c.checkWorkspaces(path, a.Workspaces)
+}
+
+func (c *checker) checkRoute(path string, r aubapi.Route) {
+	c.checkID(path, aubapi.KindRoute, r.Name)
+	c.checkPrefix(path+".prefix", r.Prefix)
+	c.checkName(path+".service", r.Service)
+	c.checkRange(path+".cost", r.Cost, 0, maxTokens)
+	c.checkRange(path+".timeout_seconds", r.TimeoutSeconds, 0, maxSeconds)
+	if !r.Open {
+		c.checkWorkspaces(path, r.Workspaces)
+		return
+	}
+	if len(r.Workspaces) > 0 {
+		c.add(path+".workspaces", "an open route answers everyone and names no workspaces")
+	}
+	if r.Cost > 0 {
+		c.add(path+".cost", "an open route has no workspace that could pay")
+	}
+}
+
+func (c *checker) checkRemoval(path string, id aubapi.ObjectID) {
+	switch id.Kind {
+	case aubapi.KindWorkspace, aubapi.KindKey, aubapi.KindModel, aubapi.KindAdapter, aubapi.KindRoute:
+		c.checkID(path, id.Kind, id.Name)
+	default:
+		c.add(path+".kind", "is %q; allowed are workspace, key, model, adapter and route", id.Kind)
+	}
+}
+
+func (c *checker) checkID(path string, kind aubapi.Kind, name string) {
+	c.checkName(path+".name", name)
+	id := aubapi.ObjectID{Kind: kind, Name: name}
+	if first, ok := c.seen[id]; ok {
+		c.add(path+".name", "%s %q stands in %s already", kind, name, first)
+		return
+	}
+	if c.seen == nil {
+		c.seen = make(map[aubapi.ObjectID]string)
+	}
+	c.seen[id] = path
+}
+
+func (c *checker) checkName(path, name string) {
+	if !namePattern.MatchString(name) {
+		c.add(path, "is %q; %s", name, nameRule)
+	}
+}
+
+func (c *checker) checkRange(path string, n, low, high int64) {
+	if n < low || n > high {
+		c.add(path, "is %d; allowed is %d to %d", n, low, high)
+	}
+}
+
+func (c *checker) checkHex(path, text string, low, high int) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) < low || len(data) > high {
+		c.add(path, "is not the hex form of %d to %d bytes; take the output of auburndale key new", low, high)
+	}
+}
+
+func (c *checker) checkWorkspaces(path string, names []string) {
+	if len(names) == 0 || len(names) > maxWorkspaces {
+		c.add(path+".workspaces", "names %d workspaces; allowed are 1 to %d, or %q for all", len(names), maxWorkspaces, aubapi.AnyWorkspace)
+	}
+	for i, name := range names {
+		if name != aubapi.AnyWorkspace {
+			c.checkName(fmt.Sprintf("%s.workspaces[%d]", path, i), name)
+		}
+	}
+}
+
+func (c *checker) checkPrefix(path, prefix string) {
+	if !strings.HasPrefix(prefix, "/") || len(prefix) < 2 || len(prefix) > maxPrefixBytes {
+		c.add(path, "is %q; a prefix begins with a slash and has 2 to %d bytes", prefix, maxPrefixBytes)
+		return
+	}
+	if strings.ContainsAny(prefix, "?#%\\ ") || strings.Contains(prefix, "//") || hasDotSegment(prefix) {
+		c.add(path, "is %q; a prefix has no ? # %% \\, no space, no empty segment and no dot segment", prefix)
+	}
+	for _, reserved := range reservedPrefixes {
+		if prefix == reserved || strings.HasPrefix(prefix, reserved+"/") {
+			c.add(path, "is %q; paths below %s belong to the system", prefix, reserved)
+		}
+	}
+}
+
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/aubstate/aubcommand/decide.go
@@ -0,0 +1,100 @@
+package aubcommand
+
+import (
+	"fmt"
+
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// Decision is what a ticket leads to.
+type Decision struct {
+	Outcome aubapi.TicketOutcome
+	Digest  ContentDigest
+	// Recorded is true when this is the number's first outcome and is to be kept.
+	Recorded bool
+	// Accepted is true when the change is to be applied.
+	Accepted bool
+	Change   aubquery.Change
+}
+
+// Decide returns the decision on the ticket and changes nothing.
+//
+// A ticket with faults of its own content never uses up its number: its verdict
+// is the same at any time. Every other first outcome is recorded.
+func (s *State) Decide(t aubapi.Ticket) Decision {
+	digest := DigestTicket(t)
+	if r, ok := s.ledger.Record(t.Number); ok {
+		return decideRepeat(t, digest, r)
+	}
+	if faults := CheckTicket(t); len(faults) > 0 {
+		return refuse(t, aubapi.TicketInvalid, faults...)
+	}
+	if s.ledger.Closed(t.Number) {
+		return refuse(t, aubapi.TicketSuperseded, aubapi.Fault{
+			Path: "number",
+			Reason: fmt.Sprintf("%d lies below the numbers whose outcomes are kept; "+
+				"if the ticket was decided before, its outcome is no longer kept; see the objects for what is in force", t.Number),
+		})
+	}
+	d := s.decideFirst(t)
+	d.Digest = digest
+	d.Recorded = true
+	return d
+}
+
+func (s *State) decideFirst(t aubapi.Ticket) Decision {
+	if faults := s.supersededFaults(t); len(faults) > 0 {
+		return refuse(t, aubapi.TicketSuperseded, faults...)
+	}
+	if faults := CheckReferences(s.config, t); len(faults) > 0 {
+		return refuse(t, aubapi.TicketInvalid, faults...)
+	}
+	change := changeOf(s.config, t)
+	return Decision{
+		Outcome: aubapi.TicketOutcome{
+			Number:  t.Number,
+			Status:  aubapi.TicketAccepted,
+			Version: change.Objects.Version,
+		},
+		Accepted: true,
+		Change:   change,
+	}
+}
+
+func (s *State) supersededFaults(t aubapi.Ticket) []aubapi.Fault {
+	var faults []aubapi.Fault
+	for _, id := range TouchedIDs(t) {
+		if last := s.last[id]; t.Number <= last {
+			faults = append(faults, aubapi.Fault{
+				Path:   "number",
+				Reason: fmt.Sprintf("%s %q was last changed by ticket %d; take a higher number", id.Kind, id.Name, last),
+			})
+		}
+	}
+	return faults
+}
+
+func decideRepeat(t aubapi.Ticket, digest ContentDigest, first Record) Decision {
+	if digest == first.Digest {
+		return Decision{Outcome: recordedOutcome(first)}
+	}
+	return refuse(t, aubapi.TicketConflict, aubapi.Fault{
+		Path: "number",
+		Reason: fmt.Sprintf("%d was first committed with other content, whose outcome is %s; take another number",
+			t.Number, first.Outcome.Status),
+	})
+}
+
+// recordedOutcome returns the first outcome. Its faults may have been dropped.
+func recordedOutcome(r Record) aubapi.TicketOutcome {
+	o := r.Outcome
+	if o.Status != aubapi.TicketAccepted && len(o.Faults) == 0 {
+		o.Faults = []aubapi.Fault{{Path: "number", Reason: "the ticket was refused when it was first decided; its faults are no longer kept"}}
+	}
+	return o
+}
+
+func refuse(t aubapi.Ticket, status aubapi.TicketStatus, faults ...aubapi.Fault) Decision {
+	return Decision{Outcome: aubapi.TicketOutcome{Number: t.Number, Status: status, Faults: faults}}
+}
--- /dev/null
+++ b/internal/aubstate/aubcommand/state.go
@@ -0,0 +1,94 @@
+package aubcommand
+
+import (
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// State is the whole replicated state of the configuration. It is not safe for
+// concurrent use; equal commands in equal order give equal states.
+type State struct {
+	config aubquery.Config
+	ledger *Ledger
+	// last is the number of the last ticket that changed an object. Removed
+	// objects stay here while the ticket that removed them is recorded.
+	last map[aubapi.ObjectID]uint64
+	// removed lists the objects that a recorded ticket removed.
+	removed map[uint64][]aubapi.ObjectID
+}
+
+// NewState returns the empty state that keeps at most limit outcomes.
+func NewState(limit int) *State {
+	return &State{
+		config:  aubquery.NewConfig(aubquery.ConfigOpts{}),
+		ledger:  NewLedger(limit),
+		last:    make(map[aubapi.ObjectID]uint64),
+		removed: make(map[uint64][]aubapi.ObjectID),
+	}
+}
+
+// Config returns the configuration that the accepted tickets left.
+func (s *State) Config() aubquery.Config { return s.config }
+
+// Outcome returns the recorded outcome of the number.
+func (s *State) Outcome(number uint64) (aubapi.TicketOutcome, bool) {
+	r, ok := s.ledger.Record(number)
+	if !ok {
+		return aubapi.TicketOutcome{}, false
+	}
+	return recordedOutcome(r), true
+}
+
+// Execute decides the ticket and, when it is accepted, applies it. The change
+// counts only for a newly accepted ticket.
+func (s *State) Execute(t aubapi.Ticket) (outcome aubapi.TicketOutcome, change aubquery.Change, accepted bool) {
+	d := s.Decide(t)
+	if !d.Recorded {
+		return d.Outcome, aubquery.Change{}, false
+	}
+	if d.Accepted {
+		s.apply(t, d.Change)
+	}
+	s.record(Record{Digest: d.Digest, Outcome: d.Outcome})
+	return d.Outcome, d.Change, d.Accepted
+}
+
+func (s *State) apply(t aubapi.Ticket, change aubquery.Change) {
+	s.config = s.config.WithChange(change)
+	for _, id := range TouchedIDs(t) {
+		s.last[id] = t.Number
+	}
+	if len(t.Remove) > 0 {
+		s.removed[t.Number] = t.Remove
+	}
+}
+
+// record keeps the outcome and forgets the objects that the displaced ticket
+// removed: no number that low is decided any more.
+func (s *State) record(r Record) {
+	evicted := s.ledger.Add(r)
+	if evicted == 0 {
+		return
+	}
+	for _, id := range s.removed[evicted] {
+		if s.last[id] == evicted {
+			delete(s.last, id)
+		}
+	}
+	delete(s.removed, evicted)
+}
+
+// changeOf returns the change that the ticket makes to the configuration.
+func changeOf(cfg aubquery.Config, t aubapi.Ticket) aubquery.Change {
+	return aubquery.Change{
+		Objects: aubquery.ConfigOpts{
+			Version:    cfg.Version() + 1,
+			Workspaces: t.Workspaces,
+			Keys:       t.Keys,
+			Models:     t.Models,
+			Adapters:   t.Adapters,
+			Routes:     t.Routes,
+		},
+		Remove: t.Remove,
+	}
+}
--- /dev/null
+++ b/internal/aubstate/aubquery/change.go
@@ -0,0 +1,92 @@
+package aubquery
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// Change turns one configuration into a later one. It is immutable.
+type Change struct {
+	// Objects holds the new state of every changed object and the version reached.
+	Objects ConfigOpts
+	// Remove names the objects that are gone.
+	Remove []aubapi.ObjectID
+}
+
+// WithChange returns the configuration after the change. Removals come first.
+func (c Config) WithChange(change Change) Config {
+	c.version = change.Objects.Version
+	for _, kind := range []aubapi.Kind{
+		aubapi.KindWorkspace, aubapi.KindKey, aubapi.KindModel, aubapi.KindAdapter, aubapi.KindRoute,
+	} {
+		c = c.withKind(kind, change)
+	}
+	return c
+}
+
+func (c Config) withKind(kind aubapi.Kind, change Change) Config {
+	removed := namesOf(kind, change.Remove)
+	switch kind {
+	case aubapi.KindWorkspace:
+		name := func(w aubapi.Workspace) string { return w.Name }
+		c.workspaces, c.digest = replace(c.workspaces, c.digest, kind, change.Objects.Workspaces, removed, name)
+	case aubapi.KindKey:
+		name := func(k aubapi.Key) string { return k.Name }
+		if len(change.Objects.Keys) > 0 || len(removed) > 0 {
+			c.keys, c.digest = replace(c.keys, c.digest, kind, change.Objects.Keys, removed, name)
+			c.lookups = indexLookups(c.keys)
+		}
+	case aubapi.KindModel:
+		name := func(m aubapi.Model) string { return m.Name }
+		c.models, c.digest = replace(c.models, c.digest, kind, change.Objects.Models, removed, name)
+	case aubapi.KindAdapter:
+		name := func(a aubapi.Adapter) string { return a.Name }
+		c.adapters, c.digest = replace(c.adapters, c.digest, kind, change.Objects.Adapters, removed, name)
+	case aubapi.KindRoute:
+		name := func(r aubapi.Route) string { return r.Name }
+		var routes map[string]aubapi.Route
+		routes, c.digest = replace(indexBy(c.routes, name), c.digest, kind, change.Objects.Routes, removed, name)
+		c.routes = sortRoutes(slices.Collect(maps.Values(routes)))
+	}
+	return c
+}
+
+// replace returns a copy of the objects with some removed and others set, and
+// the digest that follows the change.
+func replace[T any](
+	objects map[string]T, d Digest, kind aubapi.Kind, set []T, removed []string, name func(T) string,
+) (map[string]T, Digest) {
+	if len(set) == 0 && len(removed) == 0 {
+		return objects, d
+	}
+	next := maps.Clone(objects)
+	if next == nil {
+		next = make(map[string]T, len(set))
+	}
+	for _, n := range removed {
+		if old, ok := next[n]; ok {
+			d = d.minus(objectDigest(kind, old))
+			delete(next, n)
+		}
+	}
+	for _, o := range set {
+		if old, ok := next[name(o)]; ok {
+			d = d.minus(objectDigest(kind, old))
+		}
+		d = d.plus(objectDigest(kind, o))
+		next[name(o)] = o
+	}
+	return next, d
+}
+
+func namesOf(kind aubapi.Kind, ids []aubapi.ObjectID) []string {
+	var names []string
+	for _, id := range ids {
+		if id.Kind == kind {
+			names = append(names, id.Name)
+		}
+	}
+	return names
+}
--- a/internal/aubstate/aubquery/config.go
+++ b/internal/aubstate/aubquery/config.go
@@ -14,10 +14,12 @@
 type Config struct {
 	version    uint64
 	workspaces map[string]aubapi.Workspace
-	keys       map[string][]aubapi.Key
+	keys       map[string]aubapi.Key
+	lookups    map[string][]aubapi.Key
 	models     map[string]aubapi.Model
 	adapters   map[string]aubapi.Adapter
 	routes     []aubapi.Route
+	digest     Digest
 }
 
 // ConfigOpts lists what a configuration holds.
@@ -35,24 +37,34 @@
 	c := Config{
 		version:    opts.Version,
 		workspaces: indexBy(opts.Workspaces, func(w aubapi.Workspace) string { return w.Name }),
-		keys:       make(map[string][]aubapi.Key),
+		keys:       indexBy(opts.Keys, func(k aubapi.Key) string { return k.Name }),
 		models:     indexBy(opts.Models, func(m aubapi.Model) string { return m.Name }),
 		adapters:   indexBy(opts.Adapters, func(a aubapi.Adapter) string { return a.Name }),
 		routes:     slices.Clone(opts.Routes),
 	}
-	for _, k := range opts.Keys {
-		c.keys[k.Lookup] = append(c.keys[k.Lookup], k)
-	}
-	// Longest prefix first, so that the first match is the one that counts.
-	slices.SortStableFunc(c.routes, func(a, b aubapi.Route) int {
-		if d := len(b.Prefix) - len(a.Prefix); d != 0 {
-			return d
-		}
-		return strings.Compare(a.Prefix, b.Prefix)
-	})
+	c.lookups = indexLookups(c.keys)
+	c.routes = sortRoutes(c.routes)
+	c.digest = digestOf(opts)
 	return c
 }
 
+// Opts returns everything the configuration holds, in order of name.
+func (c Config) Opts() ConfigOpts {
+	routes := slices.Clone(c.routes)
+	slices.SortFunc(routes, func(a, b aubapi.Route) int { return strings.Compare(a.Name, b.Name) })
+	return ConfigOpts{
+		Version:    c.version,
+		Workspaces: c.Workspaces(),
+		Keys:       c.AllKeys(),
+		Models:     c.Models(),
+		Adapters:   c.Adapters(),
+		Routes:     routes,
+	}
+}
+
+// Digest returns the digest of everything the configuration holds, without its version.
+func (c Config) Digest() Digest { return c.digest }
+
 // Version returns the configuration version; it only grows.
 func (c Config) Version() uint64 { return c.version }
 
@@ -66,7 +78,16 @@
 func (c Config) Workspaces() []aubapi.Workspace { return sortedValues(c.workspaces) }
 
 // Keys returns the keys that share a lookup value.
-func (c Config) Keys(lookup string) []aubapi.Key { return c.keys[lookup] }
+func (c Config) Keys(lookup string) []aubapi.Key { return c.lookups[lookup] }
+
+// Key returns the key of the name.
+func (c Config) Key(name string) (aubapi.Key, bool) {
+	k, ok := c.keys[name]
+	return k, ok
+}
+
+// AllKeys returns all keys in order of name.
+func (c Config) AllKeys() []aubapi.Key { return sortedValues(c.keys) }
 
 // Model returns the model of the name.
 func (c Config) Model(name string) (aubapi.Model, bool) {
@@ -125,6 +146,29 @@
 	return rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/")
 }
 
+func indexLookups(keys map[string]aubapi.Key) map[string][]aubapi.Key {
+	index := make(map[string][]aubapi.Key, len(keys))
+	for _, k := range keys {
+		index[k.Lookup] = append(index[k.Lookup], k)
+	}
+	return index
+}
+
+// sortRoutes puts the longest prefix first, so that the first match is the one
+// that counts.
+func sortRoutes(routes []aubapi.Route) []aubapi.Route {
+	slices.SortFunc(routes, func(a, b aubapi.Route) int {
+		if d := len(b.Prefix) - len(a.Prefix); d != 0 {
+			return d
+		}
+		if d := strings.Compare(a.Prefix, b.Prefix); d != 0 {
+			return d
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return routes
+}
+
 func indexBy[T any](values []T, name func(T) string) map[string]T {
 	index := make(map[string]T, len(values))
 	for _, v := range values {
--- /dev/null
+++ b/internal/aubstate/aubquery/digest.go
@@ -0,0 +1,71 @@
+package aubquery
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+const digestLanes = sha256.Size / 8
+
+// Digest identifies the content of a configuration. It is the lane-wise sum of
+// the hashes of all objects, so a change costs only the objects it touches.
+// It detects faults of transport and replay; it is no defence against forgery.
+type Digest [digestLanes]uint64
+
+// Bytes returns the encoded digest, 32 bytes.
+func (d Digest) Bytes() []byte {
+	b := make([]byte, 0, sha256.Size)
+	for _, lane := range d {
+		b = binary.BigEndian.AppendUint64(b, lane)
+	}
+	return b
+}
+
+func (d Digest) plus(o Digest) Digest {
+	for i := range d {
+		d[i] += o[i]
+	}
+	return d
+}
+
+func (d Digest) minus(o Digest) Digest {
+	for i := range d {
+		d[i] -= o[i]
+	}
+	return d
+}
+
+func digestOf(opts ConfigOpts) Digest {
+	var d Digest
+	d = sumObjects(d, aubapi.KindWorkspace, opts.Workspaces)
+	d = sumObjects(d, aubapi.KindKey, opts.Keys)
+	d = sumObjects(d, aubapi.KindModel, opts.Models)
+	d = sumObjects(d, aubapi.KindAdapter, opts.Adapters)
+	return sumObjects(d, aubapi.KindRoute, opts.Routes)
+}
+
+func sumObjects[T any](d Digest, kind aubapi.Kind, objects []T) Digest {
+	for _, o := range objects {
+		d = d.plus(objectDigest(kind, o))
+	}
+	return d
+}
+
+// objectDigest hashes one object. Its JSON form is canonical: the fields of a
+// struct in their order, without maps.
+func objectDigest[T any](kind aubapi.Kind, object T) Digest {
+	data, err := json.Marshal(object)
+	if err != nil {
+		// Objects are plain data of strings, numbers and lists.
+		panic(err)
+	}
+	sum := sha256.Sum256(append([]byte(kind+"\x00"), data...))
+	var d Digest
+	for i := range d {
+		d[i] = binary.BigEndian.Uint64(sum[i*8:])
+	}
+	return d
+}
--- /dev/null
+++ b/internal/aubstate/error.go
@@ -0,0 +1,16 @@
+package aubstate
+
+import "fmt"
+
+// SnapshotError says that a snapshot of the configuration can't be read.
+type SnapshotError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("configuration snapshot not readable: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/aubclient/client.go
@@ -0,0 +1,151 @@
+// Package aubclient is a client of the administration API.
+package aubclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// maxAnswerBytes bounds an answer of the administration API.
+const maxAnswerBytes = 64 << 20
+
+// ClientOpts lists what a client needs.
+type ClientOpts struct {
+	// BaseURL is the address of the administration listener, such as http://127.0.0.1:9080.
+	BaseURL string
+	// Credential is the operator's bearer token.
+	Credential string
+	// HTTP sends the requests; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Client calls the administration API. It is safe for concurrent use.
+type Client struct {
+	opts ClientOpts
+}
+
+// NewClient returns a client.
+func NewClient(opts ClientOpts) *Client {
+	opts.BaseURL = strings.TrimRight(opts.BaseURL, "/")
+	if opts.HTTP == nil {
+		opts.HTTP = http.DefaultClient
+	}
+	return &Client{opts: opts}
+}
+
+// ApplyTicket sends the ticket and returns its outcome, whatever it is. With a
+// wait above zero it returns once the ticket is in force or the wait is over.
+// Errors are *ProblemError and *UncertainError; after either, sending the same
+// ticket again is safe.
+func (c *Client) ApplyTicket(ctx context.Context, t aubapi.Ticket, wait time.Duration) (aubapi.TicketOutcome, error) {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return aubapi.TicketOutcome{}, &ProblemError{Problem: aubapi.Problem{Detail: err.Error(), Execution: aubapi.ExecutionNotRun}}
+	}
+	path := "tickets/" + strconv.FormatUint(t.Number, 10)
+	if wait > 0 {
+		path += "?wait=" + url.QueryEscape(wait.String())
+	}
+	var outcome aubapi.TicketOutcome
+	err = c.do(ctx, http.MethodPut, path, body, &outcome)
+	return outcome, err
+}
+
+// Ticket returns the kept outcome of a ticket.
+func (c *Client) Ticket(ctx context.Context, number uint64) (aubapi.TicketOutcome, error) {
+	var outcome aubapi.TicketOutcome
+	err := c.do(ctx, http.MethodGet, "tickets/"+strconv.FormatUint(number, 10), nil, &outcome)
+	return outcome, err
+}
+
+// Workspaces returns all workspaces in order of name.
+func (c *Client) Workspaces(ctx context.Context) ([]aubapi.Workspace, error) {
+	return get[[]aubapi.Workspace](ctx, c, "workspaces")
+}
+
+// Models returns all models in order of name.
+func (c *Client) Models(ctx context.Context) ([]aubapi.Model, error) {
+	return get[[]aubapi.Model](ctx, c, "models")
+}
+
+// Adapters returns all adapters in order of name.
+func (c *Client) Adapters(ctx context.Context) ([]aubapi.Adapter, error) {
+	return get[[]aubapi.Adapter](ctx, c, "adapters")
+}
+
+// Routes returns all routes in order of name.
+func (c *Client) Routes(ctx context.Context) ([]aubapi.Route, error) {
+	return get[[]aubapi.Route](ctx, c, "routes")
+}
+
+// Keys returns what may be shown of all keys, in order of name.
+func (c *Client) Keys(ctx context.Context) ([]aubapi.KeyInfo, error) {
+	return get[[]aubapi.KeyInfo](ctx, c, "keys")
+}
+
+// Version returns the version of the configuration.
+func (c *Client) Version(ctx context.Context) (aubapi.ConfigVersion, error) {
+	return get[aubapi.ConfigVersion](ctx, c, "version")
+}
+
+// Members returns the known processes in order of name.
+func (c *Client) Members(ctx context.Context) ([]aubapi.Member, error) {
+	return get[[]aubapi.Member](ctx, c, "members")
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var answer T
+	err := c.do(ctx, http.MethodGet, path, nil, &answer)
+	return answer, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, answer any) error {
+	r, err := http.NewRequestWithContext(ctx, method, c.opts.BaseURL+"/admin/v1/"+path, bytes.NewReader(body))
+	if err != nil {
+		return &ProblemError{Problem: aubapi.Problem{Detail: err.Error(), Execution: aubapi.ExecutionNotRun}}
+	}
+	r.Header.Set("Authorization", "Bearer "+c.opts.Credential)
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Accept", "application/json")
+	resp, err := c.opts.HTTP.Do(r)
+	if err != nil {
+		return &UncertainError{Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &UncertainError{Err: err}
+	}
+	return decodeAnswer(resp, data, answer)
+}
+
+func decodeAnswer(resp *http.Response, data []byte, answer any) error {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") {
+		return decodeProblem(resp, data)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return &UncertainError{Err: fmt.Errorf("status %d with an answer that is not of this API: %w", resp.StatusCode, err)}
+	}
+	return nil
+}
+
+func decodeProblem(resp *http.Response, data []byte) error {
+	p := aubapi.Problem{Status: resp.StatusCode}
+	if err := json.Unmarshal(data, &p); err != nil {
+		return &UncertainError{Err: fmt.Errorf("status %d with a problem that can't be read: %w", resp.StatusCode, err)}
+	}
+	if seconds, err := strconv.ParseInt(resp.Header.Get("Retry-After"), 10, 64); err == nil {
+		p.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return &ProblemError{Problem: p}
+}
