Add membership datagrams and the request router

Processes announce themselves by authenticated UDP datagrams over gnet. Residents travel in pages apart from the load report and only when they changed or were asked for, because a full list in each report does not fit the budget of 8 KB a second. Gnet shares UDP ports between processes, so a taken address is probed for first.

The router offers a bounded sample of ready members to a policy: expected_first_token, round_robin or least_in_flight.

--- /dev/null
+++ b/internal/aubmembership/membership_test.go
@@ -0,0 +1,142 @@
+package aubmembership_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	interval = 100 * time.Millisecond
+	patience = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// gnet's package starts these once for its own pool.
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+}
+
+// start runs a membership that ends with the test.
+func start(t testing.TB, self *aubwire.Announcement, seeds ...string) *aubmembership.Membership {
+	return startOn(t, "127.0.0.1:0", self, seeds...)
+}
+
+func startOn(t testing.TB, listen string, self *aubwire.Announcement, seeds ...string) *aubmembership.Membership {
+	ctx, cancel := context.WithCancel(context.Background())
+	m, err := aubmembership.NewMembership(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubmembership.MembershipOpts{
+		Listen: listen, Seeds: seeds, Secret: []byte("secret"),
+		Self:     func() *aubwire.Announcement { return self },
+		Interval: interval, Timeout: 10 * interval,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		cancel()
+		<-m.Done()
+	})
+	return m
+}
+
+func eventually(t testing.TB, what string, check func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !check() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen in time: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func entry(name string) *aubwire.Announcement {
+	return &aubwire.Announcement{Name: name, Role: aubwire.Role_ROLE_ENTRY, Incarnation: 1}
+}
+
+func agent(name string, residents int) *aubwire.Announcement {
+	a := &aubwire.Announcement{
+		Name: name, Role: aubwire.Role_ROLE_AGENT, Incarnation: 1, Zone: "a",
+		Backend: &aubwire.BackendReport{Engine: true},
+	}
+	for i := range residents {
+		a.Backend.Resident = append(a.Backend.Resident, &aubwire.Resident{
+			Name: fmt.Sprintf("adapter-%03d-of-a-workspace", i), Adapter: true, State: aubwire.Residency_RESIDENCY_READY,
+		})
+	}
+	return a
+}
+
+func residents(m *aubmembership.Membership, name string) int {
+	member, ok := m.View().Member(name)
+	if !ok {
+		return -1
+	}
+	return len(member.Announcement.GetBackend().GetResident())
+}
+
+func TestAgentThatReachesOneEntryIsKnownToAll(t *testing.T) {
+	e1 := start(t, entry("e1"))
+	e2 := start(t, entry("e2"), e1.Address().String())
+	// 200 residents take several datagrams.
+	start(t, agent("w1", 200), e2.Address().String())
+	eventually(t, "w1 at e2", func() bool { return residents(e2, "w1") == 200 })
+	eventually(t, "w1 at e1", func() bool { return residents(e1, "w1") == 200 })
+}
+
+func TestLeavingIsHeardAndSilenceIsLost(t *testing.T) {
+	e1 := start(t, entry("e1"))
+	w1 := start(t, agent("w1", 1), e1.Address().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	w2, err := aubmembership.NewMembership(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubmembership.MembershipOpts{
+		Listen: "127.0.0.1:0", Seeds: []string{e1.Address().String()}, Secret: []byte("secret"),
+		Self: func() *aubwire.Announcement { return agent("w2", 0) }, Interval: interval,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "both agents", func() bool { return len(e1.View().Role(aubwire.Role_ROLE_AGENT)) == 2 })
+
+	w1.Leave()
+	eventually(t, "w1 leaving", func() bool {
+		member, _ := e1.View().Member("w1")
+		return member.Announcement.GetLeaving()
+	})
+	cancel()
+	<-w2.Done()
+	eventually(t, "w2 lost", func() bool {
+		lost := e1.View().Lost()
+		return len(lost) == 1 && lost[0].Announcement.GetName() == "w2"
+	})
+}
+
+func TestWrongSecretIsNotHeard(t *testing.T) {
+	e1 := start(t, entry("e1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	w, err := aubmembership.NewMembership(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubmembership.MembershipOpts{
+		Listen: "127.0.0.1:0", Seeds: []string{e1.Address().String()}, Secret: []byte("other"),
+		Self: func() *aubwire.Announcement { return agent("w1", 0) }, Interval: interval,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	start(t, agent("w2", 0), e1.Address().String())
+	eventually(t, "w2", func() bool { return residents(e1, "w2") == 0 })
+	qt.Assert(t, residents(e1, "w1"), qt.Equals, -1)
+	cancel()
+	<-w.Done()
+}
+
+func TestListenOnTakenAddressFails(t *testing.T) {
+	e1 := start(t, entry("e1"))
+	_, err := aubmembership.NewMembership(context.Background(), aubcommon.NewCommon(aubtimer.NewReal()),
+		aubmembership.MembershipOpts{
+			Listen: e1.Address().String(), Secret: []byte("secret"),
+			Self: func() *aubwire.Announcement { return entry("e2") },
+		})
+	qt.Assert(t, err, qt.ErrorMatches, ".*address already in use.*")
+}
--- /dev/null
+++ b/internal/aubmembership/opts.go
@@ -0,0 +1,77 @@
+package aubmembership
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// Defaults of the options.
+const (
+	DefaultInterval = time.Second
+	DefaultTimeout  = 4 * time.Second
+	// DefaultBudget is what a process sends at most, in bytes a second.
+	DefaultBudget = 8192
+)
+
+// MembershipOpts are the options of NewMembership.
+type MembershipOpts struct {
+	// Listen is the UDP address, ip:port.
+	Listen string
+	// Seeds are the membership addresses of all entries and control instances, ip:port.
+	Seeds []string
+	// Secret authenticates datagrams; all processes of a site share it.
+	Secret []byte
+	// Self returns what this process announces; its sequence is set here. It is
+	// called from the membership's goroutine and must not block.
+	Self func() *aubwire.Announcement
+	// Interval between announcements; 0 means DefaultInterval.
+	Interval time.Duration
+	// Timeout after which a silent member is lost; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Budget bounds the bytes sent in any second; 0 means DefaultBudget.
+	Budget int
+}
+
+var (
+	errMissing      = errors.New("must be set")
+	errTooShort     = errors.New("must be at least three intervals")
+	errBudgetTooLow = errors.New("must hold at least two datagrams")
+)
+
+func (o MembershipOpts) withDefaults() MembershipOpts {
+	if o.Interval == 0 {
+		o.Interval = DefaultInterval
+	}
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Budget == 0 {
+		o.Budget = DefaultBudget
+	}
+	return o
+}
+
+func (o MembershipOpts) check() error {
+	switch {
+	case len(o.Secret) == 0:
+		return &OptsError{Field: "secret", Err: errMissing}
+	case o.Self == nil:
+		return &OptsError{Field: "self", Err: errMissing}
+	case o.Timeout < 3*o.Interval:
+		return &OptsError{Field: "timeout", Err: errTooShort}
+	case o.Budget < 2*(MaxDatagramBytes+datagramOverheadBytes):
+		return &OptsError{Field: "budget", Err: errBudgetTooLow}
+	}
+	if _, err := netip.ParseAddrPort(o.Listen); err != nil {
+		return &OptsError{Field: "listen", Err: err}
+	}
+	for _, seed := range o.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return &OptsError{Field: "seeds", Err: err}
+		}
+	}
+	return nil
+}
--- a/internal/aubmembership/view.go
+++ b/internal/aubmembership/view.go
@@ -22,6 +22,8 @@
 	at      time.Time
 	members map[string]Member
 	names   []string
+	lost    []Member
+	shape   uint64
 }
 
 // NewView returns a view of the members, taken at the given time.
@@ -38,6 +40,28 @@
 	return v
 }
 
+// WithLost returns a copy that also names members that were heard once and are
+// silent now.
+func (v View) WithLost(lost ...Member) View {
+	v.lost = slices.Clone(lost)
+	return v
+}
+
+// WithShape returns a copy marked with the number of the members' shape.
+func (v View) WithShape(shape uint64) View {
+	v.shape = shape
+	return v
+}
+
+// Lost returns the members that were not heard for the timeout and did not
+// leave, in order of name. They are not part of Members.
+func (v View) Lost() []Member { return slices.Clone(v.lost) }
+
+// Shape is a number that changes whenever a member joins, leaves, restarts or
+// changes its residents, services or address. Views of equal shape, other than
+// 0, differ in load reports alone.
+func (v View) Shape() uint64 { return v.shape }
+
 // At returns the time the view was taken.
 func (v View) At() time.Time { return v.at }
 
--- /dev/null
+++ b/internal/aubroute/budget.go
@@ -0,0 +1,56 @@
+package aubroute
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// DefaultRetryShare is the number of retries that each request allows.
+	DefaultRetryShare = 0.1
+	// retryBurst bounds the retries saved up.
+	retryBurst = 20.0
+	// retryFloor is the number of retries a second allowed without traffic.
+	retryFloor = 1.0
+)
+
+// RetryBudget bounds retries to a share of the traffic. It is a token bucket
+// that requests fill and retries empty. Its methods may be called concurrently.
+type RetryBudget struct {
+	share float64
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+// NewRetryBudget returns a full budget with the share of retries to requests.
+func NewRetryBudget(now time.Time, share float64) *RetryBudget {
+	return &RetryBudget{share: share, tokens: retryBurst, last: now}
+}
+
+// Add counts one request.
+func (b *RetryBudget) Add(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(b.tokens+b.share, retryBurst)
+}
+
+// Take allows one retry and counts it, or refuses it.
+func (b *RetryBudget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *RetryBudget) refill(now time.Time) {
+	elapsed := max(now.Sub(b.last), 0)
+	b.last = now
+	b.tokens = min(b.tokens+retryFloor*elapsed.Seconds(), retryBurst)
+}
--- /dev/null
+++ b/internal/aubroute/gather.go
@@ -0,0 +1,180 @@
+package aubroute
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// sampleNear and sampleFar bound the members looked at in this zone and in others.
+	sampleNear = 6
+	sampleFar  = 4
+)
+
+// option is a member that could take the request.
+type option struct {
+	member    aubmembership.Member
+	state     *memberState
+	candidate Candidate
+}
+
+// gathering collects options for one request.
+type gathering struct {
+	fit []option
+	// out are members that are ejected or get only a share of their work.
+	out []option
+}
+
+// gather returns a bounded sample of members that can take the request. Members
+// that are ejected are left out unless there is no other.
+func (r *Router) gather(now time.Time, view aubmembership.View, request Request, h *holders) []option {
+	var g gathering
+	if r.inTurn {
+		r.considerInTurn(&g, now, view, request, h)
+		return g.options()
+	}
+	r.consider(&g, now, view, request, h.near, sampleNear)
+	r.consider(&g, now, view, request, h.far, sampleFar)
+	r.consider(&g, now, view, request, r.affine(request, h), maxPrefixHolders)
+	return g.options()
+}
+
+// consider adds up to limit of the named members, sampled at random.
+func (r *Router) consider(
+	g *gathering, now time.Time, view aubmembership.View, request Request, names []string, limit int,
+) {
+	want := len(g.fit) + limit
+	r.sample(names, func(name string) bool {
+		r.addOption(g, now, view, request, name)
+		return len(g.fit) < want
+	})
+}
+
+// considerInTurn adds the next fit member in order of name.
+func (r *Router) considerInTurn(
+	g *gathering, now time.Time, view aubmembership.View, request Request, h *holders,
+) {
+	turn := r.turn(request.name())
+	n := uint64(h.len())
+	for i := range n {
+		r.addOption(g, now, view, request, h.at(int((turn+i)%n)))
+		if len(g.fit) > 0 {
+			return
+		}
+	}
+}
+
+func (r *Router) addOption(
+	g *gathering, now time.Time, view aubmembership.View, request Request, name string,
+) {
+	o, ok := r.option(now, view, request, name)
+	if !ok || slices.ContainsFunc(g.fit, o.same) {
+		return
+	}
+	if r.rnd.Float64() < o.state.health.Share(now) {
+		g.fit = append(g.fit, o)
+		return
+	}
+	g.out = append(g.out, o)
+}
+
+// options returns the fit members, or else the ejected one that is soonest back.
+func (g *gathering) options() []option {
+	if len(g.fit) > 0 || len(g.out) == 0 {
+		return g.fit
+	}
+	return []option{slices.MinFunc(g.out, func(a, b option) int {
+		return a.state.health.EjectedUntil.Compare(b.state.health.EjectedUntil)
+	})}
+}
+
+func (o option) same(other option) bool { return o.state == other.state }
+
+// sample calls visit for names in a random order, from a random place on, until
+// it returns false. It costs as much as the calls of visit.
+func (r *Router) sample(names []string, visit func(string) bool) {
+	n := len(names)
+	if n == 0 {
+		return
+	}
+	// A random start and a stride prime to n visit each name once.
+	at := r.rnd.IntN(n)
+	stride := r.stride(n)
+	for range n {
+		if !visit(names[at]) {
+			return
+		}
+		at = (at + stride) % n
+	}
+}
+
+func (r *Router) stride(n int) int {
+	for {
+		stride := 1 + r.rnd.IntN(n)
+		if gcd(stride, n) == 1 {
+			return stride
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// affine returns the holders of the target that hold the longest prompt prefix.
+func (r *Router) affine(request Request, h *holders) []string {
+	var names []string
+	for _, holder := range r.prefixes.holders(request.Prefixes) {
+		_, near := slices.BinarySearch(h.near, holder.name)
+		_, far := slices.BinarySearch(h.far, holder.name)
+		if near || far {
+			names = append(names, holder.name)
+		}
+	}
+	return names
+}
+
+// option returns the member's snapshot, or false when it can't take the request.
+func (r *Router) option(now time.Time, view aubmembership.View, request Request, name string) (option, bool) {
+	m, ok := view.Member(name)
+	if !ok || m.Announcement.GetLeaving() || slices.Contains(request.Exclude, name) {
+		return option{}, false
+	}
+	if request.Adapter != "" && !ready(m.Announcement, request.Model) {
+		return option{}, false
+	}
+	s := r.state(now, m)
+	return option{member: m, state: s, candidate: r.candidate(m, s, request)}, true
+}
+
+// candidate corrects the member's report, which lags, by this instance's own
+// work since.
+func (r *Router) candidate(m aubmembership.Member, s *memberState, request Request) Candidate {
+	b := m.Announcement.GetBackend()
+	requests, tokens := s.unreported(m.HeardAt.Add(-r.opts.ReportLag))
+	c := Candidate{
+		PendingTokens: b.GetQueuedTokens() + tokens,
+		InFlight:      int(b.GetRunning()+b.GetQueued()) + requests,
+		OwnInFlight:   s.inFlight.Len(),
+		PrefillRate:   b.GetPrefillRate(),
+		CachedTokens:  int64(r.prefixes.cached(s.holder(), request.Prefixes)) * r.opts.BlockTokens,
+		Slowness:      max(s.health.Slowness, 1),
+	}
+	if m.Announcement.GetZone() != r.opts.Zone {
+		c.Distance = r.opts.ZoneDistance
+	}
+	return c
+}
+
+// ready reports whether the model is ready on the member.
+func ready(a *aubwire.Announcement, model string) bool {
+	return slices.ContainsFunc(a.GetBackend().GetResident(), func(r *aubwire.Resident) bool {
+		return !r.GetAdapter() && r.GetName() == model && r.GetState() == aubwire.Residency_RESIDENCY_READY
+	})
+}
--- /dev/null
+++ b/internal/aubroute/router.go
@@ -0,0 +1,304 @@
+package aubroute
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+)
+
+const (
+	// DefaultZoneDistance is the round trip between two zones.
+	DefaultZoneDistance = 3 * time.Millisecond
+	// DefaultReportLag is how old a load report is when it arrives.
+	DefaultReportLag = 100 * time.Millisecond
+	// loadingRetryAfter and missingRetryAfter are the times after which a model
+	// that loads, or waits for its load, is likely to be ready.
+	loadingRetryAfter = time.Second
+	missingRetryAfter = 3 * time.Second
+	// maxIdleState is how long the state of a member without work is kept.
+	maxIdleState = 10 * time.Minute
+	// maxTurns bounds the targets that take turns.
+	maxTurns = 4096
+)
+
+// RouterOpts are the options of NewRouter.
+type RouterOpts struct {
+	// Policy names the policy; empty means PolicyExpectedFirstToken.
+	Policy string
+	// Zone is the availability zone of this instance.
+	Zone string
+	// Source gives the members.
+	Source aubmembership.Source
+	// Config tells which models exist; nil means that every model may.
+	Config aubquery.Source
+	// ZoneDistance is the round trip to another zone; 0 means DefaultZoneDistance.
+	ZoneDistance time.Duration
+	// ReportLag is the age of load reports on arrival; 0 means DefaultReportLag.
+	ReportLag time.Duration
+	// RetryShare is the number of retries that each request allows; 0 means
+	// DefaultRetryShare.
+	RetryShare float64
+	// BlockTokens is the number of prompt tokens that each hash in
+	// Request.Prefixes stands for; 0 means DefaultBlockTokens.
+	BlockTokens int64
+	// Rand chooses samples and equals; nil means a random seed.
+	Rand *rand.Rand
+}
+
+// DefaultBlockTokens is the usual size of a block of an engine's prompt cache.
+const DefaultBlockTokens = 16
+
+// Router chooses members for requests. Its methods may be called concurrently;
+// mu guards all mutable fields and no other lock is taken under it but those of
+// the membership and the retry budget.
+type Router struct {
+	common aubcommon.Common
+	opts   RouterOpts
+	policy Policy[Query, Candidate]
+	budget *RetryBudget
+	// inTurn makes the members take turns instead of being sampled.
+	inTurn bool
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	index    *index
+	states   map[string]*memberState
+	prefixes *prefixTable
+	turns    map[target]uint64
+	swept    time.Time
+}
+
+// NewRouter returns a router. Errors are *PolicyError.
+func NewRouter(common aubcommon.Common, opts RouterOpts) (*Router, error) {
+	policy, err := NewPolicy(opts.Policy)
+	if err != nil {
+		return nil, err
+	}
+	opts = opts.withDefaults()
+	common = common.WithPart("route")
+	now := common.Timer.Now()
+	_, inTurn := policy.(RoundRobin)
+	return &Router{
+		inTurn:   inTurn,
+		common:   common,
+		opts:     opts,
+		policy:   policy,
+		budget:   NewRetryBudget(now, opts.RetryShare),
+		rnd:      opts.Rand,
+		states:   make(map[string]*memberState),
+		prefixes: newPrefixTable(),
+		turns:    make(map[target]uint64),
+		swept:    now,
+	}, nil
+}
+
+func (o RouterOpts) withDefaults() RouterOpts {
+	if o.ZoneDistance == 0 {
+		o.ZoneDistance = DefaultZoneDistance
+	}
+	if o.ReportLag == 0 {
+		o.ReportLag = DefaultReportLag
+	}
+	if o.RetryShare == 0 {
+		o.RetryShare = DefaultRetryShare
+	}
+	if o.BlockTokens == 0 {
+		o.BlockTokens = DefaultBlockTokens
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return o
+}
+
+// Pick chooses the member for a request. Errors are *NoBackendError.
+func (r *Router) Pick(request Request) (Choice, error) {
+	view := r.opts.Source.View()
+	now := r.common.Timer.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sweep(now)
+	t := request.name()
+	h := r.holders(view, t)
+	if h == nil || h.len() == 0 {
+		return Choice{}, r.noBackend(t, h)
+	}
+	found := r.gather(now, view, request, h)
+	if len(found) == 0 {
+		return Choice{}, r.noBackend(t, h)
+	}
+	return r.choose(now, request, found), nil
+}
+
+// AllowRetry counts one retry against the budget and tells whether it may be made.
+func (r *Router) AllowRetry() bool { return r.budget.Take(r.common.Timer.Now()) }
+
+// CacheEvent takes in what a member's engine tells of its prompt cache. After a
+// gap all that was believed of the member is dropped.
+func (r *Router) CacheEvent(m aubmembership.Member, e CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.state(r.common.Timer.Now(), m)
+	if e.Sequence <= s.cacheSequence {
+		return
+	}
+	gap := s.cacheSequence != 0 && e.Sequence != s.cacheSequence+1
+	s.cacheSequence = e.Sequence
+	if gap || e.Cleared {
+		s.cacheEpoch++
+	}
+	r.prefixes.store(s.holder(), e.Stored)
+	r.prefixes.evict(s.name, e.Evicted)
+}
+
+// choose lets the policy decide between the members found.
+func (r *Router) choose(now time.Time, request Request, found []option) Choice {
+	candidates := make([]Candidate, len(found))
+	for i, o := range found {
+		candidates[i] = o.candidate
+	}
+	q := Query{PromptTokens: request.PromptTokens, Tie: r.rnd.Float64()}
+	o := found[r.policy.Choose(q, candidates)]
+	expected := Expect(q, o.candidate)
+	return Choice{
+		Member:   o.member,
+		Expected: expected,
+		router:   r,
+		work: &work{
+			member:    o.state,
+			startedAt: now,
+			tokens:    max(request.PromptTokens-o.candidate.CachedTokens, 0),
+			expected:  Expect(q, o.candidate.withoutSlowness()),
+			prefixes:  request.Prefixes,
+		},
+	}
+}
+
+func (c Candidate) withoutSlowness() Candidate {
+	c.Slowness = 1
+	return c
+}
+
+func (r *Router) started(c Choice) {
+	now := r.common.Timer.Now()
+	r.budget.Add(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.work.startedAt = now
+	c.work.member.start(c.work)
+}
+
+func (r *Router) firstToken(c Choice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.work.prefilled = true
+}
+
+func (r *Router) finished(c Choice, outcome Outcome) {
+	now := r.common.Timer.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := c.work.member
+	if !s.finish(c.work) {
+		return
+	}
+	before := s.health.Ejections
+	switch {
+	case outcome.Failure == FailureNone:
+		ratio := 0.0
+		if outcome.FirstToken > 0 && c.work.expected > 0 {
+			ratio = outcome.FirstToken.Seconds() / max(c.work.expected, minExpected).Seconds()
+		}
+		s.health = s.health.WithSuccess(now, ratio)
+		r.prefixes.store(s.holder(), c.work.prefixes)
+	case outcome.Failure.faulty():
+		s.health = s.health.WithFailure(now, outcome.Failure)
+	}
+	if s.health.Ejections > before {
+		r.common.Metrics.Counter("ejections").Inc(1)
+		r.common.Log.Sugar().Infow("backend server ejected", "member", s.name, "until", s.health.EjectedUntil)
+	}
+}
+
+// minExpected keeps tiny expectations from making every answer look slow.
+const minExpected = 20 * time.Millisecond
+
+func (r *Router) turn(t target) uint64 {
+	if len(r.turns) >= maxTurns {
+		clear(r.turns)
+	}
+	r.turns[t]++
+	return r.turns[t] - 1
+}
+
+func (r *Router) holders(view aubmembership.View, t target) *holders {
+	if r.index == nil || view.Shape() == 0 || r.index.shape != view.Shape() {
+		r.index = newIndex(view, r.opts.Zone)
+	}
+	return r.index.targets[t]
+}
+
+// noBackend describes why no member was found; h may be nil.
+func (r *Router) noBackend(t target, h *holders) error {
+	e := &NoBackendError{Name: t.name, Known: r.known(t, h)}
+	switch {
+	case !e.Known:
+	case h != nil && h.loading:
+		e.RetryAfter = loadingRetryAfter
+	default:
+		e.RetryAfter = missingRetryAfter
+	}
+	return e
+}
+
+func (r *Router) known(t target, h *holders) bool {
+	if h != nil || r.opts.Config == nil {
+		return true
+	}
+	cfg := r.opts.Config.Config()
+	ok := false
+	switch t.kind {
+	case kindModel:
+		_, ok = cfg.Model(t.name)
+	case kindAdapter:
+		_, ok = cfg.Adapter(t.name)
+	case kindService:
+		for _, route := range cfg.Routes() {
+			ok = ok || route.Service == t.name
+		}
+	}
+	return ok
+}
+
+// state returns the state of a member incarnation; a restart begins anew.
+func (r *Router) state(now time.Time, m aubmembership.Member) *memberState {
+	name := m.Announcement.GetName()
+	s := r.states[name]
+	if s == nil || s.incarnation != m.Announcement.GetIncarnation() {
+		s = &memberState{
+			name:        name,
+			incarnation: m.Announcement.GetIncarnation(),
+			cacheEpoch:  r.rnd.Uint64(),
+		}
+		r.states[name] = s
+	}
+	s.lastUsed = now
+	return s
+}
+
+// sweep forgets members that were not considered for long.
+func (r *Router) sweep(now time.Time) {
+	if now.Sub(r.swept) < maxIdleState {
+		return
+	}
+	r.swept = now
+	for name, s := range r.states {
+		if now.Sub(s.lastUsed) > maxIdleState && s.inFlight.Len() == 0 {
+			delete(r.states, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/aubroute/router_test.go
@@ -0,0 +1,100 @@
+package aubroute_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// fakeSource is a membership whose view the test sets.
+type fakeSource struct {
+	timer   *aubtimer.Manual
+	members []aubmembership.Member
+	shape   uint64
+}
+
+func (s *fakeSource) View() aubmembership.View {
+	return aubmembership.NewView(s.timer.Now(), s.members...).WithShape(s.shape)
+}
+
+// report sets what a member announces, heard now.
+func (s *fakeSource) report(name, zone string, change func(*aubwire.Announcement)) {
+	a := &aubwire.Announcement{
+		Name: name, Zone: zone, Role: aubwire.Role_ROLE_AGENT, Incarnation: 1,
+		Backend: &aubwire.BackendReport{
+			Engine: true, PrefillRate: 1000,
+			Resident: []*aubwire.Resident{{Name: "m", State: aubwire.Residency_RESIDENCY_READY}},
+		},
+	}
+	if change != nil {
+		change(a)
+	}
+	s.shape++
+	m := aubmembership.Member{Announcement: a, HeardAt: s.timer.Now()}
+	for i := range s.members {
+		if s.members[i].Announcement.GetName() == name {
+			s.members[i] = m
+			return
+		}
+	}
+	s.members = append(s.members, m)
+}
+
+func newRouter(t testing.TB, policy string) (*aubroute.Router, *fakeSource) {
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	source := &fakeSource{timer: timer}
+	r, err := aubroute.NewRouter(aubcommon.NewCommon(timer), aubroute.RouterOpts{
+		Policy: policy, Zone: "a", Source: source, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return r, source
+}
+
+func TestPickWithoutHolderSaysSo(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	source.report("w1", "a", func(a *aubwire.Announcement) {
+		a.Backend.Resident[0].State = aubwire.Residency_RESIDENCY_LOADING
+	})
+	_, err := r.Pick(aubroute.Request{Model: "m"})
+	var none *aubroute.NoBackendError
+	qt.Assert(t, errors.As(err, &none), qt.IsTrue)
+	qt.Assert(t, none.Known, qt.IsTrue)
+	qt.Assert(t, none.RetryAfter > 0, qt.IsTrue)
+}
+
+func TestPickCountsOwnWorkSinceTheReport(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	source.report("w1", "a", nil)
+	source.report("w2", "a", nil)
+	picked := map[string]int{}
+	for range 10 {
+		c, err := r.Pick(aubroute.Request{Model: "m", PromptTokens: 500})
+		qt.Assert(t, err, qt.IsNil)
+		c.Started()
+		picked[c.Member.Announcement.GetName()]++
+	}
+	qt.Assert(t, picked, qt.DeepEquals, map[string]int{"w1": 5, "w2": 5})
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyRoundRobin)
+	for _, name := range []string{"w1", "w2", "w3"} {
+		source.report(name, "a", nil)
+	}
+	order := make([]string, 0, 6)
+	for range 6 {
+		c, err := r.Pick(aubroute.Request{Model: "m"})
+		qt.Assert(t, err, qt.IsNil)
+		order = append(order, c.Member.Announcement.GetName())
+	}
+	qt.Assert(t, order, qt.DeepEquals, []string{"w1", "w2", "w3", "w1", "w2", "w3"})
+}
