Run requests and orders on a backend server

Cause: nothing stood between an entry and a model engine. The stand-in engine and plain service, the engine client, the agent and the executor now carry a streamed chat completion, any plain call and load/unload orders end to end. Ruled out: one shared HTTP transport for all calls, because net/http replays a request with an Idempotency-Key header on a reused connection; non-idempotent calls take a connection of their own. Additive in the wire formats: alone, death_id, unreachable, mixed, not_ready, suspects and poisoned.

--- /dev/null
+++ b/internal/aubagent/agent.go
@@ -0,0 +1,157 @@
+package aubagent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"golang.org/x/sync/semaphore"
+	"google.golang.org/grpc"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// leavePoll is how often Leave looks whether everything has finished.
+const leavePoll = 20 * time.Millisecond
+
+// Agent runs requests and orders on one backend server.
+type Agent struct {
+	aubwire.UnimplementedAgentServer
+
+	ctx      context.Context
+	common   aubcommon.Common
+	opts     AgentOpts
+	client   *aubengine.Client
+	keeper   *keeper
+	registry *registry
+	deaths   *deaths
+	// room holds MaxRunning places; one request alone takes them all.
+	room    *semaphore.Weighted
+	running atomic.Int32
+	leaving atomic.Bool
+
+	// mu guards sessions.
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+}
+
+// NewAgent returns a running agent that ends with ctx. Errors come from the
+// data folder only.
+func NewAgent(ctx context.Context, common aubcommon.Common, opts AgentOpts) (*Agent, error) {
+	opts = opts.withDefaults()
+	common = common.WithPart("agent")
+	client := aubengine.NewClient(ctx, common, aubengine.ClientOpts{URL: opts.backendURL()})
+	keeper, err := newKeeper(ctx, common, opts, client)
+	if err != nil {
+		return nil, oops.In("agent").Wrapf(err, "start the agent")
+	}
+	registry, err := newRegistry(maxPast)
+	if err != nil {
+		return nil, oops.In("agent").Wrapf(err, "start the agent")
+	}
+	a := &Agent{
+		ctx:      ctx,
+		common:   common,
+		opts:     opts,
+		client:   client,
+		keeper:   keeper,
+		registry: registry,
+		deaths:   newDeaths(common.Timer),
+		room:     semaphore.NewWeighted(int64(opts.MaxRunning)),
+		sessions: make(map[*session]struct{}),
+	}
+	ticks := common.Timer.Subscribe(ctx, opts.Heartbeat/ticksPerHeartbeat)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticks:
+				a.tick(common.Timer.Now())
+			}
+		}
+	}()
+	return a, nil
+}
+
+// Register serves the agent's gRPC service.
+func (a *Agent) Register(r grpc.ServiceRegistrar) { aubwire.RegisterAgentServer(r, a) }
+
+// Incarnation returns the number that grows with every start of the agent.
+func (a *Agent) Incarnation() uint64 { return a.keeper.incarnation }
+
+// Leaving reports whether the agent takes no new work.
+func (a *Agent) Leaving() bool { return a.leaving.Load() }
+
+// Report returns what the agent announces of its backend server.
+func (a *Agent) Report() *aubwire.BackendReport {
+	report := &aubwire.BackendReport{
+		Engine:   a.opts.engine(),
+		Services: a.opts.Services,
+		Running:  a.running.Load(),
+		Suspects: a.deaths.suspects.Keys(),
+		Poisoned: a.deaths.poisoned.Keys(),
+	}
+	if a.opts.engine() {
+		a.keeper.describe(report)
+	}
+	return report
+}
+
+// Order implements the agent's gRPC service.
+func (a *Agent) Order(ctx context.Context, req *aubwire.OrderRequest) (*aubwire.OrderResponse, error) {
+	if !a.opts.engine() {
+		return &aubwire.OrderResponse{
+			Outcome: aubwire.OrderOutcome_ORDER_OUTCOME_FAILED,
+			Detail:  "backend server is no engine",
+		}, nil
+	}
+	resp := a.keeper.order(ctx, req)
+	a.common.Metrics.Tagged(map[string]string{"outcome": resp.GetOutcome().String()}).Counter("orders").Inc(1)
+	return resp, nil
+}
+
+// Leave is the graceful shutdown: new starts are refused as not run from now
+// on, and it returns once what runs has finished and was read, or with the
+// context's error.
+func (a *Agent) Leave(ctx context.Context) error {
+	a.leaving.Store(true)
+	for a.registry.size() > 0 {
+		if err := aubtimer.Wait(ctx, a.common.Timer, leavePoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tick looks after deadlines, silent connections and abandoned executions.
+func (a *Agent) tick(now time.Time) {
+	for _, x := range a.registry.list() {
+		a.tickExecution(x, now)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for s := range a.sessions {
+		s.wake()
+	}
+}
+
+func (a *Agent) tickExecution(x *execution, now time.Time) {
+	if !x.deadline.IsZero() && !now.Before(x.deadline) {
+		x.cancel(errTimeout)
+	}
+	since, unattended := x.unattendedSince()
+	if unattended && now.Sub(since) >= a.opts.Linger {
+		x.drop(errAbandoned)
+	}
+	if x.retirable(now, a.opts.Linger) {
+		a.registry.retire(x)
+		return
+	}
+	x.watch.tick(now, a.opts.BackendSilence)
+}
--- /dev/null
+++ b/internal/aubagent/deaths.go
@@ -0,0 +1,131 @@
+package aubagent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/golang-lru/v2/expirable"
+
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+const (
+	maxFingerprints = 256
+	// sceneWindow is how long failures are put down to the same death.
+	sceneWindow = 2 * time.Second
+	poisonTime  = 10 * time.Minute
+)
+
+// scene is what was in flight when the backend server stopped answering.
+type scene struct {
+	id       string
+	at       time.Time
+	suspects []string
+	// alone is the fingerprint that ran with no other; empty for none.
+	alone  string
+	judged chan struct{}
+	died   bool
+}
+
+// deaths ties the deaths of the backend server to what was in flight.
+type deaths struct {
+	timer aubtimer.Service
+
+	mu      sync.Mutex
+	flights map[*execution]string
+	last    *scene
+	// suspects and poisoned forget a fingerprint after poisonTime.
+	suspects *expirable.LRU[string, struct{}]
+	poisoned *expirable.LRU[string, struct{}]
+}
+
+func newDeaths(timer aubtimer.Service) *deaths {
+	return &deaths{
+		timer:    timer,
+		flights:  make(map[*execution]string),
+		suspects: expirable.NewLRU[string, struct{}](maxFingerprints, nil, poisonTime),
+		poisoned: expirable.NewLRU[string, struct{}](maxFingerprints, nil, poisonTime),
+	}
+}
+
+func (d *deaths) begin(x *execution) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.flights[x] = x.start.GetFingerprint()
+}
+
+func (d *deaths) end(x *execution) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.flights, x)
+}
+
+// clear takes the suspicion from a fingerprint that ran to its end.
+func (d *deaths) clear(fingerprint string) { d.suspects.Remove(fingerprint) }
+
+func (d *deaths) isSuspect(fingerprint string) bool { return d.suspects.Contains(fingerprint) }
+
+func (d *deaths) isPoisoned(fingerprint string) bool { return d.poisoned.Contains(fingerprint) }
+
+// judge finds out whether the backend server died. Failures that come close
+// together share one probe and one list of suspects.
+func (d *deaths) judge(ctx context.Context, probe func(context.Context) bool) *scene {
+	d.mu.Lock()
+	s := d.last
+	now := d.timer.Now()
+	if s != nil && !s.over(now) {
+		d.mu.Unlock()
+		select {
+		case <-s.judged:
+			return s
+		case <-ctx.Done():
+			return &scene{}
+		}
+	}
+	s = d.newScene(now)
+	d.last = s
+	d.mu.Unlock()
+	s.died = probe(ctx)
+	d.record(s)
+	close(s.judged)
+	return s
+}
+
+// over reports whether later failures belong to another scene.
+func (s *scene) over(now time.Time) bool {
+	select {
+	case <-s.judged:
+		return !s.died || now.Sub(s.at) >= sceneWindow
+	default:
+		return false
+	}
+}
+
+func (d *deaths) newScene(now time.Time) *scene {
+	s := &scene{id: uuid.NewString(), at: now, judged: make(chan struct{})}
+	for _, fingerprint := range d.flights {
+		if fingerprint != "" && !slices.Contains(s.suspects, fingerprint) {
+			s.suspects = append(s.suspects, fingerprint)
+		}
+	}
+	slices.Sort(s.suspects)
+	if len(d.flights) == 1 && len(s.suspects) == 1 {
+		s.alone = s.suspects[0]
+	}
+	return s
+}
+
+func (d *deaths) record(s *scene) {
+	if !s.died {
+		return
+	}
+	for _, fingerprint := range s.suspects {
+		d.suspects.Add(fingerprint, struct{}{})
+	}
+	if s.alone != "" {
+		d.poisoned.Add(s.alone, struct{}{})
+	}
+}
--- /dev/null
+++ b/internal/aubagent/journal.go
@@ -0,0 +1,89 @@
+package aubagent
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/samber/oops"
+)
+
+const (
+	journalFile = "orders.json"
+	journalMode = 0o600
+	dataDirMode = 0o700
+)
+
+// journalState is what the next incarnation has to know.
+type journalState struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Unsettled are the items whose load order may still be executed.
+	Unsettled []itemSpec `json:"unsettled"`
+}
+
+// journal keeps the unsettled orders on disk, synced before an order is sent.
+type journal struct{ path string }
+
+// openJournal reads the journal of a data folder. It reports false when there
+// is none, so that nothing is known of earlier incarnations.
+func openJournal(dir string) (journal, journalState, bool, error) {
+	if dir == "" {
+		return journal{}, journalState{}, false, nil
+	}
+	errs := oops.In("agent").With("data_dir", dir)
+	if err := os.MkdirAll(dir, dataDirMode); err != nil {
+		return journal{}, journalState{}, false, errs.Wrapf(err, "create the data folder")
+	}
+	j := journal{path: filepath.Join(dir, journalFile)}
+	data, err := os.ReadFile(j.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return j, journalState{}, false, nil
+	}
+	if err != nil {
+		return journal{}, journalState{}, false, errs.Wrapf(err, "read the journal of orders")
+	}
+	var state journalState
+	if err := json.Unmarshal(data, &state); err != nil {
+		// A file that can't be read is a lost one: nothing is known.
+		return j, journalState{}, false, nil //nolint:nilerr // the caller waits instead
+	}
+	return j, state, true, nil
+}
+
+// write replaces the journal and returns once it is on disk.
+func (j journal) write(state journalState) error {
+	if j.path == "" {
+		return nil
+	}
+	data, err := json.Marshal(state)
+	if err != nil {
+		return err
+	}
+	next := j.path + ".next"
+	if err := writeSynced(next, data); err != nil {
+		return err
+	}
+	if err := os.Rename(next, j.path); err != nil {
+		return err
+	}
+	return syncDir(filepath.Dir(j.path))
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, journalMode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	return errors.Join(err, f.Sync(), f.Close())
+}
+
+func syncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/internal/aubagent/stream_test.go
@@ -0,0 +1,95 @@
+package aubagent_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubexecution"
+	"github.com/auburndale/auburndale/internal/aubstandin"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// streamText joins the content of a stream's chunks and reports its end mark.
+func streamText(t testing.TB, body string) (text string, done bool) {
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		qt.Assert(t, json.Unmarshal([]byte(data), &chunk), qt.IsNil)
+		for _, c := range chunk.Choices {
+			text += c.Delta.Content
+		}
+	}
+	return text, false
+}
+
+func TestStreamedChat(t *testing.T) {
+	s := newEngineSite(t, aubstandin.EngineOpts{Items: []aubengine.Item{ready("m", gib)}}, fastOpts())
+	s.awaitReady(t, "m")
+
+	for _, hide := range []bool{false, true} {
+		req := chatRequest("r-"+map[bool]string{true: "h", false: "s"}[hide], "m", "hello", true)
+		req.HideUsage = hide
+		a, body, err := s.call(req)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, a.Status, qt.Equals, 200)
+		qt.Assert(t, a.Header.Get("Content-Type"), qt.Equals, "text/event-stream")
+		text, done := streamText(t, body)
+		qt.Assert(t, done, qt.IsTrue)
+		qt.Assert(t, text, qt.Equals, aubstandin.AnswerText("m", aubstandin.ChatPrompt("hello"), 8))
+		qt.Assert(t, strings.Contains(body, "usage"), qt.Equals, !hide)
+		qt.Assert(t, a.Usage(), qt.Equals, aubexecution.Usage{PromptTokens: 3, OutputTokens: 8})
+	}
+}
+
+func TestOrderLoadsAndUnloads(t *testing.T) {
+	s := newEngineSite(t, aubstandin.EngineOpts{}, fastOpts())
+	eventually(t, "agent takes orders", func() bool {
+		return s.order(t, loadOrder(2, "m", 60*gib)) == aubwire.OrderOutcome_ORDER_OUTCOME_ACCEPTED
+	})
+	s.awaitReady(t, "m")
+	qt.Assert(t, s.order(t, loadOrder(2, "n", 60*gib)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_NO_MEMORY)
+	qt.Assert(t, s.order(t, unloadOrder(3, "m")), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_ACCEPTED)
+	eventually(t, "memory free", func() bool { return s.agent.Report().GetMemoryUsedBytes() == 0 })
+	qt.Assert(t, s.order(t, loadOrder(2, "n", gib)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_STALE_FENCE)
+	qt.Assert(t, s.engine.Stats().MemoryPeak, qt.Equals, 60*gib)
+}
+
+func (s *site) order(t testing.TB, req *aubwire.OrderRequest) aubwire.OrderOutcome {
+	req.AgentIncarnation = s.agent.Incarnation()
+	resp, err := s.agent.Order(s.ctx, req)
+	qt.Assert(t, err, qt.IsNil)
+	return resp.GetOutcome()
+}
+
+func loadOrder(fence uint64, name string, bytes int64) *aubwire.OrderRequest {
+	return &aubwire.OrderRequest{
+		Fence:       fence,
+		Action:      aubwire.OrderAction_ORDER_ACTION_LOAD,
+		Name:        name,
+		MemoryBytes: bytes,
+	}
+}
+
+func unloadOrder(fence uint64, name string) *aubwire.OrderRequest {
+	return &aubwire.OrderRequest{
+		Fence:  fence,
+		Action: aubwire.OrderAction_ORDER_ACTION_UNLOAD,
+		Name:   name,
+	}
+}
--- /dev/null
+++ b/internal/aubengine/client.go
@@ -0,0 +1,236 @@
+package aubengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	dialTimeout    = 2 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxIdle        = 256
+	maxReplyBytes  = 4 << 20
+)
+
+// ClientOpts configures a client.
+type ClientOpts struct {
+	// URL of the backend server, such as http://127.0.0.1:9000.
+	URL string
+	// Timeout bounds one order or query; 0 means 2 s.
+	Timeout time.Duration
+}
+
+// Client talks to one backend server.
+type Client struct {
+	timer   aubtimer.Service
+	url     string
+	timeout time.Duration
+	// shared keeps connections whose last answer was read to its end.
+	shared *http.Transport
+	// single uses each connection once, so that the transport never sends a
+	// request again by itself, whatever its method and headers.
+	single *http.Transport
+}
+
+// NewClient returns a client of one backend server. Its idle connections end with ctx.
+func NewClient(ctx context.Context, common aubcommon.Common, opts ClientOpts) *Client {
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	c := &Client{
+		timer:   common.Timer,
+		url:     opts.URL,
+		timeout: opts.Timeout,
+		shared:  newTransport(false),
+		single:  newTransport(true),
+	}
+	context.AfterFunc(ctx, c.shared.CloseIdleConnections)
+	return c
+}
+
+func newTransport(single bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		DisableKeepAlives:   single,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Call is one request to the backend server.
+type Call struct {
+	Method string
+	// Path with the raw query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Once forbids the transport to send the request a second time.
+	Once bool
+}
+
+// Do hands one request over and returns the answer's head. Errors are
+// *NotSentError when no connection took the request, *UncertainError otherwise.
+// Closing the body before its end also closes the connection.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	var taken atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { taken.Store(true) }}
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	resp, err := c.transport(call).RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	if !taken.Load() {
+		return nil, &NotSentError{Err: err}
+	}
+	return nil, &UncertainError{Err: err}
+}
+
+func (c *Client) transport(call Call) *http.Transport {
+	if call.Once {
+		return c.single
+	}
+	return c.shared
+}
+
+func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	if call.Header != nil {
+		req.Header = call.Header
+	}
+	return req, nil
+}
+
+// Load orders the engine to load an item.
+func (c *Client) Load(ctx context.Context, order Order) error {
+	return c.order(ctx, PathLoad, order)
+}
+
+// Unload orders the engine to unload an item; an absent item is no error.
+func (c *Client) Unload(ctx context.Context, order Order) error {
+	return c.order(ctx, PathUnload, order)
+}
+
+// Fence raises the engine's lowest accepted fencing number.
+func (c *Client) Fence(ctx context.Context, order Order) error {
+	return c.order(ctx, PathFence, order)
+}
+
+// State queries what the engine holds in memory.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var state State
+	err := c.exchange(ctx, Call{Method: http.MethodGet, Path: PathState}, &state)
+	return state, err
+}
+
+// Report queries the engine's load.
+func (c *Client) Report(ctx context.Context) (Report, error) {
+	var report Report
+	err := c.exchange(ctx, Call{Method: http.MethodGet, Path: PathReport}, &report)
+	return report, err
+}
+
+// Status queries how far an answer is.
+func (c *Client) Status(ctx context.Context, answerID string) (AnswerStatus, error) {
+	var status AnswerStatus
+	path := PathAnswers + url.PathEscape(answerID) + "/status"
+	err := c.exchange(ctx, Call{Method: http.MethodGet, Path: path}, &status)
+	return status, err
+}
+
+// Abort ends the work on an answer.
+func (c *Client) Abort(ctx context.Context, answerID string) error {
+	path := PathAnswers + url.PathEscape(answerID)
+	return c.exchange(ctx, Call{Method: http.MethodDelete, Path: path}, nil)
+}
+
+// Resume opens an answer again from the event at offset, on a new connection.
+func (c *Client) Resume(ctx context.Context, answerID string, offset int) (*http.Response, error) {
+	path := PathAnswers + url.PathEscape(answerID) + "?offset=" + strconv.Itoa(offset)
+	resp, err := c.Do(ctx, Call{Method: http.MethodGet, Path: path, Once: true})
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, readRefusal(resp)
+	}
+	return resp, nil
+}
+
+func (c *Client) order(ctx context.Context, path string, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &NotSentError{Err: err}
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	call := Call{Method: http.MethodPost, Path: path, Header: header, Body: body, Once: true}
+	return c.exchange(ctx, call, nil)
+}
+
+// exchange sends one short call and decodes its JSON answer into reply.
+func (c *Client) exchange(ctx context.Context, call Call, reply any) error {
+	ctx, cancel := aubtimer.WithTimeout(ctx, c.timer, c.timeout)
+	defer cancel()
+	resp, err := c.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return readRefusal(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return &UncertainError{Err: err}
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return &UncertainError{Err: err}
+	}
+	return nil
+}
+
+// readRefusal turns an error answer into a typed error. Only statuses below
+// 500 say that the engine did nothing.
+func readRefusal(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return &UncertainError{Err: err}
+	}
+	var envelope ErrorBody
+	if err := json.Unmarshal(body, &envelope); err != nil {
+		envelope.Error.Message = "answer is no error document"
+	}
+	refused := &RefusedError{
+		Status: resp.StatusCode,
+		Code:   envelope.Error.Code,
+		Detail: envelope.Error.Message,
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return &UncertainError{Err: refused}
+	}
+	return refused
+}
--- /dev/null
+++ b/internal/aubengine/event.go
@@ -0,0 +1,91 @@
+package aubengine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// MaxEventBytes bounds one server-sent event.
+const MaxEventBytes = 1 << 20
+
+const (
+	eventReadBytes = 4096
+	doneMark       = "[DONE]"
+)
+
+// Event is one server-sent event.
+type Event struct {
+	// Raw is the event as received, its closing blank line included.
+	Raw []byte
+	// Data is the payload of its data lines, joined by newlines.
+	Data []byte
+}
+
+// Done reports whether the event closes an OpenAI-style stream.
+func (e Event) Done() bool { return string(e.Data) == doneMark }
+
+// EventReader splits a stream into server-sent events.
+type EventReader struct{ r *bufio.Reader }
+
+// NewEventReader reads events from r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, eventReadBytes)}
+}
+
+// Next returns the next event. It returns io.EOF at a clean end between events
+// and ErrIncomplete when the stream ends within one.
+func (e *EventReader) Next() (Event, error) {
+	var ev Event
+	for {
+		start := len(ev.Raw)
+		if err := e.appendLine(&ev); err != nil {
+			return Event{}, endOfEvents(err, len(ev.Raw))
+		}
+		line := bytes.TrimRight(ev.Raw[start:], "\r\n")
+		if len(line) > 0 {
+			ev.Data = appendData(ev.Data, line)
+			continue
+		}
+		if start > 0 {
+			return ev, nil
+		}
+		// Blank lines between events carry nothing.
+		ev.Raw = ev.Raw[:0]
+	}
+}
+
+func (e *EventReader) appendLine(ev *Event) error {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		ev.Raw = append(ev.Raw, part...)
+		if len(ev.Raw) > MaxEventBytes {
+			return ErrEventTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+func appendData(data, line []byte) []byte {
+	value, ok := bytes.CutPrefix(line, []byte("data:"))
+	if !ok {
+		return data
+	}
+	if data != nil {
+		data = append(data, '\n')
+	}
+	return append(data, bytes.TrimPrefix(value, []byte(" "))...)
+}
+
+func endOfEvents(err error, read int) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if read > 0 {
+		return ErrIncomplete
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/aubstandin/cache.go
@@ -0,0 +1,116 @@
+package aubstandin
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
+)
+
+const (
+	// cacheBlockTokens is the granularity of the prefix cache.
+	cacheBlockTokens = 16
+	cacheBlockBytes  = cacheBlockTokens * bytesPerToken
+	maxCacheEvents   = 4096
+)
+
+type timedEvent struct {
+	at    time.Time
+	event aubengine.CacheEvent
+}
+
+// prefixCache remembers which prompt prefixes were computed, in blocks.
+type prefixCache struct {
+	mu       sync.Mutex
+	blocks   *simplelru.LRU[uint64, string]
+	sequence uint64
+	events   []timedEvent
+	now      time.Time
+	gap      uint64
+}
+
+// newPrefixCache returns a cache for the given number of tokens; nil for none.
+func newPrefixCache(tokens int64) *prefixCache {
+	blocks := int(tokens / cacheBlockTokens)
+	if blocks <= 0 {
+		return nil
+	}
+	c := &prefixCache{}
+	lru, err := simplelru.NewLRU(blocks, func(prefix uint64, model string) { c.publish(prefix, model, true) })
+	if err != nil {
+		return nil
+	}
+	c.blocks = lru
+	return c
+}
+
+// use returns the tokens of the prompt that were cached and caches the rest.
+func (c *prefixCache) use(model, prompt string, now time.Time, gap uint64) int64 {
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now, c.gap = now, gap
+	var cached int64
+	hit := true
+	for end := cacheBlockBytes; end <= len(prompt); end += cacheBlockBytes {
+		prefix := xxhash.Sum64String(model + "\x00" + prompt[:end])
+		_, found := c.blocks.Get(prefix)
+		hit = hit && found
+		if hit {
+			cached += cacheBlockTokens
+		}
+		if !found {
+			c.blocks.Add(prefix, model)
+			c.publish(prefix, model, false)
+		}
+	}
+	return cached
+}
+
+func (c *prefixCache) publish(prefix uint64, model string, evicted bool) {
+	c.sequence++
+	if c.gap > 0 && c.sequence%c.gap == 0 {
+		return
+	}
+	event := aubengine.CacheEvent{
+		Sequence: c.sequence,
+		Model:    model,
+		Prefix:   strconv.FormatUint(prefix, 16),
+		Evicted:  evicted,
+	}
+	c.events = append(c.events, timedEvent{at: c.now, event: event})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// since returns the events after a sequence that are at least lag old.
+func (c *prefixCache) since(after uint64, now time.Time, lag time.Duration) []aubengine.CacheEvent {
+	events := []aubengine.CacheEvent{}
+	if c == nil {
+		return events
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.events {
+		if e.event.Sequence > after && now.Sub(e.at) >= lag {
+			events = append(events, e.event)
+		}
+	}
+	return events
+}
+
+func (c *prefixCache) clear() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocks.Purge()
+}
--- /dev/null
+++ b/internal/aubstandin/engine.go
@@ -0,0 +1,193 @@
+package aubstandin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubengine"
+)
+
+const (
+	defaultMaxBatch    = 32
+	defaultResumeGrace = 10 * time.Second
+)
+
+// EngineOpts configures a stand-in engine. Zero rates and times mean at once.
+type EngineOpts struct {
+	Name string
+	// MemoryBytes is the accelerator's memory.
+	MemoryBytes int64
+	// Items are resident from the start.
+	Items []aubengine.Item
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64
+	// InterToken is the time between tokens at batch size one.
+	InterToken time.Duration
+	// InterTokenPerSequence is added for each further sequence in the batch.
+	InterTokenPerSequence time.Duration
+	// MaxBatch is the most sequences that run at once; 0 means 32.
+	MaxBatch int
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens int64
+	// LoadTime is how long a model takes to load at the store's full speed.
+	LoadTime time.Duration
+	// AdapterLoadTime is the same for an adapter.
+	AdapterLoadTime time.Duration
+	// Store is the weight store; nil means an unbounded one.
+	Store Store
+	// ReportLag is how old a load report may be.
+	ReportLag time.Duration
+	// CacheEventLag is how late cache events are published.
+	CacheEventLag time.Duration
+	// ChecksFence refuses orders with a fencing number below one seen.
+	ChecksFence bool
+	// ResumeGrace is how long an answer without a reader goes on; 0 means 10 s.
+	ResumeGrace time.Duration
+	// OnCrash is called when a poison request ends the engine.
+	OnCrash func()
+}
+
+// Engine is a stand-in model engine.
+type Engine struct {
+	ctx    context.Context
+	common aubcommon.Common
+	opts   EngineOpts
+	mux    *http.ServeMux
+	faults faultSet
+	rec    *recorder
+	memory *memory
+	cache  *prefixCache
+
+	// mu guards what follows. Lock order: mu before memory.mu.
+	mu sync.Mutex
+	// life ends with the current boot.
+	life      context.Context
+	end       context.CancelFunc
+	boot      string
+	crashed   bool
+	fence     uint64
+	sched     *scheduler
+	answers   map[string]*answer
+	published aubengine.Report
+	reportAt  time.Time
+}
+
+// NewEngine returns a running engine that ends with ctx.
+func NewEngine(ctx context.Context, common aubcommon.Common, opts EngineOpts) *Engine {
+	if opts.MaxBatch == 0 {
+		opts.MaxBatch = defaultMaxBatch
+	}
+	if opts.ResumeGrace == 0 {
+		opts.ResumeGrace = defaultResumeGrace
+	}
+	if opts.Store == nil {
+		opts.Store = NewWeightStore(common, WeightStoreOpts{})
+	}
+	rec := newRecorder()
+	e := &Engine{
+		ctx:    ctx,
+		common: common.WithPart("standin"),
+		opts:   opts,
+		rec:    rec,
+		memory: newMemory(opts.MemoryBytes, rec),
+		cache:  newPrefixCache(opts.CacheTokens),
+	}
+	e.mux = e.routes()
+	e.start()
+	for _, item := range opts.Items {
+		item.State = aubengine.ItemReady
+		e.memory.put(item)
+	}
+	return e
+}
+
+// start begins a boot with empty memory.
+func (e *Engine) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life, e.end = context.WithCancel(e.ctx)
+	e.boot = uuid.NewString()
+	e.crashed = false
+	e.fence = 0
+	e.sched = newScheduler(e.opts.MaxBatch)
+	e.answers = make(map[string]*answer)
+	e.reportAt = time.Time{}
+}
+
+// Crash ends the current boot: work, memory and connections are lost.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return
+	}
+	e.crashed = true
+	e.end()
+	e.memory.clear()
+	e.cache.clear()
+	e.mu.Unlock()
+	e.rec.update(func(s *Stats) { s.Crashes++ })
+	if e.opts.OnCrash != nil {
+		e.opts.OnCrash()
+	}
+}
+
+// Restart begins a new boot with empty memory after a crash.
+func (e *Engine) Restart() {
+	e.Crash()
+	e.start()
+}
+
+// SetFaults replaces all fault switches.
+func (e *Engine) SetFaults(f Faults) { e.faults.set(f) }
+
+// Stats returns the engine's records.
+func (e *Engine) Stats() Stats { return e.rec.stats() }
+
+// Handler returns the engine's HTTP surface.
+func (e *Engine) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.down() {
+			hangUp(w)
+		}
+		e.mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.generate(kindChat))
+	mux.HandleFunc("POST /v1/completions", e.generate(kindText))
+	mux.HandleFunc("POST /v1/embeddings", e.generate(kindEmbedding))
+	mux.HandleFunc("POST "+aubengine.PathLoad, e.handleOrder(e.load))
+	mux.HandleFunc("POST "+aubengine.PathUnload, e.handleOrder(e.unload))
+	mux.HandleFunc("POST "+aubengine.PathFence, e.handleOrder(nil))
+	mux.HandleFunc("GET "+aubengine.PathState, e.handleState)
+	mux.HandleFunc("GET "+aubengine.PathReport, e.handleReport)
+	mux.HandleFunc("GET "+aubengine.PathAnswers+"{id}/status", e.handleStatus)
+	mux.HandleFunc("GET "+aubengine.PathAnswers+"{id}", e.handleResume)
+	mux.HandleFunc("DELETE "+aubengine.PathAnswers+"{id}", e.handleAbort)
+	mux.HandleFunc("GET "+aubengine.PathEvents, e.handleCacheEvents)
+	mux.HandleFunc("GET "+aubengine.PathKV+"{model}", e.handleExport)
+	mux.HandleFunc("PUT "+aubengine.PathKV+"{model}", e.handleImport)
+	addControls(mux, &e.faults, e.Stats)
+	return mux
+}
+
+func (e *Engine) down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
+// current returns the boot's context and scheduler.
+func (e *Engine) current() (context.Context, *scheduler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life, e.sched
+}
--- /dev/null
+++ b/internal/aubstandin/fault.go
@@ -0,0 +1,100 @@
+package aubstandin
+
+import (
+	"sync"
+	"time"
+)
+
+// Faults are switches. Counts are used up by one for each occurrence.
+type Faults struct {
+	// LoseOrders counts orders that vanish with their connection.
+	LoseOrders int `json:"lose_orders,omitempty"`
+	// LoseOrderAnswers counts orders that are executed and never answered.
+	LoseOrderAnswers int `json:"lose_order_answers,omitempty"`
+	// LateOrders counts orders executed only OrderDelayMS after their connection ended.
+	LateOrders int `json:"late_orders,omitempty"`
+	// DoubleOrders counts orders executed again after OrderDelayMS.
+	DoubleOrders int   `json:"double_orders,omitempty"`
+	OrderDelayMS int64 `json:"order_delay_ms,omitempty"`
+	// FailLoads counts loads that give up half way.
+	FailLoads int `json:"fail_loads,omitempty"`
+	// PoisonPrompt crashes the backend server when a prompt or body contains it.
+	PoisonPrompt string `json:"poison_prompt,omitempty"`
+	// CutAnswers counts answers whose connection is cut after CutAfterEvents.
+	CutAnswers     int `json:"cut_answers,omitempty"`
+	CutAfterEvents int `json:"cut_after_events,omitempty"`
+	// SilentAnswers counts answers that go silent after SilentAfterEvents.
+	SilentAnswers     int `json:"silent_answers,omitempty"`
+	SilentAfterEvents int `json:"silent_after_events,omitempty"`
+	// LateAnswers counts answers that begin only after AnswerDelayMS.
+	LateAnswers   int   `json:"late_answers,omitempty"`
+	AnswerDelayMS int64 `json:"answer_delay_ms,omitempty"`
+	// CrossAnswers counts answers that carry another request's content.
+	CrossAnswers int `json:"cross_answers,omitempty"`
+	// CacheEventGap loses every n-th cache event.
+	CacheEventGap uint64 `json:"cache_event_gap,omitempty"`
+	// ForgetAnswers makes resume and status unknown.
+	ForgetAnswers bool `json:"forget_answers,omitempty"`
+}
+
+// faultSet guards the switches.
+type faultSet struct {
+	mu sync.Mutex
+	f  Faults
+}
+
+func (s *faultSet) set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.f = f
+}
+
+func (s *faultSet) get() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.f
+}
+
+// take uses up one occurrence of the switch that pick selects.
+func (s *faultSet) take(pick func(*Faults) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := pick(&s.f)
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (f Faults) orderDelay() time.Duration {
+	return time.Duration(f.OrderDelayMS) * time.Millisecond
+}
+
+func (f Faults) answerDelay() time.Duration {
+	return time.Duration(f.AnswerDelayMS) * time.Millisecond
+}
+
+// delivery is the fault plan of one answer.
+type delivery struct {
+	delay time.Duration
+	// cutAfter and silentAfter are event counts; -1 means never.
+	cutAfter    int
+	silentAfter int
+	crossed     bool
+}
+
+func (s *faultSet) nextDelivery() delivery {
+	d := delivery{cutAfter: -1, silentAfter: -1}
+	if s.take(func(f *Faults) *int { return &f.LateAnswers }) {
+		d.delay = s.get().answerDelay()
+	}
+	if s.take(func(f *Faults) *int { return &f.CutAnswers }) {
+		d.cutAfter = s.get().CutAfterEvents
+	}
+	if s.take(func(f *Faults) *int { return &f.SilentAnswers }) {
+		d.silentAfter = s.get().SilentAfterEvents
+	}
+	d.crossed = s.take(func(f *Faults) *int { return &f.CrossAnswers })
+	return d
+}
--- /dev/null
+++ b/internal/aubstandin/memory.go
@@ -0,0 +1,91 @@
+package aubstandin
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
+)
+
+// memory holds the items in the accelerator. It records an overcommit and does
+// not prevent it: that is the agent's task.
+type memory struct {
+	mu       sync.Mutex
+	capacity int64
+	items    map[string]aubengine.Item
+	rec      *recorder
+}
+
+func newMemory(capacity int64, rec *recorder) *memory {
+	return &memory{capacity: capacity, items: make(map[string]aubengine.Item), rec: rec}
+}
+
+// put adds or replaces an item. It reports false when the item was there already.
+func (m *memory) put(item aubengine.Item) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.items[item.Name]; ok {
+		return false
+	}
+	m.items[item.Name] = item
+	m.record()
+	return true
+}
+
+// mark sets an item's state and reports whether it is present in the state from.
+func (m *memory) mark(name string, from, to aubengine.ItemState) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.items[name]
+	if !ok || item.State != from {
+		return false
+	}
+	item.State = to
+	m.items[name] = item
+	return true
+}
+
+func (m *memory) remove(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.items, name)
+	m.record()
+}
+
+func (m *memory) clear() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.items)
+	m.record()
+}
+
+func (m *memory) get(name string) (aubengine.Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	item, ok := m.items[name]
+	return item, ok
+}
+
+func (m *memory) list() []aubengine.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	items := make([]aubengine.Item, 0, len(m.items))
+	for _, item := range m.items {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b aubengine.Item) int { return cmp.Compare(a.Name, b.Name) })
+	return items
+}
+
+func (m *memory) record() {
+	var used int64
+	for _, item := range m.items {
+		used += item.MemoryBytes
+	}
+	m.rec.update(func(s *Stats) {
+		s.MemoryUsed = used
+		s.MemoryPeak = max(s.MemoryPeak, used)
+		s.Overcommitted = s.Overcommitted || used > m.capacity
+	})
+}
--- /dev/null
+++ b/internal/aubstandin/query.go
@@ -0,0 +1,76 @@
+package aubstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
+)
+
+func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := aubengine.State{
+		Boot:        e.boot,
+		MemoryBytes: e.opts.MemoryBytes,
+		Fence:       e.fence,
+		Items:       e.memory.list(),
+	}
+	e.mu.Unlock()
+	writeJSON(w, state)
+}
+
+func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	now := e.common.Timer.Now()
+	if e.reportAt.IsZero() || now.Sub(e.reportAt) >= e.opts.ReportLag {
+		e.published = e.report()
+		e.reportAt = now
+	}
+	report := e.published
+	e.mu.Unlock()
+	writeJSON(w, report)
+}
+
+func (e *Engine) report() aubengine.Report {
+	running, queued, tokens := e.sched.load()
+	report := aubengine.Report{
+		Running:      running,
+		Queued:       queued,
+		QueuedTokens: tokens,
+		PrefillRate:  e.opts.PrefillRate,
+	}
+	if gap := e.interToken(max(running, 1)); gap > 0 {
+		report.DecodeRate = float64(max(running, 1)) / gap.Seconds()
+	}
+	return report
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	writeJSON(w, e.cache.since(after, e.common.Timer.Now(), e.opts.CacheEventLag))
+}
+
+// kvPrefix is the thin form of exported KV cache: the prompt it was computed from.
+type kvPrefix struct {
+	Prompt string `json:"prompt"`
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	prompt := r.FormValue("prompt")
+	cached := e.cache.use(r.PathValue("model"), prompt, e.common.Timer.Now(), 0)
+	writeJSON(w, kvPrefix{Prompt: prompt[:min(len(prompt), int(cached)*bytesPerToken)]})
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	var prefix kvPrefix
+	if err := json.NewDecoder(r.Body).Decode(&prefix); err != nil {
+		writeError(w, http.StatusBadRequest, aubengine.CodeInvalid, err.Error())
+		return
+	}
+	e.cache.use(r.PathValue("model"), prefix.Prompt, e.common.Timer.Now(), 0)
+	writeJSON(w, struct{}{})
+}
--- /dev/null
+++ b/internal/aubstandin/render.go
@@ -0,0 +1,147 @@
+package aubstandin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
+)
+
+const (
+	contentJSON   = "application/json"
+	contentEvents = "text/event-stream"
+)
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", contentJSON)
+	// The connection may be gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", contentJSON)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(aubengine.ErrorBody{Error: aubengine.ErrorDetail{
+		Message: message,
+		Type:    "invalid_request_error",
+		Code:    code,
+	}})
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+type usage struct {
+	PromptTokens     int64         `json:"prompt_tokens"`
+	CompletionTokens int64         `json:"completion_tokens"`
+	TotalTokens      int64         `json:"total_tokens"`
+	Details          promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type embedding struct {
+	Object    string    `json:"object"`
+	Index     int       `json:"index"`
+	Embedding []float64 `json:"embedding"`
+}
+
+type embeddings struct {
+	Object string      `json:"object"`
+	Model  string      `json:"model"`
+	Data   []embedding `json:"data"`
+	Usage  usage       `json:"usage"`
+}
+
+// renderer writes the answer of one generation in OpenAI's forms.
+type renderer struct {
+	id      string
+	created int64
+	req     generation
+}
+
+func (r renderer) document(choices []choice, u *usage, chunk bool) []byte {
+	body, err := json.Marshal(completion{
+		ID:      r.id,
+		Object:  r.object(chunk),
+		Created: r.created,
+		Model:   r.req.Model,
+		Choices: choices,
+		Usage:   u,
+	})
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+func (r renderer) object(chunk bool) string {
+	switch {
+	case r.req.kind == kindText:
+		return "text_completion"
+	case chunk:
+		return "chat.completion.chunk"
+	default:
+		return "chat.completion"
+	}
+}
+
+func (r renderer) token(text string) []byte {
+	return event(r.document([]choice{r.choice(text, nil, true)}, nil, true))
+}
+
+func (r renderer) finish() []byte {
+	stop := "length"
+	return event(r.document([]choice{r.choice("", &stop, true)}, nil, true))
+}
+
+func (r renderer) usage(u usage) []byte { return event(r.document([]choice{}, &u, true)) }
+
+func (r renderer) whole(text string, u usage) []byte {
+	stop := "length"
+	return r.document([]choice{r.choice(text, &stop, false)}, &u, false)
+}
+
+func (r renderer) choice(text string, finish *string, chunk bool) choice {
+	c := choice{FinishReason: finish}
+	switch {
+	case r.req.kind == kindText:
+		c.Text = &text
+	case chunk:
+		c.Delta = &message{Role: "assistant", Content: text}
+	default:
+		c.Message = &message{Role: "assistant", Content: text}
+	}
+	return c
+}
+
+func event(data []byte) []byte {
+	framed := make([]byte, 0, len(data)+len("data: \n\n"))
+	framed = append(framed, "data: "...)
+	framed = append(framed, data...)
+	return append(framed, "\n\n"...)
+}
--- /dev/null
+++ b/internal/aubstandin/scheduler.go
@@ -0,0 +1,122 @@
+package aubstandin
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// waiter is a request that waits for a place in the batch.
+type waiter struct {
+	priority int
+	sequence int
+	tokens   int64
+	index    int
+	ready    chan struct{}
+}
+
+// waiters is a heap: highest priority first, then first come.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+
+func (w waiters) Less(i, j int) bool {
+	if w[i].priority != w[j].priority {
+		return w[i].priority > w[j].priority
+	}
+	return w[i].sequence < w[j].sequence
+}
+
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) {
+	item, ok := x.(*waiter)
+	if !ok {
+		return
+	}
+	item.index = len(*w)
+	*w = append(*w, item)
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	item := (*w)[last]
+	item.index = -1
+	*w = (*w)[:last]
+	return item
+}
+
+// scheduler admits requests to a batch of bounded size.
+type scheduler struct {
+	mu       sync.Mutex
+	size     int
+	running  int
+	sequence int
+	waiting  waiters
+}
+
+func newScheduler(size int) *scheduler { return &scheduler{size: size} }
+
+// enter waits for a place in the batch.
+func (s *scheduler) enter(ctx context.Context, priority int, tokens int64) error {
+	s.mu.Lock()
+	if s.running < s.size {
+		s.running++
+		s.mu.Unlock()
+		return nil
+	}
+	s.sequence++
+	w := &waiter{priority: priority, sequence: s.sequence, tokens: tokens, ready: make(chan struct{})}
+	heap.Push(&s.waiting, w)
+	s.mu.Unlock()
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+	}
+	s.withdraw(w)
+	return ctx.Err()
+}
+
+// withdraw takes a waiter out, or gives back the place it got meanwhile.
+func (s *scheduler) withdraw(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&s.waiting, w.index)
+		return
+	}
+	s.release()
+}
+
+func (s *scheduler) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release()
+}
+
+func (s *scheduler) release() {
+	if len(s.waiting) == 0 {
+		s.running--
+		return
+	}
+	next, ok := heap.Pop(&s.waiting).(*waiter)
+	if ok {
+		close(next.ready)
+	}
+}
+
+// load returns the batch size, the queue length and the prompt tokens queued.
+func (s *scheduler) load() (running, queued int, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.waiting {
+		tokens += w.tokens
+	}
+	return s.running, len(s.waiting), tokens
+}
--- /dev/null
+++ b/internal/aubstandin/server.go
@@ -0,0 +1,23 @@
+package aubstandin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Serve serves a stand-in on a listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/aubstandin/stats.go
@@ -0,0 +1,55 @@
+package aubstandin
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Stats is what a stand-in recorded of itself, over all its restarts.
+type Stats struct {
+	MemoryUsed int64 `json:"memory_used_bytes"`
+	MemoryPeak int64 `json:"memory_peak_bytes"`
+	// Overcommitted is true once memory in use passed the accelerator's memory.
+	Overcommitted bool `json:"overcommitted"`
+	// Executions counts the executions begun, by request id.
+	Executions map[string]int `json:"executions"`
+	// LastRequestAt is when the newest request began.
+	LastRequestAt time.Time `json:"last_request_at"`
+	Loads         int       `json:"loads"`
+	Unloads       int       `json:"unloads"`
+	Crashes       int       `json:"crashes"`
+	Aborted       int       `json:"aborted"`
+	TokensOut     int64     `json:"tokens_out"`
+}
+
+// recorder guards the records.
+type recorder struct {
+	mu sync.Mutex
+	s  Stats
+}
+
+func newRecorder() *recorder {
+	return &recorder{s: Stats{Executions: make(map[string]int)}}
+}
+
+func (r *recorder) update(change func(*Stats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.s)
+}
+
+func (r *recorder) begin(requestID string, now time.Time) {
+	r.update(func(s *Stats) {
+		s.Executions[requestID]++
+		s.LastRequestAt = now
+	})
+}
+
+func (r *recorder) stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.s
+	s.Executions = maps.Clone(r.s.Executions)
+	return s
+}
