--- /dev/null
+++ b/internal/aubqueue/fcfs.go
@@ -0,0 +1,72 @@
+package aubqueue
+
+import "container/list"
+
+// FCFSOrder serves entries in the order of arrival.
+type FCFSOrder[T any] struct {
+	entries *list.List
+	places  map[*Entry[T]]*list.Element
+	waiting map[string]int
+	cost    int64
+}
+
+var _ Order[int] = (*FCFSOrder[int])(nil)
+
+// NewFCFSOrder returns an empty order.
+func NewFCFSOrder[T any]() *FCFSOrder[T] {
+	return &FCFSOrder[T]{
+		entries: list.New(),
+		places:  make(map[*Entry[T]]*list.Element),
+		waiting: make(map[string]int),
+	}
+}
+
+// Push implements Order.
+func (o *FCFSOrder[T]) Push(e *Entry[T]) {
+	o.places[e] = o.entries.PushBack(e)
+	o.waiting[e.Flow]++
+	o.cost += max(e.Cost, 1)
+}
+
+// Peek implements Order.
+func (o *FCFSOrder[T]) Peek() *Entry[T] {
+	front := o.entries.Front()
+	if front == nil {
+		return nil
+	}
+	e, _ := front.Value.(*Entry[T])
+	return e
+}
+
+// Pop implements Order.
+func (o *FCFSOrder[T]) Pop() *Entry[T] {
+	e := o.Peek()
+	if e != nil {
+		o.Remove(e)
+	}
+	return e
+}
+
+// Remove implements Order.
+func (o *FCFSOrder[T]) Remove(e *Entry[T]) {
+	place, ok := o.places[e]
+	if !ok {
+		return
+	}
+	o.entries.Remove(place)
+	delete(o.places, e)
+	o.cost -= max(e.Cost, 1)
+	o.waiting[e.Flow]--
+	if o.waiting[e.Flow] == 0 {
+		delete(o.waiting, e.Flow)
+	}
+}
+
+// Ahead implements Order.
+func (o *FCFSOrder[T]) Ahead(string, int64) int64 { return o.cost }
+
+// Waiting implements Order.
+func (o *FCFSOrder[T]) Waiting(flow string) int { return o.waiting[flow] }
+
+// Len implements Order.
+func (o *FCFSOrder[T]) Len() int { return o.entries.Len() }
--- /dev/null
+++ b/internal/aubqueue/flowheap.go
@@ -0,0 +1,42 @@
+package aubqueue
+
+import "container/heap"
+
+// flowHeap orders flows with waiting entries by their start tag.
+type flowHeap[T any] []*flow[T]
+
+var _ heap.Interface = (*flowHeap[int])(nil)
+
+func (h flowHeap[T]) Len() int { return len(h) }
+
+func (h flowHeap[T]) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].entries[0].sequence < h[j].entries[0].sequence
+}
+
+func (h flowHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap[T]) Push(x any) {
+	f, ok := x.(*flow[T])
+	if !ok {
+		return
+	}
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap[T]) Pop() any {
+	last := len(*h) - 1
+	f := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return f
+}
--- /dev/null
+++ b/internal/aubqueue/group.go
@@ -0,0 +1,77 @@
+package aubqueue
+
+import "time"
+
+const (
+	// smoothing is the weight of a new observation in the averages.
+	smoothing = 0.1
+	// minRetryAfter is the least time that a refused caller is told to wait.
+	minRetryAfter = 100 * time.Millisecond
+	// unknownRetryAfter is told when no service rate is known yet.
+	unknownRetryAfter = time.Second
+)
+
+// group is the requests that share one capacity.
+type group struct {
+	order    Order[*waiter]
+	capacity int
+	running  int
+	tokens   int64
+	// Averages over finished requests; zero before the first one.
+	meanCost    float64
+	meanSeconds float64
+}
+
+func newGroup(p Policy, capacity int) *group {
+	return &group{order: NewOrder[*waiter](p), capacity: capacity}
+}
+
+// fits reports whether the next waiting request may start.
+func (g *group) fits(maxTokens int64) bool {
+	next := g.order.Peek()
+	if next == nil || g.running >= g.capacity {
+		return false
+	}
+	return maxTokens <= 0 || g.running == 0 || g.tokens+next.Cost <= maxTokens
+}
+
+// observe learns the service rate from a finished request.
+func (g *group) observe(cost int64, d time.Duration) {
+	if g.meanSeconds == 0 {
+		g.meanCost = float64(max(cost, 1))
+		g.meanSeconds = max(d.Seconds(), time.Millisecond.Seconds())
+		return
+	}
+	g.meanCost += smoothing * (float64(max(cost, 1)) - g.meanCost)
+	g.meanSeconds += smoothing * (d.Seconds() - g.meanSeconds)
+}
+
+// delay estimates how long the item waits; 0 while a place is free or no rate
+// is known.
+func (g *group) delay(item Item) time.Duration {
+	if g.order.Len() == 0 && g.running < g.capacity {
+		return 0
+	}
+	if g.meanSeconds <= 0 || g.capacity == 0 {
+		return 0
+	}
+	// Besides what waits ahead, one place has to become free.
+	rate := g.meanCost / g.meanSeconds * float64(g.capacity)
+	ahead := float64(g.order.Ahead(item.Workspace, item.Weight)) + g.meanCost
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+// lateness returns how far after the deadline the item would start.
+func lateness(now time.Time, delay time.Duration, deadline time.Time) time.Duration {
+	if deadline.IsZero() {
+		return 0
+	}
+	return now.Add(delay).Sub(deadline)
+}
+
+func retryAfter(d time.Duration) time.Duration {
+	if d == 0 {
+		return unknownRetryAfter
+	}
+	return max(d, minRetryAfter)
+}
