Add the replicated table of claims

A claim (workspace, idempotency key, request digest) is committed before the call is sent. A Begin whose commit is uncertain is proposed again under the same attempt until the table answers; if it gives up, a release is committed in the background and remembered, so that a late Begin finds nothing to take.

An owner that died leaves 'may have run': either its hold passed on the replicated clock or a later incarnation of the instance retired it. Nothing is evicted inside its kept time; a full table, or a workspace above half of it, refuses.

--- /dev/null
+++ b/internal/aubclaim/heap.go
@@ -0,0 +1,42 @@
+package aubclaim
+
+import "container/heap"
+
+// entryHeap orders entries by the end of their kept time.
+type entryHeap []*entry
+
+var _ heap.Interface = (*entryHeap)(nil)
+
+func (h entryHeap) Len() int { return len(h) }
+
+func (h entryHeap) Less(i, j int) bool {
+	if h[i].keepEnd != h[j].keepEnd {
+		return h[i].keepEnd < h[j].keepEnd
+	}
+	return h[i].id.compare(h[j].id) < 0
+}
+
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) {
+	e, ok := x.(*entry)
+	if !ok {
+		return
+	}
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/aubclaim/pending.go
@@ -0,0 +1,84 @@
+package aubclaim
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// apply commits one command and decodes the table's answer.
+func (c *Claims) apply(ctx context.Context, cmd *aubwire.ClaimCommand) (*aubwire.ClaimReply, error) {
+	body, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, &ReplyError{Detail: "command not encoded", Err: err}
+	}
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := c.common.Timer.After(tryCtx, c.opts.ApplyTimeout)
+	go func() {
+		select {
+		case <-timeout:
+			cancel()
+		case <-tryCtx.Done():
+		}
+	}()
+	res, err := c.opts.Proposer.Apply(tryCtx, TableName, body)
+	if err != nil {
+		return nil, err
+	}
+	r := &aubwire.ClaimReply{}
+	if err := proto.Unmarshal(res.Body, r); err != nil {
+		return nil, &ReplyError{Detail: "reply not decoded", Err: err}
+	}
+	return r, nil
+}
+
+// enqueue keeps an update until it is committed.
+func (c *Claims) enqueue(cmd *aubwire.ClaimCommand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) >= maxPending {
+		c.pending = c.pending[1:]
+		c.common.Metrics.Counter("updates_dropped").Inc(1)
+	}
+	c.pending = append(c.pending, cmd)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// flush commits what is pending, in order, until the first failure.
+func (c *Claims) flush(ctx context.Context) {
+	for {
+		cmd := c.first()
+		if cmd == nil {
+			return
+		}
+		if _, err := c.apply(ctx, cmd); err != nil {
+			c.common.Log.Debug("update of a claim not committed yet", zap.Error(err))
+			return
+		}
+		c.drop(cmd)
+	}
+}
+
+func (c *Claims) first() *aubwire.ClaimCommand {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 {
+		return nil
+	}
+	return c.pending[0]
+}
+
+func (c *Claims) drop(cmd *aubwire.ClaimCommand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) > 0 && c.pending[0] == cmd {
+		c.pending = c.pending[1:]
+	}
+}
--- /dev/null
+++ b/internal/aubclaim/table.go
@@ -0,0 +1,256 @@
+package aubclaim
+
+import (
+	"bytes"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// TableName is the table's name in the replicated log.
+const TableName = "claims"
+
+// Defaults of the table's options.
+const (
+	// DefaultKeep is the time for which an outcome is kept.
+	DefaultKeep = 24 * time.Hour
+	// DefaultHold is the time after which an unfinished claim may have run.
+	DefaultHold = 15 * time.Minute
+	// DefaultMaxClaims is the number of claims kept.
+	DefaultMaxClaims = 100_000
+	// DefaultMaxBody is the largest recorded body, in bytes.
+	DefaultMaxBody = 64 << 10
+	// DefaultMaxBytes is the sum of all recorded bodies and headers, in bytes.
+	DefaultMaxBytes = 256 << 20
+	// DefaultInProgressRetry is when a repeat of a running call may ask again.
+	DefaultInProgressRetry = time.Second
+)
+
+// TableOpts configures the table. Every replica must have the same values.
+type TableOpts struct {
+	// Keep is the time, on the replicated clock, for which an outcome is kept.
+	Keep time.Duration
+	// MaxClaims bounds the claims of all workspaces.
+	MaxClaims int
+	// MaxWorkspaceClaims bounds the claims of one workspace; 0 means half of MaxClaims.
+	MaxWorkspaceClaims int
+	// MaxBody bounds a recorded body in bytes.
+	MaxBody int
+	// MaxBytes bounds the sum of the recorded answers in bytes.
+	MaxBytes int
+	// InProgressRetry is when a repeat of a running call may ask again.
+	InProgressRetry time.Duration
+}
+
+// Table is the replicated table of claims. It is safe for concurrent use.
+type Table struct {
+	opts TableOpts
+
+	// mu guards state.
+	mu    sync.Mutex
+	state *state
+}
+
+var _ aubcontrol.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable(opts TableOpts) *Table {
+	return &Table{opts: opts.withDefaults(), state: newState()}
+}
+
+func (o TableOpts) withDefaults() TableOpts {
+	if o.Keep <= 0 {
+		o.Keep = DefaultKeep
+	}
+	if o.MaxClaims <= 0 {
+		o.MaxClaims = DefaultMaxClaims
+	}
+	if o.MaxWorkspaceClaims <= 0 {
+		o.MaxWorkspaceClaims = max(o.MaxClaims/2, 1)
+	}
+	if o.MaxBody <= 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+	if o.MaxBytes <= 0 {
+		o.MaxBytes = DefaultMaxBytes
+	}
+	if o.InProgressRetry <= 0 {
+		o.InProgressRetry = DefaultInProgressRetry
+	}
+	return o
+}
+
+// Name implements aubcontrol.Table.
+func (t *Table) Name() string { return TableName }
+
+// Len returns the number of claims kept.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.state.entries)
+}
+
+// Apply implements aubcontrol.Table.
+func (t *Table) Apply(cmd aubcontrol.Command) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	body, err := proto.Marshal(t.apply(cmd))
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+func (t *Table) apply(cmd aubcontrol.Command) *aubwire.ClaimReply {
+	t.state.advance(cmd.Clock)
+	decoded := &aubwire.ClaimCommand{}
+	if err := proto.Unmarshal(cmd.Body, decoded); err != nil {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_INVALID)
+	}
+	switch c := decoded.GetCommand().(type) {
+	case *aubwire.ClaimCommand_Begin:
+		return t.begin(c.Begin)
+	case *aubwire.ClaimCommand_Finish:
+		return t.finish(c.Finish)
+	case *aubwire.ClaimCommand_Release:
+		return t.release(c.Release)
+	case *aubwire.ClaimCommand_Abandon:
+		return t.abandon(c.Abandon)
+	case *aubwire.ClaimCommand_Retire:
+		return t.retire(c.Retire)
+	default:
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_INVALID)
+	}
+}
+
+func (t *Table) begin(c *aubwire.ClaimBegin) *aubwire.ClaimReply {
+	owner := newAttempt(c.GetOwner())
+	if t.state.isReleased(owner.attempt) || t.state.isRetired(owner.Owner) {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_NOT_OWNER)
+	}
+	id := newID(c.GetId())
+	if e, ok := t.state.entries[id]; ok {
+		return t.repeat(e, owner, c.GetDigest())
+	}
+	if free := t.room(id.Workspace); free > 0 {
+		r := reply(aubwire.ClaimResult_CLAIM_RESULT_FULL)
+		r.RetryAfterNs = int64(free)
+		return r
+	}
+	hold := time.Duration(c.GetHoldNs())
+	if hold <= 0 {
+		hold = DefaultHold
+	}
+	t.state.add(&entry{
+		id:      id,
+		owner:   owner,
+		digest:  c.GetDigest(),
+		state:   aubwire.ClaimState_CLAIM_STATE_IN_PROGRESS,
+		holdEnd: t.state.clock + hold,
+		keepEnd: t.state.clock + hold + t.opts.Keep,
+	})
+	return reply(aubwire.ClaimResult_CLAIM_RESULT_BEGUN)
+}
+
+// room returns 0 when a claim of the workspace can be added, else the time
+// until the next claim ends.
+func (t *Table) room(workspace string) time.Duration {
+	full := len(t.state.entries) >= t.opts.MaxClaims ||
+		t.state.workspaces[workspace] >= t.opts.MaxWorkspaceClaims
+	if !full {
+		return 0
+	}
+	return max(t.state.ends[0].keepEnd-t.state.clock, time.Millisecond)
+}
+
+// repeat answers a Begin for a claim that exists.
+func (t *Table) repeat(e *entry, owner attempt, digest []byte) *aubwire.ClaimReply {
+	if !bytes.Equal(e.digest, digest) {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_CONFLICT)
+	}
+	state := t.state.current(e)
+	if state == aubwire.ClaimState_CLAIM_STATE_DONE {
+		r := reply(aubwire.ClaimResult_CLAIM_RESULT_RECORDED)
+		r.Outcome = e.outcome
+		return r
+	}
+	r := reply(aubwire.ClaimResult_CLAIM_RESULT_MAY_HAVE_RUN)
+	r.Owner = e.owner.wire()
+	if state == aubwire.ClaimState_CLAIM_STATE_IN_PROGRESS {
+		if e.owner == owner {
+			return reply(aubwire.ClaimResult_CLAIM_RESULT_BEGUN)
+		}
+		r.Result = aubwire.ClaimResult_CLAIM_RESULT_IN_PROGRESS
+		r.RetryAfterNs = int64(t.opts.InProgressRetry)
+	}
+	return r
+}
+
+func (t *Table) finish(c *aubwire.ClaimFinish) *aubwire.ClaimReply {
+	e, ok := t.owned(c.GetId(), c.GetOwner())
+	if !ok {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_NOT_OWNER)
+	}
+	if e.state == aubwire.ClaimState_CLAIM_STATE_DONE {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_APPLIED)
+	}
+	e.state = aubwire.ClaimState_CLAIM_STATE_DONE
+	e.outcome = t.bounded(c.GetOutcome())
+	t.state.bytes += e.size()
+	t.state.keepUntil(e, t.state.clock+t.opts.Keep)
+	return reply(aubwire.ClaimResult_CLAIM_RESULT_APPLIED)
+}
+
+// bounded returns the outcome, or only its status when it is too large to keep.
+func (t *Table) bounded(o *aubwire.ClaimOutcome) *aubwire.ClaimOutcome {
+	size := proto.Size(o)
+	if len(o.GetBody()) <= t.opts.MaxBody && size <= 2*t.opts.MaxBody && t.state.bytes+size <= t.opts.MaxBytes {
+		return o
+	}
+	return &aubwire.ClaimOutcome{Status: o.GetStatus(), Omitted: true}
+}
+
+func (t *Table) release(c *aubwire.ClaimRelease) *aubwire.ClaimReply {
+	e, ok := t.owned(c.GetId(), c.GetOwner())
+	if ok && e.state == aubwire.ClaimState_CLAIM_STATE_DONE {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_NOT_OWNER)
+	}
+	// A Begin of the attempt that is still under way must find nothing to take.
+	t.state.released.add(c.GetOwner().GetAttempt(), t.state.clock+t.opts.Keep, t.opts.MaxClaims)
+	if ok {
+		t.state.remove(e)
+	}
+	return reply(aubwire.ClaimResult_CLAIM_RESULT_APPLIED)
+}
+
+func (t *Table) abandon(c *aubwire.ClaimAbandon) *aubwire.ClaimReply {
+	e, ok := t.owned(c.GetId(), c.GetOwner())
+	if !ok {
+		return reply(aubwire.ClaimResult_CLAIM_RESULT_NOT_OWNER)
+	}
+	if e.state == aubwire.ClaimState_CLAIM_STATE_IN_PROGRESS {
+		e.state = aubwire.ClaimState_CLAIM_STATE_MAY_HAVE_RUN
+		t.state.keepUntil(e, t.state.clock+t.opts.Keep)
+	}
+	return reply(aubwire.ClaimResult_CLAIM_RESULT_APPLIED)
+}
+
+func (t *Table) retire(c *aubwire.ClaimRetire) *aubwire.ClaimReply {
+	owner := newAttempt(c.GetOwner())
+	t.state.retire(owner.Owner)
+	return reply(aubwire.ClaimResult_CLAIM_RESULT_APPLIED)
+}
+
+func (t *Table) owned(id *aubwire.ClaimID, owner *aubwire.ClaimOwner) (*entry, bool) {
+	e, ok := t.state.entries[newID(id)]
+	if !ok || e.owner != newAttempt(owner) {
+		return nil, false
+	}
+	return e, true
+}
+
+func reply(r aubwire.ClaimResult) *aubwire.ClaimReply { return &aubwire.ClaimReply{Result: r} }
