Add token limits over a replicated table

One central bucket for each workspace stands in the replicated table. An instance leases tokens by committed syncs that carry all its workspaces; what is leased and not reported spent counts against the capacity, so that nothing grows while it is hoarded. A lease ends by the holder's own monotonic clock, counted from before the sync was sent; the table frees it a margin later on the replicated clock, without a refund. Amounts refer to a lease's epoch and a sync's sequence, so that late and doubled syncs free and credit nothing twice.

Each instance owns a floor of rate and burst for hours. A decrease frees nothing before it is acknowledged. While a workspace is short elsewhere, idle floors give their level to the central bucket.

The unused part of a reservation comes back only as far as the bucket had room for it all the time since it was taken; a plain refund would let a window that begins in between see more than burst plus rate.

The baseline policy gives equal fixed shares.

--- /dev/null
+++ b/internal/aublimit/build.go
@@ -0,0 +1,145 @@
+package aublimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// build returns the next sync, or nil when there is nothing to say yet.
+func (l *Limiter) build(now time.Duration) *pendingSync {
+	full := now-l.session.fullAt >= l.opts.IdleEvery || l.session.sequence == 0 || l.session.leaving
+	if full {
+		l.session.fullAt = now
+		l.followConfig()
+	}
+	uses := l.uses(now, full)
+	if len(uses) == 0 && !full {
+		return nil
+	}
+	l.session.sequence++
+	s := &aubwire.LimitSync{
+		Instance:         l.opts.Instance,
+		Zone:             l.opts.Zone,
+		Incarnation:      l.opts.Incarnation,
+		Sequence:         l.session.sequence,
+		Epoch:            l.session.epoch,
+		PredecessorEnded: l.opts.PredecessorEnded,
+		Leaving:          l.session.leaving,
+		Uses:             uses,
+	}
+	body, err := proto.Marshal(s)
+	if err != nil {
+		return nil
+	}
+	l.common.Metrics.Counter("syncs").Inc(1)
+	l.common.Metrics.Counter("sync_bytes").Inc(int64(len(body)))
+	return &pendingSync{sync: s, body: body, sentAt: now}
+}
+
+// followConfig opens an account for every configured workspace, so that each
+// has a floor before it is needed, and drops those that are gone.
+func (l *Limiter) followConfig() {
+	cfg := l.opts.Source.Config()
+	for _, w := range cfg.Workspaces() {
+		l.account(w.Name)
+	}
+	for name, a := range l.accounts {
+		if _, ok := cfg.Workspace(name); !ok && a.isEmpty() {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+func (l *Limiter) uses(now time.Duration, full bool) []*aubwire.LimitUse {
+	var uses []*aubwire.LimitUse
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
+		use := l.use(a, now)
+		use.Workspace = name
+		if worthSending(use, a, full) {
+			uses = append(uses, use)
+		}
+	}
+	return uses
+}
+
+// worthSending reports whether the table has to hear of the workspace now.
+func worthSending(use *aubwire.LimitUse, a *account, full bool) bool {
+	if use.GetSpent() > 0 || use.GetReturned() > 0 || use.GetWant() > 0 || len(use.GetCredits()) > 0 {
+		return true
+	}
+	if a.floorVersion != a.confirmed {
+		return true
+	}
+	return full && !a.central.known
+}
+
+// use moves what there is to report out of the account.
+func (l *Limiter) use(a *account, now time.Duration) *aubwire.LimitUse {
+	target := int64(a.demand.average(now) * l.opts.Horizon.Seconds())
+	if l.session.leaving {
+		a.endLease()
+		l.donate(a, now, 0)
+	} else {
+		l.trim(a, now, target)
+	}
+	use := &aubwire.LimitUse{
+		Spent:        a.spent,
+		Returned:     a.returned,
+		Want:         l.want(a, target),
+		FloorVersion: a.floorVersion,
+	}
+	for _, since := range slices.Sorted(maps.Keys(a.credits)) {
+		use.Credits = append(use.Credits, &aubwire.LimitCredit{SinceNs: int64(since), Tokens: a.credits[since]})
+	}
+	a.spent, a.returned = 0, 0
+	clear(a.credits)
+	return use
+}
+
+// want is what has to be fetched: at once what waits, ahead what recent use suggests.
+func (l *Limiter) want(a *account, target int64) int64 {
+	if l.session.leaving {
+		return 0
+	}
+	waiting := a.waiting()
+	if waiting == 0 && a.lease >= target/2 {
+		return 0
+	}
+	want := waiting + target - a.lease
+	if a.central.known {
+		want = min(want, a.central.capacity)
+	}
+	return max(want, 0)
+}
+
+// trim gives back what is held beyond need: leased tokens that recent use does
+// not call for, and of the floor while the workspace is short elsewhere.
+func (l *Limiter) trim(a *account, now time.Duration, target int64) {
+	if len(a.waiters) > 0 {
+		return
+	}
+	if a.lease > 2*target {
+		a.returned += a.lease - target
+		a.lease = target
+	}
+	if a.central.short && l.reachable(now) {
+		l.donate(a, now, 2*target)
+	}
+}
+
+// donate moves the floor's level above keep to the central bucket.
+func (l *Limiter) donate(a *account, now time.Duration, keep int64) {
+	a.fillFloor(now)
+	n := a.floorLevel() - keep
+	if n <= 0 || l.session.epoch == 0 {
+		return
+	}
+	a.floor.take(now, n)
+	a.credits[l.session.clock] += n
+}
--- /dev/null
+++ b/internal/aublimit/fake_test.go
@@ -0,0 +1,69 @@
+package aublimit_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// site is the configuration, as seen by the table and by every limiter.
+type site struct {
+	mu  sync.Mutex
+	cfg aubquery.Config
+}
+
+func newSite(workspaces ...aubapi.Workspace) *site {
+	return &site{cfg: aubquery.NewConfig(aubquery.ConfigOpts{Workspaces: workspaces})}
+}
+
+func (s *site) Config() aubquery.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg
+}
+
+func (s *site) ConfirmedAt() time.Time { return time.Time{} }
+
+func (s *site) Changed(uint64) <-chan struct{} { return nil }
+
+func (s *site) workspace(name string) (aubapi.Workspace, bool) { return s.Config().Workspace(name) }
+
+// fakeLog commits to one table at a replicated clock.
+type fakeLog struct {
+	mu     sync.Mutex
+	table  *aublimit.Table
+	index  uint64
+	clock  func() time.Duration
+	bytes  int
+	refuse bool
+}
+
+var _ aubcontrol.Proposer = (*fakeLog)(nil)
+
+func newFakeLog(s *site, terms aublimit.Terms, clock func() time.Duration) *fakeLog {
+	return &fakeLog{
+		table: aublimit.NewTable(aublimit.TableOpts{Workspaces: s.workspace, Terms: terms}),
+		clock: clock,
+	}
+}
+
+func (l *fakeLog) Apply(_ context.Context, _ string, body []byte) (aubcontrol.Result, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse {
+		return aubcontrol.Result{}, &aubcontrol.NotCommittedError{Reason: "no leader"}
+	}
+	out := l.commit(body)
+	return aubcontrol.Result{Index: l.index, Body: out}, nil
+}
+
+func (l *fakeLog) commit(body []byte) []byte {
+	l.index++
+	l.bytes += len(body)
+	return l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body})
+}
--- /dev/null
+++ b/internal/aublimit/grant.go
@@ -0,0 +1,132 @@
+package aublimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// settle books what the holder spent, returned and did not use. Amounts of
+// another epoch refer to a lease that has ended: they are ignored, so that a
+// late or doubled sync frees nothing that a newer lease holds.
+func (t *Table) settle(s *session, sync *aubwire.LimitSync) {
+	current := s.epoch != 0 && sync.GetEpoch() == s.epoch
+	for _, use := range sync.GetUses() {
+		c, ok := t.central(use.GetWorkspace())
+		if !ok {
+			continue
+		}
+		h := s.holding(use.GetWorkspace())
+		if current {
+			t.book(c, h, use)
+		}
+		t.acknowledge(c, h, use.GetFloorVersion())
+	}
+}
+
+func (t *Table) book(c *central, h *holding, use *aubwire.LimitUse) {
+	spent := min(max(use.GetSpent(), 0), h.outstanding)
+	h.outstanding -= spent
+	c.bucket.spend(t.clock, spent)
+	returned := min(max(use.GetReturned(), 0), h.outstanding)
+	h.outstanding -= returned
+	c.bucket.takeBack(t.clock, returned)
+	for _, credit := range use.GetCredits() {
+		c.bucket.credit(time.Duration(credit.GetSinceNs()), credit.GetTokens())
+	}
+}
+
+// acknowledge lowers what the holder may act by to the floor it confirmed.
+func (t *Table) acknowledge(c *central, h *holding, version uint64) {
+	if version == 0 || version != h.offered.version || h.held.same(h.offered) {
+		return
+	}
+	c.hold(t.clock, h.offered.minus(h.held))
+	h.held = h.offered
+}
+
+// grant offers floors, then lends what is wanted and there.
+func (t *Table) grant(s *session, index uint64, sync *aubwire.LimitSync) []*aubwire.LimitGrant {
+	grants := make(map[string]*aubwire.LimitGrant, len(sync.GetUses()))
+	versions := make(map[string]uint64, len(sync.GetUses()))
+	for _, use := range sync.GetUses() {
+		name := use.GetWorkspace()
+		versions[name] = use.GetFloorVersion()
+		grants[name] = &aubwire.LimitGrant{Workspace: name, Unknown: true}
+	}
+	topology := t.topology(s.zone)
+	for name, h := range s.accounts {
+		c, ok := t.central(name)
+		if !ok {
+			continue
+		}
+		changed := t.offer(c, h, index, topology)
+		_, named := grants[name]
+		if named || changed || t.clock < c.shortUntil {
+			grants[name] = &aubwire.LimitGrant{Workspace: name}
+		}
+		if g, ok := grants[name]; ok && (!named || versions[name] != h.offered.version) {
+			g.Floor = h.offered.wire()
+		}
+	}
+	for _, use := range sync.GetUses() {
+		t.lend(s, use, grants[use.GetWorkspace()])
+	}
+	return t.describe(grants)
+}
+
+func (t *Table) lend(s *session, use *aubwire.LimitUse, g *aubwire.LimitGrant) {
+	if g.GetUnknown() {
+		return
+	}
+	c, h := t.centrals[use.GetWorkspace()], s.holding(use.GetWorkspace())
+	g.Granted = c.bucket.lend(use.GetWant())
+	h.outstanding += g.GetGranted()
+	if g.GetGranted() < use.GetWant() {
+		c.shortUntil = t.clock + shortTime
+	}
+}
+
+// describe adds the state of the central buckets, in order of workspace.
+func (t *Table) describe(grants map[string]*aubwire.LimitGrant) []*aubwire.LimitGrant {
+	sorted := make([]*aubwire.LimitGrant, 0, len(grants))
+	for _, name := range slices.Sorted(maps.Keys(grants)) {
+		g := grants[name]
+		if !g.GetUnknown() {
+			c := t.centrals[name]
+			g.Level = c.bucket.level.tokens()
+			g.RateMilli = c.bucket.rateMilli
+			g.Capacity = c.bucket.capacity.tokens()
+			g.Short = t.clock < c.shortUntil
+		}
+		sorted = append(sorted, g)
+	}
+	return sorted
+}
+
+// central returns the workspace's bucket, refilled until now. A workspace that
+// is not configured has one only while something of it may be held.
+func (t *Table) central(name string) (*central, bool) {
+	if c, ok := t.centrals[name]; ok {
+		t.advance(name, c)
+		return c, true
+	}
+	w, ok := t.opts.Workspaces(name)
+	if !ok {
+		return nil, false
+	}
+	c := newCentral(t.clock, limits{rate: w.Rate, burst: w.Burst})
+	t.centrals[name] = c
+	return c, true
+}
+
+func (t *Table) advance(name string, c *central) {
+	w, ok := t.opts.Workspaces(name)
+	if !ok {
+		c.advance(t.clock, limits{})
+		return
+	}
+	c.advance(t.clock, limits{rate: w.Rate, burst: w.Burst})
+}
--- /dev/null
+++ b/internal/aublimit/limiter_test.go
@@ -0,0 +1,60 @@
+package aublimit_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestReserveFetchesWaitsRefusesAndLeaves(t *testing.T) {
+	s := newSite(aubapi.Workspace{Name: "w", Rate: 1000, Burst: 1000})
+	start := time.Now()
+	log := newFakeLog(s, aublimit.Terms{}, func() time.Duration { return time.Since(start) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := aublimit.NewLimiter(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aublimit.LimiterOpts{
+		Instance:    "a",
+		Zone:        "z",
+		Incarnation: 1,
+		Proposer:    log,
+		Source:      s,
+		SyncEvery:   5 * time.Millisecond,
+	})
+
+	first, err := l.Reserve(ctx, "w", 600)
+	qt.Assert(t, err, qt.IsNil)
+	first.Settle(100)
+	first.Settle(100)
+
+	var refused *aublimit.RefusedError
+	_, err = l.Reserve(ctx, "w", 1001)
+	qt.Assert(t, err, qt.ErrorAs, &refused)
+	qt.Assert(t, refused, qt.DeepEquals, &aublimit.RefusedError{Reason: aublimit.ReasonBurst})
+	_, err = l.Reserve(ctx, "v", 1)
+	qt.Assert(t, err, qt.ErrorAs, &refused)
+	qt.Assert(t, refused.Reason, qt.Equals, aublimit.ReasonUnknown)
+
+	for err == nil || refused.Reason != aublimit.ReasonRate {
+		_, err = l.Reserve(ctx, "w", 700)
+		if err != nil {
+			qt.Assert(t, err, qt.ErrorAs, &refused)
+		}
+	}
+	qt.Assert(t, refused.RetryAfter > 0 && refused.RetryAfter < 10*time.Second, qt.IsTrue)
+
+	qt.Assert(t, l.Leave(ctx), qt.IsNil)
+	_, err = l.Reserve(ctx, "w", 1)
+	qt.Assert(t, err, qt.ErrorAs, &refused)
+	qt.Assert(t, refused.Reason, qt.Equals, aublimit.ReasonEnded)
+	qt.Assert(t, log.table.Held("w"), qt.Equals, aublimit.Held{})
+}
--- /dev/null
+++ b/internal/aublimit/offer.go
@@ -0,0 +1,45 @@
+package aublimit
+
+// topology counts what the floors are divided by.
+type topology struct {
+	zones     int
+	instances int
+}
+
+// topology counts the zones with a holder and the holders of one zone. Several
+// incarnations of an instance count once.
+func (t *Table) topology(zone string) topology {
+	zones := make(map[string]struct{})
+	instances := make(map[string]struct{})
+	for id, s := range t.sessions {
+		if s.left {
+			continue
+		}
+		zones[s.zone] = struct{}{}
+		if s.zone == zone {
+			instances[id.instance] = struct{}{}
+		}
+	}
+	return topology{zones: len(zones), instances: len(instances)}
+}
+
+// offer moves the holder's floor towards its share and reports whether the
+// newest floor changed. A decrease frees nothing before the holder acknowledged
+// it; an increase counts at once and takes only what is free.
+func (t *Table) offer(c *central, h *holding, index uint64, top topology) bool {
+	target := wholeFloor(c.limits, t.opts.Terms.FloorPerMille).share(top.zones, top.instances)
+	room := c.room(t.opts.Terms.FloorPerMille)
+	next := floor{
+		version:   index,
+		rateMilli: min(target.rateMilli, h.held.rateMilli+room.rateMilli),
+		burst:     min(target.burst, h.held.burst+room.burst),
+	}
+	if next.same(h.offered) {
+		return false
+	}
+	h.offered = next
+	held := larger(h.held, next)
+	c.hold(t.clock, held.minus(h.held))
+	h.held = held
+	return true
+}
