Add placement: planner, placer and fencing table

The placer gives its orders while its process leads, with a fencing number from the replicated log. A copy is unloaded only when another ready copy is confirmed under the present fencing number, because a late order of an earlier leader could unload that one otherwise.

--- a/internal/aubmembership/record.go
+++ b/internal/aubmembership/record.go
@@ -91,6 +91,7 @@
 		rec.heads = 0
 	}
 	rec.heads++
+	rec.member.Outdated = !rec.current
 	if rec.digest == 0 && !rec.current {
 		rec.setResidents(nil)
 	}
@@ -139,6 +140,7 @@
 	rec.reshaped = true
 	rec.complete = true
 	rec.current = true
+	rec.member.Outdated = false
 	held := rec.member.Announcement
 	if held.GetBackend() == nil {
 		return
--- a/internal/aubmembership/view.go
+++ b/internal/aubmembership/view.go
@@ -15,6 +15,9 @@
 	Announcement *aubwire.Announcement
 	// HeardAt is the receiver's monotonic time of the newest announcement.
 	HeardAt time.Time
+	// Outdated is true while the residents are those of an earlier announcement,
+	// because a part of the newest list is missing.
+	Outdated bool
 }
 
 // View is an immutable picture of all members at one moment.
--- /dev/null
+++ b/internal/aubplacement/error.go
@@ -0,0 +1,31 @@
+package aubplacement
+
+import "fmt"
+
+// OptsError says that an option has a value that is not allowed.
+type OptsError struct {
+	Field string
+	Value string
+}
+
+// Error implements error.
+func (e *OptsError) Error() string {
+	return fmt.Sprintf("placement option %s: %q is not allowed", e.Field, e.Value)
+}
+
+// FenceError says that no fencing number could be had.
+type FenceError struct {
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *FenceError) Error() string {
+	if e.Err == nil {
+		return "no fencing number: " + e.Reason
+	}
+	return fmt.Sprintf("no fencing number: %s: %v", e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FenceError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/aubplacement/gather.go
@@ -0,0 +1,97 @@
+package aubplacement
+
+import (
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// defaultCopies is the number of copies wished of a model that names none.
+const defaultCopies = 2
+
+// itemsOf lists the models and adapters of a configuration.
+func itemsOf(cfg aubquery.Config) []Item {
+	var items []Item
+	for _, m := range cfg.Models() {
+		items = append(items, Item{
+			Key: Key{Name: m.Name}, MemoryBytes: m.MemoryBytes, Copies: copiesOf(m),
+		})
+	}
+	for _, a := range cfg.Adapters() {
+		model, ok := cfg.Model(a.Model)
+		if !ok {
+			continue
+		}
+		items = append(items, Item{
+			Key: Key{Name: a.Name, Adapter: true}, Base: a.Model,
+			MemoryBytes: a.MemoryBytes, Copies: copiesOf(model),
+		})
+	}
+	return items
+}
+
+func copiesOf(m aubapi.Model) int {
+	if m.Copies == 0 {
+		return defaultCopies
+	}
+	return m.Copies
+}
+
+// backendOf turns an agent's announcement into a backend server of a snapshot.
+// Term fence is the first fencing number of the present leadership, 0 before
+// there is one.
+func backendOf(m aubmembership.Member, termFence uint64) Backend {
+	a := m.Announcement
+	b := Backend{
+		Name: a.GetName(), Zone: a.GetZone(), Incarnation: a.GetIncarnation(),
+		MemoryBytes: a.GetBackend().GetMemoryBytes(), UsedBytes: a.GetBackend().GetMemoryUsedBytes(),
+		Residents: make(map[Key]aubwire.Residency, len(a.GetBackend().GetResident())),
+		Leaving:   a.GetLeaving(),
+		Busy:      m.Outdated,
+		Fenced:    termFence > 0 && a.GetBackend().GetFence() >= termFence && !m.Outdated,
+		InFlight:  int(a.GetBackend().GetRunning() + a.GetBackend().GetQueued()),
+	}
+	for _, r := range a.GetBackend().GetResident() {
+		b.Residents[Key{Name: r.GetName(), Adapter: r.GetAdapter()}] = r.GetState()
+	}
+	return b
+}
+
+// loading counts the loads on their way.
+func loading(backends []Backend) (models, adapters int) {
+	for _, b := range backends {
+		for key, state := range b.Residents {
+			switch {
+			case state != aubwire.Residency_RESIDENCY_LOADING:
+			case key.Adapter:
+				adapters++
+			default:
+				models++
+			}
+		}
+	}
+	return models, adapters
+}
+
+// requests remembers which items callers of this process wait for.
+type requests map[Key]time.Time
+
+// requestMemory is how long a request for a load counts.
+const requestMemory = 10 * time.Second
+
+// addTo counts the requests as waiting callers.
+func (r requests) addTo(now time.Time, clock time.Duration, d Demand) {
+	for key, at := range r {
+		if now.Sub(at) > requestMemory {
+			delete(r, key)
+			continue
+		}
+		demand := d.Items[key]
+		demand.Waiting++
+		demand.LastArrival = clock
+		d.Items[key] = demand
+	}
+}
--- /dev/null
+++ b/internal/aubplacement/opts.go
@@ -0,0 +1,88 @@
+package aubplacement
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// Defaults of the options.
+const (
+	DefaultInterval        = 500 * time.Millisecond
+	DefaultSettle          = 2 * time.Second
+	DefaultOrderTimeout    = 5 * time.Second
+	DefaultLoadRate        = 1.5
+	DefaultLoadConcurrency = 4
+	DefaultAdapterLimit    = 30
+	DefaultCapacity        = 8.0
+)
+
+// OrderClient sends orders to agents.
+type OrderClient interface {
+	// Order sends one order and returns the agent's answer. An error means that
+	// the order may or may not be executed, now or later.
+	Order(ctx context.Context, m aubmembership.Member, r *aubwire.OrderRequest) (*aubwire.OrderResponse, error)
+}
+
+// PlacerOpts are the options of NewPlacer.
+type PlacerOpts struct {
+	// Policy names the planner; empty means PolicyMarginalAttainment.
+	Policy string
+	// Objective of the site; empty means ObjectiveWorstServed.
+	Objective  Objective
+	Leadership aubcontrol.Leadership
+	Proposer   aubcontrol.Proposer
+	Config     aubquery.Source
+	Members    aubmembership.Source
+	Orders     OrderClient
+	// Demand replaces what the entries announce; nil means their announcements.
+	Demand func() Demand
+	// Interval between plans; 0 means DefaultInterval.
+	Interval time.Duration
+	// Settle is how long after the start the members are gathered before the
+	// first plan; 0 means DefaultSettle.
+	Settle time.Duration
+	// OrderTimeout bounds one order; 0 means DefaultOrderTimeout.
+	OrderTimeout time.Duration
+	// LoadRate, in loads a second, and LoadConcurrency are the weight store's
+	// limits; 0 means the defaults.
+	LoadRate        float64
+	LoadConcurrency int
+	// AdapterLimit is the number of adapter loads in flight at full speed; 0
+	// means DefaultAdapterLimit.
+	AdapterLimit int
+	// Capacity is the number of requests in flight at which half of the answers
+	// of a backend server miss the target; 0 means DefaultCapacity.
+	Capacity float64
+}
+
+func (o PlacerOpts) withDefaults() PlacerOpts {
+	setDefault(&o.Policy, PolicyMarginalAttainment)
+	setDefault(&o.Objective, ObjectiveWorstServed)
+	setDefault(&o.Interval, DefaultInterval)
+	setDefault(&o.Settle, DefaultSettle)
+	setDefault(&o.OrderTimeout, DefaultOrderTimeout)
+	setDefault(&o.LoadRate, DefaultLoadRate)
+	setDefault(&o.LoadConcurrency, DefaultLoadConcurrency)
+	setDefault(&o.AdapterLimit, DefaultAdapterLimit)
+	setDefault(&o.Capacity, DefaultCapacity)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+func (o PlacerOpts) check() error {
+	if o.Objective != ObjectiveWorstServed && o.Objective != ObjectiveRefusals {
+		return &OptsError{Field: "objective", Value: string(o.Objective)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/aubplacement/placer_test.go
@@ -0,0 +1,96 @@
+package aubplacement_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubplacement"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
+
+// run is a placer over a fake site.
+type run struct {
+	site   *fakeSite
+	lead   *fakeLeadership
+	log    *fakeLog
+	placer *aubplacement.Placer
+}
+
+func newRun(t *testing.T, agents int, models int) *run {
+	r := &run{
+		site: &fakeSite{timer: aubtimer.NewManual(time.Unix(1000, 0)), agents: map[string]*fakeAgent{}},
+		lead: &fakeLeadership{},
+		log:  &fakeLog{table: aubplacement.NewTable()},
+	}
+	for i := range agents {
+		name := fmt.Sprintf("w%d", i)
+		r.site.agents[name] = &fakeAgent{
+			name: name, zone: string(rune('a' + i%3)), memory: 80 * gib, residents: map[aubplacement.Key]int64{},
+		}
+	}
+	opts := aubquery.ConfigOpts{Version: 1}
+	for i := range models {
+		opts.Models = append(opts.Models, aubapi.Model{Name: fmt.Sprintf("m%d", i), MemoryBytes: 20 * gib})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var err error
+	r.placer, err = aubplacement.NewPlacer(ctx, aubcommon.NewCommon(r.site.timer), aubplacement.PlacerOpts{
+		Leadership: r.lead, Proposer: r.log, Config: fakeConfig{config: aubquery.NewConfig(opts)},
+		Members: r.site, Orders: r.site, LoadRate: 100, LoadConcurrency: 100,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		cancel()
+		r.placer.Wait()
+	})
+	return r
+}
+
+// eventually moves the time until the check holds.
+func (r *run) eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for range 2000 {
+		if check() {
+			return
+		}
+		r.site.timer.Advance(100 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("not seen: %s", what)
+}
+
+func (r *run) everyModelHas(copies, models int) bool {
+	for i := range models {
+		if r.site.copies(aubplacement.Key{Name: fmt.Sprintf("m%d", i)}) < copies {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPlacerLoadsEveryModelTwice(t *testing.T) {
+	r := newRun(t, 6, 8)
+	r.lead.term.Store(1)
+	r.eventually(t, "two copies of each model", func() bool { return r.everyModelHas(2, 8) })
+}
+
+func TestPlacerThatDoesNotLeadGivesNoOrders(t *testing.T) {
+	r := newRun(t, 3, 2)
+	for range 50 {
+		r.site.timer.Advance(100 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
+	qt.Assert(t, r.site.orders, qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/aubplacement/table.go
@@ -0,0 +1,138 @@
+package aubplacement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// TableName names the placement table in the replicated log.
+	TableName = "placement"
+	// maxAgents bounds the agent incarnations remembered.
+	maxAgents = 20000
+)
+
+// Table is the replicated part of placement: the fencing numbers. A number is
+// given out once. mu guards all fields.
+type Table struct {
+	mu     sync.Mutex
+	fence  uint64
+	term   uint64
+	agents map[string]*aubwire.AgentFloor
+}
+
+var _ aubcontrol.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{agents: make(map[string]*aubwire.AgentFloor)}
+}
+
+// Name implements aubcontrol.Table.
+func (t *Table) Name() string { return TableName }
+
+// Fence returns the highest fencing number given out.
+func (t *Table) Fence() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fence
+}
+
+// Apply implements aubcontrol.Table.
+func (t *Table) Apply(cmd aubcontrol.Command) []byte {
+	c := &aubwire.PlacementCommand{}
+	if err := proto.Unmarshal(cmd.Body, c); err != nil {
+		return encodeResult(&aubwire.PlacementResult{Refused: true})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch c := c.GetCommand().(type) {
+	case *aubwire.PlacementCommand_AcquireFence:
+		return encodeResult(t.acquire(c.AcquireFence.GetTerm()))
+	case *aubwire.PlacementCommand_RegisterAgent:
+		return encodeResult(t.register(c.RegisterAgent))
+	}
+	return encodeResult(&aubwire.PlacementResult{Refused: true})
+}
+
+// acquire gives a leader its number, unless a later leader had one.
+func (t *Table) acquire(term uint64) *aubwire.PlacementResult {
+	if term < t.term {
+		return &aubwire.PlacementResult{Refused: true, Fence: t.fence}
+	}
+	t.term = term
+	t.fence++
+	return &aubwire.PlacementResult{Fence: t.fence}
+}
+
+// register gives an agent incarnation its floor: a number of its own, so that
+// every order sent to an earlier incarnation lies below it.
+func (t *Table) register(r *aubwire.RegisterAgent) *aubwire.PlacementResult {
+	held := t.agents[r.GetName()]
+	if held.GetIncarnation() > r.GetIncarnation() {
+		return &aubwire.PlacementResult{Refused: true, Fence: held.GetFloor()}
+	}
+	if held != nil && held.GetIncarnation() == r.GetIncarnation() {
+		return &aubwire.PlacementResult{Fence: held.GetFloor()}
+	}
+	t.fence++
+	t.agents[r.GetName()] = &aubwire.AgentFloor{
+		Name: r.GetName(), Incarnation: r.GetIncarnation(), Floor: t.fence,
+	}
+	if len(t.agents) > maxAgents {
+		t.forgetOldest()
+	}
+	return &aubwire.PlacementResult{Fence: t.fence}
+}
+
+// forgetOldest drops the agent with the lowest floor.
+func (t *Table) forgetOldest() {
+	var oldest *aubwire.AgentFloor
+	for _, a := range t.agents {
+		if oldest == nil || a.GetFloor() < oldest.GetFloor() {
+			oldest = a
+		}
+	}
+	delete(t.agents, oldest.GetName())
+}
+
+// Snapshot implements aubcontrol.Table.
+func (t *Table) Snapshot() ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &aubwire.PlacementSnapshot{Fence: t.fence, Term: t.term}
+	for _, a := range t.agents {
+		s.Agents = append(s.Agents, a)
+	}
+	slices.SortFunc(s.Agents, func(x, y *aubwire.AgentFloor) int { return cmp.Compare(x.GetName(), y.GetName()) })
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s)
+}
+
+// Restore implements aubcontrol.Table.
+func (t *Table) Restore(data []byte) error {
+	s := &aubwire.PlacementSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fence = s.GetFence()
+	t.term = s.GetTerm()
+	t.agents = make(map[string]*aubwire.AgentFloor, len(s.GetAgents()))
+	for _, a := range s.GetAgents() {
+		t.agents[a.GetName()] = a
+	}
+	return nil
+}
+
+func encodeResult(r *aubwire.PlacementResult) []byte {
+	// Marshal of a message without required fields and with valid strings can't fail.
+	data, _ := proto.Marshal(r)
+	return data
+}
