--- /dev/null
+++ b/internal/aubdistribution/cache.go
@@ -0,0 +1,130 @@
+package aubdistribution
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	cacheFile = "config.cache"
+	dirMode   = 0o700
+	fileMode  = 0o600
+)
+
+// cache keeps the configuration shown last in one synced file. Without a folder
+// it keeps nothing.
+type cache struct {
+	common aubcommon.Common
+	dir    string
+}
+
+func newCache(common aubcommon.Common, dir string) *cache {
+	return &cache{common: common, dir: dir}
+}
+
+// load returns the kept configuration, the empty one when there is none or its
+// digest does not fit.
+func (c *cache) load() aubquery.Config {
+	empty := aubquery.NewConfig(aubquery.ConfigOpts{})
+	if c.dir == "" {
+		return empty
+	}
+	data, err := os.ReadFile(c.path())
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			c.common.Log.Error("configuration copy not read", zap.String("file", c.path()), zap.Error(err))
+		}
+		return empty
+	}
+	cfg, err := decodeFull(data)
+	if err != nil {
+		c.common.Log.Error("configuration copy is damaged", zap.String("file", c.path()), zap.Error(err))
+		return empty
+	}
+	return cfg
+}
+
+// save replaces the kept configuration. When that fails the old one is removed,
+// so that a restart can't show an older version than this process.
+func (c *cache) save(cfg aubquery.Config) {
+	if c.dir == "" {
+		return
+	}
+	err := c.write(cfg)
+	if err == nil {
+		return
+	}
+	c.common.Metrics.Counter("cache_failures").Inc(1)
+	c.common.Log.Error("configuration copy not written", zap.Uint64("version", cfg.Version()), zap.Error(err))
+	if err := os.Remove(c.path()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		c.common.Log.Error("old configuration copy not removed", zap.Error(err))
+	}
+}
+
+func (c *cache) write(cfg aubquery.Config) error {
+	data, err := proto.Marshal(encodeFull(cfg))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.dir, dirMode); err != nil {
+		return err
+	}
+	next := c.path() + ".next"
+	if err := writeSynced(next, data); err != nil {
+		return err
+	}
+	if err := os.Rename(next, c.path()); err != nil {
+		return err
+	}
+	return syncDir(c.dir)
+}
+
+func (c *cache) path() string { return filepath.Join(c.dir, cacheFile) }
+
+func writeSynced(name string, data []byte) error {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(data); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	return f.Close()
+}
+
+func syncDir(name string) error {
+	d, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+func encodeFull(cfg aubquery.Config) *aubwire.ConfigFull {
+	return &aubwire.ConfigFull{State: aubcodec.StateToWire(cfg), Digest: cfg.Digest().Bytes()}
+}
+
+func decodeFull(data []byte) (aubquery.Config, error) {
+	var full aubwire.ConfigFull
+	if err := proto.Unmarshal(data, &full); err != nil {
+		return aubquery.Config{}, err
+	}
+	cfg := aubcodec.StateFromWire(full.GetState())
+	if !equalDigest(cfg, full.GetDigest()) {
+		return aubquery.Config{}, &DigestError{Version: cfg.Version()}
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/internal/aubdistribution/fake_test.go
@@ -0,0 +1,241 @@
+package aubdistribution_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdistribution"
+	"github.com/auburndale/auburndale/internal/aubstate"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var errNoLeader = errors.New("no leader")
+
+// fakeReader confirms unless it is cut off.
+type fakeReader struct {
+	cutOff atomic.Bool
+}
+
+func (r *fakeReader) Confirm(context.Context) (uint64, error) {
+	if r.cutOff.Load() {
+		return 0, errNoLeader
+	}
+	return 0, nil
+}
+
+// site is a set of replicas on bufconn listeners under one manual clock.
+type site struct {
+	t       *testing.T
+	ctx     context.Context
+	timer   *aubtimer.Manual
+	common  aubcommon.Common
+	servers map[string]*replica
+	dials   atomic.Int32
+}
+
+// replica is one table with its server. Faults work on the messages it sends.
+type replica struct {
+	aubwire.UnimplementedDistributionServer
+
+	table    *aubstate.ConfigTable
+	reader   *fakeReader
+	server   *aubdistribution.Server
+	listener *bufconn.Listener
+
+	mu sync.Mutex
+	// spoil decides on every message sent; nil sends it.
+	spoil func(*aubwire.WatchResponse) []*aubwire.WatchResponse
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	s := &site{t: t, ctx: ctx, timer: timer, common: aubcommon.NewCommon(timer), servers: make(map[string]*replica)}
+	t.Cleanup(cancel)
+	return s
+}
+
+func (s *site) addReplica(name string) *replica { return s.addReplicaWith(name, &fakeReader{}) }
+
+func (s *site) addCutOffReplica(name string) *replica {
+	reader := &fakeReader{}
+	reader.cutOff.Store(true)
+	return s.addReplicaWith(name, reader)
+}
+
+func (s *site) addReplicaWith(name string, reader *fakeReader) *replica {
+	r := &replica{
+		table:    aubstate.NewConfigTable(s.common),
+		reader:   reader,
+		listener: bufconn.Listen(1 << 16),
+	}
+	source := aubdistribution.NewLocalSource(s.ctx, s.common, aubdistribution.LocalSourceOpts{Table: r.table, Reader: r.reader})
+	r.server = aubdistribution.NewServer(s.common, r.table, source)
+	server := grpc.NewServer()
+	aubwire.RegisterDistributionServer(server, r)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(r.listener)
+	}()
+	s.t.Cleanup(func() {
+		server.Stop()
+		<-done
+	})
+	s.servers[name] = r
+	return r
+}
+
+func (s *site) dial(address string) (*grpc.ClientConn, error) {
+	s.dials.Add(1)
+	r := s.servers[address]
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+			if r == nil {
+				return nil, errNoLeader
+			}
+			return r.listener.DialContext(ctx)
+		}))
+}
+
+func (s *site) follow(ctx context.Context, dataDir string, addresses ...string) *aubdistribution.Follower {
+	return aubdistribution.NewFollower(ctx, s.common, aubdistribution.FollowerOpts{
+		Process: "agent", Addresses: addresses, Dial: s.dial, DataDir: dataDir,
+	})
+}
+
+// until lets the clock run until the condition holds.
+func (s *site) until(what string, holds func() bool) {
+	s.t.Helper()
+	for range 4000 {
+		if holds() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+		s.timer.Advance(50 * time.Millisecond)
+	}
+	s.t.Fatalf("never came true: %s", what)
+}
+
+// pass lets the clock run for d.
+func (s *site) pass(d time.Duration) {
+	for range d / (50 * time.Millisecond) {
+		s.timer.Advance(50 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (r *replica) apply(t testing.TB, ticket aubapi.Ticket) {
+	t.Helper()
+	body, err := aubcodec.EncodeTicket(ticket)
+	qt.Assert(t, err, qt.IsNil)
+	outcome, err := aubcodec.DecodeOutcome(r.table.Apply(aubcontrol.Command{Body: body}))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, outcome.Status, qt.Equals, aubapi.TicketAccepted, qt.Commentf("%v", outcome.Faults))
+}
+
+// grow applies tickets until the table stands at the version. Equal versions
+// have equal content on every replica.
+func (r *replica) grow(t testing.TB, version uint64) {
+	t.Helper()
+	for n := r.table.Config().Version() + 1; n <= version; n++ {
+		r.apply(t, historyTicket(n))
+	}
+}
+
+// historyTicket sets three workspaces in turn and removes one now and then.
+func historyTicket(n uint64) aubapi.Ticket {
+	name := string(rune('a' + n%5))
+	if n%7 == 0 {
+		return aubapi.Ticket{Number: n, Remove: []aubapi.ObjectID{{
+			Kind: aubapi.KindWorkspace, Name: string(rune('a' + (n-1)%5)),
+		}}}
+	}
+	return aubapi.Ticket{Number: n, Workspaces: []aubapi.Workspace{{Name: name, Rate: int64(n), Burst: 1}}}
+}
+
+// history returns the configurations of versions 0 to n.
+func history(t testing.TB, n uint64) []aubquery.Config {
+	t.Helper()
+	r := &replica{table: aubstate.NewConfigTable(aubcommon.NewCommon(aubtimer.NewReal()))}
+	configs := []aubquery.Config{r.table.Config()}
+	for v := uint64(1); v <= n; v++ {
+		r.grow(t, v)
+		configs = append(configs, r.table.Config())
+	}
+	return configs
+}
+
+func (r *replica) setSpoil(spoil func(*aubwire.WatchResponse) []*aubwire.WatchResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spoil = spoil
+}
+
+// Watch implements aubwire.DistributionServer over a stream with faults.
+func (r *replica) Watch(stream grpc.BidiStreamingServer[aubwire.WatchRequest, aubwire.WatchResponse]) error {
+	return r.server.Watch(&faultyStream{BidiStreamingServer: stream, replica: r})
+}
+
+type faultyStream struct {
+	grpc.BidiStreamingServer[aubwire.WatchRequest, aubwire.WatchResponse]
+
+	replica *replica
+}
+
+func (s *faultyStream) Send(m *aubwire.WatchResponse) error {
+	s.replica.mu.Lock()
+	messages := []*aubwire.WatchResponse{m}
+	if s.replica.spoil != nil {
+		messages = s.replica.spoil(m)
+	}
+	s.replica.mu.Unlock()
+	for _, m := range messages {
+		if err := s.BidiStreamingServer.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shuffle drops, doubles and delays messages.
+func shuffle(random *rand.Rand) func(*aubwire.WatchResponse) []*aubwire.WatchResponse {
+	var late []*aubwire.WatchResponse
+	return func(m *aubwire.WatchResponse) []*aubwire.WatchResponse {
+		switch random.IntN(5) {
+		case 0:
+			return nil
+		case 1:
+			return []*aubwire.WatchResponse{m, m}
+		case 2:
+			late = append(late, m)
+			return nil
+		default:
+			out := append([]*aubwire.WatchResponse{m}, late...)
+			late = nil
+			return out
+		}
+	}
+}
--- /dev/null
+++ b/internal/aubdistribution/follower.go
@@ -0,0 +1,102 @@
+package aubdistribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+const (
+	// startWait is how long a starting process waits for a confirmed
+	// configuration before it counts as cut off.
+	startWait = 10 * time.Second
+	// minReconnect and maxReconnect bound the random pause before a new connection.
+	minReconnect = 100 * time.Millisecond
+	maxReconnect = 500 * time.Millisecond
+)
+
+// FollowerOpts lists what a follower needs.
+type FollowerOpts struct {
+	// Process is the name of this process.
+	Process string
+	// Addresses are the processes that carry a replica, the preferred one first.
+	Addresses []string
+	// Dial returns a new connection; every stream gets its own.
+	Dial func(address string) (*grpc.ClientConn, error)
+	// DataDir keeps the configuration shown last; empty keeps none.
+	DataDir string
+}
+
+// Follower is the configuration of a process without a replica.
+type Follower struct {
+	*shown
+
+	common aubcommon.Common
+	opts   FollowerOpts
+}
+
+var _ aubquery.Source = (*Follower)(nil)
+
+// NewFollower follows the configuration until ctx ends.
+func NewFollower(ctx context.Context, common aubcommon.Common, opts FollowerOpts) *Follower {
+	common = common.WithPart("distribution")
+	f := &Follower{shown: newShown(common, opts.DataDir), common: common, opts: opts}
+	expired := common.Timer.After(ctx, startWait)
+	go func() {
+		select {
+		case <-expired:
+			f.openCutOff()
+		case <-ctx.Done():
+		}
+	}()
+	go f.run(ctx)
+	return f
+}
+
+// run keeps one stream open, on the next address after each that ended.
+func (f *Follower) run(ctx context.Context) {
+	if len(f.opts.Addresses) == 0 {
+		return
+	}
+	reconnects := f.common.Metrics.Counter("reconnects")
+	for i := 0; ctx.Err() == nil; i++ {
+		address := f.opts.Addresses[i%len(f.opts.Addresses)]
+		err := f.follow(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		reconnects.Inc(1)
+		f.common.Log.Info("configuration stream ended", zap.String("address", address), zap.Error(err))
+		pause := minReconnect + rand.N(maxReconnect-minReconnect)
+		if aubtimer.Wait(ctx, f.common.Timer, pause) != nil {
+			return
+		}
+	}
+}
+
+// follow runs one stream on a connection of its own: a silent connection would
+// carry a second stream into the same silence.
+func (f *Follower) follow(ctx context.Context, address string) error {
+	conn, err := f.opts.Dial(address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &session{
+		common:   f.common,
+		shown:    f.shown,
+		process:  f.opts.Process,
+		address:  address,
+		rotating: len(f.opts.Addresses) > 1,
+	}
+	return s.run(ctx, conn)
+}
