--- /dev/null
+++ b/internal/aubcli/role.go
@@ -0,0 +1,82 @@
+package aubcli
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublog"
+	"github.com/auburndale/auburndale/internal/aubprocess"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// runRole runs one role until ctx asks for a graceful shutdown.
+type runRole func(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error
+
+// newRoleCommand returns the command of a role that is configured by a file.
+func newRoleCommand(s streams, name, help string, run runRole) *ffcli.Command {
+	fs := s.newFlagSet("auburndale " + name)
+	file := fs.String("settings", "", "settings file in YAML")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "auburndale " + name + " --settings FILE",
+		ShortHelp:  help,
+		LongHelp:   "Example:\n  auburndale " + name + " --settings examples/site/" + name + "-a.yaml",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return s.usageError("%s needs -settings and nothing besides", name)
+			}
+			cfg, err := aubsettings.Load(*file)
+			if err != nil {
+				return err
+			}
+			common, err := s.newCommon(cfg)
+			if err != nil {
+				return err
+			}
+			return run(ctx, common, cfg)
+		},
+	}
+}
+
+// newLocalCommand returns the command that runs a whole site on loopback.
+func newLocalCommand(s streams) *ffcli.Command {
+	fs := s.newFlagSet("auburndale local")
+	opts := aubprocess.LocalOpts{Out: s.out}
+	fs.StringVar(&opts.Listen, "listen", "127.0.0.1:8080", "loopback address for callers")
+	fs.StringVar(&opts.DataDir, "data_dir", "data/local", "folder for the site's state")
+	level := fs.String("log_level", "warn", "least level of the log: debug, info, warn or error")
+	return &ffcli.Command{
+		Name:       "local",
+		ShortUsage: "auburndale local [--listen ADDRESS] [--data_dir DIR]",
+		ShortHelp:  "run a whole site with stand-in engines on loopback",
+		LongHelp:   "Example:\n  auburndale local --listen 127.0.0.1:8080 --data_dir data/local",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return s.usageError("local takes flags only")
+			}
+			cfg := aubsettings.Settings{Name: "local", Log: aubsettings.Log{Format: aublog.FormatConsole, Level: aubsettings.Choice(*level)}}
+			common, err := s.newCommon(cfg)
+			if err != nil {
+				return err
+			}
+			return aubprocess.RunLocal(ctx, common, opts)
+		},
+	}
+}
+
+func (s streams) newCommon(cfg aubsettings.Settings) (aubcommon.Common, error) {
+	log, err := aublog.New(s.errOut, aublog.Opts{
+		Format:   string(cfg.Log.Format),
+		Level:    string(cfg.Log.Level),
+		Instance: cfg.Name,
+	})
+	if err != nil {
+		return aubcommon.Common{}, err
+	}
+	return aubcommon.NewCommon(aubtimer.NewReal()).WithLog(log), nil
+}
--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -8,8 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/auburndale/auburndale/internal/aubprocess"
 )
 
 // Exit codes of the program.
@@ -19,26 +23,40 @@
 	ExitUsage  = 2
 )
 
-// Run parses the arguments, executes the chosen command and returns the exit code.
+// Run parses the arguments, executes the chosen command and returns the exit
+// code. SIGTERM and SIGINT end the command's context.
 func Run(args []string, out, errOut io.Writer) int {
-	root := newRoot(out, errOut)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s := streams{out: out, errOut: errOut}
+	root := newRoot(s)
 	if err := root.Parse(args); err != nil {
 		return reportUsage(err, errOut)
 	}
-	if err := root.Run(context.Background()); err != nil {
+	if err := root.Run(ctx); err != nil {
 		return reportFailure(err, errOut)
 	}
 	return ExitDone
 }
 
-func newRoot(_, errOut io.Writer) *ffcli.Command {
-	fs := flag.NewFlagSet("auburndale", flag.ContinueOnError)
-	fs.SetOutput(errOut)
+func newRoot(s streams) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "auburndale",
-		ShortUsage: "auburndale <command> [flags]",
-		FlagSet:    fs,
-		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+		ShortUsage: "auburndale COMMAND [flags]",
+		ShortHelp:  "serve many models, adapters and plain services on few accelerators",
+		LongHelp:   "Example:\n  auburndale local --listen 127.0.0.1:8080 --data_dir data/local",
+		FlagSet:    s.newFlagSet("auburndale"),
+		Subcommands: []*ffcli.Command{
+			newLocalCommand(s),
+			newRoleCommand(s, "entry", "run an entry instance", aubprocess.RunEntry),
+			newRoleCommand(s, "agent", "run the process beside a backend server", aubprocess.RunAgent),
+			newRoleCommand(s, "engine", "run a stand-in engine or plain service", aubprocess.RunEngine),
+			newTicketCommand(s),
+			newGetCommand(s),
+			newKeyCommand(s),
+			newSettingsCommand(s),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
 
--- /dev/null
+++ b/internal/aubentry/body.go
@@ -0,0 +1,177 @@
+package aubentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// prefixBlock is the bytes of prompt that one prefix hash covers.
+	prefixBlock = 256
+	// PrefixBlockTokens is about the tokens that one prefix hash covers.
+	PrefixBlockTokens = 64
+	// maxPrefixes bounds the prefix hashes of one prompt.
+	maxPrefixes = 64
+	// tokensPerMessage is what a chat template adds to each message at most.
+	tokensPerMessage = 16
+	// maxChoices bounds the answers that one request may ask for.
+	maxChoices = 16
+)
+
+// modelBody is what the entry reads of an OpenAI request body. Fields it does
+// not know pass through unchanged.
+type modelBody struct {
+	fields map[string]json.RawMessage
+
+	Model     string
+	Stream    bool
+	ShowUsage bool
+	// MaxTokens is the output bound that the caller named; 0 if none.
+	MaxTokens int64
+	Choices   int64
+	// Prompt is the raw prompt: messages, prompt or input.
+	Prompt   []byte
+	Messages int64
+}
+
+type modelFields struct {
+	Model               string            `json:"model"`
+	Stream              bool              `json:"stream"`
+	StreamOptions       *streamOptions    `json:"stream_options"`
+	MaxTokens           *int64            `json:"max_tokens"`
+	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
+	N                   *int64            `json:"n"`
+	Messages            []json.RawMessage `json:"messages"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// readBody reads at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(problemBodyTooLarge).WithDetail("At most %d bytes are allowed.", limit)
+	case err != nil:
+		return nil, refuse(problemMalformed).WithDetail("The body ended early.")
+	}
+	return data, nil
+}
+
+// parseModelBody reads the fields that decide routing and cost.
+func parseModelBody(data []byte) (modelBody, *refusal) {
+	var b modelBody
+	if err := json.Unmarshal(data, &b.fields); err != nil {
+		return b, refuse(problemMalformed).WithDetail("The body must be one JSON object.")
+	}
+	f, err := decodeKnown(b.fields)
+	if err != nil {
+		return b, refuse(problemInvalid).WithDetail("A field has the wrong type.")
+	}
+	if f.Model == "" {
+		return b, refuse(problemInvalid).WithDetail("The field model is required.")
+	}
+	b.Model, b.Stream = f.Model, f.Stream
+	b.ShowUsage = f.StreamOptions != nil && f.StreamOptions.IncludeUsage
+	b.Messages = int64(len(f.Messages))
+	if b.Prompt = b.firstField("messages", "prompt", "input"); len(b.Prompt) == 0 {
+		return b, refuse(problemInvalid).WithDetail("The request carries no prompt.")
+	}
+	return b, b.readBounds(f)
+}
+
+// decodeKnown reads the known fields by their exact names. Doubled names and
+// names in other case must not let entry and engine see different values.
+func decodeKnown(fields map[string]json.RawMessage) (modelFields, error) {
+	var f modelFields
+	known := make(map[string]json.RawMessage)
+	for _, name := range []string{"model", "stream", "stream_options", "max_tokens", "max_completion_tokens", "n", "messages"} {
+		if v, ok := fields[name]; ok {
+			known[name] = v
+		}
+	}
+	data, err := json.Marshal(known)
+	if err != nil {
+		return f, err
+	}
+	return f, json.Unmarshal(data, &f)
+}
+
+func (b *modelBody) readBounds(f modelFields) *refusal {
+	b.Choices = 1
+	if f.N != nil {
+		b.Choices = *f.N
+	}
+	if b.Choices < 1 || b.Choices > maxChoices {
+		return refuse(problemInvalid).WithDetail("The field n must be from 1 to %d.", maxChoices)
+	}
+	for _, bound := range []*int64{f.MaxTokens, f.MaxCompletionTokens} {
+		if bound == nil {
+			continue
+		}
+		if *bound < 1 {
+			return refuse(problemInvalid).WithDetail("The bound on output tokens must be 1 or more.")
+		}
+		b.MaxTokens = *bound
+	}
+	return nil
+}
+
+func (b *modelBody) firstField(names ...string) []byte {
+	for _, name := range names {
+		if v := b.fields[name]; len(v) > 0 && !bytes.Equal(v, []byte("null")) {
+			return v
+		}
+	}
+	return nil
+}
+
+// encode returns the body for the engine: its output is bounded to maxTokens and
+// a stream reports its usage.
+func (b *modelBody) encode(maxTokens int64) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(b.fields)+2)
+	for name, v := range b.fields {
+		fields[name] = v
+	}
+	if maxTokens > 0 {
+		delete(fields, "max_completion_tokens")
+		fields["max_tokens"] = json.RawMessage(jsonInt(maxTokens))
+	}
+	if b.Stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	return json.Marshal(fields)
+}
+
+// promptTokens returns an upper bound of the prompt's tokens.
+func (b *modelBody) promptTokens(bytesPerToken int64) int64 {
+	per := max(bytesPerToken, 1)
+	return (int64(len(b.Prompt))+per-1)/per + b.Messages*tokensPerMessage
+}
+
+// prefixes returns rolling hashes of the prompt's blocks; equal prompts up to a
+// block have equal hashes up to it.
+func (b *modelBody) prefixes() []uint64 {
+	n := min(len(b.Prompt)/prefixBlock, maxPrefixes)
+	hashes := make([]uint64, 0, n)
+	digest := xxhash.New()
+	_, _ = digest.WriteString(b.Model)
+	for i := range n {
+		_, _ = digest.Write(b.Prompt[i*prefixBlock : (i+1)*prefixBlock])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+func jsonInt(n int64) []byte {
+	data, _ := json.Marshal(n)
+	return data
+}
--- /dev/null
+++ b/internal/aubentry/demand.go
@@ -0,0 +1,155 @@
+package aubentry
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// demandInterval is the time between two updates of the averages.
+	demandInterval = time.Second
+	// demandFloor is the rate, in requests a second, below which a flow is forgotten.
+	demandFloor = 0.001
+)
+
+// flow is the demand of one workspace for one model, adapter or service.
+type flow struct {
+	name      string
+	workspace string
+}
+
+type flowState struct {
+	arrived int
+	ended   int
+	late    int
+	busy    time.Duration
+	// rate, lateShare and service are averages that decay with the half-life.
+	rate      float64
+	lateShare float64
+	service   float64
+	waiting   int32
+}
+
+// Demand averages what this instance's callers ask for, for the placement.
+type Demand struct {
+	common     aubcommon.Common
+	firstToken time.Duration
+	keep       float64
+
+	// mu guards flows; it is a leaf lock.
+	mu    sync.Mutex
+	flows map[flow]*flowState
+}
+
+// DemandOpts configures the demand averages.
+type DemandOpts struct {
+	// HalfLife of the averages.
+	HalfLife time.Duration
+	// FirstToken is the objective that tells a late answer.
+	FirstToken time.Duration
+}
+
+// NewDemand returns empty averages; they are updated until ctx ends.
+func NewDemand(ctx context.Context, common aubcommon.Common, opts DemandOpts) *Demand {
+	d := &Demand{
+		common:     common,
+		firstToken: opts.FirstToken,
+		keep:       math.Exp2(-demandInterval.Seconds() / max(opts.HalfLife.Seconds(), 1)),
+		flows:      make(map[flow]*flowState),
+	}
+	ticks := common.Timer.Subscribe(ctx, demandInterval)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticks:
+				d.update()
+			}
+		}
+	}()
+	return d
+}
+
+// Arrive counts one request.
+func (d *Demand) Arrive(f flow) {
+	d.change(f, func(s *flowState) { s.arrived++ })
+}
+
+// End counts one answer.
+func (d *Demand) End(f flow, firstToken, busy time.Duration) {
+	d.change(f, func(s *flowState) {
+		s.ended++
+		s.busy += busy
+		if firstToken > d.firstToken {
+			s.late++
+		}
+	})
+}
+
+// Wait counts a caller that waits for a load until the returned function is called.
+func (d *Demand) Wait(f flow) (done func()) {
+	d.change(f, func(s *flowState) { s.waiting++ })
+	return func() { d.change(f, func(s *flowState) { s.waiting-- }) }
+}
+
+// Report returns the demand of every flow, the greatest first.
+func (d *Demand) Report() []*aubwire.ModelDemand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	report := make([]*aubwire.ModelDemand, 0, len(d.flows))
+	for f, s := range d.flows {
+		report = append(report, &aubwire.ModelDemand{
+			Name: f.name, Workspace: f.workspace, Rate: s.rate,
+			Waiting: s.waiting, Late: s.lateShare, ServiceSeconds: s.service,
+		})
+	}
+	slices.SortFunc(report, func(a, b *aubwire.ModelDemand) int {
+		return cmp.Or(
+			cmp.Compare(b.GetWaiting(), a.GetWaiting()),
+			cmp.Compare(b.GetRate(), a.GetRate()),
+			cmp.Compare(a.GetName(), b.GetName()),
+			cmp.Compare(a.GetWorkspace(), b.GetWorkspace()),
+		)
+	})
+	return report
+}
+
+func (d *Demand) change(f flow, apply func(*flowState)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.flows[f]
+	if !ok {
+		s = &flowState{}
+		d.flows[f] = s
+	}
+	apply(s)
+}
+
+func (d *Demand) update() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for f, s := range d.flows {
+		s.decay(d.keep)
+		if s.rate < demandFloor && s.waiting == 0 {
+			delete(d.flows, f)
+		}
+	}
+}
+
+// decay moves the averages by one interval and starts the next.
+func (s *flowState) decay(keep float64) {
+	s.rate = s.rate*keep + float64(s.arrived)/demandInterval.Seconds()*(1-keep)
+	if s.ended > 0 {
+		s.lateShare = s.lateShare*keep + float64(s.late)/float64(s.ended)*(1-keep)
+		s.service = s.service*keep + s.busy.Seconds()/float64(s.ended)*(1-keep)
+	}
+	s.arrived, s.ended, s.late, s.busy = 0, 0, 0, 0
+}
--- /dev/null
+++ b/internal/aubentry/turn.go
@@ -0,0 +1,126 @@
+package aubentry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubexecution"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubqueue"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// Errors of the parts below become final answers here and nowhere else.
+
+func turnAuthError(err error) error {
+	var stale *aubauth.StaleConfigError
+	var unknown *aubauth.UnauthenticatedError
+	switch {
+	case errors.As(err, &stale):
+		return refuse(problemStaleConfig).WithRetryAfter(stale.RetryAfter)
+	case errors.As(err, &unknown) && unknown.Reason == aubauth.ReasonMissing:
+		return refuse(problemMissingKey)
+	case errors.As(err, &unknown):
+		return refuse(problemInvalidKey)
+	default:
+		return err
+	}
+}
+
+func turnLimitError(err error) error {
+	var refused *aublimit.RefusedError
+	if !errors.As(err, &refused) {
+		return refuse(problemTimeoutNotRun)
+	}
+	if refused.Reason == aublimit.ReasonBurst {
+		return refuse(problemTooCostly)
+	}
+	return refuse(problemRateLimited).WithRetryAfter(refused.RetryAfter)
+}
+
+func turnQueueError(err error) error {
+	var refused *aubqueue.RefusedError
+	if errors.As(err, &refused) {
+		return refuse(problemOverloaded).WithRetryAfter(refused.RetryAfter)
+	}
+	return refuse(problemTimeoutNotRun)
+}
+
+func turnRouteError(err error) error {
+	if err == nil {
+		return nil
+	}
+	var none *aubroute.NoBackendError
+	if errors.As(err, &none) {
+		return refuse(problemNoBackend).WithRetryAfter(none.RetryAfter)
+	}
+	return err
+}
+
+// turnExecutionError says what is known of an execution that failed.
+func turnExecutionError(ctx context.Context, err error) *refusal {
+	var failed *aubexecution.FailedError
+	if !errors.As(err, &failed) {
+		if ctx.Err() != nil {
+			return refuse(problemTimeout)
+		}
+		return refuse(problemBackendFailed)
+	}
+	return refuse(kindOfFailure(failed)).WithExecution(failed.Execution).WithRetryAfter(failed.RetryAfter)
+}
+
+func kindOfFailure(failed *aubexecution.FailedError) *problemKind {
+	reason := failed.Reason
+	switch {
+	case reason == aubwire.FailureReason_FAILURE_REASON_POISON:
+		return problemPoison
+	case reason == aubwire.FailureReason_FAILURE_REASON_TIMEOUT:
+		return problemTimeout
+	case reason == aubwire.FailureReason_FAILURE_REASON_INCOMPLETE:
+		return problemIncomplete
+	case failed.Execution == aubapi.ExecutionNotRun:
+		return problemBackendRefused
+	default:
+		return problemBackendFailed
+	}
+}
+
+// failureOf says what a failed execution tells of its backend server.
+func failureOf(err error) aubroute.Failure {
+	var gone *callerGoneError
+	var failed *aubexecution.FailedError
+	switch {
+	case errors.As(err, &gone) || errors.Is(err, context.Canceled):
+		return aubroute.FailureCanceled
+	case errors.Is(err, context.DeadlineExceeded):
+		return aubroute.FailureTimeout
+	case !errors.As(err, &failed):
+		return aubroute.FailureBackend
+	}
+	switch failed.Reason {
+	case aubwire.FailureReason_FAILURE_REASON_CANCELED:
+		return aubroute.FailureCanceled
+	case aubwire.FailureReason_FAILURE_REASON_TIMEOUT:
+		return aubroute.FailureTimeout
+	case aubwire.FailureReason_FAILURE_REASON_UNREACHABLE:
+		return aubroute.FailureConnection
+	case aubwire.FailureReason_FAILURE_REASON_LEAVING,
+		aubwire.FailureReason_FAILURE_REASON_NOT_RESIDENT,
+		aubwire.FailureReason_FAILURE_REASON_OVERLOADED,
+		aubwire.FailureReason_FAILURE_REASON_POISON:
+		return aubroute.FailureRefused
+	default:
+		return aubroute.FailureBackend
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/aubmetric/scope.go
+++ b/internal/aubmetric/scope.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
 )
 
 // reportInterval is the time between two flushes of the scope.
@@ -23,8 +25,14 @@
 
 // NewMetrics returns a root scope whose names begin with auburndale_ and whose
 // series carry the instance and its availability zone.
-func NewMetrics(instance, zone string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+func NewMetrics(log *zap.Logger, instance, zone string) *Metrics {
+	// A registry of its own lets several roles run in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(err error) { log.Error("Could not register a metric.", zap.Error(err)) },
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "auburndale",
 		Tags:                   map[string]string{"instance": instance, "zone": zone},
--- /dev/null
+++ b/internal/aubprocess/control.go
@@ -0,0 +1,111 @@
+package aubprocess
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/auburndale/auburndale/internal/aubclaim"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdistribution"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubplacement"
+	"github.com/auburndale/auburndale/internal/aubpoison"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubstate"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// shownInterval is the time between two looks for the first configuration.
+const shownInterval = 50 * time.Millisecond
+
+// transferTimeout bounds the hand-over of the leadership.
+const transferTimeout = 3 * time.Second
+
+// control is the replicated state of one process.
+type control struct {
+	p         *process
+	replica   *aubcontrol.Replica
+	config    *aubstate.ConfigTable
+	limits    *aublimit.Table
+	claims    *aubclaim.Table
+	poison    *aubpoison.Table
+	placement *aubplacement.Table
+	source    *aubdistribution.LocalSource
+}
+
+// newControl starts the replica over all replicated tables. Limits read the
+// configuration while they apply, so both stand in the same order in every replica.
+func newControl(p *process) (*control, error) {
+	c := &control{
+		p:         p,
+		config:    aubstate.NewConfigTable(p.common),
+		claims:    aubclaim.NewTable(aubclaim.TableOpts{}),
+		poison:    aubpoison.NewTable(),
+		placement: aubplacement.NewTable(),
+	}
+	c.limits = aublimit.NewTable(aublimit.TableOpts{Workspaces: func(name string) (aubapi.Workspace, bool) {
+		return c.config.Config().Workspace(name)
+	}})
+	replica, err := aubcontrol.NewReplica(p.ctx, p.common, aubcontrol.ReplicaOpts{
+		Member:          p.cfg.Name,
+		Address:         p.cfg.Internal.Listen.String(),
+		Voters:          voters(p.cfg.Control.Voters),
+		DataDir:         p.cfg.Control.DataDir,
+		Tables:          []aubcontrol.Table{c.config, c.limits, c.claims, c.poison, c.placement},
+		Dial:            p.transport.Dial,
+		Heartbeat:       p.cfg.Control.Heartbeat.Value(),
+		ElectionTimeout: p.cfg.Control.Election.Value(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.replica = replica
+	return c, nil
+}
+
+func (c *control) register(server *grpc.Server) {
+	c.replica.Register(server)
+	c.source = aubdistribution.NewLocalSource(c.p.ctx, c.p.common, aubdistribution.LocalSourceOpts{
+		Table:   c.config,
+		Reader:  c.replica,
+		DataDir: c.p.cfg.Control.DataDir,
+	})
+	aubwire.RegisterDistributionServer(server, aubdistribution.NewServer(c.p.common, c.config, c.source))
+}
+
+// awaitShown waits until the configuration may be shown to callers: confirmed by
+// the leader, or, while cut off, the newest that the disk holds.
+func (c *control) awaitShown(ctx context.Context) {
+	ticks := c.p.common.Timer.Subscribe(ctx, shownInterval)
+	for c.source.ConfirmedAt().IsZero() && c.source.Config().Version() == 0 {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// leave hands the leadership to another replica.
+func (c *control) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	if _, leads := c.replica.Leading(); !leads {
+		return
+	}
+	if err := c.replica.TransferLeadership(ctx); err != nil {
+		c.p.common.Log.Warn("Could not hand over the leadership.", zap.Error(err))
+	}
+}
+
+func voters(peers []aubsettings.Peer) []aubcontrol.Peer {
+	out := make([]aubcontrol.Peer, 0, len(peers))
+	for _, peer := range peers {
+		out = append(out, aubcontrol.Peer{Name: peer.Name, Address: peer.Address.String()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/aubprocess/entry.go
@@ -0,0 +1,267 @@
+package aubprocess
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubadmin"
+	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubclaim"
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubentry"
+	"github.com/auburndale/auburndale/internal/aubexecution"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubpoison"
+	"github.com/auburndale/auburndale/internal/aubqueue"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// defaultOutputTokens bounds a model request when neither caller nor model does.
+const defaultOutputTokens = 1024
+
+// entry is one entry instance: callers, operators and a control replica.
+type entry struct {
+	*process
+
+	incarnation uint64
+	control     *control
+	members     *aubmembership.Membership
+	limiter     *aublimit.Limiter
+	queue       *aubqueue.Queue
+	demand      *aubentry.Demand
+	handler     *aubentry.Handler
+	callers     *http.Server
+}
+
+// RunEntry runs an entry instance until ctx asks for a graceful shutdown.
+func RunEntry(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error {
+	p, err := newProcess(ctx, common, cfg)
+	if err != nil {
+		return err
+	}
+	e := &entry{process: p}
+	if err := e.run(ctx); err != nil {
+		p.common.Log.Error("Entry failed.", zap.Error(err))
+		_ = p.close()
+		return err
+	}
+	return p.close()
+}
+
+func (e *entry) run(ctx context.Context) error {
+	incarnation, err := nextIncarnation(e.cfg.Control.DataDir, e.common.Timer.Now())
+	if err != nil {
+		return err
+	}
+	e.incarnation = incarnation
+	// The listener comes first: holding its address proves that an earlier run
+	// of this instance is gone.
+	if err := e.startControl(); err != nil {
+		return err
+	}
+	if err := e.servePlatform(); err != nil {
+		return err
+	}
+	if err := e.startParts(); err != nil {
+		return err
+	}
+	if err := e.serveAdmin(); err != nil {
+		return err
+	}
+	if err := e.serveCallers(); err != nil {
+		return err
+	}
+	return e.serveUntil(ctx)
+}
+
+// startControl starts the replica and the listener that it answers on.
+func (e *entry) startControl() error {
+	control, err := newControl(e.process)
+	if err != nil {
+		return err
+	}
+	e.control = control
+	control.register(e.server)
+	if err := e.serveInternal(); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (e *entry) startParts() error {
+	e.demand = aubentry.NewDemand(e.ctx, e.common, aubentry.DemandOpts{
+		HalfLife:   e.cfg.Placement.DemandHalfLife.Value(),
+		FirstToken: e.cfg.Objectives.FirstToken.Value(),
+	})
+	members, err := e.newMembership(e.announcement)
+	if err != nil {
+		return err
+	}
+	e.members = members
+	e.limiter = aublimit.NewLimiter(e.ctx, e.common, aublimit.LimiterOpts{
+		Instance:         e.cfg.Name,
+		Zone:             e.cfg.Zone,
+		Incarnation:      e.incarnation,
+		PredecessorEnded: true,
+		Proposer:         e.control.replica,
+		Source:           e.control.source,
+	})
+	e.queue = aubqueue.New(e.common, aubqueue.Opts{
+		Policy:          aubqueue.Policy(e.cfg.Queue.Policy),
+		DefaultCapacity: e.cfg.Queue.PerBackend,
+		MaxWaiting:      e.cfg.Queue.MaxWaiting,
+	})
+	e.feedCapacity()
+	if err := e.startPlacer(); err != nil {
+		return err
+	}
+	return e.newHandler()
+}
+
+func (e *entry) newHandler() error {
+	router, err := aubroute.NewRouter(e.common, aubroute.RouterOpts{
+		Policy:      string(e.cfg.Routing.Policy),
+		Zone:        e.cfg.Zone,
+		Source:      e.members,
+		Config:      e.control.source,
+		RetryShare:  float64(e.cfg.Routing.RetryShare),
+		BlockTokens: aubentry.PrefixBlockTokens,
+	})
+	if err != nil {
+		return err
+	}
+	e.handler = aubentry.NewHandler(e.common, aubentry.Parts{
+		Config:   e.control.source,
+		Auth:     aubauth.NewAuthenticator(e.common, e.control.source),
+		Claims:   e.newClaims(),
+		Limiter:  e.limitPolicy(),
+		Queue:    e.queue,
+		Router:   router,
+		Executor: aubexecution.NewExecutor(e.ctx, e.common, aubexecution.ExecutorOpts{Dial: e.transport.Dial}),
+		Poison:   aubpoison.NewRegister(e.control.poison, e.control.replica),
+		Demand:   e.demand,
+	}, e.bounds())
+	return nil
+}
+
+func (e *entry) newClaims() *aubclaim.Claims {
+	return aubclaim.NewClaims(e.ctx, e.common, aubclaim.ClaimsOpts{
+		Instance:    e.cfg.Name,
+		Incarnation: e.incarnation,
+		Proposer:    e.control.replica,
+	})
+}
+
+// limitPolicy returns the way allowances are shared between instances.
+func (e *entry) limitPolicy() aublimit.Policy[aublimit.Reservation] {
+	if e.cfg.Limits.Policy != "equal_shares" {
+		return e.limiter
+	}
+	return aublimit.NewFixedShares(e.common, aublimit.FixedSharesOpts{
+		Source:    e.control.source,
+		Instances: len(e.cfg.Control.Voters),
+	})
+}
+
+func (e *entry) bounds() aubentry.Bounds {
+	return aubentry.Bounds{
+		MaxBody:             e.cfg.Caller.MaxBody.Bytes(),
+		RequestTimeout:      e.cfg.Caller.RequestTimeout.Value(),
+		QueueTimeout:        e.cfg.Caller.QueueTimeout.Value(),
+		WriteTimeout:        e.cfg.Caller.WriteTimeout.Value(),
+		Attempts:            e.cfg.Routing.Attempts,
+		DefaultOutputTokens: defaultOutputTokens,
+	}
+}
+
+func (e *entry) announcement() *aubwire.Announcement {
+	a := &aubwire.Announcement{
+		Name:          e.cfg.Name,
+		Role:          aubwire.Role_ROLE_ENTRY,
+		Zone:          e.cfg.Zone,
+		Address:       e.cfg.Internal.Listen.String(),
+		Incarnation:   e.incarnation,
+		Leaving:       !e.health.ready.Load() && e.handler != nil && e.handler.Leaving(),
+		ConfigVersion: e.control.source.Config().Version(),
+	}
+	a.Demand = e.demand.Report()
+	return a
+}
+
+func (e *entry) serveAdmin() error {
+	credential, err := readSecret(e.cfg.Admin.CredentialFile)
+	if err != nil {
+		return err
+	}
+	_, err = e.serveHTTP(httpOpts{
+		setting: "admin.listen",
+		listen:  e.cfg.Admin.Listen,
+		tls:     e.cfg.Admin.TLS,
+		handler: aubadmin.NewHandler(e.common, aubadmin.HandlerOpts{
+			Credential: string(credential),
+			State:      e.control.config,
+			Proposer:   e.control.replica,
+			Reader:     e.control.replica,
+			Members:    e.members,
+		}),
+	})
+	return err
+}
+
+func (e *entry) serveCallers() error {
+	callers, err := e.serveHTTP(httpOpts{
+		setting: "caller.listen",
+		listen:  e.cfg.Caller.Listen,
+		tls:     e.cfg.Caller.TLS,
+		handler: e.handler,
+	})
+	e.callers = callers
+	return err
+}
+
+// serveUntil reports ready once the state is confirmed, or known from the disk
+// while cut off, and leaves when ctx asks for it.
+func (e *entry) serveUntil(ctx context.Context) error {
+	e.group.Go(func() error {
+		e.control.awaitShown(e.ctx)
+		e.health.ready.Store(true)
+		e.common.Log.Info("Entry is ready.", zap.Uint64("incarnation", e.incarnation))
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+		return e.leave()
+	case <-e.control.replica.Done():
+		return e.control.replica.Err()
+	case <-e.ctx.Done():
+		return nil
+	}
+}
+
+// leave is the graceful shutdown: readiness first, then the balancer's delay,
+// then the running requests, then the replica's duties.
+func (e *entry) leave() error {
+	e.health.ready.Store(false)
+	e.common.Log.Info("Entry leaves.")
+	_ = aubtimer.Wait(e.ctx, e.common.Timer, e.cfg.Shutdown.Delay.Value())
+	e.handler.Leave()
+	e.members.Leave()
+	ctx, cancel := context.WithTimeout(e.ctx, e.cfg.Shutdown.Timeout.Value())
+	defer cancel()
+	if e.callers != nil {
+		if err := e.callers.Shutdown(ctx); err != nil {
+			e.common.Log.Warn("Some requests did not finish.", zap.Int64("running", e.handler.Running()), zap.Error(err))
+		}
+	}
+	if err := e.limiter.Leave(ctx); err != nil {
+		e.common.Log.Warn("Could not return the granted tokens.", zap.Error(err))
+	}
+	e.control.leave(ctx)
+	return nil
+}
--- /dev/null
+++ b/internal/aubprocess/http.go
@@ -0,0 +1,110 @@
+package aubprocess
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtransport"
+)
+
+const (
+	// headerTimeout bounds the time that a caller takes to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds the idle time of a caller's connection.
+	idleTimeout = 120 * time.Second
+	// maxHeaderBytes bounds the headers of one request.
+	maxHeaderBytes = 64 << 10
+)
+
+// health answers the platform's checks.
+type health struct {
+	ready atomic.Bool
+}
+
+func newHealth() *health { return &health{} }
+
+// handler serves the checks and the metrics page.
+func (h *health) handler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("GET /metrics", metrics)
+	return mux
+}
+
+// httpOpts describe one HTTP listener.
+type httpOpts struct {
+	setting string
+	listen  aubsettings.Address
+	tls     aubsettings.TLS
+	handler http.Handler
+}
+
+// serveHTTP serves a listener until the process ends. It returns nil without an address.
+func (p *process) serveHTTP(opts httpOpts) (*http.Server, error) {
+	if opts.listen == "" {
+		return nil, nil
+	}
+	certs, err := newCertificates(p.common, opts.tls)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listen(p.ctx, opts.setting, opts.listen)
+	if err != nil {
+		return nil, err
+	}
+	server := newHTTPServer(opts.handler, certs)
+	p.group.Go(func() error {
+		if certs != nil {
+			return ignoreClosed(server.ServeTLS(l, "", ""))
+		}
+		return ignoreClosed(server.Serve(l))
+	})
+	context.AfterFunc(p.ctx, func() { _ = server.Close() })
+	return server, nil
+}
+
+func newHTTPServer(handler http.Handler, certs *aubtransport.Certificates) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         protocols,
+	}
+	if certs != nil {
+		server.TLSConfig = certs.ServerConfig()
+	}
+	return server
+}
+
+// servePlatform serves health checks and metrics.
+func (p *process) servePlatform() error {
+	_, err := p.serveHTTP(httpOpts{
+		setting: "platform.listen",
+		listen:  p.cfg.Platform.Listen,
+		handler: p.health.handler(p.metrics.Handler),
+	})
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/aubprocess/incarnation.go
@@ -0,0 +1,75 @@
+package aubprocess
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// incarnationFile keeps the last incarnation of a process with a data folder.
+const incarnationFile = "incarnation"
+
+// nextIncarnation returns a number above that of every earlier start. With a
+// data folder it grows even if the machine's clock was set back; without one it
+// is the clock's time in milliseconds.
+func nextIncarnation(dataDir string, now time.Time) (uint64, error) {
+	next := uint64(now.UnixMilli())
+	if dataDir == "" {
+		return next, nil
+	}
+	if err := os.MkdirAll(dataDir, 0o700); err != nil {
+		return 0, oops.In("process").Wrapf(err, "make data folder")
+	}
+	file := filepath.Join(dataDir, incarnationFile)
+	last, err := readIncarnation(file)
+	if err != nil {
+		return 0, err
+	}
+	next = max(next, last+1)
+	return next, writeSynced(file, strconv.FormatUint(next, 10))
+}
+
+func readIncarnation(file string) (uint64, error) {
+	data, err := os.ReadFile(file)
+	if os.IsNotExist(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, oops.In("process").Wrapf(err, "read incarnation")
+	}
+	n, err := strconv.ParseUint(strings.TrimSpace(string(data)), 10, 64)
+	return n, oops.In("process").Wrapf(err, "parse %s", file)
+}
+
+// writeSynced replaces a file so that a crash leaves the old or the new content.
+func writeSynced(file, text string) error {
+	temporary := file + ".new"
+	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return oops.In("process").Wrapf(err, "create %s", temporary)
+	}
+	defer f.Close()
+	if _, err := f.WriteString(text); err != nil {
+		return oops.In("process").Wrapf(err, "write %s", temporary)
+	}
+	if err := f.Sync(); err != nil {
+		return oops.In("process").Wrapf(err, "sync %s", temporary)
+	}
+	if err := os.Rename(temporary, file); err != nil {
+		return oops.In("process").Wrapf(err, "rename %s", temporary)
+	}
+	return syncFolder(filepath.Dir(file))
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return oops.In("process").Wrapf(err, "open %s", dir)
+	}
+	defer d.Close()
+	return oops.In("process").Wrapf(d.Sync(), "sync %s", dir)
+}
--- /dev/null
+++ b/internal/aubprocess/local.go
@@ -0,0 +1,281 @@
+package aubprocess
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	aubexample "github.com/auburndale/auburndale/examples"
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+	"github.com/auburndale/auburndale/pkg/aubclient"
+)
+
+const (
+	// localEntries is the number of entries with a control replica.
+	localEntries = 3
+	// localEngines is the number of stand-in engines.
+	localEngines = 2
+	// localMemory is the accelerator memory of a stand-in engine in bytes.
+	localMemory = 48 << 30
+	// localTicketWait bounds the wait for the example ticket to be in force.
+	localTicketWait = 20 * time.Second
+	// localRetry is the pause between two tries to apply the example ticket.
+	localRetry = 100 * time.Millisecond
+	localFile  = "local_ports"
+)
+
+// LocalOpts configures the local site.
+type LocalOpts struct {
+	// Listen is the callers' address of the first entry, on loopback.
+	Listen string
+	// DataDir keeps the site's state.
+	DataDir string
+	// Out gets the address and the example call once the site serves.
+	Out io.Writer
+}
+
+// ListenError says that a local site can't listen at an address.
+type ListenError struct {
+	Address string
+	Reason  string
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("--listen %q: %s", e.Address, e.Reason)
+}
+
+// RunLocal runs a whole site in one process on loopback until ctx ends.
+func RunLocal(ctx context.Context, common aubcommon.Common, opts LocalOpts) error {
+	if err := checkLoopback(opts.Listen); err != nil {
+		return err
+	}
+	site, err := newLocalSite(opts)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, cfg := range site.engines {
+		group.Go(func() error { return RunEngine(ctx, common, cfg) })
+	}
+	for _, cfg := range site.agents {
+		group.Go(func() error { return RunAgent(ctx, common, cfg) })
+	}
+	for _, cfg := range site.entries {
+		group.Go(func() error { return RunEntry(ctx, common, cfg) })
+	}
+	group.Go(func() error { return ignoreCanceled(site.announce(ctx, common, opts)) })
+	return group.Wait()
+}
+
+func checkLoopback(address string) error {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return &ListenError{Address: address, Reason: "allowed is an IP number and a port, such as 127.0.0.1:8080"}
+	}
+	if !parsed.Addr().IsLoopback() {
+		return &ListenError{Address: address, Reason: "the local site listens on loopback only"}
+	}
+	return nil
+}
+
+// localSite is the settings of every part of a local site.
+type localSite struct {
+	entries    []aubsettings.Settings
+	agents     []aubsettings.Settings
+	engines    []aubsettings.Settings
+	credential string
+}
+
+// newLocalSite lays out the site. Ports and secrets are kept in the data folder,
+// because the replicas know each other by address.
+func newLocalSite(opts LocalOpts) (*localSite, error) {
+	if err := os.MkdirAll(opts.DataDir, 0o700); err != nil {
+		return nil, oops.In("local").Wrapf(err, "make data folder")
+	}
+	ports, err := keepPorts(filepath.Join(opts.DataDir, localFile))
+	if err != nil {
+		return nil, err
+	}
+	secret, err := keepSecret(filepath.Join(opts.DataDir, "site.secret"))
+	if err != nil {
+		return nil, err
+	}
+	credential, err := keepSecret(filepath.Join(opts.DataDir, "admin.credential"))
+	if err != nil {
+		return nil, err
+	}
+	site := &localSite{credential: credential}
+	site.layOut(opts, ports, secret)
+	return site, nil
+}
+
+// layOut gives every part its settings. The port of part i lies i above the base.
+func (s *localSite) layOut(opts LocalOpts, base int, secret string) {
+	l := localLayout{opts: opts, base: base, secretFile: secret}
+	for i := range localEntries {
+		s.entries = append(s.entries, l.entry(i, s.credential))
+	}
+	for i := range localEngines {
+		name := string(rune('a' + i))
+		engine := l.standin("engine-"+name, portEngine+i, "")
+		s.engines = append(s.engines, engine)
+		agent := l.agent("agent-"+name, i)
+		agent.Agent.EngineURL = "http://" + engine.Standin.Listen.String()
+		agent.Agent.Memory = localMemory
+		agent.Agent.EngineChecksFence = true
+		s.agents = append(s.agents, agent)
+	}
+	service := l.standin("service-roster", portEngine+localEngines, "roster")
+	s.engines = append(s.engines, service)
+	agent := l.agent("agent-roster", localEngines)
+	agent.Agent.ServiceURL = "http://" + service.Standin.Listen.String()
+	agent.Agent.Services = []string{"roster"}
+	s.agents = append(s.agents, agent)
+}
+
+// announce applies the example ticket and prints how to call the site.
+func (s *localSite) announce(ctx context.Context, common aubcommon.Common, opts LocalOpts) error {
+	ticket, err := aubapi.DecodeTicket(aubexample.Ticket, aubapi.FormatYAML)
+	if err != nil {
+		return oops.In("local").Wrapf(err, "decode example ticket")
+	}
+	credential, err := readSecret(s.credential)
+	if err != nil {
+		return err
+	}
+	client := aubclient.NewClient(aubclient.ClientOpts{
+		BaseURL:    "http://" + s.entries[0].Admin.Listen.String(),
+		Credential: string(credential),
+	})
+	if err := applyUntilAccepted(ctx, common, client, ticket); err != nil {
+		return err
+	}
+	if err := awaitReady(ctx, common, s.entries[0], opts.Listen); err != nil {
+		return err
+	}
+	printLocal(opts, s.credential, s.entries[0].Admin.Listen.String())
+	return nil
+}
+
+// applyUntilAccepted applies the example ticket until the new site has a leader.
+// A site whose later tickets touched the same objects keeps them.
+func applyUntilAccepted(ctx context.Context, common aubcommon.Common, client *aubclient.Client, ticket aubapi.Ticket) error {
+	for {
+		outcome, err := client.ApplyTicket(ctx, ticket, localTicketWait)
+		switch {
+		case err == nil:
+			common.Log.Info("Applied the example ticket.", zap.String("status", string(outcome.Status)))
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		}
+		if err := aubtimer.Wait(ctx, common.Timer, localRetry); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitReady waits until the first entry answers callers.
+func awaitReady(ctx context.Context, common aubcommon.Common, entry aubsettings.Settings, listen string) error {
+	for {
+		if answers(ctx, "http://"+entry.Platform.Listen.String()+"/readyz", "") && answers(ctx, "http://"+listen+"/v1/models", aubexample.Key) {
+			return nil
+		}
+		if err := aubtimer.Wait(ctx, common.Timer, localRetry); err != nil {
+			return err
+		}
+	}
+}
+
+func answers(ctx context.Context, url, key string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+// keepPorts returns the base port of the site's inner addresses. It is chosen at
+// the first start and kept, because the replicas know each other by address.
+func keepPorts(file string) (int, error) {
+	data, err := os.ReadFile(file)
+	if err == nil {
+		port, err := strconv.Atoi(string(data))
+		return port, oops.In("local").Wrapf(err, "parse %s", file)
+	}
+	if !os.IsNotExist(err) {
+		return 0, oops.In("local").Wrapf(err, "read %s", file)
+	}
+	port, err := freePorts()
+	if err != nil {
+		return 0, err
+	}
+	return port, writeSynced(file, strconv.Itoa(port))
+}
+
+// freePorts looks for a run of free ports outside the range from which systems
+// choose ports of their own.
+func freePorts() (int, error) {
+	for base := firstLocalPort; base < lastLocalPort; base += portCount {
+		if areFree(base) {
+			return base, nil
+		}
+	}
+	return 0, oops.In("local").Errorf("found no run of %d free ports", portCount)
+}
+
+func areFree(base int) bool {
+	for i := range portCount {
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(localAddress(base+i)))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
+func localAddress(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+}
+
+// keepSecret returns the path of a file with a random secret.
+func keepSecret(file string) (string, error) {
+	if _, err := os.Stat(file); err == nil {
+		return file, nil
+	}
+	return file, writeSynced(file, uuid.NewString()+uuid.NewString())
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/aubprocess/local_layout.go
@@ -0,0 +1,105 @@
+package aubprocess
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	aubexample "github.com/auburndale/auburndale/examples"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+)
+
+// Offsets of the local site's ports from its base port.
+const (
+	portInternal   = 0
+	portMembership = 10
+	portAdmin      = 20
+	portPlatform   = 30
+	portCaller     = 40
+	portEngine     = 50
+	// portAgent is the offset of the agents' ports below each of the above.
+	portAgent = 5
+	portCount = 60
+)
+
+// The base port is looked for between these.
+const (
+	firstLocalPort = 20000
+	lastLocalPort  = 30000
+)
+
+// localLayout makes the settings of a local site's parts.
+type localLayout struct {
+	opts       LocalOpts
+	base       int
+	secretFile string
+}
+
+func (l localLayout) address(offset int) aubsettings.Address {
+	return aubsettings.Address(localAddress(l.base + offset).String())
+}
+
+func (l localLayout) common(name, zone string) aubsettings.Settings {
+	s := aubsettings.Default()
+	s.Name = name
+	s.Zone = zone
+	s.SecretFile = l.secretFile
+	s.Membership.Interval = aubsettings.Duration(200 * time.Millisecond)
+	s.Membership.Timeout = aubsettings.Duration(2 * time.Second)
+	s.Membership.Budget = 64 << 10
+	s.Placement.Interval = aubsettings.Duration(200 * time.Millisecond)
+	s.Shutdown.Delay = aubsettings.Duration(100 * time.Millisecond)
+	for i := range localEntries {
+		s.Membership.Seeds = append(s.Membership.Seeds, l.address(portMembership+i))
+	}
+	return s
+}
+
+func (l localLayout) entry(i int, credential string) aubsettings.Settings {
+	zone := string(rune('a' + i))
+	s := l.common("entry-"+zone, zone)
+	s.Internal.Listen = l.address(portInternal + i)
+	s.Membership.Listen = l.address(portMembership + i)
+	s.Admin.Listen = l.address(portAdmin + i)
+	s.Admin.CredentialFile = credential
+	s.Platform.Listen = l.address(portPlatform + i)
+	s.Caller.Listen = l.address(portCaller + i)
+	if i == 0 {
+		s.Caller.Listen = aubsettings.Address(l.opts.Listen)
+	}
+	s.Control.DataDir = filepath.Join(l.opts.DataDir, s.Name)
+	for j := range localEntries {
+		name := "entry-" + string(rune('a'+j))
+		s.Control.Voters = append(s.Control.Voters, aubsettings.Peer{Name: name, Address: l.address(portInternal + j)})
+	}
+	return s
+}
+
+func (l localLayout) agent(name string, i int) aubsettings.Settings {
+	s := l.common(name, string(rune('a'+i)))
+	s.Internal.Listen = l.address(portInternal + portAgent + i)
+	s.Membership.Listen = l.address(portMembership + portAgent + i)
+	s.Agent.DataDir = filepath.Join(l.opts.DataDir, name)
+	for j := range localEntries {
+		s.Control.Addresses = append(s.Control.Addresses, l.address(portInternal+j))
+	}
+	return s
+}
+
+func (l localLayout) standin(name string, offset int, service string) aubsettings.Settings {
+	s := l.common(name, "a")
+	s.Standin.Listen = l.address(offset)
+	s.Standin.Service = service
+	s.Standin.LoadTime = aubsettings.Duration(200 * time.Millisecond)
+	return s
+}
+
+// printLocal prints how to call the site.
+func printLocal(opts LocalOpts, credentialFile, admin string) {
+	fmt.Fprintf(opts.Out, `auburndale serves on http://%[1]s
+Call a model:
+  curl http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' -d '{"model":"example-small","messages":[{"role":"user","content":"Hello"}]}'
+Apply a ticket:
+  auburndale ticket apply --admin http://%[3]s --credential_file %[4]s --wait TICKET.yaml
+`, opts.Listen, aubexample.Key, admin, credentialFile)
+}
--- /dev/null
+++ b/internal/aubprocess/process.go
@@ -0,0 +1,111 @@
+// Package aubprocess puts the parts together into the roles that run as
+// processes, and ends them by graceful shutdown.
+package aubprocess
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmetric"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtransport"
+)
+
+// process holds what every role is built from.
+type process struct {
+	common    aubcommon.Common
+	cfg       aubsettings.Settings
+	metrics   *aubmetric.Metrics
+	transport *aubtransport.Transport
+	server    *grpc.Server
+	health    *health
+	secret    []byte
+	group     *errgroup.Group
+	// ctx ends all work of the process; shutdown ends it last.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// newProcess prepares a role. Its work does not end with ctx, which only asks
+// for a graceful shutdown, but when close is called or a part fails.
+func newProcess(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) (*process, error) {
+	certs, err := newCertificates(common, cfg.Internal.TLS)
+	if err != nil {
+		return nil, err
+	}
+	secret, err := readSecret(cfg.SecretFile)
+	if err != nil {
+		return nil, err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	group, work := errgroup.WithContext(work)
+	metrics := aubmetric.NewMetrics(common.Log, cfg.Name, cfg.Zone)
+	transport := aubtransport.NewTransport(certs)
+	return &process{
+		common:    common.WithMetrics(metrics.Scope),
+		cfg:       cfg,
+		metrics:   metrics,
+		transport: transport,
+		server:    transport.NewServer(),
+		health:    newHealth(),
+		secret:    secret,
+		group:     group,
+		ctx:       work,
+		cancel:    cancel,
+	}, nil
+}
+
+// serveInternal serves gRPC for the site's own processes.
+func (p *process) serveInternal() error {
+	l, err := listen(p.ctx, "internal.listen", p.cfg.Internal.Listen)
+	if err != nil {
+		return err
+	}
+	p.group.Go(func() error { return p.server.Serve(l) })
+	context.AfterFunc(p.ctx, p.server.Stop)
+	return nil
+}
+
+// close ends all work and returns the first failure of a part.
+func (p *process) close() error {
+	p.cancel()
+	err := p.group.Wait()
+	_ = p.metrics.Close()
+	return err
+}
+
+func listen(ctx context.Context, setting string, address aubsettings.Address) (net.Listener, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, oops.In("process").Wrapf(err, "setting %s", setting)
+	}
+	return l, nil
+}
+
+func newCertificates(common aubcommon.Common, cfg aubsettings.TLS) (*aubtransport.Certificates, error) {
+	return aubtransport.NewCertificates(common, aubtransport.CertOpts{CertFile: cfg.CertFile, KeyFile: cfg.KeyFile, CAFile: cfg.CAFile})
+}
+
+// readSecret reads a secret from a file; white space around it does not count.
+func readSecret(file string) ([]byte, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, oops.In("process").Wrapf(err, "read secret file")
+	}
+	data = bytes.TrimSpace(data)
+	if len(data) == 0 {
+		return nil, oops.In("process").Errorf("secret file %s is empty", file)
+	}
+	return data, nil
+}
--- a/internal/aubsettings/default.go
+++ b/internal/aubsettings/default.go
@@ -6,7 +6,7 @@
 func Default() Settings {
 	return Settings{
 		Log:        Log{Format: "json", Level: "info"},
-		Membership: Membership{Interval: seconds(0.5), Timeout: seconds(3)},
+		Membership: Membership{Interval: seconds(0.5), Timeout: seconds(3), Budget: 8 << 10},
 		Control:    Control{Heartbeat: seconds(0.08), Election: seconds(0.4)},
 		Caller: Caller{
 			MaxBody:        16 << 20,
@@ -14,17 +14,20 @@
 			QueueTimeout:   seconds(30),
 			WriteTimeout:   seconds(30),
 		},
-		Limits:    Limits{Policy: "leased", FloorFraction: 0.2, Lease: seconds(10)},
-		Queue:     Queue{Policy: "weighted_fair", PerBackend: 32, MaxWaiting: 1024},
+		Limits:    Limits{Policy: "leased"},
+		Queue:     Queue{Policy: "fair", PerBackend: 32, MaxWaiting: 1024},
 		Routing:   Routing{Policy: "expected_first_token", RetryShare: 0.1, Attempts: 3},
 		Placement: defaultPlacement(),
 		Standin: Standin{
-			Memory:         48 << 30,
-			PrefillRate:    20000,
-			InterToken:     seconds(0.008),
-			InterTokenStep: seconds(0.0002),
-			MaxBatch:       64,
-			LoadTime:       seconds(1),
+			Memory:          48 << 30,
+			PrefillRate:     20000,
+			InterToken:      seconds(0.008),
+			InterTokenStep:  seconds(0.0002),
+			MaxBatch:        64,
+			CacheTokens:     200_000,
+			AdapterLoadTime: seconds(0.005),
+			ReportLag:       seconds(0.1),
+			LoadTime:        seconds(1),
 		},
 		Objectives: Objectives{
 			FirstToken:   seconds(0.56),
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -50,6 +50,7 @@
 	Seeds    []Address `yaml:"seeds" doc:"UDP addresses of the entry instances."`
 	Interval Duration  `yaml:"interval" doc:"Time between two announcements."`
 	Timeout  Duration  `yaml:"timeout" doc:"Silence after which a process counts as lost."`
+	Budget   Size      `yaml:"budget" doc:"Most bytes that the process sends in a second."`
 }
 
 // Control is the settings of the replicated state.
@@ -91,14 +92,12 @@
 
 // Limits is the settings of token limits.
 type Limits struct {
-	Policy        Choice   `yaml:"policy" allowed:"leased equal_shares" doc:"How a workspace's allowance is shared between instances."`
-	FloorFraction Fraction `yaml:"floor_fraction" doc:"Share of every allowance that the zones keep as standing floors."`
-	Lease         Duration `yaml:"lease" doc:"Life of tokens granted to an instance."`
+	Policy Choice `yaml:"policy" allowed:"leased equal_shares" doc:"How a workspace's allowance is shared between instances."`
 }
 
 // Queue is the settings of admission.
 type Queue struct {
-	Policy     Choice `yaml:"policy" allowed:"weighted_fair first_come" doc:"Order in which waiting requests run."`
+	Policy     Choice `yaml:"policy" allowed:"fair fcfs" doc:"Order in which waiting requests run."`
 	PerBackend int    `yaml:"per_backend" doc:"Requests that run at once for each ready backend server."`
 	MaxWaiting int    `yaml:"max_waiting" doc:"Requests that may wait."`
 }
@@ -124,11 +123,12 @@
 
 // Agent is the settings of the backend server beside an agent.
 type Agent struct {
-	EngineURL  string   `yaml:"engine_url" doc:"Base address of the model engine beside the agent."`
-	ServiceURL string   `yaml:"service_url" doc:"Base address of the plain service beside the agent."`
-	Services   []string `yaml:"services" doc:"Names of the plain services that the backend server answers."`
-	Memory     Size     `yaml:"memory" doc:"Accelerator memory of the backend server."`
-	DataDir    string   `yaml:"data_dir" doc:"Folder in which the agent keeps its order ledger and its configuration copy; empty keeps none."`
+	EngineURL         string   `yaml:"engine_url" doc:"Base address of the model engine beside the agent."`
+	ServiceURL        string   `yaml:"service_url" doc:"Base address of the plain service beside the agent."`
+	Services          []string `yaml:"services" doc:"Names of the plain services that the backend server answers."`
+	Memory            Size     `yaml:"memory" doc:"Accelerator memory of the backend server."`
+	EngineChecksFence bool     `yaml:"engine_checks_fence" doc:"The engine refuses orders with an old fencing number."`
+	DataDir           string   `yaml:"data_dir" doc:"Folder in which the agent keeps its order ledger and its configuration copy; empty keeps none."`
 }
 
 // Objectives is the settings of the service levels.
@@ -148,14 +148,17 @@
 
 // Standin is the settings of a stand-in engine or plain service.
 type Standin struct {
-	Listen         Address  `yaml:"listen" doc:"IP number and port that the stand-in listens on."`
-	Service        string   `yaml:"service" doc:"Name of the plain service; a model engine while empty."`
-	Memory         Size     `yaml:"memory" doc:"Accelerator memory of the engine."`
-	PrefillRate    float64  `yaml:"prefill_rate" doc:"Prompt tokens a second."`
-	InterToken     Duration `yaml:"inter_token" doc:"Time between two tokens of one answer in a batch of one."`
-	InterTokenStep Duration `yaml:"inter_token_step" doc:"Time that each further answer in the batch adds between two tokens."`
-	MaxBatch       int      `yaml:"max_batch" doc:"Answers generated at once."`
-	LoadTime       Duration `yaml:"load_time" doc:"Time that one model load takes at the weight store's full speed."`
-	StoreURL       string   `yaml:"store_url" doc:"Base address of a weight store that engines share; each has its own while empty."`
-	IgnoreFence    bool     `yaml:"ignore_fence" doc:"Ignore fencing numbers, as some engines do."`
+	Listen          Address  `yaml:"listen" doc:"IP number and port that the stand-in listens on."`
+	Service         string   `yaml:"service" doc:"Name of the plain service; a model engine while empty."`
+	Memory          Size     `yaml:"memory" doc:"Accelerator memory of the engine."`
+	PrefillRate     float64  `yaml:"prefill_rate" doc:"Prompt tokens a second."`
+	InterToken      Duration `yaml:"inter_token" doc:"Time between two tokens of one answer in a batch of one."`
+	InterTokenStep  Duration `yaml:"inter_token_step" doc:"Time that each further answer in the batch adds between two tokens."`
+	CacheTokens     int64    `yaml:"cache_tokens" doc:"Size of the prefix cache in tokens."`
+	AdapterLoadTime Duration `yaml:"adapter_load_time" doc:"Time that one adapter load takes at full speed."`
+	ReportLag       Duration `yaml:"report_lag" doc:"Age of load reports."`
+	MaxBatch        int      `yaml:"max_batch" doc:"Answers generated at once."`
+	LoadTime        Duration `yaml:"load_time" doc:"Time that one model load takes at the weight store's full speed."`
+	StoreURL        string   `yaml:"store_url" doc:"Base address of a weight store that engines share; each has its own while empty."`
+	IgnoreFence     bool     `yaml:"ignore_fence" doc:"Ignore fencing numbers, as some engines do."`
 }
