--- a/internal/aubentry/send.go
+++ b/internal/aubentry/send.go
@@ -70,7 +70,8 @@
 }
 
 // pick chooses a backend server. While a known model is not resident anywhere,
-// the call waits for it to be loaded on demand.
+// the call waits for it to be loaded on demand; nothing loads a plain service, so
+// its callers are told at once when to come back.
 func (h *Handler) pick(ctx context.Context, x *exchange, c call, exclude []string) (aubroute.Choice, error) {
 	request := aubroute.Request{
 		Model:        c.model,
@@ -81,7 +82,7 @@
 		Exclude:      exclude,
 	}
 	choice, err := h.parts.Router.Pick(request)
-	if err == nil || len(exclude) > 0 {
+	if err == nil || len(exclude) > 0 || c.service != "" {
 		return choice, turnRouteError(err)
 	}
 	return h.awaitBackend(ctx, c, request, x.started.Add(h.bounds.QueueTimeout))
