Run whole sites of real processes under kills and graceful shutdown

Each role is ended by SIGTERM under streams; entries, an agent and an engine are killed and restarted; claimed confirmations are repeated through all entries while an entry and an agent are killed, and the service's own counts are read.

--- /dev/null
+++ b/internal/aubcli/site_fault_test.go
@@ -0,0 +1,174 @@
+package aubcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubstandin"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// leaveBound is how long a leaving backend server may get new work.
+const leaveBound = 3 * time.Second
+
+// TestShutdownCutsNothing ends each role by SIGTERM while streams run through it.
+func TestShutdownCutsNothing(t *testing.T) {
+	s := newSite(t)
+	for _, name := range []string{"agent-a", "entry-a", "entry-b"} {
+		t.Run(name, func(t *testing.T) {
+			answers := make(chan answer, 60)
+			var wg sync.WaitGroup
+			for i := range 20 {
+				for _, entry := range s.entries {
+					if !s.running(entry) {
+						continue
+					}
+					wg.Go(func() {
+						time.Sleep(time.Duration(i) * 30 * time.Millisecond)
+						answers <- call(s.callers[entry], "example-small", 60, i%2 == 0)
+					})
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			asked := time.Now()
+			qt.Check(t, s.signal(t, name, syscall.SIGTERM), qt.Equals, ExitDone)
+			wg.Wait()
+			if name == "agent-a" {
+				last := standinStats(t, s.standins["engine-a"]).LastRequestAt
+				qt.Check(t, last.Sub(asked) < leaveBound, qt.IsTrue, qt.Commentf("new work %v after the notice", last.Sub(asked)))
+			}
+			close(answers)
+			for a := range answers {
+				checkUncut(t, a, name)
+			}
+		})
+	}
+}
+
+func (s *site) running(name string) bool {
+	select {
+	case <-s.processes[name].done:
+		return false
+	default:
+		return true
+	}
+}
+
+// checkUncut admits a whole answer, a refusal that says not run, and, once the
+// entry that was told to leave has closed its listener, a refused connection.
+func checkUncut(t *testing.T, a answer, leaving string) {
+	t.Helper()
+	if a.whole() {
+		return
+	}
+	if a.err != nil && strings.HasPrefix(leaving, "entry") && strings.Contains(a.err.Error(), "connection refused") {
+		return
+	}
+	if a.status == http.StatusServiceUnavailable && strings.Contains(a.body, `"execution":"not_run"`) {
+		return
+	}
+	t.Errorf("cut answer: status %d, error %v, body %.300s", a.status, a.err, a.body)
+}
+
+// TestSiteOutlivesKills kills an entry, an agent and an engine, restarts them, and checks
+// that tickets stay in force and models stay reachable.
+func TestSiteOutlivesKills(t *testing.T) {
+	s := newSite(t)
+	for _, name := range []string{"entry-a", "entry-b", "entry-c", "agent-a", "engine-a"} {
+		s.signal(t, name, syscall.SIGKILL)
+		for _, entry := range s.entries {
+			if entry == name {
+				continue
+			}
+			eventually(t, entry+" answers without "+name, func() bool {
+				return call(s.callers[entry], "example-small", 2, false).whole()
+			})
+		}
+		s.start(t, name)
+		if strings.HasPrefix(name, "entry") {
+			s.awaitServing(t, name)
+		}
+	}
+	for _, entry := range s.entries {
+		outcome, err := s.client(entry).Ticket(context.Background(), 1)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, outcome.Status, qt.Equals, aubapi.TicketAccepted)
+	}
+	for _, model := range []string{"example-small", "example-large"} {
+		eventually(t, model+" reachable", func() bool { return call(s.callers["entry-a"], model, 2, false).whole() })
+	}
+	for name, address := range s.standins {
+		qt.Check(t, standinStats(t, address).Overcommitted, qt.IsFalse, qt.Commentf("%s", name))
+	}
+}
+
+// TestConfirmOnceThroughKills repeats claimed calls through all entries while
+// entries are killed: each runs at most once, and every refusal that says not
+// run is true.
+func TestConfirmOnceThroughKills(t *testing.T) {
+	s := newSite(t)
+	const calls = 30
+	var wg sync.WaitGroup
+	refused := make([]bool, calls)
+	for i := range calls {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			refused[i] = s.confirm(i)
+		})
+	}
+	for _, name := range []string{"entry-b", "agent-roster"} {
+		time.Sleep(400 * time.Millisecond)
+		s.signal(t, name, syscall.SIGKILL)
+		s.start(t, name)
+	}
+	wg.Wait()
+	executions := confirmations(t, s)
+	for i := range calls {
+		n := executions[fmt.Sprintf("swap-%d", i)]
+		qt.Check(t, n <= 1, qt.IsTrue, qt.Commentf("swap %d ran %d times", i, n))
+		qt.Check(t, refused[i] && n > 0, qt.IsFalse, qt.Commentf("swap %d was refused as not run and ran", i))
+	}
+}
+
+// confirm repeats one claimed call through changing entries until it has a final
+// answer, and reports whether that said not run.
+func (s *site) confirm(i int) (notRun bool) {
+	key := fmt.Sprintf("swap-%d", i)
+	for try := range 20 {
+		a := post(s.callers[s.entries[(i+try)%len(s.entries)]], "/roster/swaps/confirm", key, key)
+		notRun = a.err == nil && strings.Contains(a.body, `"execution":"not_run"`)
+		if a.err == nil && (a.status == http.StatusOK || strings.Contains(a.body, "outcome_unknown")) {
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return notRun
+}
+
+// confirmations returns how often the service ran each confirmation.
+func confirmations(t *testing.T, s *site) map[string]int {
+	resp, err := http.Get(s.standins["engine-roster"] + aubstandin.PathConfirms)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	var counts map[string]int
+	qt.Assert(t, json.NewDecoder(resp.Body).Decode(&counts), qt.IsNil)
+	return counts
+}
+
+func standinStats(t *testing.T, address string) aubstandin.Stats {
+	resp, err := http.Get(address + aubstandin.PathStats)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	var stats aubstandin.Stats
+	qt.Assert(t, json.NewDecoder(resp.Body).Decode(&stats), qt.IsNil)
+	return stats
+}
--- /dev/null
+++ b/internal/aubcli/site_test.go
@@ -0,0 +1,277 @@
+package aubcli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.yaml.in/yaml/v3"
+
+	aubexample "github.com/auburndale/auburndale/examples"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+	"github.com/auburndale/auburndale/pkg/aubclient"
+)
+
+// roleEnv makes the test binary run as the program itself, so that the tests
+// meet real processes.
+const roleEnv = "AUBURNDALE_TEST_RUN"
+
+const (
+	sitePatience   = 30 * time.Second
+	siteCredential = "site-test-credential"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleEnv) != "" {
+		os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// settings is a settings file as a tree.
+type settings map[string]any
+
+// site is a whole site of separate processes on loopback.
+type site struct {
+	dir       string
+	files     map[string]string
+	processes map[string]*process
+	entries   []string
+	admin     map[string]string
+	callers   map[string]string
+	standins  map[string]string
+}
+
+// process is one running role.
+type process struct {
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	done chan struct{}
+}
+
+// newSite starts three entries, two engines with agents, and a roster service.
+func newSite(t *testing.T) *site {
+	s := &site{
+		dir: t.TempDir(), files: map[string]string{}, processes: map[string]*process{},
+		admin: map[string]string{}, callers: map[string]string{}, standins: map[string]string{},
+	}
+	writeFile(t, s.path("secret"), "site-test-secret")
+	writeFile(t, s.path("credential"), siteCredential)
+	s.layOut(t)
+	t.Cleanup(func() { s.stopAll(t) })
+	for name := range s.files {
+		s.start(t, name)
+	}
+	s.apply(t)
+	return s
+}
+
+func (s *site) path(name string) string { return filepath.Join(s.dir, name) }
+
+// layOut writes the settings of every process.
+func (s *site) layOut(t *testing.T) {
+	ports := &portPicker{t: t}
+	var voters []settings
+	var seeds, internals []string
+	for _, zone := range []string{"a", "b", "c"} {
+		s.entries = append(s.entries, "entry-"+zone)
+		internals = append(internals, ports.next())
+		seeds = append(seeds, ports.next())
+		voters = append(voters, settings{"name": "entry-" + zone, "address": internals[len(internals)-1]})
+	}
+	for i, name := range s.entries {
+		s.admin[name], s.callers[name] = ports.next(), ports.next()
+		s.write(t, name, i, settings{
+			"internal":   settings{"listen": internals[i]},
+			"membership": settings{"listen": seeds[i], "seeds": seeds, "interval": "200ms", "timeout": "2s", "budget": "64KiB"},
+			"control":    settings{"data_dir": s.path("data-" + name), "voters": voters},
+			"caller":     settings{"listen": s.callers[name]},
+			"admin":      settings{"listen": s.admin[name], "credential_file": s.path("credential")},
+			"placement":  settings{"interval": "200ms"},
+		})
+	}
+	for i, name := range []string{"a", "b", "roster"} {
+		standin, agent := settings{"listen": ports.next(), "load_time": "50ms", "inter_token": "10ms"}, settings{}
+		address := "http://" + standin["listen"].(string)
+		s.standins["engine-"+name] = address
+		if name == "roster" {
+			standin["service"] = "roster"
+			agent = settings{"service_url": address, "services": []string{"roster"}}
+		} else {
+			agent = settings{"engine_url": address, "memory": "48GiB", "engine_checks_fence": true}
+		}
+		s.write(t, "engine-"+name, i, settings{"standin": standin})
+		s.write(t, "agent-"+name, i, settings{
+			"internal":   settings{"listen": ports.next()},
+			"membership": settings{"listen": ports.next(), "seeds": seeds, "interval": "200ms", "timeout": "2s", "budget": "64KiB"},
+			"control":    settings{"addresses": internals},
+			"agent":      agent,
+		})
+	}
+}
+
+func (s *site) write(t *testing.T, name string, i int, cfg settings) {
+	cfg["name"] = name
+	cfg["zone"] = string(rune('a' + i))
+	cfg["secret_file"] = s.path("secret")
+	cfg["log"] = settings{"level": "info", "format": "console"}
+	cfg["shutdown"] = settings{"delay": "300ms", "timeout": "20s"}
+	data, err := yaml.Marshal(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	s.files[name] = s.path(name + ".yaml")
+	writeFile(t, s.files[name], string(data))
+}
+
+func (s *site) start(t *testing.T, name string) {
+	role, _, _ := strings.Cut(name, "-")
+	p := &process{log: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(os.Args[0], role, "--settings", s.files[name])
+	p.cmd.Env = append(os.Environ(), roleEnv+"=1")
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	qt.Assert(t, p.cmd.Start(), qt.IsNil)
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	s.processes[name] = p
+}
+
+// signal sends a signal and waits for the process to end.
+func (s *site) signal(t *testing.T, name string, sig syscall.Signal) int {
+	p := s.processes[name]
+	_ = p.cmd.Process.Signal(sig)
+	select {
+	case <-p.done:
+	case <-time.After(sitePatience):
+		t.Errorf("%s does not end", name)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (s *site) stopAll(t *testing.T) {
+	for name, p := range s.processes {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, tail(p.log.String()))
+		}
+	}
+}
+
+// apply applies the example ticket until it is accepted and waits until the
+// example models answer through every entry.
+func (s *site) apply(t *testing.T) {
+	ticket, err := aubapi.DecodeTicket(aubexample.Ticket, aubapi.FormatYAML)
+	qt.Assert(t, err, qt.IsNil)
+	client := s.client("entry-a")
+	eventually(t, "ticket 1 accepted", func() bool {
+		outcome, err := client.ApplyTicket(context.Background(), ticket, time.Second)
+		return err == nil && outcome.Status == aubapi.TicketAccepted
+	})
+	for _, name := range s.entries {
+		s.awaitServing(t, name)
+	}
+}
+
+func (s *site) awaitServing(t *testing.T, entry string) {
+	for _, model := range []string{"example-small", "example-large"} {
+		eventually(t, model+" answers on "+entry, func() bool {
+			r := call(s.callers[entry], model, 2, false)
+			return r.whole()
+		})
+	}
+}
+
+func (s *site) client(entry string) *aubclient.Client {
+	return aubclient.NewClient(aubclient.ClientOpts{BaseURL: "http://" + s.admin[entry], Credential: siteCredential})
+}
+
+// portPicker hands out free loopback ports, for TCP and UDP alike.
+type portPicker struct {
+	t    *testing.T
+	held []net.Listener
+}
+
+func (p *portPicker) next() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(p.t, err, qt.IsNil)
+	if p.held == nil {
+		p.t.Cleanup(func() {})
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	return address
+}
+
+func writeFile(t *testing.T, name, text string) {
+	qt.Assert(t, os.WriteFile(name, []byte(text), 0o600), qt.IsNil)
+}
+
+func tail(text string) string {
+	const most = 4000
+	return text[max(len(text)-most, 0):]
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(sitePatience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+	header http.Header
+}
+
+// whole reports whether a model's answer came to its end.
+func (a answer) whole() bool {
+	if a.err != nil || a.status != http.StatusOK {
+		return false
+	}
+	return strings.Contains(a.body, `"finish_reason":"length"`)
+}
+
+// call asks a model for an answer of n tokens.
+func call(address, model string, n int, stream bool) answer {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"hello"}]}`, model, n, stream)
+	return post(address, "/v1/chat/completions", body, "")
+}
+
+func post(address, path, body, idempotencyKey string) answer {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+aubexample.Key)
+	if idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	client := &http.Client{Timeout: sitePatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(data), err: err, header: resp.Header}
+}
--- a/internal/aubentry/call_test.go
+++ b/internal/aubentry/call_test.go
@@ -29,9 +29,9 @@
 
 func chatRequest(model string) openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{
-		Model:     model,
-		MaxTokens: 5,
-		Messages:  []openai.ChatCompletionMessage{{Role: "user", Content: "hello"}},
+		Model:               model,
+		MaxCompletionTokens: 5,
+		Messages:            []openai.ChatCompletionMessage{{Role: "user", Content: "hello"}},
 	}
 }
 
@@ -47,13 +47,13 @@
 		qt.Check(t, resp.Usage.CompletionTokens, qt.Equals, 5)
 	})
 	t.Run("streamed without usage", func(t *testing.T) {
-		_, usage := readStream(t, f.ctx, client, chatRequest("small"))
+		_, usage := readStream(t, f, client, chatRequest("small"))
 		qt.Check(t, usage, qt.IsNil)
 	})
 	t.Run("streamed with usage", func(t *testing.T) {
 		req := chatRequest("small")
 		req.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
-		text, usage := readStream(t, f.ctx, client, req)
+		text, usage := readStream(t, f, client, req)
 		qt.Assert(t, usage, qt.IsNotNil)
 		qt.Check(t, usage.CompletionTokens, qt.Equals, 5)
 		qt.Check(t, text, qt.Not(qt.Equals), "")
@@ -80,9 +80,9 @@
 	})
 }
 
-func readStream(t *testing.T, ctx context.Context, client *openai.Client, req openai.ChatCompletionRequest) (string, *openai.Usage) {
+func readStream(t *testing.T, f *fixture, client *openai.Client, req openai.ChatCompletionRequest) (string, *openai.Usage) {
 	t.Helper()
-	stream, err := client.CreateChatCompletionStream(ctx, req)
+	stream, err := client.CreateChatCompletionStream(f.ctx, req)
 	qt.Assert(t, err, qt.IsNil)
 	defer stream.Close()
 	var text strings.Builder
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	defer cancel()
 	req := chatRequest("small")
-	req.MaxTokens = 64
+	req.MaxCompletionTokens = 64
 	stream, err := newClient(f, keyAlpha).CreateChatCompletionStream(ctx, req)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = stream.Recv()
@@ -154,7 +154,7 @@
 	f := newFixture(t, fixtureOpts{engine: aubstandin.EngineOpts{InterToken: 100 * time.Millisecond}})
 	f.awaitBackends(t)
 	req := chatRequest("small")
-	req.MaxTokens = 64
+	req.MaxCompletionTokens = 64
 	stream, err := newClient(f, keyAlpha).CreateChatCompletionStream(f.ctx, req)
 	qt.Assert(t, err, qt.IsNil)
 	defer stream.Close()
@@ -262,7 +262,7 @@
 	for i := range 12 {
 		wg.Go(func() {
 			req := chatRequest("small")
-			req.MaxTokens = 40
+			req.MaxCompletionTokens = 40
 			req.Messages[0].Content = fmt.Sprintf("innocent %d", i)
 			if _, err := newClient(f, keyAlpha).CreateChatCompletion(f.ctx, req); err != nil {
 				t.Errorf("innocent request %d: %v", i, err)
@@ -294,7 +294,7 @@
 func statusOf(t *testing.T, r *http.Request) int {
 	resp, err := http.DefaultClient.Do(r)
 	qt.Assert(t, err, qt.IsNil)
-	_ = resp.Body.Close()
+	defer resp.Body.Close()
 	return resp.StatusCode
 }
 
--- a/internal/aubentry/fault_test.go
+++ b/internal/aubentry/fault_test.go
@@ -97,7 +97,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			goldie.New(t).Assert(t, tt.name, format(t, sendRaw(t, f, tt.request)))
+			resp := sendRaw(t, f, tt.request)
+			defer resp.Body.Close()
+			goldie.New(t).Assert(t, tt.name, format(t, resp))
 		})
 	}
 	qt.Check(t, f.service.Stats().Executions, qt.HasLen, 0)
--- a/internal/aubstandin/control.go
+++ b/internal/aubstandin/control.go
@@ -9,6 +9,8 @@
 const (
 	PathFaults = "/standin/v1/faults"
 	PathStats  = "/standin/v1/stats"
+	// PathConfirms counts a plain service's confirmations by their body.
+	PathConfirms = "/standin/v1/confirms"
 )
 
 func addControls(mux *http.ServeMux, faults *faultSet, stats func() Stats) {
--- a/internal/aubstandin/service.go
+++ b/internal/aubstandin/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -53,6 +54,7 @@
 		confirms: make(map[string]int),
 	}
 	addControls(s.mux, &s.faults, s.Stats)
+	s.mux.HandleFunc("GET "+PathConfirms, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.allConfirms()) })
 	s.mux.HandleFunc("/", s.call)
 	return s
 }
@@ -70,6 +72,12 @@
 	return s.confirms[body]
 }
 
+func (s *Service) allConfirms() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.confirms)
+}
+
 // Crash ends the service until Restart.
 func (s *Service) Crash() {
 	s.mu.Lock()
