Add the open-loop load tool

One seeded trace is played against each target in turn, block by block, so that drift of the machine hits all targets alike. Every process's metrics page carries its processor time and memory, which the tool reads around each block.

--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -51,6 +51,7 @@
 			newRoleCommand(s, "entry", "run an entry instance", aubprocess.RunEntry),
 			newRoleCommand(s, "agent", "run the process beside a backend server", aubprocess.RunAgent),
 			newRoleCommand(s, "engine", "run a stand-in engine or plain service", aubprocess.RunEngine),
+			newLoadCommand(s),
 			newTicketCommand(s),
 			newGetCommand(s),
 			newKeyCommand(s),
--- a/internal/aubcli/site_test.go
+++ b/internal/aubcli/site_test.go
@@ -82,9 +82,10 @@
 // layOut writes the settings of every process.
 func (s *site) layOut(t *testing.T) {
 	ports := &portPicker{t: t}
-	var voters []settings
-	var seeds, internals []string
-	for _, zone := range []string{"a", "b", "c"} {
+	zones := []string{"a", "b", "c"}
+	voters := make([]settings, 0, len(zones))
+	seeds, internals := make([]string, 0, len(zones)), make([]string, 0, len(zones))
+	for _, zone := range zones {
 		s.entries = append(s.entries, "entry-"+zone)
 		internals = append(internals, ports.next())
 		seeds = append(seeds, ports.next())
@@ -102,14 +103,14 @@
 		})
 	}
 	for i, name := range []string{"a", "b", "roster"} {
-		standin, agent := settings{"listen": ports.next(), "load_time": "50ms", "inter_token": "10ms"}, settings{}
-		address := "http://" + standin["listen"].(string)
+		listen := ports.next()
+		address := "http://" + listen
 		s.standins["engine-"+name] = address
+		standin := settings{"listen": listen, "load_time": "50ms", "inter_token": "10ms"}
+		agent := settings{"engine_url": address, "memory": "48GiB", "engine_checks_fence": true}
 		if name == "roster" {
 			standin["service"] = "roster"
 			agent = settings{"service_url": address, "services": []string{"roster"}}
-		} else {
-			agent = settings{"engine_url": address, "memory": "48GiB", "engine_checks_fence": true}
 		}
 		s.write(t, "engine-"+name, i, settings{"standin": standin})
 		s.write(t, "agent-"+name, i, settings{
@@ -201,16 +202,12 @@
 
 // portPicker hands out free loopback ports, for TCP and UDP alike.
 type portPicker struct {
-	t    *testing.T
-	held []net.Listener
+	t *testing.T
 }
 
 func (p *portPicker) next() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(p.t, err, qt.IsNil)
-	if p.held == nil {
-		p.t.Cleanup(func() {})
-	}
 	address := l.Addr().String()
 	_ = l.Close()
 	return address
--- /dev/null
+++ b/internal/aubload/run.go
@@ -0,0 +1,117 @@
+package aubload
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+)
+
+const (
+	// drainTimeout bounds the wait for the last answers of a block.
+	drainTimeout = 60 * time.Second
+	// maxIdle is the idle connections that are kept for each address.
+	maxIdle = 512
+)
+
+// Runner plays traces.
+type Runner struct {
+	common aubcommon.Common
+	plan   Plan
+	caller caller
+
+	// mu guards samples; it is a leaf lock.
+	mu      sync.Mutex
+	samples []Sample
+}
+
+// NewRunner returns a runner of one plan.
+func NewRunner(common aubcommon.Common, plan Plan) *Runner {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	return &Runner{
+		common: common.WithPart("load"),
+		plan:   plan,
+		caller: caller{timer: common.Timer, http: &http.Client{Transport: transport}},
+	}
+}
+
+// Run plays every trace and returns the report. Targets take turns block by
+// block, each with the same arrivals, so that drift of the machine hits all alike.
+func (r *Runner) Run(ctx context.Context) (Report, error) {
+	usage := newUsage(r.common, r.plan.Targets)
+	for _, seed := range r.plan.Seeds {
+		trace := NewTrace(r.plan, seed)
+		for from := time.Duration(0); from < r.plan.Duration; from += r.plan.Block {
+			for target := range r.plan.Targets {
+				if err := ctx.Err(); err != nil {
+					return Report{}, err
+				}
+				usage.begin(ctx, target)
+				r.playBlock(ctx, target, cut(trace, from, from+r.plan.Block), from)
+				usage.end(ctx, target)
+			}
+		}
+	}
+	return NewReport(r.plan, r.samples, usage.costs), nil
+}
+
+// playBlock sends the arrivals of one block to one target and waits for the answers.
+func (r *Runner) playBlock(ctx context.Context, target int, block []Arrival, from time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, r.plan.Block+drainTimeout)
+	defer cancel()
+	start := r.common.Timer.Now()
+	var wg sync.WaitGroup
+	for _, a := range block {
+		due := start.Add(a.At - from)
+		if !r.sleepUntil(ctx, due) {
+			break
+		}
+		wg.Go(func() {
+			s := r.caller.call(ctx, pickURL(r.plan.Targets[target], a.Spot), r.plan.Workspaces[a.Workspace], a, due)
+			s.Target = target
+			r.keep(s)
+		})
+	}
+	wg.Wait()
+}
+
+func (r *Runner) sleepUntil(ctx context.Context, due time.Time) bool {
+	wait := due.Sub(r.common.Timer.Now())
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-r.common.Timer.After(ctx, wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Runner) keep(s Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples = append(r.samples, s)
+}
+
+// cut returns the arrivals of a part of the trace.
+func cut(trace []Arrival, from, to time.Duration) []Arrival {
+	var block []Arrival
+	for _, a := range trace {
+		if a.At >= from && a.At < to {
+			block = append(block, a)
+		}
+	}
+	return block
+}
+
+// pickURL spreads requests over the addresses; skew moves them to the first.
+func pickURL(t Target, spot float64) string {
+	if spot < t.Skew {
+		return t.URLs[0]
+	}
+	rest := (spot - t.Skew) / max(1-t.Skew, 1e-9)
+	return t.URLs[min(int(rest*float64(len(t.URLs))), len(t.URLs)-1)]
+}
--- /dev/null
+++ b/internal/aubload/trace.go
@@ -0,0 +1,127 @@
+package aubload
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// burstParts is the number of parts of a period, one of which is the burst.
+const burstParts = 10
+
+// Arrival is one request of a trace.
+type Arrival struct {
+	At           time.Duration
+	Workspace    int
+	Mix          int
+	Prompt       string
+	OutputTokens int
+	// Spot places the request among the target's addresses, uniform in [0, 1).
+	Spot float64
+}
+
+// NewTrace returns the arrivals of a plan for one seed, in order of time.
+func NewTrace(p Plan, seed uint64) []Arrival {
+	parts := make([][]Arrival, 0, len(p.Workspaces))
+	for i, w := range p.Workspaces {
+		r := rand.New(rand.NewPCG(seed, uint64(i)))
+		parts = append(parts, newArrivals(p, i, w, r))
+	}
+	arrivals := slices.Concat(parts...)
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return arrivals
+}
+
+// newArrivals draws a Poisson process at the workspace's highest rate and keeps
+// each arrival with the probability that the rate of its moment asks for.
+func newArrivals(p Plan, index int, w Workspace, r *rand.Rand) []Arrival {
+	peak := w.Rate * max(w.Factor, 1) * max(w.Surge, 1)
+	gaps := distuv.Exponential{Rate: peak, Src: r}
+	arrivals := make([]Arrival, 0, int(w.Rate*p.Duration.Seconds()))
+	for at := gaps.Rand(); at < p.Duration.Seconds(); at += gaps.Rand() {
+		moment := time.Duration(at * float64(time.Second))
+		if r.Float64()*peak >= w.rateAt(moment) {
+			continue
+		}
+		arrivals = append(arrivals, newArrival(moment, index, w, r))
+	}
+	return arrivals
+}
+
+func newArrival(at time.Duration, index int, w Workspace, r *rand.Rand) Arrival {
+	mix := pickMix(w.Mix, r)
+	return Arrival{
+		At:           at,
+		Workspace:    index,
+		Mix:          mix,
+		Prompt:       newPrompt(w.Mix[mix], r),
+		OutputTokens: max(vary(w.Mix[mix].OutputTokens, r), 1),
+		Spot:         r.Float64(),
+	}
+}
+
+// rateAt returns the rate at a moment of the trace.
+func (w Workspace) rateAt(at time.Duration) float64 {
+	rate := w.Rate
+	if w.Arrivals == ArrivalsBursty {
+		rate *= w.burstAt(at)
+	}
+	if w.Surge > 0 && at >= w.SurgeFrom && at < w.SurgeTo {
+		rate *= w.Surge
+	}
+	return rate
+}
+
+// burstAt returns the factor of the moment; over a period its mean is 1.
+func (w Workspace) burstAt(at time.Duration) float64 {
+	if at%w.Period < w.Period/burstParts {
+		return w.Factor
+	}
+	return (burstParts - w.Factor) / (burstParts - 1)
+}
+
+func pickMix(mixes []Mix, r *rand.Rand) int {
+	total := 0.0
+	for _, m := range mixes {
+		total += max(m.Weight, 0)
+	}
+	at := r.Float64() * total
+	for i, m := range mixes {
+		at -= max(m.Weight, 0)
+		if at < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func newPrompt(m Mix, r *rand.Rand) string {
+	n := vary(m.PromptBytes, r)
+	if m.Prefixes == 0 {
+		return words(r.Uint64(), n)
+	}
+	shared := words(uint64(r.IntN(m.Prefixes)), m.PromptBytes/2)
+	return shared + words(r.Uint64(), max(n-len(shared), 0))
+}
+
+// words returns about n bytes that differ from seed to seed.
+func words(seed uint64, n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%x-%d ", seed, i)
+	}
+	return b.String()[:max(n, 0)]
+}
+
+// vary returns a value from half to one and a half of the mean.
+func vary(mean int, r *rand.Rand) int {
+	if mean <= 0 {
+		return 0
+	}
+	return mean/2 + r.IntN(mean+1)
+}
--- a/internal/aubmetric/scope.go
+++ b/internal/aubmetric/scope.go
@@ -8,6 +8,7 @@
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
@@ -28,6 +29,7 @@
 func NewMetrics(log *zap.Logger, instance, zone string) *Metrics {
 	// A registry of its own lets several roles run in one process.
 	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer:      registry,
 		Gatherer:        registry,
