Test the repair of gaps in configuration streams

A gap is asked for again, a content that does not match its digest is replaced by the full state, and heartbeats go both ways. A silent stream is replaced on a new connection. A process shows nothing before a confirmation from after its start; one that gets none within 10 s counts as cut off and shows the highest version that its own synced copy or its peers hold.

--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -262,3 +262,47 @@
 	qt.Assert(t, l.Config().Version(), qt.Equals, uint64(4))
 	qt.Assert(t, l.ConfirmedAt().IsZero(), qt.IsTrue)
 }
+
+func TestGapsAreRepairedByDeltas(t *testing.T) {
+	cases := []struct {
+		name string
+		// later is the version committed after the lost one; 0 for none.
+		later uint64
+	}{
+		{name: "a later delta shows the gap", later: 5},
+		{name: "a heartbeat shows the gap"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			r := s.addReplica("a")
+			r.grow(t, 3)
+			f := s.follow(s.ctx, "", "a")
+			s.until("the first version", reaches(f, 3))
+			lost, fulls := 0, 0
+			r.setSpoil(func(m *aubwire.WatchResponse) []*aubwire.WatchResponse {
+				if m.GetFull() != nil {
+					fulls++
+				}
+				if m.GetDelta() != nil && lost == 0 {
+					lost++
+					return nil
+				}
+				return []*aubwire.WatchResponse{m}
+			})
+			r.grow(t, 4)
+			s.until("the loss", func() bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return lost == 1
+			})
+			if c.later > 0 {
+				r.grow(t, c.later)
+			}
+			s.until("the version behind the gap", reaches(f, max(4, c.later)))
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			qt.Assert(t, fulls, qt.Equals, 0)
+		})
+	}
+}
