Prove the outcomes of tickets by property and history

Random tickets with resends, restores and replays, and operators that race with equal numbers on three replicas of one ordered log, lose answers and send the same elsewhere (porcupine, 8 seeds).

The property found a fault: a ticket with faults of its own content got conflict while another content held its number and invalid once that record was dropped. The content is now checked before the record is looked up, so its verdict depends on the content alone. The horizon can no longer fall when the lowest record is below it.

That an equal number is superseded has no test of its own: it is always a repeat, a conflict or below the horizon.

--- a/internal/aubstate/aubcommand/decide.go
+++ b/internal/aubstate/aubcommand/decide.go
@@ -23,13 +23,13 @@
 // A ticket with faults of its own content never uses up its number: its verdict
 // is the same at any time. Every other first outcome is recorded.
 func (s *State) Decide(t aubapi.Ticket) Decision {
+	if faults := CheckTicket(t); len(faults) > 0 {
+		return refuse(t, aubapi.TicketInvalid, faults...)
+	}
 	digest := DigestTicket(t)
 	if r, ok := s.ledger.Record(t.Number); ok {
 		return decideRepeat(t, digest, r)
 	}
-	if faults := CheckTicket(t); len(faults) > 0 {
-		return refuse(t, aubapi.TicketInvalid, faults...)
-	}
 	if s.ledger.Closed(t.Number) {
 		return refuse(t, aubapi.TicketSuperseded, aubapi.Fault{
 			Path: "number",
--- a/internal/aubstate/aubcommand/ledger.go
+++ b/internal/aubstate/aubcommand/ledger.go
@@ -49,7 +49,8 @@
 }
 
 // Closed reports whether an unrecorded number lies so low that its outcome may
-// have been dropped, or could not be kept.
+// have been dropped, or could not be kept. The horizon holds even where a later
+// release keeps more outcomes.
 func (l *Ledger) Closed(number uint64) bool {
 	if number < l.horizon {
 		return true
@@ -76,7 +77,7 @@
 		l.faulty = slices.DeleteFunc(l.faulty, func(n uint64) bool { return n == number })
 	}
 	delete(l.records, number)
-	l.horizon = number + 1
+	l.horizon = max(l.horizon, number+1)
 	return number
 }
 
--- /dev/null
+++ b/internal/aubstate/history_test.go
@@ -0,0 +1,194 @@
+package aubstate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// operation is a ticket for some workspaces, or a confirmed read of the version.
+type operation struct {
+	read   bool
+	number uint64
+	rate   int64
+	names  [2]string
+}
+
+// answer is what the operator saw; an unknown one was lost.
+type answer struct {
+	unknown bool
+	status  aubapi.TicketStatus
+	version uint64
+}
+
+// modelState is a plain reading of the rules for tickets of workspaces.
+type modelState struct {
+	version uint64
+	decided map[uint64]decided
+	last    map[string]uint64
+}
+
+type decided struct {
+	rate   int64
+	names  [2]string
+	answer answer
+}
+
+func (s modelState) clone() modelState {
+	next := modelState{version: s.version, decided: make(map[uint64]decided), last: make(map[string]uint64)}
+	for k, v := range s.decided {
+		next.decided[k] = v
+	}
+	for k, v := range s.last {
+		next.last[k] = v
+	}
+	return next
+}
+
+func (s modelState) step(op operation) (answer, modelState) {
+	if op.read {
+		return answer{version: s.version}, s
+	}
+	if first, ok := s.decided[op.number]; ok {
+		if first.rate == op.rate && first.names == op.names {
+			return first.answer, s
+		}
+		return answer{status: aubapi.TicketConflict}, s
+	}
+	next := s.clone()
+	a := answer{status: aubapi.TicketAccepted, version: s.version + 1}
+	if op.number <= s.last[op.names[0]] || op.number <= s.last[op.names[1]] {
+		a = answer{status: aubapi.TicketSuperseded}
+	} else {
+		next.version++
+		next.last[op.names[0]] = op.number
+		next.last[op.names[1]] = op.number
+	}
+	next.decided[op.number] = decided{rate: op.rate, names: op.names, answer: a}
+	return a, next
+}
+
+func ticketModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return modelState{} },
+		Step: func(state, input, output any) (bool, any) {
+			s, _ := state.(modelState)
+			op, _ := input.(operation)
+			got, _ := output.(answer)
+			want, next := s.step(op)
+			return got.unknown || got == want, next
+		},
+		Equal: func(a, b any) bool { return reflect.DeepEqual(a, b) },
+		DescribeOperation: func(input, output any) string {
+			return fmt.Sprintf("%+v -> %+v", input, output)
+		},
+	}
+}
+
+func ticketOf(op operation) aubapi.Ticket {
+	ticket := aubapi.Ticket{Number: op.number}
+	for _, name := range op.names {
+		ticket.Workspaces = append(ticket.Workspaces, aubapi.Workspace{Name: name, Rate: op.rate, Burst: 1})
+	}
+	return ticket
+}
+
+// Operators race with equal numbers on different replicas, lose answers, send
+// the same again elsewhere and read in between, while replicas restart from
+// their snapshots. Every history must be one of the plain rules.
+func TestOperatorsRaceWithEqualNumbers(t *testing.T) {
+	const (
+		operators = 5
+		rounds    = 12
+		replicas  = 3
+	)
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			log := newOrderedLog(replicas)
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			began := time.Now()
+			record := func(client int, op operation, run func() answer) {
+				call := time.Since(began).Nanoseconds()
+				a := run()
+				end := time.Since(began).Nanoseconds()
+				if a.unknown {
+					// It may take effect at any later time.
+					end = int64(time.Hour)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: op, Call: call, Output: a, Return: end})
+			}
+			var wg sync.WaitGroup
+			for client := range operators {
+				wg.Go(func() {
+					random := rand.New(rand.NewPCG(seed, uint64(client)))
+					for round := range rounds {
+						operate(t, log, random, client, round, record)
+					}
+				})
+			}
+			wg.Wait()
+			result := porcupine.CheckOperationsTimeout(ticketModel(), history, 60*time.Second)
+			qt.Assert(t, result, qt.Equals, porcupine.Ok)
+		})
+	}
+}
+
+func operate(
+	t *testing.T, log *orderedLog, random *rand.Rand, client, round int, record func(int, operation, func() answer),
+) {
+	replica := random.IntN(len(log.replicas))
+	if random.IntN(6) == 0 {
+		qt.Check(t, log.compact(replica), qt.IsNil)
+	}
+	if random.IntN(4) == 0 {
+		record(client, operation{read: true}, func() answer { return answer{version: log.confirm(replica)} })
+		return
+	}
+	names := []string{"a", "b", "c"}
+	i := random.IntN(len(names))
+	op := operation{
+		number: uint64(round + 1 + random.IntN(2)),
+		rate:   1 + random.Int64N(2),
+		names:  [2]string{names[i], names[(i+1)%len(names)]},
+	}
+	send := func(replica int) answer { return sendTicket(t, log, random, replica, op) }
+	for attempt := range 3 {
+		done := false
+		record(client, op, func() answer {
+			a := send((replica + attempt) % len(log.replicas))
+			done = !a.unknown
+			return a
+		})
+		if done {
+			return
+		}
+	}
+}
+
+func sendTicket(t *testing.T, log *orderedLog, random *rand.Rand, replica int, op operation) answer {
+	body, err := aubcodec.EncodeTicket(ticketOf(op))
+	qt.Check(t, err, qt.IsNil)
+	if random.IntN(16) == 0 {
+		// The request itself is lost.
+		return answer{unknown: true}
+	}
+	outcome, err := aubcodec.DecodeOutcome(log.commit(replica, body))
+	qt.Check(t, err, qt.IsNil)
+	if random.IntN(4) == 0 {
+		// The answer is lost.
+		return answer{unknown: true}
+	}
+	return answer{status: outcome.Status, version: outcome.Version}
+}
--- /dev/null
+++ b/internal/aubstate/property_test.go
@@ -0,0 +1,221 @@
+package aubstate_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubstate"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcommand"
+	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+var drawName = rapid.SampledFrom([]string{"a", "b", "c"})
+
+// drawTicket draws a ticket that often collides with others in number, objects
+// and references, and is now and then faulty by itself.
+func drawTicket(t *rapid.T) aubapi.Ticket {
+	ticket := aubapi.Ticket{Number: rapid.Uint64Range(1, 30).Draw(t, "number")}
+	workspaces := rapid.SliceOfNDistinct(drawName, 0, 2, rapid.ID[string]).Draw(t, "workspaces")
+	for _, name := range workspaces {
+		ticket.Workspaces = append(ticket.Workspaces, aubapi.Workspace{Name: name, Rate: rapid.Int64Range(0, 3).Draw(t, "rate"), Burst: 1})
+	}
+	if rapid.Bool().Draw(t, "with model") {
+		ticket.Models = []aubapi.Model{{
+			Name: "m-" + drawName.Draw(t, "model"), MemoryBytes: 1, Workspaces: []string{drawName.Draw(t, "admitted")},
+		}}
+	}
+	if rapid.Bool().Draw(t, "with removal") {
+		kind := rapid.SampledFrom([]aubapi.Kind{aubapi.KindWorkspace, aubapi.KindModel}).Draw(t, "kind")
+		name := drawName.Draw(t, "removed")
+		if kind == aubapi.KindModel {
+			name = "m-" + name
+		}
+		ticket.Remove = []aubapi.ObjectID{{Kind: kind, Name: name}}
+	}
+	return ticket
+}
+
+type ticketKey struct {
+	number uint64
+	digest aubcommand.ContentDigest
+}
+
+// Random tickets, resends among them, on a replica that runs through, one that
+// is restored from its snapshot now and then and one that reads the whole log
+// at the end: outcomes are stable, versions only grow and all replicas are equal.
+func TestOutcomesAreStableOnAllReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		through, restored := newTable(), newTable()
+		first := make(map[ticketKey]aubapi.TicketOutcome)
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		log := make([]aubapi.Ticket, 0, steps)
+		for range steps {
+			ticket := drawTicket(t)
+			if len(log) > 0 && rapid.IntRange(0, 2).Draw(t, "resend") == 0 {
+				ticket = rapid.SampledFrom(log).Draw(t, "resent")
+			}
+			log = append(log, ticket)
+			before := through.Config()
+			outcome := applyTo(t, through, ticket)
+			must(t, applyTo(t, restored, ticket), qt.DeepEquals, outcome)
+			checkFirst(t, first, ticket, outcome)
+			checkVersion(t, before, through.Config(), ticket, outcome)
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+				restored = restoredCopy(t, restored)
+			}
+		}
+		replayed := newTable()
+		for _, ticket := range log {
+			applyTo(t, replayed, ticket)
+		}
+		want := snapshotOf(t, through)
+		must(t, snapshotOf(t, restored), qt.DeepEquals, want)
+		must(t, snapshotOf(t, replayed), qt.DeepEquals, want)
+	})
+}
+
+// checkFirst holds the outcome against the first one of the same number and
+// content.
+func checkFirst(t *rapid.T, first map[ticketKey]aubapi.TicketOutcome, ticket aubapi.Ticket, outcome aubapi.TicketOutcome) {
+	key := ticketKey{ticket.Number, aubcommand.DigestTicket(ticket)}
+	want, ok := first[key]
+	if !ok {
+		first[key] = outcome
+		return
+	}
+	must(t, outcome, qt.DeepEquals, want)
+}
+
+func checkVersion(t *rapid.T, before, after aubquery.Config, ticket aubapi.Ticket, outcome aubapi.TicketOutcome) {
+	if outcome.Status == aubapi.TicketAccepted && outcome.Version == before.Version()+1 {
+		must(t, after.Version(), qt.Equals, outcome.Version)
+		must(t, after.Digest(), qt.Equals, aubquery.NewConfig(after.Opts()).Digest())
+		for _, w := range ticket.Workspaces {
+			got, ok := after.Workspace(w.Name)
+			must(t, ok && got == w, qt.IsTrue)
+		}
+		return
+	}
+	must(t, after.Version(), qt.Equals, before.Version())
+	must(t, after.Digest(), qt.Equals, before.Digest())
+	must(t, outcome.Version <= before.Version(), qt.IsTrue)
+}
+
+// With a ledger of few outcomes nothing is ever applied twice, and a repeat gets
+// the first outcome or is told that it is no longer kept.
+func TestBoundedLedgerNeverRepeatsATicket(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := aubcommand.NewState(4)
+		first := make(map[ticketKey]aubapi.TicketOutcome)
+		var log []aubapi.Ticket
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			ticket := drawTicket(t)
+			if len(log) > 0 && rapid.Bool().Draw(t, "resend") {
+				ticket = rapid.SampledFrom(log).Draw(t, "resent")
+			}
+			log = append(log, ticket)
+			state = restoreNowAndThen(t, state)
+			key := ticketKey{ticket.Number, aubcommand.DigestTicket(ticket)}
+			outcome, _, accepted := state.Execute(ticket)
+			want, repeated := first[key]
+			if !repeated {
+				first[key] = outcome
+				continue
+			}
+			must(t, accepted, qt.IsFalse)
+			if outcome.Status != want.Status {
+				checkDropped(t, outcome)
+			}
+		}
+	})
+}
+
+func checkDropped(t *rapid.T, outcome aubapi.TicketOutcome) {
+	must(t, outcome.Status, qt.Equals, aubapi.TicketSuperseded)
+	must(t, outcome.Faults[0].Reason, qt.Contains, "no longer kept")
+}
+
+func restoreNowAndThen(t *rapid.T, state *aubcommand.State) *aubcommand.State {
+	if rapid.IntRange(0, 4).Draw(t, "restore") > 0 {
+		return state
+	}
+	data, err := state.Snapshot()
+	must(t, err, qt.IsNil)
+	next, err := aubcommand.RestoreState(4, data)
+	must(t, err, qt.IsNil)
+	again, err := next.Snapshot()
+	must(t, err, qt.IsNil)
+	must(t, again, qt.DeepEquals, data)
+	return next
+}
+
+// The horizon stays when the bound of the ledger is raised.
+func TestHorizonOutlivesALargerLedger(t *testing.T) {
+	state := aubcommand.NewState(2)
+	for n := uint64(1); n <= 4; n++ {
+		_, _, accepted := state.Execute(workspaceTicket(n, 1, fmt.Sprint("w", n)))
+		qt.Assert(t, accepted, qt.IsTrue)
+	}
+	data, err := state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	larger, err := aubcommand.RestoreState(8, data)
+	qt.Assert(t, err, qt.IsNil)
+	outcome, _, accepted := larger.Execute(workspaceTicket(1, 1, "w1"))
+	qt.Assert(t, accepted, qt.IsFalse)
+	qt.Assert(t, outcome.Faults[0].Reason, qt.Contains, "no longer kept")
+	outcome, _, accepted = larger.Execute(workspaceTicket(2, 1, "fresh"))
+	qt.Assert(t, accepted, qt.IsFalse)
+	qt.Assert(t, outcome.Status, qt.Equals, aubapi.TicketSuperseded)
+}
+
+// The kept faults are bounded; a record without them keeps its outcome.
+func TestFaultsOfOldRefusalsAreDropped(t *testing.T) {
+	state := aubcommand.NewState(aubcommand.MaxRecords)
+	refused := func(n uint64) aubapi.Ticket {
+		ticket := aubapi.Ticket{Number: n}
+		for i := range 2000 {
+			ticket.Models = append(ticket.Models, aubapi.Model{
+				Name: fmt.Sprintf("model-%d", i), MemoryBytes: 1, Workspaces: []string{"nowhere"},
+			})
+		}
+		return ticket
+	}
+	for n := uint64(1); n <= 20; n++ {
+		outcome, _, _ := state.Execute(refused(n))
+		qt.Assert(t, outcome.Status, qt.Equals, aubapi.TicketInvalid)
+		qt.Assert(t, outcome.Faults, qt.HasLen, 2000)
+	}
+	old, _, _ := state.Execute(refused(1))
+	qt.Assert(t, old.Status, qt.Equals, aubapi.TicketInvalid)
+	qt.Assert(t, old.Faults[0].Reason, qt.Contains, "no longer kept")
+	recent, _, _ := state.Execute(refused(20))
+	qt.Assert(t, recent.Faults, qt.HasLen, 2000)
+	data, err := state.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(data) < 2*aubcommand.MaxFaultBytes, qt.IsTrue)
+}
+
+func restoredCopy(t *rapid.T, table *aubstate.ConfigTable) *aubstate.ConfigTable {
+	next := newTable()
+	must(t, next.Restore(snapshotOf(t, table)), qt.IsNil)
+	return next
+}
+
+func snapshotOf(t *rapid.T, table *aubstate.ConfigTable) []byte {
+	data, err := table.Snapshot()
+	must(t, err, qt.IsNil)
+	return data
+}
+
+// must is qt.Assert for a rapid test, which is no testing.TB.
+func must(t *rapid.T, got any, checker qt.Checker, args ...any) {
+	t.Helper()
+	note := func(string, any) {}
+	if err := checker.Check(got, args, note); err != nil {
+		t.Fatalf("%v: got %v, want %v", err, got, args)
+	}
+}
