--- a/internal/aubmembership/registry.go
+++ b/internal/aubmembership/registry.go
@@ -42,9 +42,11 @@
 type Registry struct {
 	timeout time.Duration
 
-	mu         sync.Mutex
-	records    map[string]*record
-	lost       map[string]Member
+	mu      sync.Mutex
+	records map[string]*record
+	lost    map[string]Member
+	// shown are the records in the view, in order of name.
+	shown      []*record
 	remembered *lru.LRU[string, mark]
 	view       View
 	shape      uint64
@@ -130,15 +132,45 @@
 	if !stale && r.view.Shape() == r.shape {
 		return r.view
 	}
-	members := make([]Member, 0, len(r.records))
+	if r.view.Shape() != r.shape {
+		r.view = r.rebuild(now)
+	} else {
+		r.view = r.refresh(now)
+	}
+	r.dirty = false
+	return r.view
+}
+
+// rebuild orders the members anew.
+func (r *Registry) rebuild(now time.Time) View {
+	r.shown = r.shown[:0]
 	for _, rec := range r.records {
 		if rec.complete {
-			members = append(members, rec.member)
+			r.shown = append(r.shown, rec)
 		}
 	}
-	r.view = NewView(now, members...).WithLost(sortedMembers(r.lost)...).WithShape(r.shape)
-	r.dirty = false
-	return r.view
+	slices.SortFunc(r.shown, func(a, b *record) int { return compareNames(a.member, b.member) })
+	members := r.shownMembers()
+	return View{
+		at: now, members: members, index: indexOf(members),
+		lost: sortedMembers(r.lost), shape: r.shape,
+	}
+}
+
+// refresh takes over load reports; the members and their order are the same.
+func (r *Registry) refresh(now time.Time) View {
+	v := r.view
+	v.at = now
+	v.members = r.shownMembers()
+	return v
+}
+
+func (r *Registry) shownMembers() []Member {
+	members := make([]Member, 0, len(r.shown))
+	for _, rec := range r.shown {
+		members = append(members, rec.member)
+	}
+	return members
 }
 
 // Wanted returns the names whose residents are not those announced now.
@@ -230,7 +262,7 @@
 	if c := a.member.HeardAt.Compare(b.member.HeardAt); c != 0 {
 		return c
 	}
-	return strings.Compare(a.member.Announcement.GetName(), b.member.Announcement.GetName())
+	return compareNames(a.member, b.member)
 }
 
 func sortedMembers(index map[string]Member) []Member {
@@ -238,8 +270,10 @@
 	for _, m := range index {
 		members = append(members, m)
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return strings.Compare(a.Announcement.GetName(), b.Announcement.GetName())
-	})
+	slices.SortFunc(members, compareNames)
 	return members
 }
+
+func compareNames(a, b Member) int {
+	return strings.Compare(a.Announcement.GetName(), b.Announcement.GetName())
+}
--- /dev/null
+++ b/internal/aubmembership/registry_test.go
@@ -0,0 +1,290 @@
+package aubmembership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const timeout = 4 * time.Second
+
+// source is a process that announces itself; sent keeps all that it ever sent.
+type source struct {
+	now  *aubwire.Announcement
+	sent []*aubwire.Announcement
+	// lists holds every list of residents that was announced, by incarnation.
+	lists map[uint64][][]*aubwire.Resident
+}
+
+func newSource(name string) *source {
+	s := &source{now: agent(name, 1), lists: map[uint64][][]*aubwire.Resident{}}
+	s.announce()
+	return s
+}
+
+func (s *source) announce() {
+	s.now = proto.CloneOf(s.now)
+	s.now.Sequence++
+	s.sent = append(s.sent, aubmembership.HeadsOf(s.now)...)
+	s.sent = append(s.sent, aubmembership.PagesOf(s.now)...)
+	s.lists[s.now.GetIncarnation()] = append(s.lists[s.now.GetIncarnation()], s.now.GetBackend().GetResident())
+}
+
+func (s *source) restart() {
+	s.now = proto.CloneOf(s.now)
+	s.now.Incarnation++
+	s.now.Sequence = 0
+	s.now.Leaving = false
+}
+
+func (s *source) change(residents int) {
+	s.now = proto.CloneOf(s.now)
+	s.now.Backend.Resident = agent("", residents).GetBackend().GetResident()
+}
+
+func equalLists(a, b []*aubwire.Resident) bool {
+	return slices.EqualFunc(a, b, func(x, y *aubwire.Resident) bool { return proto.Equal(x, y) })
+}
+
+// delivery is what a registry was given of one source.
+type delivery struct {
+	newest  *aubwire.Announcement
+	heardAt time.Time
+}
+
+func newer(a, b *aubwire.Announcement) bool {
+	if b == nil || a.GetIncarnation() != b.GetIncarnation() {
+		return b == nil || a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetSequence() > b.GetSequence()
+}
+
+// TestRegistryUnderLossDuplicationAndReorder delivers any part of what was
+// announced, in any order and any number of times.
+func TestRegistryUnderLossDuplicationAndReorder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := aubmembership.NewRegistry(timeout)
+		now := time.Unix(1000, 0)
+		sources := []*source{newSource("w0"), newSource("w1")}
+		given := make([]delivery, len(sources))
+		deliver := func(i int, a *aubwire.Announcement) {
+			r.Apply(now, a, true)
+			if a.GetResidentPages() == 0 && newer(a, given[i].newest) {
+				given[i] = delivery{newest: a, heardAt: now}
+			}
+		}
+		pick := rapid.IntRange(0, len(sources)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) { sources[pick.Draw(t, "source")].announce() },
+			"restart":  func(t *rapid.T) { sources[pick.Draw(t, "source")].restart() },
+			"change": func(t *rapid.T) {
+				sources[pick.Draw(t, "source")].change(rapid.IntRange(0, 120).Draw(t, "residents"))
+			},
+			"leave": func(t *rapid.T) {
+				s := sources[pick.Draw(t, "source")]
+				s.now = proto.CloneOf(s.now)
+				s.now.Leaving = true
+			},
+			"deliver": func(t *rapid.T) {
+				i := pick.Draw(t, "source")
+				// The newest parts are likely, old ones come again too.
+				sent := sources[i].sent
+				back := min(rapid.IntRange(1, 12).Draw(t, "back"), len(sent))
+				deliver(i, sent[len(sent)-back])
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				// Views may lag behind load reports by a little.
+				now = now.Add(100 * time.Millisecond)
+				v := r.View(now)
+				for i, s := range sources {
+					checkMember(t, v, s, given[i], now)
+				}
+			},
+		})
+		for i, s := range sources {
+			s.announce()
+			for _, a := range slices.Concat(aubmembership.HeadsOf(s.now), aubmembership.PagesOf(s.now)) {
+				deliver(i, a)
+			}
+			now = now.Add(100 * time.Millisecond)
+			m, ok := r.View(now).Member(s.now.GetName())
+			if !ok || m.Outdated || !proto.Equal(m.Announcement.GetBackend(), s.now.GetBackend()) {
+				t.Fatalf("%s: whole announcement delivered, shown %v", s.now.GetName(), m)
+			}
+		}
+	})
+}
+
+func checkMember(t *rapid.T, v aubmembership.View, s *source, given delivery, now time.Time) {
+	name := s.now.GetName()
+	m, shown := v.Member(name)
+	silent := given.newest == nil || now.Sub(given.heardAt) >= timeout
+	switch {
+	case !shown:
+		return
+	case silent:
+		t.Fatalf("%s is shown but was last heard at %v", name, given.heardAt)
+	case m.Announcement.GetIncarnation() != given.newest.GetIncarnation() ||
+		m.Announcement.GetSequence() != given.newest.GetSequence():
+		t.Fatalf("%s: newest delivered %v, shown %v", name, given.newest, m.Announcement)
+	}
+	residents := m.Announcement.GetBackend().GetResident()
+	known := slices.ContainsFunc(s.lists[m.Announcement.GetIncarnation()], func(list []*aubwire.Resident) bool {
+		return equalLists(list, residents)
+	})
+	if !known {
+		t.Fatalf("%s: list of residents was never announced by this incarnation: %v", name, residents)
+	}
+}
+
+func TestLateDatagramDoesNotBringBackALostMember(t *testing.T) {
+	r := aubmembership.NewRegistry(timeout)
+	s := newSource("w0")
+	now := time.Unix(1000, 0)
+	for _, a := range s.sent {
+		r.Apply(now, a, true)
+	}
+	_, ok := r.View(now).Member("w0")
+	qt.Assert(t, ok, qt.IsTrue)
+	now = now.Add(2 * timeout)
+	qt.Assert(t, r.View(now).Lost(), qt.HasLen, 1)
+	for _, a := range s.sent {
+		qt.Assert(t, r.Apply(now, a, true), qt.Equals, aubmembership.VerdictStale)
+	}
+	qt.Assert(t, r.View(now).Members(), qt.HasLen, 0)
+}
+
+func TestShapeStaysWhileOnlyLoadChanges(t *testing.T) {
+	r := aubmembership.NewRegistry(timeout)
+	s := newSource("w0")
+	now := time.Unix(1000, 0)
+	next := func() aubmembership.View {
+		for _, a := range s.sent {
+			r.Apply(now, a, true)
+		}
+		now = now.Add(time.Second)
+		return r.View(now)
+	}
+	before := next()
+	s.now.Backend.Running = 7
+	s.announce()
+	load := next()
+	qt.Assert(t, load.Shape(), qt.Equals, before.Shape())
+	m, _ := load.Member("w0")
+	qt.Assert(t, m.Announcement.GetBackend().GetRunning(), qt.Equals, int32(7))
+	s.change(3)
+	s.announce()
+	qt.Assert(t, next().Shape(), qt.Not(qt.Equals), before.Shape())
+}
+
+func FuzzDatagram(f *testing.F) {
+	secret := []byte("secret")
+	for _, residents := range []int{0, 1, 120} {
+		parts := slices.Concat(aubmembership.HeadsOf(agent("w0", residents)), aubmembership.PagesOf(agent("w0", residents)))
+		for _, d := range aubmembership.Pack(parts) {
+			sealed, err := aubmembership.Seal(secret, d)
+			qt.Assert(f, err, qt.IsNil)
+			f.Add(sealed)
+			payload, err := proto.Marshal(d)
+			qt.Assert(f, err, qt.IsNil)
+			f.Add(payload)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := aubmembership.Open(secret, data); err == nil {
+			// An accepted datagram is one that was sealed with the secret.
+			d, _ := aubmembership.Open(secret, data)
+			if _, err := aubmembership.Seal(secret, d); err != nil {
+				t.Fatalf("opened but can't be sealed: %v", err)
+			}
+		}
+		// What an authenticated sender puts into a datagram must not break the registry.
+		d := &aubwire.Datagram{}
+		if proto.Unmarshal(data, d) != nil {
+			return
+		}
+		r := aubmembership.NewRegistry(timeout)
+		now := time.Unix(1000, 0)
+		for range 2 {
+			for _, a := range d.GetAnnouncements() {
+				r.Apply(now, a, true)
+			}
+			now = now.Add(time.Second)
+			for _, m := range r.View(now).Members() {
+				if m.Announcement.GetName() == "" {
+					t.Fatal("a member without name")
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkView is the cost of a view after every member announced anew.
+func BenchmarkView(b *testing.B) {
+	for _, members := range []int{15, 100, 1000, 6500} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			r := aubmembership.NewRegistry(timeout)
+			now := time.Unix(1000, 0)
+			heads := fill(r, now, members)
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				now = now.Add(time.Second)
+				for _, head := range heads {
+					head.Sequence++
+					r.Apply(now, head, true)
+				}
+				b.StartTimer()
+				r.View(now)
+			}
+		})
+	}
+}
+
+// BenchmarkApply is the cost of taking in one load report of many members.
+func BenchmarkApply(b *testing.B) {
+	for _, members := range []int{15, 1000, 6500} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			r := aubmembership.NewRegistry(timeout)
+			now := time.Unix(1000, 0)
+			heads := fill(r, now, members)
+			secret := []byte("secret")
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				head := heads[i%members]
+				i++
+				head.Sequence++
+				sealed, _ := aubmembership.Seal(secret, &aubwire.Datagram{Announcements: []*aubwire.Announcement{head}})
+				d, _ := aubmembership.Open(secret, sealed)
+				r.Apply(now, d.GetAnnouncements()[0], true)
+			}
+		})
+	}
+}
+
+func fill(r *aubmembership.Registry, now time.Time, members int) []*aubwire.Announcement {
+	heads := make([]*aubwire.Announcement, 0, members)
+	for i := range members {
+		a := agent(fmt.Sprintf("worker-%05d", i), 6)
+		a.Sequence = 1
+		head := aubmembership.HeadsOf(a)[0]
+		r.Apply(now, head, true)
+		for _, page := range aubmembership.PagesOf(a) {
+			r.Apply(now, page, true)
+		}
+		heads = append(heads, head)
+	}
+	return heads
+}
--- a/internal/aubmembership/view.go
+++ b/internal/aubmembership/view.go
@@ -22,25 +22,31 @@
 
 // View is an immutable picture of all members at one moment.
 type View struct {
-	at      time.Time
-	members map[string]Member
-	names   []string
+	at time.Time
+	// members are in order of name; index gives each name's place.
+	members []Member
+	index   map[string]int
 	lost    []Member
 	shape   uint64
 }
 
-// NewView returns a view of the members, taken at the given time.
+// NewView returns a view of the members, taken at the given time. Of members
+// with equal names the last one counts.
 func NewView(at time.Time, members ...Member) View {
-	v := View{at: at, members: make(map[string]Member, len(members))}
+	byName := make(map[string]Member, len(members))
 	for _, m := range members {
-		name := m.Announcement.GetName()
-		if _, ok := v.members[name]; !ok {
-			v.names = append(v.names, name)
-		}
-		v.members[name] = m
+		byName[m.Announcement.GetName()] = m
 	}
-	slices.Sort(v.names)
-	return v
+	sorted := sortedMembers(byName)
+	return View{at: at, members: sorted, index: indexOf(sorted)}
+}
+
+func indexOf(members []Member) map[string]int {
+	index := make(map[string]int, len(members))
+	for i, m := range members {
+		index[m.Announcement.GetName()] = i
+	}
+	return index
 }
 
 // WithLost returns a copy that also names members that were heard once and are
@@ -70,24 +76,21 @@
 
 // Member returns the member of the name.
 func (v View) Member(name string) (Member, bool) {
-	m, ok := v.members[name]
-	return m, ok
+	i, ok := v.index[name]
+	if !ok {
+		return Member{}, false
+	}
+	return v.members[i], true
 }
 
 // Members returns all members in order of name.
-func (v View) Members() []Member {
-	members := make([]Member, 0, len(v.names))
-	for _, name := range v.names {
-		members = append(members, v.members[name])
-	}
-	return members
-}
+func (v View) Members() []Member { return slices.Clone(v.members) }
 
 // Role returns the members of one role in order of name.
 func (v View) Role(role aubwire.Role) []Member {
 	var members []Member
-	for _, name := range v.names {
-		if m := v.members[name]; m.Announcement.GetRole() == role {
+	for _, m := range v.members {
+		if m.Announcement.GetRole() == role {
 			members = append(members, m)
 		}
 	}
