--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -56,6 +56,7 @@
 			newGetCommand(s),
 			newKeyCommand(s),
 			newSettingsCommand(s),
+			newSnapshotCommand(s),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/aubcli/site_fault_test.go
+++ b/internal/aubcli/site_fault_test.go
@@ -1,10 +1,12 @@
 package aubcli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -139,6 +141,48 @@
 	}
 }
 
+// TestRestoreAfterMajorityLoss loses two of three disks, checks that the site
+// refuses changes, restores it from the survivor and checks that its tickets are
+// in force and changes are accepted again.
+func TestRestoreAfterMajorityLoss(t *testing.T) {
+	s := newSite(t)
+	for _, name := range []string{"entry-b", "entry-c"} {
+		s.signal(t, name, syscall.SIGKILL)
+		qt.Assert(t, os.RemoveAll(s.path("data-"+name)), qt.IsNil)
+		s.start(t, name)
+	}
+	change := aubapi.Ticket{Number: 2, Workspaces: []aubapi.Workspace{{Name: "late", Rate: 1, Burst: 10}}}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := s.client("entry-a").ApplyTicket(ctx, change, 0)
+	qt.Assert(t, err, qt.IsNotNil)
+
+	for _, name := range s.entries {
+		s.signal(t, name, syscall.SIGKILL)
+	}
+	var out, errOut bytes.Buffer
+	qt.Assert(t, Run([]string{"snapshot", "restore", "--settings", s.files["entry-a"]}, &out, &errOut), qt.Equals, ExitUsage)
+	code := Run([]string{"snapshot", "restore", "--settings", s.files["entry-a"], "--accept_loss"}, &out, &errOut)
+	qt.Assert(t, code, qt.Equals, ExitDone, qt.Commentf("%s", errOut.String()))
+	s.start(t, "entry-a")
+	for _, name := range []string{"entry-b", "entry-c"} {
+		qt.Assert(t, os.RemoveAll(s.path("data-"+name)), qt.IsNil)
+		s.start(t, name)
+	}
+	eventually(t, "ticket 2 accepted", func() bool {
+		outcome, err := s.client("entry-a").ApplyTicket(context.Background(), change, time.Second)
+		return err == nil && outcome.Status == aubapi.TicketAccepted
+	})
+	for _, entry := range s.entries {
+		s.awaitServing(t, entry)
+	}
+	s.signal(t, "entry-a", syscall.SIGKILL)
+	eventually(t, "the two others hold the state", func() bool {
+		outcome, err := s.client("entry-b").Ticket(context.Background(), 2)
+		return err == nil && outcome.Status == aubapi.TicketAccepted
+	})
+}
+
 // confirm repeats one claimed call through changing entries until it has a final
 // answer, and reports whether that said not run.
 func (s *site) confirm(i int) (notRun bool) {
--- /dev/null
+++ b/internal/aubcli/snapshot.go
@@ -0,0 +1,111 @@
+package aubcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// newSnapshotCommand returns the commands for the data folder of a stopped
+// control replica.
+func newSnapshotCommand(s streams) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "snapshot",
+		ShortUsage:  "auburndale snapshot export | restore [flags]",
+		ShortHelp:   "export and restore the state of a stopped control replica",
+		LongHelp:    "Example:\n  auburndale snapshot export --settings entry-a.yaml --out snapshot.bin",
+		FlagSet:     s.newFlagSet("auburndale snapshot"),
+		Subcommands: []*ffcli.Command{newSnapshotExportCommand(s), newSnapshotRestoreCommand(s)},
+		Exec: func(context.Context, []string) error {
+			return s.usageError("snapshot needs the command export or restore")
+		},
+	}
+}
+
+func newSnapshotExportCommand(s streams) *ffcli.Command {
+	fs := s.newFlagSet("auburndale snapshot export")
+	file := fs.String("settings", "", "settings file of the stopped replica")
+	out := fs.String("out", "", "file for the snapshot")
+	return &ffcli.Command{
+		Name:       "export",
+		ShortUsage: "auburndale snapshot export --settings FILE --out FILE",
+		ShortHelp:  "write the last snapshot of a stopped replica to a file",
+		LongHelp:   "Commands after the last snapshot are not part of it.\nExample:\n  auburndale snapshot export --settings entry-a.yaml --out snapshot.bin",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if *file == "" || *out == "" || len(args) > 0 {
+				return s.usageError("snapshot export needs -settings and -out, and nothing besides")
+			}
+			cfg, err := aubsettings.Load(*file)
+			if err != nil {
+				return err
+			}
+			data, err := aubcontrol.ExportSnapshot(newQuietCommon(), cfg.Control.DataDir, cfg.Name)
+			if err != nil {
+				return err
+			}
+			return writeTo(s.out, *out, func(w io.Writer) error {
+				_, err := w.Write(data)
+				return err
+			})
+		},
+	}
+}
+
+func newSnapshotRestoreCommand(s streams) *ffcli.Command {
+	fs := s.newFlagSet("auburndale snapshot restore")
+	file := fs.String("settings", "", "settings file of the replica that the site goes on from")
+	from := fs.String("from", "", "exported snapshot; the replica's own data folder while empty")
+	accept := fs.Bool("accept_loss", false, "accept that commands are lost that only the lost disks held")
+	return &ffcli.Command{
+		Name:       "restore",
+		ShortUsage: "auburndale snapshot restore --settings FILE [--from FILE] --accept_loss",
+		ShortHelp:  "go on from one replica after the majority of disks was lost",
+		LongHelp: "No replica of the site may run. The replica becomes the only voter; start the others on empty data folders.\n" +
+			"Example:\n  auburndale snapshot restore --settings entry-a.yaml --accept_loss",
+		FlagSet: fs,
+		Exec: func(_ context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return s.usageError("snapshot restore needs -settings")
+			}
+			if !*accept {
+				return s.usageError("snapshot restore needs -accept_loss: commands are lost that only the lost disks held")
+			}
+			return s.restore(*file, *from)
+		},
+	}
+}
+
+func (s streams) restore(file, from string) error {
+	cfg, err := aubsettings.Load(file)
+	if err != nil {
+		return err
+	}
+	opts := aubcontrol.RestoreOpts{
+		Member: cfg.Name, Address: cfg.Internal.Listen.String(), DataDir: cfg.Control.DataDir, AcceptLoss: true,
+	}
+	if from != "" {
+		if opts.Snapshot, err = os.ReadFile(from); err != nil {
+			return err
+		}
+	}
+	report, err := aubcontrol.Restore(newQuietCommon(), opts)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "restored up to log entry %d; start %s, then the others on empty data folders\n", report.Index, cfg.Name)
+	return nil
+}
+
+func newQuietCommon() aubcommon.Common {
+	return aubcommon.NewCommon(aubtimer.NewReal()).WithLog(zap.NewNop())
+}
