Report service-level burn

Each entry counts good and bad events by workspace, route and objective in sparse slots; the report adds the instances up, applies the usual multi-window rules and prints a table, YAML or a plot. Answers gathered whole are bounded now, and a first token counts from the caller's arrival, not from the send.

--- a/internal/aubadmin/handler.go
+++ b/internal/aubadmin/handler.go
@@ -40,6 +40,8 @@
 	Proposer   aubcontrol.Proposer
 	Reader     aubcontrol.Reader
 	Members    aubmembership.Source
+	// Burn gives the counts of the service-level objectives; nil counts nothing.
+	Burn func() aubapi.BurnCounts
 }
 
 // NewHandler returns the administration API. It ends with the requests' contexts.
@@ -57,6 +59,7 @@
 	mux.HandleFunc("GET /admin/v1/keys", queries.keys)
 	mux.HandleFunc("GET /admin/v1/version", queries.version)
 	mux.HandleFunc("GET /admin/v1/members", queries.members)
+	mux.HandleFunc("GET /admin/v1/burn", queries.burn)
 	return requireCredential(common, opts.Credential, mux)
 }
 
--- a/internal/aubadmin/query.go
+++ b/internal/aubadmin/query.go
@@ -58,6 +58,15 @@
 	})
 }
 
+// burn answers with this instance's own counts; they need no confirmation.
+func (q *queries) burn(w http.ResponseWriter, r *http.Request) {
+	if q.opts.Burn == nil {
+		writeAnswer(w, r, http.StatusOK, aubapi.BurnCounts{})
+		return
+	}
+	writeAnswer(w, r, http.StatusOK, q.opts.Burn())
+}
+
 func (q *queries) workspaces(w http.ResponseWriter, r *http.Request) {
 	writeAnswer(w, r, http.StatusOK, q.read(w, r).Workspaces())
 }
--- /dev/null
+++ b/internal/aubburn/tracker.go
@@ -0,0 +1,115 @@
+package aubburn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// maxFlows bounds the flows of one instance; further ones are not counted.
+const maxFlows = 4096
+
+// Targets are the shares that must be good, by objective.
+type Targets map[aubapi.Objective]float64
+
+// Flow is one workspace on one route or model.
+type Flow struct {
+	Workspace string
+	Route     string
+}
+
+type counterID struct {
+	flow      Flow
+	objective aubapi.Objective
+}
+
+// Tracker counts the objectives of one instance. It is safe for concurrent use.
+type Tracker struct {
+	common   aubcommon.Common
+	instance string
+	targets  Targets
+	started  time.Time
+
+	// mu guards counters; it is a leaf lock.
+	mu       sync.Mutex
+	counters map[counterID]*counter
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker(common aubcommon.Common, instance string, targets Targets) *Tracker {
+	return &Tracker{
+		common:   common.WithPart("burn"),
+		instance: instance,
+		targets:  targets,
+		started:  common.Timer.Now(),
+		counters: make(map[counterID]*counter),
+	}
+}
+
+// Count counts one event.
+func (t *Tracker) Count(f Flow, objective aubapi.Objective, good bool) {
+	if good {
+		t.CountAll(f, objective, 1, 0)
+		return
+	}
+	t.CountAll(f, objective, 0, 1)
+}
+
+// CountAll counts several events at once.
+func (t *Tracker) CountAll(f Flow, objective aubapi.Objective, good, bad int64) {
+	if good+bad == 0 {
+		return
+	}
+	at := t.common.Timer.Now().Sub(t.started)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := counterID{flow: f, objective: objective}
+	c, ok := t.counters[id]
+	if !ok {
+		if len(t.counters) >= maxFlows {
+			return
+		}
+		c = newCounter()
+		t.counters[id] = c
+	}
+	c.add(at, good, bad)
+}
+
+// Counts returns the counts of every flow, in order of workspace, route and objective.
+func (t *Tracker) Counts() aubapi.BurnCounts {
+	at := t.common.Timer.Now().Sub(t.started)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := aubapi.BurnCounts{Instance: t.instance, Flows: make([]aubapi.BurnFlow, 0, len(t.counters))}
+	for id, c := range t.counters {
+		counts.Flows = append(counts.Flows, t.flow(id, c, at))
+	}
+	sortFlows(counts.Flows)
+	return counts
+}
+
+func (t *Tracker) flow(id counterID, c *counter, at time.Duration) aubapi.BurnFlow {
+	f := aubapi.BurnFlow{
+		Workspace: id.flow.Workspace, Route: id.flow.Route,
+		Objective: id.objective, Target: t.targets[id.objective],
+	}
+	for _, window := range Windows {
+		good, bad := c.sum(at, window)
+		f.Windows = append(f.Windows, aubapi.BurnWindow{Seconds: int64(window / time.Second), Good: good, Bad: bad})
+	}
+	return f
+}
+
+func sortFlows(flows []aubapi.BurnFlow) {
+	slices.SortFunc(flows, func(a, b aubapi.BurnFlow) int {
+		return cmp.Or(
+			cmp.Compare(a.Workspace, b.Workspace),
+			cmp.Compare(a.Route, b.Route),
+			cmp.Compare(a.Objective, b.Objective),
+		)
+	})
+}
--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -55,6 +55,7 @@
 			newTicketCommand(s),
 			newGetCommand(s),
 			newKeyCommand(s),
+			newReportCommand(s),
 			newSettingsCommand(s),
 			newSnapshotCommand(s),
 		},
--- a/internal/aubentry/call.go
+++ b/internal/aubentry/call.go
@@ -67,7 +67,8 @@
 
 // execute runs a call within the limits of its workspace.
 func (h *Handler) execute(ctx context.Context, x *exchange, c call) error {
-	h.parts.Demand.Arrive(c.flow())
+	x.timing.flow = c.flow()
+	h.parts.Demand.Arrive(x.timing.flow)
 	if err := h.checkPoison(c); err != nil {
 		return err
 	}
--- a/internal/aubentry/deliver.go
+++ b/internal/aubentry/deliver.go
@@ -12,6 +12,9 @@
 	"github.com/auburndale/auburndale/internal/aubroute"
 )
 
+// maxWholeAnswer bounds, in bytes, an answer that is gathered before it is passed on.
+const maxWholeAnswer = 64 << 20
+
 // streamErrorEvent ends a stream that can't be completed, before its connection
 // is aborted.
 const streamErrorEvent = `data: {"error":{"message":"The answer was cut before its end.","type":"server_error","code":"answer_incomplete"}}` + "\n\n"
@@ -23,9 +26,9 @@
 	var err error
 	if x.record != nil || c.service == "" && !c.stream {
 		err = h.deliverWhole(ctx, x, answer)
-		result.FirstToken = h.common.Timer.Now().Sub(began)
+		h.noteFirstToken(x, choice, began, &result)
 	} else {
-		err = h.deliverPieces(ctx, x, answer, began, &result)
+		err = h.deliverPieces(ctx, x, choice, answer, began, &result)
 	}
 	usage := answer.Usage()
 	tokens := usage.PromptTokens + usage.OutputTokens
@@ -33,7 +36,7 @@
 	result.Duration = h.common.Timer.Now().Sub(began)
 	if err == nil {
 		h.metrics.tokens.Inc(tokens)
-		h.parts.Demand.End(c.flow(), result.FirstToken, result.Duration)
+		h.parts.Demand.End(c.flow(), x.timing.firstToken, result.Duration)
 		choice.Finished(result)
 		return outcome{tokens: tokens}
 	}
@@ -50,16 +53,9 @@
 // deliverWhole gathers the whole answer first, so that a failure on the way can
 // still be answered or sent again.
 func (h *Handler) deliverWhole(ctx context.Context, x *exchange, answer *aubexecution.Answer) error {
-	var body []byte
-	for {
-		piece, err := answer.Next(ctx)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		body = append(body, piece...)
+	body, err := readWhole(ctx, answer)
+	if err != nil {
+		return err
 	}
 	if x.record != nil {
 		x.recorded = true
@@ -72,9 +68,27 @@
 	return h.writePiece(x, body)
 }
 
+// readWhole gathers an answer up to its bound.
+func readWhole(ctx context.Context, answer *aubexecution.Answer) ([]byte, error) {
+	var body []byte
+	for {
+		piece, err := answer.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(body)+len(piece) > maxWholeAnswer {
+			return nil, refuse(problemIncomplete).WithDetail("The answer is larger than %d bytes.", maxWholeAnswer)
+		}
+		body = append(body, piece...)
+	}
+}
+
 // deliverPieces passes pieces on as they come. The head waits for the first
 // piece, so that a backend server that fails before it can be replaced.
-func (h *Handler) deliverPieces(ctx context.Context, x *exchange, answer *aubexecution.Answer, began time.Time, result *aubroute.Outcome) error {
+func (h *Handler) deliverPieces(ctx context.Context, x *exchange, choice aubroute.Choice, answer *aubexecution.Answer, began time.Time, result *aubroute.Outcome) error {
 	last, checked := began, began
 	for {
 		piece, err := answer.Next(ctx)
@@ -84,13 +98,13 @@
 		}
 		now := h.common.Timer.Now()
 		if !x.written {
-			result.FirstToken = now.Sub(began)
-			h.metrics.firstToken.RecordDuration(now.Sub(x.started))
+			h.noteFirstToken(x, choice, began, result)
 			copyHeader(x.w.Header(), answer.Header)
 			x.written = true
 			x.w.WriteHeader(answer.Status)
 		} else {
 			h.metrics.interToken.RecordDuration(now.Sub(last))
+			x.timing.countGap(now.Sub(last), h.objectives.InterToken)
 		}
 		last = now
 		if ended {
@@ -109,6 +123,16 @@
 	}
 }
 
+// noteFirstToken records the first piece of an answer: the backend server's time
+// for the router, the caller's for the service levels.
+func (h *Handler) noteFirstToken(x *exchange, choice aubroute.Choice, began time.Time, result *aubroute.Outcome) {
+	now := h.common.Timer.Now()
+	choice.FirstToken()
+	result.FirstToken = now.Sub(began)
+	x.timing.firstToken = now.Sub(x.started)
+	h.metrics.firstToken.RecordDuration(x.timing.firstToken)
+}
+
 // recheckKey ends a running stream whose key was withdrawn.
 func (h *Handler) recheckKey(x *exchange) error {
 	if x.identity.KeyName == "" {
--- a/internal/aubentry/fixture_test.go
+++ b/internal/aubentry/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubagent"
 	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubburn"
 	"github.com/auburndale/auburndale/internal/aubclaim"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
@@ -133,6 +134,7 @@
 	handler *aubentry.Handler
 	server  *httptest.Server
 	url     string
+	burn    *aubburn.Tracker
 }
 
 type fixtureOpts struct {
@@ -160,6 +162,7 @@
 }
 
 func (f *fixture) newHandler(t testing.TB, poison *aubpoison.Table, bounds aubentry.Bounds) {
+	f.burn = aubburn.NewTracker(f.common, "entry", aubburn.Targets{})
 	router, err := aubroute.NewRouter(f.common, aubroute.RouterOpts{Source: f.members, Config: f.config})
 	qt.Assert(t, err, qt.IsNil)
 	f.handler = aubentry.NewHandler(f.common, aubentry.Parts{
@@ -178,7 +181,8 @@
 		}),
 		Poison: aubpoison.NewRegister(poison, f.log),
 		Demand: aubentry.NewDemand(f.ctx, f.common, aubentry.DemandOpts{HalfLife: time.Second, FirstToken: time.Second}),
-	}, withDefaultBounds(bounds))
+		Burn:   f.burn,
+	}, withDefaultBounds(bounds), aubentry.Objectives{FirstToken: patience, InterToken: patience})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(f.server.Close)
 	f.url = f.server.URL
--- a/internal/aubentry/handler.go
+++ b/internal/aubentry/handler.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubburn"
 	"github.com/auburndale/auburndale/internal/aubclaim"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubexecution"
@@ -62,6 +63,7 @@
 	Executor *aubexecution.Executor
 	Poison   *aubpoison.Register
 	Demand   *Demand
+	Burn     *aubburn.Tracker
 }
 
 // Bounds are the bounds on one request.
@@ -77,18 +79,20 @@
 
 // Handler serves callers.
 type Handler struct {
-	common  aubcommon.Common
-	parts   Parts
-	bounds  Bounds
-	metrics metrics
-	leaving atomic.Bool
-	running atomic.Int64
+	common aubcommon.Common
+	parts  Parts
+	bounds Bounds
+	// objectives judge the service levels.
+	objectives Objectives
+	metrics    metrics
+	leaving    atomic.Bool
+	running    atomic.Int64
 }
 
 // NewHandler returns the callers' handler.
-func NewHandler(common aubcommon.Common, parts Parts, bounds Bounds) *Handler {
+func NewHandler(common aubcommon.Common, parts Parts, bounds Bounds, objectives Objectives) *Handler {
 	common = common.WithPart("entry")
-	return &Handler{common: common, parts: parts, bounds: bounds, metrics: newMetrics(common.Metrics)}
+	return &Handler{common: common, parts: parts, bounds: bounds, objectives: objectives, metrics: newMetrics(common.Metrics)}
 }
 
 // ServeHTTP implements http.Handler.
@@ -144,6 +148,7 @@
 	// record keeps the outcome of a claimed call before the caller gets it; nil otherwise.
 	record   func(status int, header http.Header, body []byte)
 	recorded bool
+	timing   timing
 }
 
 // finish answers a failed request. An answer that was begun can't be refused any
@@ -151,9 +156,11 @@
 func (h *Handler) finish(x *exchange, err error) {
 	if err == nil {
 		h.metrics.answered.Inc(1)
+		h.countObjectives(x, nil)
 		return
 	}
 	f := asRefusal(err)
+	h.countObjectives(x, f)
 	h.metrics.countRefusal(f)
 	h.logFailure(x, f, err)
 	if x.written {
--- a/internal/aubentry/turn.go
+++ b/internal/aubentry/turn.go
@@ -63,6 +63,10 @@
 
 // turnExecutionError says what is known of an execution that failed.
 func turnExecutionError(ctx context.Context, err error) *refusal {
+	var f *refusal
+	if errors.As(err, &f) {
+		return f
+	}
 	var failed *aubexecution.FailedError
 	if !errors.As(err, &failed) {
 		if ctx.Err() != nil {
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubadmin"
 	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubburn"
 	"github.com/auburndale/auburndale/internal/aubclaim"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubentry"
@@ -20,6 +21,7 @@
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
 // defaultOutputTokens bounds a model request when neither caller nor model does.
@@ -35,6 +37,7 @@
 	limiter     *aublimit.Limiter
 	queue       *aubqueue.Queue
 	demand      *aubentry.Demand
+	burn        *aubburn.Tracker
 	handler     *aubentry.Handler
 	callers     *http.Server
 }
@@ -99,6 +102,7 @@
 		HalfLife:   e.cfg.Placement.DemandHalfLife.Value(),
 		FirstToken: e.cfg.Objectives.FirstToken.Value(),
 	})
+	e.burn = aubburn.NewTracker(e.common, e.cfg.Name, burnTargets(e.cfg.Objectives))
 	members, err := e.newMembership(e.announcement)
 	if err != nil {
 		return err
@@ -146,7 +150,11 @@
 		Executor: aubexecution.NewExecutor(e.ctx, e.common, aubexecution.ExecutorOpts{Dial: e.transport.Dial}),
 		Poison:   aubpoison.NewRegister(e.control.poison, e.control.replica),
 		Demand:   e.demand,
-	}, e.bounds())
+		Burn:     e.burn,
+	}, e.bounds(), aubentry.Objectives{
+		FirstToken: e.cfg.Objectives.FirstToken.Value(),
+		InterToken: e.cfg.Objectives.InterToken.Value(),
+	})
 	return nil
 }
 
@@ -169,6 +177,15 @@
 	})
 }
 
+func burnTargets(o aubsettings.Objectives) aubburn.Targets {
+	return aubburn.Targets{
+		aubapi.ObjectiveFirstToken:   float64(o.Share),
+		aubapi.ObjectiveInterToken:   float64(o.Share),
+		aubapi.ObjectiveAvailability: float64(o.Availability),
+		aubapi.ObjectiveWithinRate:   float64(o.WithinRate),
+	}
+}
+
 func (e *entry) bounds() aubentry.Bounds {
 	return aubentry.Bounds{
 		MaxBody:             e.cfg.Caller.MaxBody.Bytes(),
@@ -209,6 +226,7 @@
 			Proposer:   e.control.replica,
 			Reader:     e.control.replica,
 			Members:    e.members,
+			Burn:       e.burn.Counts,
 		}),
 	})
 	return err
--- a/pkg/aubclient/client.go
+++ b/pkg/aubclient/client.go
@@ -73,6 +73,11 @@
 	return get[[]aubapi.Workspace](ctx, c, "workspaces")
 }
 
+// Burn returns the counts of the service-level objectives of one instance.
+func (c *Client) Burn(ctx context.Context) (aubapi.BurnCounts, error) {
+	return get[aubapi.BurnCounts](ctx, c, "burn")
+}
+
 // Models returns all models in order of name.
 func (c *Client) Models(ctx context.Context) ([]aubapi.Model, error) {
 	return get[[]aubapi.Model](ctx, c, "models")
