--- a/internal/aubmembership/announcer.go
+++ b/internal/aubmembership/announcer.go
@@ -11,19 +11,19 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-const (
-	// maxRelays bounds the members relayed in one round.
-	maxRelays = 256
-)
+// relayShare is the part of the budget that relays may take.
+const relayShare = 0.5
 
 // announcer builds what one process sends. One goroutine uses it.
 type announcer struct {
 	m         *Membership
 	sequence  uint64
 	digest    uint64
+	lastRound time.Time
 	nextRound time.Time
 	nextRelay time.Time
 	firstSeed int
+	left      bool
 }
 
 func newAnnouncer(m *Membership) *announcer {
@@ -33,12 +33,26 @@
 // step starts a round when one is due and sends what the budget allows.
 func (a *announcer) step(now time.Time) {
 	if !now.Before(a.nextRound) {
+		a.lastRound = now
 		a.nextRound = now.Add(jittered(a.m.opts.Interval))
 		a.startRound(now)
 	}
 	a.m.outbox.drain(now)
 }
 
+// hurry brings the next round forward, once a pace at most, and sends the first
+// leaving notice several times.
+func (a *announcer) hurry(now time.Time) {
+	if a.m.leaving.Load() && !a.left {
+		a.left = true
+		a.sendLeave(now)
+		return
+	}
+	soonest := a.lastRound.Add(a.m.opts.Interval / pacesPerInterval)
+	a.nextRound = earlier(a.nextRound, soonest)
+	a.step(now)
+}
+
 // startRound queues this round's datagrams: first the announcement of this
 // process, then relays, then lists of residents.
 func (a *announcer) startRound(now time.Time) {
@@ -53,7 +67,10 @@
 	if !a.relayDue(now, self) {
 		return
 	}
-	next := m.registry.relays(now, maxRelays)
+	if len(m.seeds) == 0 {
+		return
+	}
+	next := m.registry.relays(now, m.relayBytes())
 	heads := m.sealAll(next.heads, true)
 	pages := m.sealAll(next.pages, true)
 	for _, seed := range a.rotatedSeeds() {
@@ -130,6 +147,12 @@
 	return slices.Concat(seeds[first:], seeds[:first])
 }
 
+// relayBytes is what one relay round may hold for each seed.
+func (m *Membership) relayBytes() int {
+	period := (m.opts.Timeout / relaysPerTimeout).Seconds()
+	return int(relayShare * float64(m.opts.Budget) * period / float64(len(m.seeds)))
+}
+
 func (m *Membership) sealAll(announcements []*aubwire.Announcement, relayed bool) [][]byte {
 	var sealed [][]byte
 	for _, d := range pack(announcements) {
--- /dev/null
+++ b/internal/aubmembership/budget_test.go
@@ -0,0 +1,135 @@
+package aubmembership_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const headersBytes = 28
+
+// TestNoSecondExceedsTheBudget sends as much as it can at any times.
+func TestNoSecondExceedsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type sent struct {
+			at    time.Time
+			bytes int
+		}
+		var all []sent
+		now := time.Unix(1000, 0)
+		o := aubmembership.NewOutbox(aubmembership.DefaultBudget, func(_ netip.AddrPort, data []byte) error {
+			all = append(all, sent{at: now, bytes: len(data) + headersBytes})
+			return nil
+		})
+		datagram := func() []byte {
+			return make([]byte, rapid.IntRange(50, aubmembership.MaxDatagramBytes).Draw(t, "bytes"))
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "rounds") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			o.Round(now, netip.AddrPort{}, [][]byte{datagram(), datagram()}, [][]byte{datagram(), datagram()})
+			o.SendNow(now, netip.AddrPort{}, datagram())
+		}
+		for i := range all {
+			sum := 0
+			for _, s := range all[i:] {
+				if s.at.Sub(all[i].at) < time.Second {
+					sum += s.bytes
+				}
+			}
+			if sum > aubmembership.DefaultBudget {
+				t.Fatalf("%d bytes in the second from %v", sum, all[i].at)
+			}
+		}
+	})
+}
+
+// BenchmarkFleet measures what one agent and one entry spend in steady state,
+// with three entries and a load report that changes each time. The benchmark's
+// time means nothing: each run lasts a fixed while.
+func BenchmarkFleet(b *testing.B) {
+	for _, agents := range []int{15, 45, 150} {
+		for _, residents := range []int{4, 40} {
+			b.Run(fmt.Sprintf("agents=%d/residents=%d", agents, residents), func(b *testing.B) {
+				measureFleet(b, agents, residents)
+			})
+		}
+	}
+}
+
+const (
+	fleetWarmup  = 6 * time.Second
+	fleetMeasure = 6 * time.Second
+)
+
+func measureFleet(b *testing.B, agents, residents int) {
+	agentScope := tally.NewTestScope("", nil)
+	entryScope := tally.NewTestScope("", nil)
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 39101+i))
+	}
+	var load atomic.Int32
+	join := func(scope tally.Scope, listen string, self *aubwire.Announcement) {
+		ctx, cancel := context.WithCancel(context.Background())
+		m, err := aubmembership.NewMembership(ctx,
+			aubcommon.NewCommon(aubtimer.NewReal()).WithMetrics(scope),
+			aubmembership.MembershipOpts{
+				Listen: listen, Seeds: seeds, Secret: []byte("secret"),
+				Self: func() *aubwire.Announcement {
+					if self.GetBackend() == nil {
+						return self
+					}
+					a := aubmembership.HeadsOf(self)[0]
+					a.Backend.Resident = self.GetBackend().GetResident()
+					a.Backend.Running = load.Add(1) % 50
+					a.Backend.QueuedTokens = int64(a.GetBackend().GetRunning()) * 900
+					return a
+				},
+			})
+		qt.Assert(b, err, qt.IsNil)
+		b.Cleanup(func() {
+			cancel()
+			<-m.Done()
+		})
+	}
+	for i, seed := range seeds {
+		join(entryScope, seed, entry(fmt.Sprintf("entry-%d", i)))
+	}
+	for i := range agents {
+		a := agent(fmt.Sprintf("worker-%05d", i), residents)
+		a.Backend.MemoryBytes, a.Backend.MemoryUsedBytes = 80<<30, 70<<30
+		a.Backend.PrefillRate, a.Backend.DecodeRate = 5000, 900
+		join(agentScope, "127.0.0.1:0", a)
+	}
+	time.Sleep(fleetWarmup)
+	agentBefore, entryBefore, cpuBefore := sentBytes(agentScope), sentBytes(entryScope), cpu(b)
+	time.Sleep(fleetMeasure)
+	seconds := fleetMeasure.Seconds()
+	b.ReportMetric(float64(sentBytes(agentScope)-agentBefore)/seconds/float64(agents), "agent-bytes/s")
+	b.ReportMetric(float64(sentBytes(entryScope)-entryBefore)/seconds/3, "entry-bytes/s")
+	b.ReportMetric((cpu(b)-cpuBefore).Seconds()/seconds/float64(agents+3)*100, "core-percent/member")
+	b.ReportMetric(0, "ns/op")
+}
+
+func sentBytes(scope tally.TestScope) int64 {
+	return scope.Snapshot().Counters()["membership.sent_bytes+"].Value()
+}
+
+func cpu(b *testing.B) time.Duration {
+	var usage unix.Rusage
+	qt.Assert(b, unix.Getrusage(unix.RUSAGE_SELF, &usage), qt.IsNil)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/aubmembership/membership.go
+++ b/internal/aubmembership/membership.go
@@ -38,9 +38,10 @@
 	name      string
 	seeds     []netip.AddrPort
 	leaving   atomic.Bool
-	leave     chan struct{}
-	wanted    atomic.Bool
-	done      chan struct{}
+	// hurry asks for an announcement before its time.
+	hurry  chan struct{}
+	wanted atomic.Bool
+	done   chan struct{}
 }
 
 var _ Source = (*Membership)(nil)
@@ -59,7 +60,7 @@
 		registry: NewRegistry(opts.Timeout),
 		name:     opts.Self().GetName(),
 		counters: newCounters(common.Metrics),
-		leave:    make(chan struct{}, 1),
+		hurry:    make(chan struct{}, 1),
 		done:     make(chan struct{}),
 	}
 	t, err := newTransport(ctx, common.Log, opts.Listen, m.receive)
@@ -88,8 +89,14 @@
 // Leave announces, at once and from now on, that this process takes no new work.
 func (m *Membership) Leave() {
 	m.leaving.Store(true)
+	m.Announce()
+}
+
+// Announce sends the next announcement at once, or soon when one was just sent.
+// Call it after changes that others wait for.
+func (m *Membership) Announce() {
 	select {
-	case m.leave <- struct{}{}:
+	case m.hurry <- struct{}{}:
 	default:
 	}
 }
@@ -105,8 +112,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.leave:
-			a.sendLeave(m.common.Timer.Now())
+		case <-m.hurry:
+			a.hurry(m.common.Timer.Now())
 		case <-paces:
 			a.step(m.common.Timer.Now())
 		}
--- a/internal/aubmembership/membership_test.go
+++ b/internal/aubmembership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -21,6 +22,10 @@
 )
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20261203")
+	}
 	// Current goroutines are those of gnet's own pool, started by its package.
 	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
 }
--- a/internal/aubmembership/record.go
+++ b/internal/aubmembership/record.go
@@ -44,8 +44,10 @@
 	// complete is true once the held residents are those of some whole list.
 	complete bool
 	// current is true while the held residents are those of digest.
-	current     bool
+	current bool
+	// relayed is the last sequence passed on, and when.
 	relayed     uint64
+	relayedAt   time.Time
 	relayWanted bool
 	// reshaped is set by changes of more than load, until the registry counts them.
 	reshaped bool
--- a/internal/aubmembership/registry.go
+++ b/internal/aubmembership/registry.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -203,8 +205,9 @@
 	pages []*aubwire.Announcement
 }
 
-// relays returns what to pass on of up to limit members that were heard directly
-// since their last relay; the longest unheard come first.
+// relays returns what to pass on, in up to limit bytes, of members that were
+// heard directly since their last relay. The longest not relayed come first, so
+// that a limit that doesn't reach them all reaches each in turn.
 func (r *Registry) relays(now time.Time, limit int) relay {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -214,15 +217,22 @@
 			due = append(due, rec)
 		}
 	}
-	slices.SortFunc(due, compareAge)
-	due = due[:min(limit, len(due))]
+	slices.SortFunc(due, compareRelayed)
 	var next relay
 	for _, rec := range due {
-		next.heads = append(next.heads, headsOf(rec.member.Announcement)...)
+		heads := headsOf(rec.member.Announcement)
+		for _, head := range heads {
+			limit -= proto.Size(head) + maxItemOverheadBytes
+		}
+		if limit < 0 {
+			return next
+		}
+		next.heads = append(next.heads, heads...)
 		if rec.relayWanted {
 			next.pages = append(next.pages, pagesOf(rec.member.Announcement)...)
 		}
 		rec.relayed = rec.sequence
+		rec.relayedAt = now
 		rec.relayWanted = false
 	}
 	return next
@@ -258,8 +268,8 @@
 	return a
 }
 
-func compareAge(a, b *record) int {
-	if c := a.member.HeardAt.Compare(b.member.HeardAt); c != 0 {
+func compareRelayed(a, b *record) int {
+	if c := a.relayedAt.Compare(b.relayedAt); c != 0 {
 		return c
 	}
 	return compareNames(a.member, b.member)
