--- a/internal/aublimit/fake_test.go
+++ b/internal/aublimit/fake_test.go
@@ -33,6 +33,12 @@
 
 func (s *site) workspace(name string) (aubapi.Workspace, bool) { return s.Config().Workspace(name) }
 
+func (s *site) set(workspaces ...aubapi.Workspace) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg = aubquery.NewConfig(aubquery.ConfigOpts{Workspaces: workspaces})
+}
+
 // fakeLog commits to one table at a replicated clock.
 type fakeLog struct {
 	mu     sync.Mutex
--- a/internal/aublimit/table.go
+++ b/internal/aublimit/table.go
@@ -61,6 +61,19 @@
 	return t.sync(cmd.Index, sync)
 }
 
+// Refresh applies the configured limits from the moment of the replicated clock
+// on. The state machine calls it, on every replica, after each applied ticket;
+// without it, limits that a ticket changed and a later one changed back before
+// the next sync are not noticed.
+func (t *Table) Refresh(clock time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.clock = max(t.clock, clock)
+	for name, c := range t.centrals {
+		t.advance(name, c)
+	}
+}
+
 func (t *Table) sync(index uint64, sync *aubwire.LimitSync) []byte {
 	id := holderID{instance: sync.GetInstance(), incarnation: sync.GetIncarnation()}
 	if t.isSuperseded(id) {
