Strip keys in every form a caller can put them

The scan puts the key in 43 places and looks for it in every byte that would leave for a backend server. It found two faults: a key under three layers of percent-encoding, and one behind a malformed escape that made the decoder give up. Layers are now taken off until nothing changes, at most four, and each escape is decoded by itself.

Shown to fail without their mechanism, each by disabling it once: credential headers, cookies, user info, fragment, query, base64, the form of generated keys, withdrawal, the cut-off rule, the lookup in Recheck.

--- a/internal/aubauth/strip.go
+++ b/internal/aubauth/strip.go
@@ -8,9 +8,13 @@
 	"strings"
 )
 
-// minScanChars is the least length of a presented value that is searched for
-// elsewhere; shorter ones would hit by chance.
-const minScanChars = 8
+const (
+	// minScanChars is the least length of a presented value that is searched for
+	// elsewhere; shorter ones would hit by chance.
+	minScanChars = 8
+	// maxEscapes is how many layers of percent-encoding are searched.
+	maxEscapes = 4
+)
 
 const (
 	bearerScheme = "bearer"
@@ -180,11 +184,20 @@
 	return strings.Join(kept, "&")
 }
 
-// Holds reports whether the text holds a key: as it is, in other case,
-// percent-encoded up to twice, or in base64.
+// Holds reports whether the text holds a key: as it is, in other case, in base64
+// or percent-encoded up to maxEscapes times.
 func (s Stripper) Holds(text string) bool {
-	once := unescape(text)
-	return s.holdsPlain(text) || s.holdsPlain(once) || s.holdsPlain(unescape(once)) || s.holdsEncoded(once)
+	for range maxEscapes + 1 {
+		if s.holdsPlain(text) || s.holdsEncoded(text) {
+			return true
+		}
+		decoded := unescape(text)
+		if decoded == text {
+			return false
+		}
+		text = decoded
+	}
+	return false
 }
 
 func (s Stripper) holdsAny(values []string) bool {
@@ -229,13 +242,22 @@
 	return "", false
 }
 
-// unescape decodes percent-encoding and leaves text that has none as it is.
+// escape is one percent-encoded byte.
+var escape = regexp.MustCompile(`%[0-9A-Fa-f]{2}`)
+
+// unescape decodes every percent-encoded byte. Unlike url.QueryUnescape it is
+// not put off by a malformed one, as a lenient backend server may not be either.
 func unescape(text string) string {
-	decoded, err := url.QueryUnescape(text)
-	if err != nil {
+	if !strings.Contains(text, "%") {
 		return text
 	}
-	return decoded
+	return escape.ReplaceAllStringFunc(text, func(e string) string {
+		decoded, err := url.PathUnescape(e)
+		if err != nil {
+			return e
+		}
+		return decoded
+	})
 }
 
 func isCredentialHeader(name string) bool {
