--- /dev/null
+++ b/internal/aubentry/bench_test.go
@@ -0,0 +1,35 @@
+package aubentry_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubentry"
+	"github.com/auburndale/auburndale/internal/aubstandin"
+)
+
+// BenchmarkStream passes streams of 64 tokens through entry, agent and engine in
+// one process. The engine paces them, so the processor time of all three counts.
+func BenchmarkStream(b *testing.B) {
+	f := newFixture(b, fixtureOpts{
+		engine: aubstandin.EngineOpts{InterToken: 2 * time.Millisecond, MaxBatch: 256},
+		bounds: aubentry.Bounds{MaxBody: 1 << 20},
+	})
+	f.awaitBackends(b)
+	body := chat("small", `,"stream":true,"max_tokens":64`)
+	b.SetParallelism(16)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := http.DefaultClient.Do(newRequest(b, f, http.MethodPost, chatPath, keyAlpha, body))
+			qt.Assert(b, err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			qt.Assert(b, err, qt.IsNil)
+			_ = resp.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)*64/b.Elapsed().Seconds(), "tokens/s")
+}
