--- a/internal/aubauth/strip.go
+++ b/internal/aubauth/strip.go
@@ -216,7 +216,7 @@
 			return true
 		}
 	}
-	return generatedSecret.MatchString(lower)
+	return strings.Contains(lower, secretPrefix) && generatedSecret.MatchString(lower)
 }
 
 func (s Stripper) holdsEncoded(text string) bool {
--- a/internal/aubdistribution/delta.go
+++ b/internal/aubdistribution/delta.go
@@ -108,9 +108,10 @@
 		return u.last, u.to
 	}
 	u.from, u.to = version, cfg.Version()
-	u.last = fullMessage(cfg)
 	if kept {
 		u.last = deltaMessage(version, cfg, compose(changes))
+	} else {
+		u.last = fullMessage(cfg)
 	}
 	return u.last, u.to
 }
--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -306,3 +306,40 @@
 		})
 	}
 }
+
+func TestRestartAfterManyChanges(t *testing.T) {
+	cases := []struct {
+		name    string
+		version uint64
+		fulls   int
+	}{
+		{name: "one delta over all changes", version: 900},
+		{name: "the full state once changes are no longer kept", version: 1600, fulls: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			dir := t.TempDir()
+			s.fillCopy(t, dir, 5)
+			r := s.addReplica("a")
+			r.grow(t, c.version)
+			fulls, deltas := 0, 0
+			r.setSpoil(func(m *aubwire.WatchResponse) []*aubwire.WatchResponse {
+				if m.GetFull() != nil {
+					fulls++
+				}
+				if m.GetDelta() != nil {
+					deltas++
+				}
+				return []*aubwire.WatchResponse{m}
+			})
+			f := s.follow(s.ctx, dir, "a")
+			s.until("the newest version", reaches(f, c.version))
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			qt.Assert(t, f.Config().Digest(), qt.Equals, r.table.Config().Digest())
+			qt.Assert(t, fulls, qt.Equals, c.fulls)
+			qt.Assert(t, deltas, qt.Equals, 1-c.fulls)
+		})
+	}
+}
--- a/internal/aubstate/aubcommand/decide.go
+++ b/internal/aubstate/aubcommand/decide.go
@@ -16,6 +16,8 @@
 	// Accepted is true when the change is to be applied.
 	Accepted bool
 	Change   aubquery.Change
+	// Next is the configuration after the change.
+	Next aubquery.Config
 }
 
 // Decide returns the decision on the ticket and changes nothing.
@@ -47,10 +49,11 @@
 	if faults := s.supersededFaults(t); len(faults) > 0 {
 		return refuse(t, aubapi.TicketSuperseded, faults...)
 	}
-	if faults := CheckReferences(s.config, t); len(faults) > 0 {
+	change := changeOf(s.config, t)
+	next := s.config.WithChange(change)
+	if faults := checkReferences(s.config, next, t); len(faults) > 0 {
 		return refuse(t, aubapi.TicketInvalid, faults...)
 	}
-	change := changeOf(s.config, t)
 	return Decision{
 		Outcome: aubapi.TicketOutcome{
 			Number:  t.Number,
@@ -59,6 +62,7 @@
 		},
 		Accepted: true,
 		Change:   change,
+		Next:     next,
 	}
 }
 
--- a/internal/aubstate/aubcommand/reference.go
+++ b/internal/aubstate/aubcommand/reference.go
@@ -11,8 +11,12 @@
 // configuration: names that lead nowhere, objects that are still referenced and
 // names or prefixes that are taken.
 func CheckReferences(cfg aubquery.Config, t aubapi.Ticket) []aubapi.Fault {
+	return checkReferences(cfg, cfg.WithChange(changeOf(cfg, t)), t)
+}
+
+// checkReferences checks the ticket against the configuration before and after it.
+func checkReferences(cfg, next aubquery.Config, t aubapi.Ticket) []aubapi.Fault {
 	c := &checker{}
-	next := cfg.WithChange(changeOf(cfg, t))
 	for i, k := range t.Keys {
 		c.checkWorkspaceExists(next, fmt.Sprintf("keys[%d].workspace", i), k.Workspace)
 	}
--- a/internal/aubstate/aubcommand/state.go
+++ b/internal/aubstate/aubcommand/state.go
@@ -47,14 +47,14 @@
 		return d.Outcome, aubquery.Change{}, false
 	}
 	if d.Accepted {
-		s.apply(t, d.Change)
+		s.apply(t, d.Next)
 	}
 	s.record(Record{Digest: d.Digest, Outcome: d.Outcome})
 	return d.Outcome, d.Change, d.Accepted
 }
 
-func (s *State) apply(t aubapi.Ticket, change aubquery.Change) {
-	s.config = s.config.WithChange(change)
+func (s *State) apply(t aubapi.Ticket, next aubquery.Config) {
+	s.config = next
 	for _, id := range TouchedIDs(t) {
 		s.last[id] = t.Number
 	}
--- a/internal/aubstate/aubquery/change.go
+++ b/internal/aubstate/aubquery/change.go
@@ -34,10 +34,9 @@
 		c.workspaces, c.digest = replace(c.workspaces, c.digest, kind, change.Objects.Workspaces, removed, name)
 	case aubapi.KindKey:
 		name := func(k aubapi.Key) string { return k.Name }
-		if len(change.Objects.Keys) > 0 || len(removed) > 0 {
-			c.keys, c.digest = replace(c.keys, c.digest, kind, change.Objects.Keys, removed, name)
-			c.lookups = indexLookups(c.keys)
-		}
+		before := c.keys
+		c.keys, c.digest = replace(c.keys, c.digest, kind, change.Objects.Keys, removed, name)
+		c.lookups = replaceLookups(c.lookups, before, c.keys, change.Objects.Keys, removed)
 	case aubapi.KindModel:
 		name := func(m aubapi.Model) string { return m.Name }
 		c.models, c.digest = replace(c.models, c.digest, kind, change.Objects.Models, removed, name)
@@ -45,6 +44,9 @@
 		name := func(a aubapi.Adapter) string { return a.Name }
 		c.adapters, c.digest = replace(c.adapters, c.digest, kind, change.Objects.Adapters, removed, name)
 	case aubapi.KindRoute:
+		if len(change.Objects.Routes) == 0 && len(removed) == 0 {
+			return c
+		}
 		name := func(r aubapi.Route) string { return r.Name }
 		var routes map[string]aubapi.Route
 		routes, c.digest = replace(indexBy(c.routes, name), c.digest, kind, change.Objects.Routes, removed, name)
@@ -81,6 +83,38 @@
 	return next, d
 }
 
+// replaceLookups returns the lookup index after some keys were set or removed.
+// Only the lists of their lookup values are made anew.
+func replaceLookups(
+	lookups map[string][]aubapi.Key, before, after map[string]aubapi.Key, set []aubapi.Key, removed []string,
+) map[string][]aubapi.Key {
+	if len(set) == 0 && len(removed) == 0 {
+		return lookups
+	}
+	next := maps.Clone(lookups)
+	drop := func(name string) {
+		old, ok := before[name]
+		if !ok {
+			return
+		}
+		kept := slices.DeleteFunc(slices.Clone(next[old.Lookup]), func(k aubapi.Key) bool { return k.Name == name })
+		next[old.Lookup] = kept
+		if len(kept) == 0 {
+			delete(next, old.Lookup)
+		}
+	}
+	for _, name := range removed {
+		drop(name)
+	}
+	for _, k := range set {
+		drop(k.Name)
+	}
+	for _, k := range set {
+		next[k.Lookup] = append(slices.Clone(next[k.Lookup]), after[k.Name])
+	}
+	return next
+}
+
 func namesOf(kind aubapi.Kind, ids []aubapi.ObjectID) []string {
 	var names []string
 	for _, id := range ids {
--- a/internal/aubstate/property_test.go
+++ b/internal/aubstate/property_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,6 +15,8 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
+var lookups = []string{"00000000", "11111111"}
+
 var drawName = rapid.SampledFrom([]string{"a", "b", "c"})
 
 // drawTicket draws a ticket that often collides with others in number, objects
@@ -28,11 +32,17 @@
 			Name: "m-" + drawName.Draw(t, "model"), MemoryBytes: 1, Workspaces: []string{drawName.Draw(t, "admitted")},
 		}}
 	}
+	for _, name := range rapid.SliceOfNDistinct(drawName, 0, 2, rapid.ID[string]).Draw(t, "keys") {
+		ticket.Keys = append(ticket.Keys, aubapi.Key{
+			Name: "k-" + name, Workspace: drawName.Draw(t, "owner"), Lookup: rapid.SampledFrom(lookups).Draw(t, "lookup"),
+			Salt: strings.Repeat("00", 16), Hash: strings.Repeat("00", 32),
+		})
+	}
 	if rapid.Bool().Draw(t, "with removal") {
-		kind := rapid.SampledFrom([]aubapi.Kind{aubapi.KindWorkspace, aubapi.KindModel}).Draw(t, "kind")
+		kind := rapid.SampledFrom([]aubapi.Kind{aubapi.KindWorkspace, aubapi.KindModel, aubapi.KindKey}).Draw(t, "kind")
 		name := drawName.Draw(t, "removed")
-		if kind == aubapi.KindModel {
-			name = "m-" + name
+		if kind != aubapi.KindWorkspace {
+			name = string(kind[0]) + "-" + name
 		}
 		ticket.Remove = []aubapi.ObjectID{{Kind: kind, Name: name}}
 	}
@@ -94,6 +104,7 @@
 	if outcome.Status == aubapi.TicketAccepted && outcome.Version == before.Version()+1 {
 		must(t, after.Version(), qt.Equals, outcome.Version)
 		must(t, after.Digest(), qt.Equals, aubquery.NewConfig(after.Opts()).Digest())
+		checkLookups(t, after)
 		for _, w := range ticket.Workspaces {
 			got, ok := after.Workspace(w.Name)
 			must(t, ok && got == w, qt.IsTrue)
@@ -105,6 +116,26 @@
 	must(t, outcome.Version <= before.Version(), qt.IsTrue)
 }
 
+// checkLookups finds every key, and only those, by its lookup value.
+func checkLookups(t *rapid.T, cfg aubquery.Config) {
+	for _, lookup := range lookups {
+		var want []string
+		for _, k := range cfg.AllKeys() {
+			if k.Lookup == lookup {
+				want = append(want, k.Name)
+			}
+		}
+		var got []string
+		for _, k := range cfg.Keys(lookup) {
+			got = append(got, k.Name)
+			stored, _ := cfg.Key(k.Name)
+			must(t, k, qt.Equals, stored)
+		}
+		slices.Sort(got)
+		must(t, got, qt.DeepEquals, want)
+	}
+}
+
 // With a ledger of few outcomes nothing is ever applied twice, and a repeat gets
 // the first outcome or is told that it is no longer kept.
 func TestBoundedLedgerNeverRepeatsATicket(t *testing.T) {
