--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -55,7 +55,9 @@
 			newTicketCommand(s),
 			newGetCommand(s),
 			newKeyCommand(s),
+			newReportCommand(s),
 			newSettingsCommand(s),
+			newSnapshotCommand(s),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
