--- a/internal/aubagent/agent.go
+++ b/internal/aubagent/agent.go
@@ -54,6 +54,10 @@
 	if err != nil {
 		return nil, oops.In("agent").Wrapf(err, "start the agent")
 	}
+	deaths, err := newDeaths(common.Timer)
+	if err != nil {
+		return nil, oops.In("agent").Wrapf(err, "start the agent")
+	}
 	a := &Agent{
 		ctx:      ctx,
 		common:   common,
@@ -61,7 +65,7 @@
 		client:   client,
 		keeper:   keeper,
 		registry: registry,
-		deaths:   newDeaths(common.Timer),
+		deaths:   deaths,
 		room:     semaphore.NewWeighted(int64(opts.MaxRunning)),
 		sessions: make(map[*session]struct{}),
 	}
@@ -88,14 +92,19 @@
 // Leaving reports whether the agent takes no new work.
 func (a *Agent) Leaving() bool { return a.leaving.Load() }
 
+// Done is closed once the agent's context has ended and nothing of it writes to
+// the data folder any more.
+func (a *Agent) Done() <-chan struct{} { return a.keeper.done }
+
 // Report returns what the agent announces of its backend server.
 func (a *Agent) Report() *aubwire.BackendReport {
+	suspects, poisoned := a.deaths.lists()
 	report := &aubwire.BackendReport{
 		Engine:   a.opts.engine(),
 		Services: a.opts.Services,
 		Running:  a.running.Load(),
-		Suspects: a.deaths.suspects.Keys(),
-		Poisoned: a.deaths.poisoned.Keys(),
+		Suspects: suspects,
+		Poisoned: poisoned,
 	}
 	if a.opts.engine() {
 		a.keeper.describe(report)
@@ -111,6 +120,9 @@
 			Detail:  "backend server is no engine",
 		}, nil
 	}
+	if a.leaving.Load() && req.GetAction() == aubwire.OrderAction_ORDER_ACTION_LOAD {
+		return a.keeper.respond(aubwire.OrderOutcome_ORDER_OUTCOME_FAILED, "agent is leaving"), nil
+	}
 	resp := a.keeper.order(ctx, req)
 	a.common.Metrics.Tagged(map[string]string{"outcome": resp.GetOutcome().String()}).Counter("orders").Inc(1)
 	return resp, nil
--- a/internal/aubagent/deaths.go
+++ b/internal/aubagent/deaths.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
@@ -38,17 +38,25 @@
 	flights map[*execution]string
 	last    *scene
 	// suspects and poisoned forget a fingerprint after poisonTime.
-	suspects *expirable.LRU[string, struct{}]
-	poisoned *expirable.LRU[string, struct{}]
+	suspects *simplelru.LRU[string, time.Time]
+	poisoned *simplelru.LRU[string, time.Time]
 }
 
-func newDeaths(timer aubtimer.Service) *deaths {
+func newDeaths(timer aubtimer.Service) (*deaths, error) {
+	suspects, err := simplelru.NewLRU[string, time.Time](maxFingerprints, nil)
+	if err != nil {
+		return nil, err
+	}
+	poisoned, err := simplelru.NewLRU[string, time.Time](maxFingerprints, nil)
+	if err != nil {
+		return nil, err
+	}
 	return &deaths{
 		timer:    timer,
 		flights:  make(map[*execution]string),
-		suspects: expirable.NewLRU[string, struct{}](maxFingerprints, nil, poisonTime),
-		poisoned: expirable.NewLRU[string, struct{}](maxFingerprints, nil, poisonTime),
-	}
+		suspects: suspects,
+		poisoned: poisoned,
+	}, nil
 }
 
 func (d *deaths) begin(x *execution) {
@@ -64,11 +72,45 @@
 }
 
 // clear takes the suspicion from a fingerprint that ran to its end.
-func (d *deaths) clear(fingerprint string) { d.suspects.Remove(fingerprint) }
+func (d *deaths) clear(fingerprint string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspects.Remove(fingerprint)
+}
+
+func (d *deaths) isSuspect(fingerprint string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fresh(d.suspects, fingerprint)
+}
+
+func (d *deaths) isPoisoned(fingerprint string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fresh(d.poisoned, fingerprint)
+}
+
+// lists returns the suspects and the poisoned fingerprints, oldest first.
+func (d *deaths) lists() (suspects, poisoned []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.freshKeys(d.suspects), d.freshKeys(d.poisoned)
+}
 
-func (d *deaths) isSuspect(fingerprint string) bool { return d.suspects.Contains(fingerprint) }
+func (d *deaths) freshKeys(list *simplelru.LRU[string, time.Time]) []string {
+	var keys []string
+	for _, key := range list.Keys() {
+		if d.fresh(list, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
 
-func (d *deaths) isPoisoned(fingerprint string) bool { return d.poisoned.Contains(fingerprint) }
+func (d *deaths) fresh(list *simplelru.LRU[string, time.Time], fingerprint string) bool {
+	at, ok := list.Peek(fingerprint)
+	return ok && d.timer.Now().Sub(at) < poisonTime
+}
 
 // judge finds out whether the backend server died. Failures that come close
 // together share one probe and one list of suspects.
@@ -122,10 +164,12 @@
 	if !s.died {
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, fingerprint := range s.suspects {
-		d.suspects.Add(fingerprint, struct{}{})
+		d.suspects.Add(fingerprint, s.at)
 	}
 	if s.alone != "" {
-		d.poisoned.Add(s.alone, struct{}{})
+		d.poisoned.Add(s.alone, s.at)
 	}
 }
--- a/internal/aubagent/keeper.go
+++ b/internal/aubagent/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 // fenceShift leaves room below a fence of the log for the numbers of single orders.
 const fenceShift = 20
 
+var errOrderUnderWay = errors.New("an order is under way")
+
 // keeper issues the orders to an engine and keeps its ledger.
 type keeper struct {
 	common      aubcommon.Common
@@ -24,6 +27,8 @@
 	incarnation uint64
 	journal     journal
 	kick        chan struct{}
+	// done is closed when the keeper's goroutine has ended.
+	done chan struct{}
 
 	// orderMu makes orders go out one at a time, so that their numbers reach
 	// the engine in order. Lock order: orderMu before mu.
@@ -56,6 +61,7 @@
 		incarnation: nextIncarnation(opts.Incarnation, before.Incarnation, now),
 		journal:     j,
 		kick:        make(chan struct{}, 1),
+		done:        make(chan struct{}),
 		inUse:       make(map[string]int),
 		ledger: newLedger(ledgerOpts{
 			capacity:    opts.MemoryBytes,
@@ -73,9 +79,12 @@
 	if err := k.journal.write(journalState{Incarnation: k.incarnation, Unsettled: before.Unsettled}); err != nil {
 		return nil, err
 	}
-	if opts.engine() {
-		go k.keep(ctx)
-	}
+	go func() {
+		defer close(k.done)
+		if opts.engine() {
+			k.keep(ctx)
+		}
+	}()
 	return k, nil
 }
 
@@ -149,7 +158,7 @@
 	}
 }
 
-// round raises the engine's fence where needed, reads its state and load and
+// round never waits for an order that is under way. It raises the engine's fence where needed, reads its state and load and
 // sends unload orders again that did not reach it.
 func (k *keeper) round(ctx context.Context) {
 	if k.wantsFence() && k.sendFence(ctx) != nil {
@@ -174,7 +183,9 @@
 }
 
 func (k *keeper) sendFence(ctx context.Context) error {
-	k.orderMu.Lock()
+	if !k.orderMu.TryLock() {
+		return errOrderUnderWay
+	}
 	defer k.orderMu.Unlock()
 	number := k.nextNumber()
 	err := k.client.Fence(ctx, aubengine.Order{OrderID: k.orderID(number), Fence: number})
@@ -212,7 +223,9 @@
 	names := k.ledger.stuckUnloads()
 	k.mu.Unlock()
 	for _, name := range names {
-		k.orderMu.Lock()
+		if !k.orderMu.TryLock() {
+			return
+		}
 		_, err := k.sendUnload(ctx, name)
 		k.orderMu.Unlock()
 		if err != nil {
@@ -223,7 +236,9 @@
 
 // tidyJournal drops settled orders from the journal.
 func (k *keeper) tidyJournal() {
-	k.orderMu.Lock()
+	if !k.orderMu.TryLock() {
+		return
+	}
 	defer k.orderMu.Unlock()
 	k.mu.Lock()
 	unsettled := k.ledger.unsettled()
--- a/internal/aubagent/ledger.go
+++ b/internal/aubagent/ledger.go
@@ -38,6 +38,8 @@
 	number  uint64
 	sentAt  time.Time
 	settled bool
+	// sending is set while the load order is on its way to the engine.
+	sending bool
 	// revision is the ledger's at the newest order for the item. A state that
 	// was asked for earlier says nothing of it.
 	revision uint64
@@ -105,6 +107,7 @@
 		state:    aubwire.Residency_RESIDENCY_LOADING,
 		number:   number,
 		sentAt:   now,
+		sending:  true,
 		revision: l.bump(),
 	}
 	return true, nil
@@ -121,11 +124,13 @@
 }
 
 // loadSent notes the end of a load order that was or may be executed.
-func (l *ledger) loadSent(name string, certain bool) {
+func (l *ledger) loadSent(name string, certain bool, now time.Time) {
 	e, ok := l.entries[name]
 	if !ok {
 		return
 	}
+	e.sending = false
+	e.sentAt = now
 	e.revision = l.bump()
 	if !certain {
 		e.state = aubwire.Residency_RESIDENCY_UNKNOWN
@@ -188,7 +193,7 @@
 		l.observeItem(item, revision)
 	}
 	for name, e := range l.entries {
-		if e.revision > revision {
+		if e.revision > revision || e.sending {
 			continue
 		}
 		e.settled = l.isSettled(e, confirmed, asked)
--- /dev/null
+++ b/internal/aubagent/main_test.go
@@ -0,0 +1,24 @@
+package aubagent_test
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	setDefault("rapid.seed", "20260101")
+	setDefault("rapid.checks", "30")
+	goleak.VerifyTestMain(m)
+}
+
+// setDefault sets a flag that the command line left alone.
+func setDefault(name, value string) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		_ = flag.Set(name, value)
+	}
+}
--- a/internal/aubagent/order.go
+++ b/internal/aubagent/order.go
@@ -91,7 +91,7 @@
 		return k.respondError(err)
 	}
 	k.mu.Lock()
-	k.ledger.loadSent(name, err == nil)
+	k.ledger.loadSent(name, err == nil, k.common.Timer.Now())
 	if err == nil {
 		k.ledger.fenceConfirmed(number)
 	}
--- a/internal/aubstandin/order.go
+++ b/internal/aubstandin/order.go
@@ -48,8 +48,13 @@
 func (e *Engine) later(order aubengine.Order, run execute) {
 	life, _ := e.current()
 	delay := e.faults.get().orderDelay()
+	done := e.rec.expect(e.common.Timer.Now().Add(delay))
+	due := e.common.Timer.After(life, delay)
 	go func() {
-		if wait(life, e.common.Timer, delay) == nil {
+		defer done()
+		select {
+		case <-life.Done():
+		case <-due:
 			e.accept(order, run)
 		}
 	}()
--- a/internal/aubstandin/stats.go
+++ b/internal/aubstandin/stats.go
@@ -21,16 +21,21 @@
 	Crashes       int       `json:"crashes"`
 	Aborted       int       `json:"aborted"`
 	TokensOut     int64     `json:"tokens_out"`
+	// NextOrderAt is when the next late or doubled order is executed; zero for none.
+	NextOrderAt time.Time `json:"next_order_at"`
 }
 
 // recorder guards the records.
 type recorder struct {
 	mu sync.Mutex
 	s  Stats
+	// pending holds when late and doubled orders are due.
+	pending map[int]time.Time
+	last    int
 }
 
 func newRecorder() *recorder {
-	return &recorder{s: Stats{Executions: make(map[string]int)}}
+	return &recorder{s: Stats{Executions: make(map[string]int)}, pending: make(map[int]time.Time)}
 }
 
 func (r *recorder) update(change func(*Stats)) {
@@ -51,5 +56,24 @@
 	defer r.mu.Unlock()
 	s := r.s
 	s.Executions = maps.Clone(r.s.Executions)
+	for _, due := range r.pending {
+		if s.NextOrderAt.IsZero() || due.Before(s.NextOrderAt) {
+			s.NextOrderAt = due
+		}
+	}
 	return s
 }
+
+// expect notes an order that is due later; the returned function ends that.
+func (r *recorder) expect(due time.Time) (done func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	id := r.last
+	r.pending[id] = due
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.pending, id)
+	}
+}
