Walk through the operators' repairs on real folders; report syncs and elections

A lost disk under the old name, a replacement by another instance, a handover, a lost majority with restore, and an export restored elsewhere, on real storage and gRPC. Metrics: sync time, elections won, term, applied index, leads.

--- a/internal/aubconsensus/leader.go
+++ b/internal/aubconsensus/leader.go
@@ -49,6 +49,7 @@
 		progress:   make(map[string]*progress),
 	}
 	n.syncProgress()
+	n.common.Metrics.Counter("elections_won").Inc(1)
 	n.common.Log.Info("Leadership begins.", zap.Uint64("term", n.term))
 	n.appendOwn(aubwire.EntryKind_ENTRY_KIND_EMPTY, nil)
 }
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -220,7 +220,10 @@
 	if u.IsEmpty() {
 		return true
 	}
-	if err := n.opts.Disk.Save(u); err != nil {
+	start := n.now()
+	err := n.opts.Disk.Save(u)
+	n.common.Metrics.Timer("sync_time").Record(n.now().Sub(start))
+	if err != nil {
 		n.stop(err)
 		return false
 	}
@@ -272,6 +275,7 @@
 		p.leading = true
 		p.leaseUntil = n.leaseUntil()
 	}
+	n.report(p.status)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.err == nil {
@@ -279,6 +283,16 @@
 	}
 }
 
+func (n *Node) report(s Status) {
+	n.common.Metrics.Gauge("term").Update(float64(s.Term))
+	n.common.Metrics.Gauge("applied_index").Update(float64(s.Applied))
+	leads := 0.0
+	if s.LeaderHere {
+		leads = 1
+	}
+	n.common.Metrics.Gauge("leads").Update(leads)
+}
+
 func (n *Node) leaderPeer() Peer {
 	m, ok := n.log.membership().member(n.leaderID)
 	if !ok {
--- /dev/null
+++ b/internal/aubcontrol/operate_test.go
@@ -0,0 +1,113 @@
+package aubcontrol_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+func (s *site) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *site) voters(n int) func() bool {
+	return func() bool {
+		for _, i := range s.all {
+			status := i.replica.Status()
+			if status.Leader == "" || len(status.Voters) != n || len(status.Learners) != 0 {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (s *site) wipe(name string) {
+	if i, ok := s.all[name]; ok {
+		i.stop()
+	}
+	qt.Assert(s.t, os.RemoveAll(filepath.Join(s.dir, name)), qt.IsNil)
+}
+
+// TestOperatorsRepairASite walks through the operators' pages on real folders: a
+// disk is lost, an instance is replaced by another, the leadership is handed
+// over, and a majority of the disks is lost.
+func TestOperatorsRepairASite(t *testing.T) {
+	s := newSite(t, "a", "b", "c")
+	ctx := newContext(t)
+	apply := func(name, body, want string) {
+		result, err := s.all[name].replica.Apply(ctx, "journal", []byte(body))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(result.Body), qt.Equals, want)
+	}
+	apply("a", "1", "1")
+
+	// A lost disk under the old name comes back without an operator.
+	s.wipe("b")
+	apply("a", "2", "12")
+	qt.Assert(t, s.start("b").replica.WaitReady(ctx), qt.IsNil)
+	apply("b", "3", "123")
+
+	// Another instance takes the place of c.
+	s.eventually("three voters", s.voters(3))
+	leader := s.all["a"].replica.Status().Leader
+	if leader == "c" {
+		qt.Assert(t, s.all["c"].replica.TransferLeadership(ctx), qt.IsNil)
+	}
+	s.all["c"].stop()
+	s.peers[2] = aubcontrol.Peer{Name: "d", Address: freeAddress(t)}
+	s.start("d")
+	s.eventually("member is replaced", func() bool {
+		return s.all["a"].replica.ReplaceMember(ctx, "c", s.peers[2]) == nil
+	})
+	s.eventually("d votes", s.voters(3))
+	apply("d", "4", "1234")
+
+	// The majority a, b is lost; only d is left.
+	s.wipe("a")
+	s.wipe("b")
+	s.all["d"].stop()
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	opts := aubcontrol.RestoreOpts{Member: "d", Address: s.peers[2].Address, DataDir: filepath.Join(s.dir, "d")}
+	_, err := aubcontrol.Restore(common, opts)
+	var refused *aubcontrol.RestoreError
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	opts.AcceptLoss = true
+	report, err := aubcontrol.Restore(common, opts)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, report.Index > 4, qt.IsTrue)
+	s.start("d")
+	s.start("a")
+	s.start("b")
+	s.eventually("three voters again", s.voters(3))
+	apply("a", "5", "12345")
+	leader = s.all["a"].replica.Status().Leader
+	qt.Assert(t, s.all[leader].replica.TransferLeadership(ctx), qt.IsNil)
+	apply(leader, "6", "123456")
+
+	// Exported and restored on an empty folder elsewhere.
+	for _, name := range []string{"a", "b", "d"} {
+		s.all[name].stop()
+	}
+	data, err := aubcontrol.ExportSnapshot(common, filepath.Join(s.dir, "a"), "a")
+	qt.Assert(t, err, qt.IsNil)
+	opts.DataDir = t.TempDir()
+	opts.Snapshot = data
+	_, err = aubcontrol.Restore(common, opts)
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/internal/aubstore/store_test.go
+++ b/internal/aubstore/store_test.go
@@ -160,6 +160,11 @@
 		check(fmt.Sprintf("byte %d", at), data)
 	}
 	for at := 0; at < len(whole); at += pageBytes {
+		for bit := range 16 {
+			data := bytes.Clone(whole)
+			data[at+10+bit/8] ^= 1 << (bit % 8)
+			check(fmt.Sprintf("page at %d, bit %d of the element count", at, bit), data)
+		}
 		for field := range 96 {
 			data := bytes.Clone(whole)
 			data[at+field] ^= 1 << random.IntN(8)
