--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubstore"
@@ -86,6 +87,7 @@
 }
 
 func (o Opts) withDefaults() Opts {
+	o.Voters = slices.Clone(o.Voters)
 	if o.ElectionTimeout == 0 {
 		o.ElectionTimeout = DefaultElectionTimeout
 	}
--- a/internal/aubconsensus/snapshot.go
+++ b/internal/aubconsensus/snapshot.go
@@ -1,6 +1,8 @@
 package aubconsensus
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +14,8 @@
 
 const maxSnapshotBytes = 256 << 20
 
+var errNoAppliedTerm = errors.New("the term of the last applied entry is unknown")
+
 // outgoingSnapshot is a snapshot on its way to a member, one chunk at a time.
 type outgoingSnapshot struct {
 	index    uint64
@@ -30,6 +34,33 @@
 	data     []byte
 }
 
+// ExportSnapshot returns the applied state, to be kept elsewhere.
+func (n *Node) ExportSnapshot(ctx context.Context) (*aubwire.LogSnapshot, error) {
+	var snap *aubwire.LogSnapshot
+	var failed error
+	if err := n.call(ctx, func() { snap, failed = n.snapshotApplied() }); err != nil {
+		return nil, err
+	}
+	return snap, failed
+}
+
+func (n *Node) snapshotApplied() (*aubwire.LogSnapshot, error) {
+	term, ok := n.log.term(n.applied)
+	if !ok {
+		return nil, errNoAppliedTerm
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &aubwire.LogSnapshot{
+		Index:      n.applied,
+		Term:       term,
+		Membership: n.log.membershipAt(n.applied).wire,
+		Data:       data,
+	}, nil
+}
+
 // compactIfDue replaces applied entries by a snapshot of the machine.
 func (n *Node) compactIfDue() {
 	if n.Err() != nil {
@@ -39,22 +70,13 @@
 	if !isLong && n.appliedBytes < n.opts.SnapshotBytes {
 		return
 	}
-	data, err := n.opts.Machine.Snapshot()
+	snap, err := n.snapshotApplied()
 	if err != nil {
 		n.stop(err)
 		return
 	}
-	term, ok := n.log.term(n.applied)
-	if !ok {
-		return
-	}
 	n.appliedBytes = 0
-	n.log.compact(&aubwire.LogSnapshot{
-		Index:      n.applied,
-		Term:       term,
-		Membership: n.log.membershipAt(n.applied).wire,
-		Data:       data,
-	}, n.opts.KeepEntries)
+	n.log.compact(snap, n.opts.KeepEntries)
 }
 
 // sendSnapshot sends the next chunk, or again one that got no answer in time.
--- a/internal/aubcontrol/operate_test.go
+++ b/internal/aubcontrol/operate_test.go
@@ -100,14 +100,16 @@
 	qt.Assert(t, s.all[leader].replica.TransferLeadership(ctx), qt.IsNil)
 	apply(leader, "6", "123456")
 
-	// Exported and restored on an empty folder elsewhere.
+	// Exported, and restored on an empty folder after all others are gone.
+	_, err = s.all["a"].replica.Confirm(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	opts.Snapshot, err = s.all["a"].replica.ExportSnapshot(ctx)
+	qt.Assert(t, err, qt.IsNil)
 	for _, name := range []string{"a", "b", "d"} {
-		s.all[name].stop()
+		s.wipe(name)
 	}
-	data, err := aubcontrol.ExportSnapshot(common, filepath.Join(s.dir, "a"), "a")
-	qt.Assert(t, err, qt.IsNil)
-	opts.DataDir = t.TempDir()
-	opts.Snapshot = data
 	_, err = aubcontrol.Restore(common, opts)
 	qt.Assert(t, err, qt.IsNil)
+	s.start("d")
+	apply("d", "7", "1234567")
 }
--- a/internal/aubcontrol/restore.go
+++ b/internal/aubcontrol/restore.go
@@ -1,6 +1,8 @@
 package aubcontrol
 
 import (
+	"context"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
@@ -60,20 +62,12 @@
 	return aubconsensus.RestoreSnapshot(disk, self, snap)
 }
 
-// ExportSnapshot returns the last snapshot that a stopped replica's folder holds,
-// for Restore. Commands after it are not part of it.
-func ExportSnapshot(common aubcommon.Common, dataDir, member string) ([]byte, error) {
-	disk, err := aubstore.Open(common, aubstore.Opts{DataDir: dataDir, Member: member})
-	if err != nil {
-		return nil, &StorageError{Err: err}
-	}
-	defer disk.Close()
-	snap, err := disk.LoadSnapshot()
+// ExportSnapshot returns the whole state applied here, for Restore. Confirm first
+// to hold everything that was committed until now.
+func (r *Replica) ExportSnapshot(ctx context.Context) ([]byte, error) {
+	snap, err := r.node.ExportSnapshot(ctx)
 	if err != nil {
 		return nil, &StorageError{Err: err}
 	}
-	if snap == nil {
-		return nil, &RestoreError{Reason: "the folder holds no snapshot"}
-	}
 	return proto.Marshal(snap)
 }
