--- a/internal/aubstore/bench_test.go
+++ b/internal/aubstore/bench_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -41,3 +42,24 @@
 		}
 	}
 }
+
+// BenchmarkSnapshot replaces the snapshot of a state of the given size, and
+// reports how long a start with it takes.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, megabytes := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("state_MB=%d", megabytes), func(b *testing.B) {
+			dir := b.TempDir()
+			s := open(b, dir, 0)
+			snap := snapshot(1)
+			snap.Data = make([]byte, megabytes<<20)
+			for b.Loop() {
+				qt.Assert(b, s.Save(aubstore.Update{Snapshot: snap}), qt.IsNil)
+			}
+			qt.Assert(b, s.Close(), qt.IsNil)
+			start := time.Now()
+			s = open(b, dir, 0)
+			b.ReportMetric(float64(time.Since(start).Milliseconds()), "start_ms")
+			qt.Assert(b, s.Close(), qt.IsNil)
+		})
+	}
+}
