--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -251,8 +251,9 @@
 		n.common.Log.Error("Storage failed; the replica stopped.", zap.Error(err))
 	}
 	n.failWaiters()
-	close(n.done)
+	// Whoever waits for the end may open the folder next.
 	_ = n.opts.Disk.Close()
+	close(n.done)
 }
 
 // publish lets other goroutines see the state that is durable now.
