Let the next leader finish a change of the members

Cause: the end of a joint phase was proposed only by a leader that applied the joint set itself. When that leader died in between, the site kept both sets of voters, the dead one included, and allowed no further change. Any ready leader now ends a committed joint phase.

--- a/internal/aubconsensus/apply.go
+++ b/internal/aubconsensus/apply.go
@@ -26,6 +26,7 @@
 		n.applyNext()
 	}
 	if n.lead != nil {
+		n.finishChange()
 		n.completeReads()
 	}
 	n.completeWaits()
@@ -45,8 +46,6 @@
 		n.appliedBytes += len(e.GetData())
 	case aubwire.EntryKind_ENTRY_KIND_EMPTY:
 		n.applyStart(e)
-	case aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP:
-		n.applyMembership(e)
 	}
 	n.applied = e.GetIndex()
 	n.answerWaiter(e, result)
--- a/internal/aubconsensus/change.go
+++ b/internal/aubconsensus/change.go
@@ -92,14 +92,14 @@
 	n.appendMembership(members.withPromotion(learner))
 }
 
-// applyMembership ends the joint phase once it is committed.
-func (n *Node) applyMembership(e *aubwire.LogEntry) {
-	if n.lead == nil || n.log.membershipIndex() != e.GetIndex() {
+// finishChange ends the joint phase once it is committed, also one that an earlier
+// leader began.
+func (n *Node) finishChange() {
+	members := n.log.membership()
+	if n.Err() != nil || !n.lead.ready || !members.isJoint() || n.log.membershipIndex() > n.applied {
 		return
 	}
-	if members := n.log.membership(); members.isJoint() {
-		n.appendMembership(members.withoutOutgoing())
-	}
+	n.appendMembership(members.withoutOutgoing())
 }
 
 // ReplaceMember replaces a dead voter by a joining replica that runs on an empty
--- a/internal/aubconsensus/change_test.go
+++ b/internal/aubconsensus/change_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubconsensus"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -244,3 +245,41 @@
 	other, _ := c.process(lost)
 	qt.Assert(t, other.machine.get("k"), qt.Contains, "59,")
 }
+
+// TestNextLeaderFinishesAChange kills the leader after the joint set is committed
+// and before anyone else has the entry that ends it.
+func TestNextLeaderFinishesAChange(t *testing.T) {
+	c := newCluster(t, 5, 8)
+	c.append("k", "1")
+	lost := c.any(c.leader())
+	c.loseDisk(lost, false)
+	c.network.drop(endsChange)
+	c.start(lost)
+	leader := c.leader()
+	c.eventually("the joint set is applied by a follower", func() bool {
+		p, _ := c.process(c.any(leader, lost))
+		s := p.node.Status()
+		return s.IsJoint && s.Applied == s.Commit && s.Applied > 2
+	})
+	c.run(2)
+	c.kill(leader)
+	c.network.drop(nil)
+	c.waitVoter(lost)
+	c.start(leader)
+	c.append("k", "2")
+	c.hasEverywhere("k", "1,2,")
+}
+
+// endsChange reports whether a message carries the set that ends a change.
+func endsChange(m *aubwire.ConsensusMessage) bool {
+	for _, e := range m.GetAppend().GetEntries() {
+		if e.GetKind() != aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP {
+			continue
+		}
+		set := &aubwire.Membership{}
+		if proto.Unmarshal(e.GetData(), set) == nil && len(set.GetOutgoingVoters()) == 0 && len(set.GetLearners()) == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -91,8 +91,10 @@
 	Learners   []Peer
 	// IsVoter is false while this member's disk is not part of the voters.
 	IsVoter bool
-	// InChange is set while the voters are being changed.
+	// InChange is set while a change of the members is not committed; IsJoint while
+	// decisions need the old voters and the new ones.
 	InChange bool
+	IsJoint  bool
 }
 
 // NewNode starts a node over an opened disk, which it closes when ctx ends.
@@ -270,6 +272,7 @@
 		Voters:     toPeers(members.wire.GetVoters()),
 		Learners:   toPeers(members.wire.GetLearners()),
 		IsVoter:    members.isVoter(n.self.GetDiskId()),
+		IsJoint:    members.isJoint(),
 		InChange:   members.isJoint() || n.log.membershipIndex() > n.commit,
 	}}
 	if n.lead != nil && n.lead.ready && n.lead.transfer == nil {
