Bound what a leaving entry still commits

Cause: an entry without a quorum waited out the whole shutdown timeout (120 s) to return its granted tokens; two entries of an example site were seen running two minutes after SIGTERM. Ruled out: running requests and the leadership transfer, which was bounded. Before: TestShutdownWithoutQuorum fails, the process does not end within 30 s. After: it passes; the bound is 5 s.

--- a/internal/aubcli/site_fault_test.go
+++ b/internal/aubcli/site_fault_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// TestShutdownWithoutQuorum ends an entry that can't commit anything any more.
+func TestShutdownWithoutQuorum(t *testing.T) {
+	s := newSite(t)
+	s.signal(t, "entry-a", syscall.SIGKILL)
+	s.signal(t, "entry-b", syscall.SIGKILL)
+	qt.Assert(t, call(s.callers["entry-c"], "example-small", 2, false).whole(), qt.IsTrue)
+	qt.Check(t, s.signal(t, "entry-c", syscall.SIGTERM), qt.Equals, ExitDone)
+}
+
 // TestRestoreAfterMajorityLoss loses two of three disks, checks that the site
 // refuses changes, restores it from the survivor and checks that its tickets are
 // in force and changes are accepted again.
--- a/internal/aubprocess/control.go
+++ b/internal/aubprocess/control.go
@@ -22,9 +22,6 @@
 // shownInterval is the time between two looks for the first configuration.
 const shownInterval = 50 * time.Millisecond
 
-// transferTimeout bounds the hand-over of the leadership.
-const transferTimeout = 3 * time.Second
-
 // control is the replicated state of one process.
 type control struct {
 	p         *process
@@ -92,8 +89,6 @@
 
 // leave hands the leadership to another replica.
 func (c *control) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
 	if _, leads := c.replica.Leading(); !leads {
 		return
 	}
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -24,6 +25,9 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
+// giveBackTimeout bounds what a leaving entry still has to commit.
+const giveBackTimeout = 5 * time.Second
+
 // defaultOutputTokens bounds a model request when neither caller nor model does.
 const defaultOutputTokens = 1024
 
@@ -277,9 +281,17 @@
 			e.common.Log.Warn("Some requests did not finish.", zap.Int64("running", e.handler.Running()), zap.Error(err))
 		}
 	}
+	e.giveBack(ctx)
+	return nil
+}
+
+// giveBack returns granted tokens and the leadership. Without a quorum neither
+// can be given back, and both end by their leases.
+func (e *entry) giveBack(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, giveBackTimeout)
+	defer cancel()
 	if err := e.limiter.Leave(ctx); err != nil {
 		e.common.Log.Warn("Could not return the granted tokens.", zap.Error(err))
 	}
 	e.control.leave(ctx)
-	return nil
 }
