--- a/internal/aubcli/site_test.go
+++ b/internal/aubcli/site_test.go
@@ -127,7 +127,7 @@
 	cfg["zone"] = string(rune('a' + i))
 	cfg["secret_file"] = s.path("secret")
 	cfg["log"] = settings{"level": "info", "format": "console"}
-	cfg["shutdown"] = settings{"delay": "300ms", "timeout": "20s"}
+	cfg["shutdown"] = settings{"delay": "300ms", "timeout": "120s"}
 	data, err := yaml.Marshal(cfg)
 	qt.Assert(t, err, qt.IsNil)
 	s.files[name] = s.path(name + ".yaml")
