--- a/internal/aubprocess/http.go
+++ b/internal/aubprocess/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,7 @@
 func newHealth() *health { return &health{} }
 
 // handler serves the checks and the metrics page.
-func (h *health) handler(metrics http.Handler) http.Handler {
+func (h *health) handler(metrics http.Handler, profile bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -39,6 +40,10 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.Handle("GET /metrics", metrics)
+	if profile {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
 
@@ -97,7 +102,7 @@
 	_, err := p.serveHTTP(httpOpts{
 		setting: "platform.listen",
 		listen:  p.cfg.Platform.Listen,
-		handler: p.health.handler(p.metrics.Handler),
+		handler: p.health.handler(p.metrics.Handler, p.cfg.Platform.Profile),
 	})
 	return err
 }
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -87,7 +87,8 @@
 
 // Platform is the settings of the listener for the platform.
 type Platform struct {
-	Listen Address `yaml:"listen" doc:"IP number and port for /healthz, /readyz and /metrics."`
+	Listen  Address `yaml:"listen" doc:"IP number and port for /healthz, /readyz and /metrics."`
+	Profile bool    `yaml:"profile" doc:"Serve processor and memory profiles under /debug/pprof/ on the same listener."`
 }
 
 // Limits is the settings of token limits.
