--- a/internal/aubadmin/handler_test.go
+++ b/internal/aubadmin/handler_test.go
@@ -57,6 +57,14 @@
 type fakeMembers struct {
 	mu       sync.Mutex
 	versions map[string]uint64
+	// lost names the members that fell silent.
+	lost map[string]bool
+}
+
+func (m *fakeMembers) lose(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost[name] = true
 }
 
 func (m *fakeMembers) set(name string, version uint64) {
@@ -69,12 +77,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	members := make([]aubmembership.Member, 0, len(m.versions))
+	var lost []aubmembership.Member
 	for name, version := range m.versions {
-		members = append(members, aubmembership.Member{Announcement: &aubwire.Announcement{
+		member := aubmembership.Member{Announcement: &aubwire.Announcement{
 			Name: name, Role: aubwire.Role_ROLE_AGENT, ConfigVersion: version,
-		}})
+		}}
+		if m.lost[name] {
+			lost = append(lost, member)
+			continue
+		}
+		members = append(members, member)
 	}
-	return aubmembership.NewView(time.Time{}, members...)
+	return aubmembership.NewView(time.Time{}, members...).WithLost(lost...)
 }
 
 type fixture struct {
@@ -88,7 +102,7 @@
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	f := &fixture{
 		log:     &fakeLog{table: aubstate.NewConfigTable(common)},
-		members: &fakeMembers{versions: make(map[string]uint64)},
+		members: &fakeMembers{versions: make(map[string]uint64), lost: make(map[string]bool)},
 	}
 	f.server = httptest.NewServer(aubadmin.NewHandler(common, aubadmin.HandlerOpts{
 		Credential: credential, State: f.log.table, Proposer: f.log, Reader: f.log, Members: f.members,
@@ -261,6 +275,20 @@
 	qt.Assert(t, outcome.Unconfirmed, qt.DeepEquals, []string{"agent-1", "agent-2"})
 }
 
+// A process that is frozen or cut off vanishes from the live members, and still
+// has the older configuration.
+func TestWaitNamesLostMembers(t *testing.T) {
+	f := newFixture(t)
+	f.members.set("entry-a", 1)
+	f.members.set("agent-1", 0)
+	f.members.lose("agent-1")
+	_, outcome := f.put(t, "/admin/v1/tickets/1?wait=100ms", workspaceYAML)
+	qt.Assert(t, outcome.InForce, qt.IsFalse)
+	qt.Assert(t, outcome.Unconfirmed, qt.DeepEquals, []string{"agent-1"})
+	members := f.call(t, http.MethodGet, "/admin/v1/members", "", "")
+	qt.Assert(t, members.body, qt.Contains, `"lost": true`)
+}
+
 func TestWaitEndsOnceAllHaveConfirmed(t *testing.T) {
 	f := newFixture(t)
 	f.members.set("agent-1", 0)
--- a/internal/aubadmin/query.go
+++ b/internal/aubadmin/query.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// confirmedHeader is false when the answer may be older than the leader's state.
-	confirmedHeader = "Config-Confirmed"
 	// versionHeader is the configuration version that the answer shows.
 	versionHeader = "Config-Version"
 
@@ -40,6 +38,7 @@
 		return
 	}
 	confirmed := q.confirm(r)
+	w.Header().Set(aubapi.ConfirmedHeader, strconv.FormatBool(confirmed))
 	outcome, ok := q.opts.State.Outcome(number)
 	if ok {
 		writeAnswer(w, r, http.StatusOK, outcome)
@@ -103,10 +102,15 @@
 
 func (q *queries) members(w http.ResponseWriter, r *http.Request) {
 	view := q.opts.Members.View()
-	members := make([]aubapi.Member, 0, len(view.Members()))
+	members := make([]aubapi.Member, 0, len(view.Members())+len(view.Lost()))
 	for _, m := range view.Members() {
 		members = append(members, memberOf(view, m))
 	}
+	for _, m := range view.Lost() {
+		lost := memberOf(view, m)
+		lost.Lost = true
+		members = append(members, lost)
+	}
 	writeAnswer(w, r, http.StatusOK, members)
 }
 
@@ -115,7 +119,7 @@
 func (q *queries) read(w http.ResponseWriter, r *http.Request) aubquery.Config {
 	confirmed := q.confirm(r)
 	cfg := q.opts.State.Config()
-	w.Header().Set(confirmedHeader, strconv.FormatBool(confirmed))
+	w.Header().Set(aubapi.ConfirmedHeader, strconv.FormatBool(confirmed))
 	w.Header().Set(versionHeader, strconv.FormatUint(cfg.Version(), 10))
 	return cfg
 }
--- a/internal/aubadmin/wait.go
+++ b/internal/aubadmin/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
@@ -41,13 +42,16 @@
 }
 
 // unconfirmed returns the names of the members below the version, in order.
+// Lost members count: a process that is frozen or cut off may still serve, or
+// serve again, with an older configuration.
 func unconfirmed(view aubmembership.View, version uint64) []string {
 	var names []string
-	for _, m := range view.Members() {
+	for _, m := range slices.Concat(view.Members(), view.Lost()) {
 		if m.Announcement.GetConfigVersion() < version {
 			names = append(names, m.Announcement.GetName())
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
--- a/internal/aubcli/admin.go
+++ b/internal/aubcli/admin.go
@@ -31,6 +31,10 @@
 	return flag.ErrHelp
 }
 
+func (s streams) warnUnconfirmed() {
+	fmt.Fprintln(s.errOut, "auburndale: the control leader can't be reached from there; this answer may be old")
+}
+
 // parseMixed parses flags that stand after or between the arguments, which the
 // flag package leaves alone, and returns the arguments.
 func (s streams) parseMixed(fs *flag.FlagSet, args []string) ([]string, error) {
@@ -85,5 +89,5 @@
 	if text == "" {
 		return nil, errors.New("-credential_file: " + f.credentialFile + " is empty")
 	}
-	return aubclient.NewClient(aubclient.ClientOpts{BaseURL: f.admin, Credential: text}), nil
+	return aubclient.NewClient(aubclient.ClientOpts{BaseURL: f.admin, Credential: text, OnUnconfirmed: s.warnUnconfirmed}), nil
 }
--- a/internal/aubcli/ticket_test.go
+++ b/internal/aubcli/ticket_test.go
@@ -119,6 +119,18 @@
 	}
 }
 
+func TestGetWarnsOfUnconfirmedAnswers(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(aubapi.ConfirmedHeader, "false")
+		_, _ = w.Write([]byte(`{"version":3,"digest":"00"}`))
+	}))
+	defer server.Close()
+	code, out, errOut := runCommand(newGetCommand, "version", "--admin", server.URL, "--credential_file", credentialFile(t))
+	qt.Assert(t, code, qt.Equals, ExitDone)
+	qt.Assert(t, out, qt.Equals, "version: 3\ndigest: \"00\"\n")
+	qt.Assert(t, errOut, qt.Contains, "may be old")
+}
+
 func TestKeyNewPrintsTheSecretApart(t *testing.T) {
 	code, out, errOut := runCommand(newKeyCommand, "new", "--name", "dispatch", "--workspace", "zilina")
 	qt.Assert(t, code, qt.Equals, ExitDone)
--- a/pkg/aubapi/member.go
+++ b/pkg/aubapi/member.go
@@ -1,5 +1,9 @@
 package aubapi
 
+// ConfirmedHeader of an answer is false when the answer may be older than the
+// control leader's state.
+const ConfirmedHeader = "Config-Confirmed"
+
 // Member is what the site knows of one of its processes.
 type Member struct {
 	Name string `json:"name" yaml:"name"`
@@ -10,6 +14,8 @@
 	// Incarnation grows with every start of the process.
 	Incarnation uint64 `json:"incarnation" yaml:"incarnation"`
 	Leaving     bool   `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+	// Lost members fell silent without leaving.
+	Lost bool `json:"lost,omitempty" yaml:"lost,omitempty"`
 	// ConfigVersion is the newest configuration that the process confirmed.
 	ConfigVersion uint64 `json:"config_version" yaml:"config_version"`
 	// HeardAgoMS is the age of the newest announcement, in milliseconds.
--- a/pkg/aubclient/client.go
+++ b/pkg/aubclient/client.go
@@ -27,6 +27,9 @@
 	Credential string
 	// HTTP sends the requests; nil means http.DefaultClient.
 	HTTP *http.Client
+	// OnUnconfirmed is called when an answer may be older than the control
+	// leader's state; nil ignores that.
+	OnUnconfirmed func()
 }
 
 // Client calls the administration API. It is safe for concurrent use.
@@ -40,6 +43,9 @@
 	if opts.HTTP == nil {
 		opts.HTTP = http.DefaultClient
 	}
+	if opts.OnUnconfirmed == nil {
+		opts.OnUnconfirmed = func() {}
+	}
 	return &Client{opts: opts}
 }
 
@@ -131,6 +137,9 @@
 	if err != nil {
 		return &UncertainError{Err: err}
 	}
+	if resp.Header.Get(aubapi.ConfirmedHeader) == "false" {
+		c.opts.OnUnconfirmed()
+	}
 	return decodeAnswer(resp, data, answer)
 }
 
