Let a lagging replica press its older state on followers

The test of the reconnect to a lagging replica held without the refusal of lower versions, because the server sends none; now the lagging one sends its full state with every message, and the test fails once both guards are disabled. The test of many changes held without the composer's removal rule; it now ends behind a removal and fails without it. Clearing a removal that a later setting follows has no test that fails: removals come before settings, so it saves bytes only.

--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubauth"
 	"github.com/auburndale/auburndale/internal/aubdistribution"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
 	"github.com/auburndale/auburndale/internal/aubwire"
 	"github.com/auburndale/auburndale/pkg/aubapi"
@@ -132,6 +133,12 @@
 	defer s.watchVersions(s.ctx, f, history(t, 8))()
 	s.until("the first version", reaches(f, 6))
 	ahead.setSpoil(func(*aubwire.WatchResponse) []*aubwire.WatchResponse { return nil })
+	// The lagging one presses its older state on everyone.
+	behind.setSpoil(func(m *aubwire.WatchResponse) []*aubwire.WatchResponse {
+		cfg := behind.table.Config()
+		older := &aubwire.ConfigFull{State: aubcodec.StateToWire(cfg), Digest: cfg.Digest().Bytes()}
+		return []*aubwire.WatchResponse{{Message: &aubwire.WatchResponse_Full{Full: older}}, m}
+	})
 	s.until("the second stream", func() bool { return s.dials.Load() == 2 })
 	s.pass(2 * time.Second)
 	qt.Assert(t, f.Config().Version(), qt.Equals, uint64(6))
@@ -313,7 +320,8 @@
 		version uint64
 		fulls   int
 	}{
-		{name: "one delta over all changes", version: 900},
+		// The removal in version 896 has to win over the settings before it.
+		{name: "one delta over all changes", version: 897},
 		{name: "the full state once changes are no longer kept", version: 1600, fulls: 1},
 	}
 	for _, c := range cases {
