Test each rule of the limits by the history that needs it

The drawn histories alone missed several disabled rules, so each rule has a history of its own. Some rules are held twice in the code (the capacity and the room of a bucket, the lapse and the check after payment); one of the two alone does not break the bound.

--- /dev/null
+++ b/internal/aublimit/guard_test.go
@@ -0,0 +1,245 @@
+package aublimit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aublimit"
+)
+
+// fetch leases the tokens to the holder and leaves them unspent.
+func (w *world) fetch(h *holder, tokens int64) {
+	_, waiting, err := h.limiter.TryReserve(workspace, tokens)
+	if err != nil || waiting == nil {
+		w.Fatalf("no wait for %d tokens: %v", tokens, err)
+	}
+	s, ok := h.limiter.PrepareSync()
+	if !ok {
+		w.Fatal("nothing to sync")
+	}
+	if _, err := waiting.GiveUp(); err == nil {
+		w.Fatal("tokens came without a sync")
+	}
+	reply := w.log.commit(s.Body())
+	if err := s.Answer(reply); err != nil {
+		w.Fatal(err)
+	}
+}
+
+// resync exchanges one sync, committed several times, and returns the command.
+func (w *world) resync(h *holder, times int) []byte {
+	s, ok := h.limiter.PrepareSync()
+	if !ok {
+		w.Fatal("nothing to sync")
+	}
+	reply := w.log.commit(s.Body())
+	for range times - 1 {
+		w.log.commit(s.Body())
+	}
+	if err := s.Answer(reply); err != nil {
+		w.Fatal(err)
+	}
+	return s.Body()
+}
+
+// spendAll reserves smaller and smaller pieces until nothing more comes.
+func (w *world) spendAll(h *holder) {
+	for _, tokens := range []int64{150, 50, 20, 5, 1} {
+		for before := -1; before < len(w.spends); {
+			before = len(w.spends)
+			w.reserve(h, tokens)
+			if !h.cut {
+				w.exchange(h)
+			}
+			w.collect(h, true)
+		}
+	}
+}
+
+// take reserves tokens that have to come.
+func (w *world) take(h *holder, tokens int64) *spend {
+	before := len(w.spends)
+	w.reserve(h, tokens)
+	w.exchange(h)
+	w.exchange(h)
+	if len(w.spends) == before {
+		w.Fatalf("%d tokens did not come", tokens)
+	}
+	return w.spends[len(w.spends)-1]
+}
+
+func (s *spend) settle(used int64) {
+	s.used = used
+	s.reserve.Settle(used)
+}
+
+// TestGuards holds each rule of the limits against the history that needs it.
+func TestGuards(t *testing.T) {
+	const noFloors = -1
+	short := terms(noFloors)
+	short.FloorLease, short.FloorMargin = 4*time.Second, time.Millisecond
+	cases := []struct {
+		name  string
+		terms aublimit.Terms
+		run   func(w *world, a, b *holder)
+	}{
+		{
+			name:  "leased tokens count against the burst",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				w.fetch(a, 200)
+				w.advance(2900*time.Millisecond, 1000)
+				w.spendAll(b)
+				a.cut = true
+				w.spendAll(a)
+			},
+		},
+		{
+			name:  "a lease ends by its holder's clock",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				w.fetch(a, 200)
+				a.cut = true
+				for range 10 {
+					w.advance(time.Second, 1000)
+					w.exchange(b)
+				}
+				w.spendAll(b)
+				w.spendAll(a)
+			},
+		},
+		{
+			name:  "a lease is counted from before its sync was sent",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				w.reserve(a, 200)
+				w.send(a)
+				w.collect(a, true)
+				w.advance(2900*time.Millisecond, 1000)
+				w.receive(a)
+				a.cut = true
+				for range 10 {
+					w.advance(280*time.Millisecond, 1000)
+					w.exchange(b)
+				}
+				w.spendAll(b)
+				w.spendAll(a)
+			},
+		},
+		{
+			name:  "the table waits for a holder whose clock is slow",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				a.slow = 100
+				w.fetch(a, 200)
+				a.cut = true
+				w.advance(3050*time.Millisecond, 1000)
+				w.exchange(b)
+				w.advance(250*time.Millisecond, 1000)
+				w.spendAll(b)
+				w.spendAll(a)
+			},
+		},
+		{
+			name:  "a doubled sync returns tokens once",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				w.fetch(a, 200)
+				w.advance(2*time.Second, 1000)
+				w.resync(a, 2)
+				w.spendAll(b)
+				a.cut = true
+				w.spendAll(a)
+			},
+		},
+		{
+			name:  "a sync of an ended session credits nothing",
+			terms: short,
+			run: func(w *world, a, b *holder) {
+				w.spendAll(b)
+				w.advance(time.Second, 1000)
+				s := w.take(a, 90)
+				s.settle(0)
+				w.advance(100*time.Millisecond, 1000)
+				late := w.resync(a, 1)
+				w.spendAll(b)
+				for range 10 {
+					w.advance(time.Second, 1000)
+					w.spendAll(b)
+				}
+				w.log.commit(late)
+				w.advance(10*time.Millisecond, 1000)
+				w.spendAll(b)
+			},
+		},
+		{
+			name:  "unused tokens come back only where there was room for them",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				s := w.take(a, 100)
+				w.advance(10*time.Second, 1000)
+				w.exchange(a)
+				w.spendAll(b)
+				s.settle(0)
+				w.exchange(a)
+				w.spendAll(b)
+			},
+		},
+		{
+			name:  "the same room serves one reservation",
+			terms: terms(noFloors),
+			run: func(w *world, a, b *holder) {
+				w.spendAll(b)
+				w.advance(2*time.Second, 1000)
+				w.exchange(a)
+				first := w.take(a, 100)
+				w.advance(10*time.Millisecond, 1000)
+				w.exchange(a)
+				second := w.take(a, 100)
+				// Room for 100 remains: one of the two comes back.
+				w.advance(2*time.Second, 1000)
+				w.spendAll(b)
+				first.settle(0)
+				second.settle(0)
+				w.exchange(a)
+				w.spendAll(b)
+			},
+		},
+		{
+			name:  "floors of processes that may live on add up to their part",
+			terms: terms(800),
+			run: func(w *world, _, _ *holder) {
+				for range 2 {
+					w.restart(0, false)
+					w.exchange(w.holders[len(w.holders)-1])
+				}
+				w.advance(time.Minute, 1000)
+				for _, h := range w.holders {
+					h.cut = true
+					w.spendAll(h)
+				}
+			},
+		},
+		{
+			name:  "floors are taken out of the central rate",
+			terms: terms(500),
+			run: func(w *world, a, b *holder) {
+				for range 60 {
+					w.advance(500*time.Millisecond, 1000)
+					w.spendAll(a)
+					w.spendAll(b)
+				}
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 2, c.terms)
+			c.run(w, w.holders[0], w.holders[1])
+			if len(w.spends) < 2 {
+				t.Fatal("nothing was spent")
+			}
+			w.check()
+		})
+	}
+}
--- a/internal/aublimit/history_test.go
+++ b/internal/aublimit/history_test.go
@@ -50,6 +50,8 @@
 
 // world is a fleet of holders over one ordered log, in virtual time.
 type world struct {
+	rapid.TB
+	// t draws the steps; nil where a test takes them itself.
 	t       *rapid.T
 	site    *site
 	log     *fakeLog
@@ -70,14 +72,28 @@
 	burst float64
 }
 
-func newWorld(t *rapid.T, holders int) *world {
-	w := &world{t: t, site: newSite(aubapi.Workspace{Name: workspace, Rate: 100, Burst: 300})}
-	w.log = newFakeLog(w.site, aublimit.Terms{
-		Lease:       3 * time.Second,
-		LeaseMargin: 500 * time.Millisecond,
-		FloorLease:  time.Hour,
-		FloorMargin: time.Minute,
-	}, func() time.Duration { return w.clock })
+func terms(floorPerMille int64) aublimit.Terms {
+	return aublimit.Terms{
+		Lease:         3 * time.Second,
+		LeaseMargin:   500 * time.Millisecond,
+		FloorLease:    time.Hour,
+		FloorMargin:   time.Minute,
+		FloorPerMille: floorPerMille,
+	}
+}
+
+func newDrawnWorld(t *rapid.T) *world {
+	w := newWorld(t, rapid.IntRange(1, 3).Draw(t, "holders"), terms(aublimit.DefaultFloorPerMille))
+	w.t = t
+	for _, h := range w.holders {
+		h.slow = w.drawSlow()
+	}
+	return w
+}
+
+func newWorld(tb rapid.TB, holders int, terms aublimit.Terms) *world {
+	w := &world{TB: tb, site: newSite(aubapi.Workspace{Name: workspace, Rate: 100, Burst: 300})}
+	w.log = newFakeLog(w.site, terms, func() time.Duration { return w.clock })
 	for i := range holders {
 		w.holders = append(w.holders, w.start(fmt.Sprintf("i%d", i), 1, true))
 	}
@@ -95,7 +111,6 @@
 		name:        name,
 		incarnation: incarnation,
 		clock:       clock,
-		slow:        time.Duration(rapid.IntRange(0, 10).Draw(w.t, "slow")),
 		limiter: aublimit.NewIdleLimiter(aubcommon.NewCommon(clock), aublimit.LimiterOpts{
 			Instance:         name,
 			Zone:             name,
@@ -106,6 +121,10 @@
 	}
 }
 
+func (w *world) drawSlow() time.Duration {
+	return time.Duration(rapid.IntRange(0, 10).Draw(w.t, "slow"))
+}
+
 // note keeps the limits to honour from now on: the configured ones, and above
 // them what the table lent or gave as floors under earlier limits.
 func (w *world) note() {
@@ -202,7 +221,7 @@
 		return
 	}
 	if err := call.Answer(h.reply); err != nil {
-		w.t.Fatal(err)
+		w.Fatal(err)
 	}
 }
 
@@ -222,6 +241,9 @@
 		}
 	}
 	next := w.start(old.name, incarnation+1, alone)
+	if w.t != nil {
+		next.slow = w.drawSlow()
+	}
 	if alone {
 		w.holders = slices.DeleteFunc(w.holders, func(h *holder) bool { return h.name == old.name })
 	}
@@ -232,10 +254,10 @@
 func (w *world) restore() {
 	data, err := w.log.table.Snapshot()
 	if err != nil {
-		w.t.Fatal(err)
+		w.Fatal(err)
 	}
 	if err := w.log.table.Restore(data); err != nil {
-		w.t.Fatal(err)
+		w.Fatal(err)
 	}
 }
 
@@ -254,7 +276,7 @@
 		}
 		level -= float64(e.spend.used)
 		if level < -tolerance {
-			w.t.Fatalf("%v: %d tokens used, %.6f beyond the limit", e.at, e.spend.used, -level)
+			w.Fatalf("%v: %d tokens used, %.6f beyond the limit", e.at, e.spend.used, -level)
 		}
 	}
 }
@@ -362,7 +384,7 @@
 // doubled commands, slow replicated clocks, other replicas and floors.
 func TestNoWindowExceedsRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, rapid.IntRange(1, 3).Draw(t, "holders"))
+		w := newDrawnWorld(t)
 		for range stepsPerHistory {
 			w.step()
 		}
@@ -374,7 +396,7 @@
 // leases end and floors are acknowledged, the earlier limits have to be honoured.
 func TestNoWindowExceedsChangingLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, rapid.IntRange(1, 3).Draw(t, "holders"))
+		w := newDrawnWorld(t)
 		for range stepsPerHistory {
 			if rapid.IntRange(0, 30).Draw(t, "ticket") == 0 {
 				w.site.set(aubapi.Workspace{
