Fix a crash of the fair order on equal start tags

A flow entered the heap of flows before its first entry, so that a tie with another flow's start tag looked at an entry that was not there.

--- a/internal/aublimit/history_test.go
+++ b/internal/aublimit/history_test.go
@@ -34,7 +34,7 @@
 	clock       *aubtimer.Manual
 	limiter     *aublimit.Limiter
 	// slow is how much the holder's clock loses, in thousandths.
-	slow   time.Duration
+	slow   int64
 	frozen bool
 	// cut loses requests, deaf loses replies.
 	cut, deaf bool
@@ -121,9 +121,7 @@
 	}
 }
 
-func (w *world) drawSlow() time.Duration {
-	return time.Duration(rapid.IntRange(0, 10).Draw(w.t, "slow"))
-}
+func (w *world) drawSlow() int64 { return rapid.Int64Range(0, 10).Draw(w.t, "slow") }
 
 // note keeps the limits to honour from now on: the configured ones, and above
 // them what the table lent or gave as floors under earlier limits.
@@ -142,7 +140,7 @@
 	w.now += d
 	w.clock += d * time.Duration(clockPerMille) / 1000
 	for _, h := range w.holders {
-		h.clock.Advance(d - d*h.slow/1000)
+		h.clock.Advance(d * time.Duration(1000-h.slow) / 1000)
 	}
 }
 
--- a/internal/aubqueue/fair.go
+++ b/internal/aubqueue/fair.go
@@ -43,16 +43,14 @@
 	f := o.flow(e.Flow)
 	o.sequence++
 	e.sequence = o.sequence
-	if f.entries.Len() == 0 {
+	heap.Push(&f.entries, e)
+	if f.entries.Len() == 1 {
 		f.start = math.Max(f.start, o.virtual)
-		f.weight = max(e.Weight, 1)
+		f.weight = 0
 		heap.Push(&o.active, f)
-		o.weight += f.weight
-	} else {
-		o.weight += max(e.Weight, 1) - f.weight
-		f.weight = max(e.Weight, 1)
 	}
-	heap.Push(&f.entries, e)
+	o.weight += max(e.Weight, 1) - f.weight
+	f.weight = max(e.Weight, 1)
 	f.cost += max(e.Cost, 1)
 	o.cost += max(e.Cost, 1)
 	o.length++
