Keep places free for quiet workspaces

Now a workspace whose recent load is above 1.5 times its max-min fair share leaves places free for the quiet ones: 1.75 square roots of their load, a quarter of the capacity at most.

--- a/internal/aubqueue/fair.go
+++ b/internal/aubqueue/fair.go
@@ -56,25 +56,32 @@
 	o.length++
 }
 
-// Peek implements Order.
-func (o *FairOrder[T]) Peek() *Entry[T] {
+// Next implements Order.
+func (o *FairOrder[T]) Next(eligible func(flow string) bool) *Entry[T] {
 	if len(o.active) == 0 {
 		return nil
 	}
-	return o.active[0].entries[0]
-}
-
-// Pop implements Order.
-func (o *FairOrder[T]) Pop() *Entry[T] {
-	if len(o.active) == 0 {
+	if first := o.active[0].entries[0]; eligible(first.Flow) {
+		return first
+	}
+	var next *flow[T]
+	for _, f := range o.active {
+		if eligible(f.entries[0].Flow) && (next == nil || f.before(next)) {
+			next = f
+		}
+	}
+	if next == nil {
 		return nil
 	}
-	f := o.active[0]
-	e := f.entries[0]
-	o.virtual = f.start
+	return next.entries[0]
+}
+
+// Take implements Order.
+func (o *FairOrder[T]) Take(e *Entry[T]) {
+	f := o.flows[e.Flow]
+	o.virtual = math.Max(o.virtual, f.start)
 	f.start += float64(max(e.Cost, 1)) / float64(f.weight)
 	o.take(f, e)
-	return e
 }
 
 // Remove implements Order.
--- a/internal/aubqueue/fcfs.go
+++ b/internal/aubqueue/fcfs.go
@@ -28,8 +28,8 @@
 	o.cost += max(e.Cost, 1)
 }
 
-// Peek implements Order.
-func (o *FCFSOrder[T]) Peek() *Entry[T] {
+// Next implements Order. It knows no flows: the first one blocks all others.
+func (o *FCFSOrder[T]) Next(func(flow string) bool) *Entry[T] {
 	front := o.entries.Front()
 	if front == nil {
 		return nil
@@ -38,14 +38,8 @@
 	return e
 }
 
-// Pop implements Order.
-func (o *FCFSOrder[T]) Pop() *Entry[T] {
-	e := o.Peek()
-	if e != nil {
-		o.Remove(e)
-	}
-	return e
-}
+// Take implements Order.
+func (o *FCFSOrder[T]) Take(e *Entry[T]) { o.Remove(e) }
 
 // Remove implements Order.
 func (o *FCFSOrder[T]) Remove(e *Entry[T]) {
--- a/internal/aubqueue/flowheap.go
+++ b/internal/aubqueue/flowheap.go
@@ -9,12 +9,7 @@
 
 func (h flowHeap[T]) Len() int { return len(h) }
 
-func (h flowHeap[T]) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].entries[0].sequence < h[j].entries[0].sequence
-}
+func (h flowHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
 
 func (h flowHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -22,6 +17,14 @@
 	h[j].index = j
 }
 
+// before orders flows by start tag, then by the arrival of their first entry.
+func (f *flow[T]) before(g *flow[T]) bool {
+	if f.start != g.start {
+		return f.start < g.start
+	}
+	return f.entries[0].sequence < g.entries[0].sequence
+}
+
 // Push implements heap.Interface.
 func (h *flowHeap[T]) Push(x any) {
 	f, ok := x.(*flow[T])
--- a/internal/aubqueue/group.go
+++ b/internal/aubqueue/group.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// perMille is the whole of a part in thousandths.
+	perMille = 1000
 	// smoothing is the weight of a new observation in the averages.
 	smoothing = 0.1
 	// minRetryAfter is the least time that a refused caller is told to wait.
@@ -14,6 +16,7 @@
 // group is the requests that share one capacity.
 type group struct {
 	order    Order[*waiter]
+	tenants  *tenants
 	capacity int
 	running  int
 	tokens   int64
@@ -23,16 +26,48 @@
 }
 
 func newGroup(p Policy, capacity int) *group {
-	return &group{order: NewOrder[*waiter](p), capacity: capacity}
+	return &group{order: NewOrder[*waiter](p), tenants: newTenants(), capacity: capacity}
 }
 
-// fits reports whether the next waiting request may start.
-func (g *group) fits(maxTokens int64) bool {
-	next := g.order.Peek()
-	if next == nil || g.running >= g.capacity {
-		return false
+// startNext starts the next waiting request that may start; nil when none may.
+func (g *group) startNext(now time.Time, opts Opts) *waiter {
+	free := g.capacity - g.running
+	if free <= 0 || g.order.Len() == 0 {
+		return nil
 	}
-	return maxTokens <= 0 || g.running == 0 || g.tokens+next.Cost <= maxTokens
+	most := max(g.capacity*opts.ReservePerMille/perMille, 0)
+	g.tenants.assess(now, g.capacity, most, g.secondsPerCost())
+	next := g.order.Next(func(workspace string) bool {
+		return free > g.tenants.reserve || !g.tenants.isLoud(workspace)
+	})
+	if next == nil || !g.fits(next.Cost, opts.MaxRunningTokens) {
+		return nil
+	}
+	g.order.Take(next)
+	w := next.Value
+	w.running = true
+	w.startedAt = now
+	g.running++
+	g.tokens += w.item.Cost
+	g.tenants.start(w.item)
+	return w
+}
+
+// fits reports whether the running tokens leave room for the cost.
+func (g *group) fits(cost, maxTokens int64) bool {
+	return maxTokens <= 0 || g.running == 0 || g.tokens+cost <= maxTokens
+}
+
+// remove takes out a request that waits.
+func (g *group) remove(w *waiter) {
+	g.order.Remove(w.entry)
+	g.tenants.leave(w.item)
+}
+
+func (g *group) finish(item Item) {
+	g.running--
+	g.tokens -= item.Cost
+	g.tenants.finish(item)
 }
 
 // observe learns the service rate from a finished request.
@@ -46,6 +81,13 @@
 	g.meanSeconds += smoothing * (d.Seconds() - g.meanSeconds)
 }
 
+func (g *group) secondsPerCost() float64 {
+	if g.meanCost == 0 {
+		return 0
+	}
+	return g.meanSeconds / g.meanCost
+}
+
 // delay estimates how long the item waits; 0 while a place is free or no rate
 // is known.
 func (g *group) delay(item Item) time.Duration {
--- a/internal/aubqueue/order.go
+++ b/internal/aubqueue/order.go
@@ -19,11 +19,12 @@
 type Order[T any] interface {
 	// Push adds an entry.
 	Push(e *Entry[T])
-	// Peek returns the next entry without taking it; nil when none waits.
-	Peek() *Entry[T]
-	// Pop takes the next entry; nil when none waits.
-	Pop() *Entry[T]
-	// Remove takes out an entry that was pushed and not yet popped.
+	// Next returns the next entry whose flow is eligible, without taking it; nil
+	// when there is none.
+	Next(eligible func(flow string) bool) *Entry[T]
+	// Take takes an entry that Next returned, to be served.
+	Take(e *Entry[T])
+	// Remove takes out an entry that will not be served.
 	Remove(e *Entry[T])
 	// Ahead estimates the cost that is served before a new entry of the flow.
 	Ahead(flow string, weight int64) int64
--- a/internal/aubqueue/queue.go
+++ b/internal/aubqueue/queue.go
@@ -15,6 +15,9 @@
 	DefaultCapacity = 64
 	// DefaultMaxWaiting is the number of waiting requests for each workspace and group.
 	DefaultMaxWaiting = 4096
+	// DefaultReservePerMille is the largest part of the capacity left free by
+	// workspaces above their fair share.
+	DefaultReservePerMille = 250
 )
 
 // Opts configures a queue. The zero value is usable.
@@ -30,6 +33,10 @@
 	DefaultCapacity int
 	// MaxWaiting bounds the waiting requests for each workspace and group.
 	MaxWaiting int
+	// ReservePerMille is the largest part of a group's capacity, in thousandths,
+	// that workspaces above their fair share leave free for the others; below 0
+	// means none. Only PolicyFair has a reserve.
+	ReservePerMille int
 }
 
 // Item is a request that asks for admission.
@@ -68,6 +75,12 @@
 	if opts.MaxWaiting <= 0 {
 		opts.MaxWaiting = DefaultMaxWaiting
 	}
+	if opts.ReservePerMille == 0 {
+		opts.ReservePerMille = DefaultReservePerMille
+	}
+	if opts.Policy == PolicyFCFS {
+		opts.ReservePerMille = 0
+	}
 	return &Queue{
 		common: common.WithPart("queue"),
 		opts:   opts,
@@ -126,6 +139,7 @@
 		Cost:     item.Cost,
 		Priority: item.Priority,
 	}
+	g.tenants.arrive(item, now)
 	g.order.Push(w.entry)
 	q.dispatch()
 	return w, nil
@@ -162,7 +176,7 @@
 		return Slot{queue: q, waiter: w}, nil
 	}
 	delay := w.group.delay(w.item)
-	w.group.order.Remove(w.entry)
+	w.group.remove(w)
 	q.common.Metrics.Counter("refused").Inc(1)
 	q.dispatch()
 	return Slot{}, &RefusedError{RetryAfter: retryAfter(delay), Reason: ReasonDeadline}
@@ -175,7 +189,7 @@
 	if w.running {
 		q.finish(w)
 	} else {
-		w.group.order.Remove(w.entry)
+		w.group.remove(w)
 	}
 	q.dispatch()
 }
@@ -193,39 +207,30 @@
 
 func (q *Queue) finish(w *waiter) {
 	w.running = false
-	w.group.running--
-	w.group.tokens -= w.item.Cost
+	w.group.finish(w.item)
 	q.running--
 }
 
 // dispatch starts what fits. Groups take turns, so that none of them keeps the
 // bound over all groups to itself.
 func (q *Queue) dispatch() {
+	now := q.common.Timer.Now()
 	for idle := 0; idle < len(q.names); {
 		if q.opts.MaxRunning > 0 && q.running >= q.opts.MaxRunning {
 			return
 		}
 		q.next = (q.next + 1) % len(q.names)
-		g := q.groups[q.names[q.next]]
-		if g.fits(q.opts.MaxRunningTokens) {
-			q.start(g)
-			idle = 0
+		w := q.groups[q.names[q.next]].startNext(now, q.opts)
+		if w == nil {
+			idle++
 			continue
 		}
-		idle++
+		q.running++
+		close(w.admitted)
+		idle = 0
 	}
 }
 
-func (q *Queue) start(g *group) {
-	w := g.order.Pop().Value
-	w.running = true
-	w.startedAt = q.common.Timer.Now()
-	g.running++
-	g.tokens += w.item.Cost
-	q.running++
-	close(w.admitted)
-}
-
 func (q *Queue) group(name string) *group {
 	g, ok := q.groups[name]
 	if !ok {
