--- a/internal/aublimit/export_test.go
+++ b/internal/aublimit/export_test.go
@@ -107,3 +107,13 @@
 	a := l.account(workspace)
 	return float64(a.floorRate()) / milliPerToken, a.floorCapacity()
 }
+
+// Kicked reports whether the limiter asked for a sync at once.
+func (l *Limiter) Kicked() bool {
+	select {
+	case <-l.wake:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/aublimit/grant.go
+++ b/internal/aublimit/grant.go
@@ -84,7 +84,8 @@
 	c, h := t.centrals[use.GetWorkspace()], s.holding(use.GetWorkspace())
 	g.Granted = c.bucket.lend(use.GetWant())
 	h.outstanding += g.GetGranted()
-	if g.GetGranted() < use.GetWant() {
+	if g.GetGranted() < use.GetWant() || c.bucket.level < c.bucket.capacity/2 {
+		// Floors that are not needed have to be here before the bucket is empty.
 		c.shortUntil = t.clock + shortTime
 	}
 }
--- a/internal/aublimit/limiter.go
+++ b/internal/aublimit/limiter.go
@@ -20,7 +20,7 @@
 	// DefaultApplyTimeout bounds one try to commit a sync.
 	DefaultApplyTimeout = time.Second
 	// DefaultHorizon is the recent use that is fetched ahead.
-	DefaultHorizon = 300 * time.Millisecond
+	DefaultHorizon = 100 * time.Millisecond
 	// DefaultMaxWait bounds how long a reservation waits for tokens.
 	DefaultMaxWait = 500 * time.Millisecond
 	// contactTimeout is the silence of the table after which it counts as cut off.
--- a/internal/aublimit/terms.go
+++ b/internal/aublimit/terms.go
@@ -14,8 +14,8 @@
 	// DefaultFloorMargin is what the table waits beyond the floor's lease.
 	DefaultFloorMargin = 5 * time.Minute
 	// DefaultFloorPerMille is the part of rate and burst given to floors.
-	DefaultFloorPerMille = 300
-	// shortTime is how long a workspace counts as short after a want not met.
+	DefaultFloorPerMille = 200
+	// shortTime is how long a workspace counts as short after its bucket was low.
 	shortTime = 2 * time.Second
 	// forgetCentral is how long the bucket of a removed workspace is kept.
 	forgetCentral = 24 * time.Hour
