--- a/internal/aubagent/site_test.go
+++ b/internal/aubagent/site_test.go
@@ -40,6 +40,8 @@
 	executor *aubexecution.Executor
 	target   aubexecution.Target
 	opts     aubagent.AgentOpts
+	wire     *wire
+	server   *grpc.Server
 }
 
 func newContext(t testing.TB) context.Context {
@@ -97,7 +99,9 @@
 	agent, err := aubagent.NewAgent(s.ctx, s.common, s.opts)
 	qt.Assert(t, err, qt.IsNil)
 	s.agent = agent
-	server := grpc.NewServer()
+	s.wire = &wire{}
+	server := grpc.NewServer(grpc.StreamInterceptor(s.wire.intercept))
+	s.server = server
 	agent.Register(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
