Show graceful shutdown, abandoned work, poison and at-most-once calls

Cause: these had code and no proof. Found and mended: a body that broke off was reported as may have run though no agent hands over a part of a request; two deaths within two seconds were taken for one, so that an innocent request stayed a suspect; streams that end in order without their end mark had no test.

--- a/internal/aubagent/deaths.go
+++ b/internal/aubagent/deaths.go
@@ -30,12 +30,18 @@
 	died   bool
 }
 
+// flight is a request that was handed over.
+type flight struct {
+	fingerprint string
+	since       time.Time
+}
+
 // deaths ties the deaths of the backend server to what was in flight.
 type deaths struct {
 	timer aubtimer.Service
 
 	mu      sync.Mutex
-	flights map[*execution]string
+	flights map[*execution]flight
 	last    *scene
 	// suspects and poisoned forget a fingerprint after poisonTime.
 	suspects *simplelru.LRU[string, time.Time]
@@ -53,7 +59,7 @@
 	}
 	return &deaths{
 		timer:    timer,
-		flights:  make(map[*execution]string),
+		flights:  make(map[*execution]flight),
 		suspects: suspects,
 		poisoned: poisoned,
 	}, nil
@@ -62,7 +68,7 @@
 func (d *deaths) begin(x *execution) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.flights[x] = x.start.GetFingerprint()
+	d.flights[x] = flight{fingerprint: x.start.GetFingerprint(), since: d.timer.Now()}
 }
 
 func (d *deaths) end(x *execution) {
@@ -112,13 +118,13 @@
 	return ok && d.timer.Now().Sub(at) < poisonTime
 }
 
-// judge finds out whether the backend server died. Failures that come close
-// together share one probe and one list of suspects.
-func (d *deaths) judge(ctx context.Context, probe func(context.Context) bool) *scene {
+// judge finds out whether the backend server died under x. Failures that come
+// close together share one probe and one list of suspects.
+func (d *deaths) judge(ctx context.Context, x *execution, probe func(context.Context) bool) *scene {
 	d.mu.Lock()
 	s := d.last
 	now := d.timer.Now()
-	if s != nil && !s.over(now) {
+	if s != nil && !s.over(now) && !d.flights[x].since.After(s.at) {
 		d.mu.Unlock()
 		select {
 		case <-s.judged:
@@ -148,7 +154,8 @@
 
 func (d *deaths) newScene(now time.Time) *scene {
 	s := &scene{id: uuid.NewString(), at: now, judged: make(chan struct{})}
-	for _, fingerprint := range d.flights {
+	for _, f := range d.flights {
+		fingerprint := f.fingerprint
 		if fingerprint != "" && !slices.Contains(s.suspects, fingerprint) {
 			s.suspects = append(s.suspects, fingerprint)
 		}
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -182,7 +182,7 @@
 	if errors.Is(err, aubengine.ErrMixed) {
 		return mayHaveRun(aubwire.FailureReason_FAILURE_REASON_MIXED, err.Error())
 	}
-	scene := b.agent.deaths.judge(b.agent.ctx, b.probe)
+	scene := b.agent.deaths.judge(b.agent.ctx, b.x, b.probe)
 	f := mayHaveRun(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, err.Error())
 	if scene.died {
 		f.reason = aubwire.FailureReason_FAILURE_REASON_BACKEND_DIED
--- a/internal/aubagent/site_test.go
+++ b/internal/aubagent/site_test.go
@@ -41,6 +41,7 @@
 	target   aubexecution.Target
 	opts     aubagent.AgentOpts
 	wire     *wire
+	backend  *httptest.Server
 	server   *grpc.Server
 }
 
@@ -79,6 +80,7 @@
 	s.engine = aubstandin.NewEngine(s.ctx, s.common, engine)
 	server := httptest.NewServer(s.engine.Handler())
 	t.Cleanup(server.Close)
+	s.backend = server
 	s.opts.EngineURL = server.URL
 	s.startAgent(t)
 	return s
@@ -89,6 +91,7 @@
 	s.service = aubstandin.NewService(s.ctx, s.common, aubstandin.ServiceOpts{Name: "roster"})
 	server := httptest.NewServer(s.service.Handler())
 	t.Cleanup(server.Close)
+	s.backend = server
 	s.opts.ServiceURL = server.URL
 	s.opts.Services = []string{"roster"}
 	s.startAgent(t)
--- a/internal/aubexecution/answer.go
+++ b/internal/aubexecution/answer.go
@@ -55,6 +55,9 @@
 	unackedBytes int
 	// sent is set before the start is sent: from then on the agent may have it.
 	sent bool
+	// whole is set before the end of the body is sent: an agent hands over
+	// whole requests only, so nothing can have run before.
+	whole bool
 	// begun is set once a frame of the answer itself came.
 	begun bool
 	// outcome is set once no frame comes any more: io.EOF or *FailedError.
@@ -235,12 +238,12 @@
 }
 
 // failed builds a failure of the connection to the agent: "not run" only when
-// the start was never sent.
+// the whole request was never sent.
 func (a *Answer) failed(reason aubwire.FailureReason, detail string) *FailedError {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := &FailedError{Execution: aubapi.ExecutionNotRun, Reason: reason, Detail: detail}
-	if a.sent {
+	if a.whole {
 		f.Execution = aubapi.ExecutionMayHaveRun
 	}
 	return f
--- a/internal/aubexecution/writer.go
+++ b/internal/aubexecution/writer.go
@@ -51,6 +51,7 @@
 	a.mu.Lock()
 	resume := a.sent
 	a.sent = true
+	a.whole = a.whole || a.rest == nil
 	next := a.next
 	a.mu.Unlock()
 	if resume {
@@ -70,6 +71,9 @@
 			return errBody
 		}
 		last = isLast
+		if last {
+			a.markWhole()
+		}
 		body := &aubwire.ExecuteBody{Data: piece, Last: last}
 		err = stream.Send(&aubwire.ExecuteRequest{Message: &aubwire.ExecuteRequest_Body{Body: body}})
 		if err != nil {
@@ -79,6 +83,12 @@
 	return nil
 }
 
+func (a *Answer) markWhole() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.whole = true
+}
+
 // quit sends the last message of this side.
 func (l *link) quit(stream executeStream, last *aubwire.ExecuteRequest) {
 	l.quitAt.Store(int64(max(l.now().Sub(l.began), 1)))
