Keep the last ready copy under lost, late and doubled orders

A property test runs stepped placers of several leaders against agents whose orders are lost, late, doubled or answered late, while models come and go and demand changes. It found two faults, both mended: - A second delivery of an unload could remove a copy that was loaded again since. A load after an unload now carries a higher fencing number. - The confirmation of a copy and its unload in one plan shared an entry in the ledger, so that the answer to the first settled the second.

Items that the configuration no longer names are unloaded. A last copy may make room only when one copy of each item doesn't fit. A load that needs an unload must gain more than one that doesn't.

--- a/internal/aubmembership/budget_test.go
+++ b/internal/aubmembership/budget_test.go
@@ -77,7 +77,7 @@
 func measureFleet(b *testing.B, agents, residents int) {
 	agentScope := tally.NewTestScope("", nil)
 	entryScope := tally.NewTestScope("", nil)
-	var seeds []string
+	seeds := make([]string, 0, 3)
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 39101+i))
 	}
--- a/internal/aubplacement/fake_test.go
+++ b/internal/aubplacement/fake_test.go
@@ -112,6 +112,8 @@
 	agents map[string]*fakeAgent
 	orders []*aubwire.OrderRequest
 	demand []*aubwire.ModelDemand
+	// lose makes orders get lost.
+	lose bool
 }
 
 func (s *fakeSite) View() aubmembership.View {
@@ -140,6 +142,9 @@
 		return nil, errors.New("unreachable")
 	}
 	s.orders = append(s.orders, r)
+	if s.lose {
+		return nil, errors.New("lost")
+	}
 	return &aubwire.OrderResponse{Outcome: a.execute(r)}, nil
 }
 
--- a/internal/aubplacement/gain.go
+++ b/internal/aubplacement/gain.go
@@ -14,6 +14,9 @@
 	maxGainBackends = 8
 	// moveCost is what a load must gain, as a share of one backend server's capacity.
 	moveCost = 0.05
+	// evictionCost is what a load must gain that another copy is unloaded for, as a
+	// share of one backend server's capacity. It keeps noise from causing moves.
+	evictionCost = 0.15
 	// lossFactor is how much more than it loses a move must gain.
 	lossFactor = 1.3
 	// lateWeight is how much a workspace that misses its target all the time
@@ -112,14 +115,18 @@
 	var (
 		best    *slot
 		victims []Item
-		most    = moveCost * b.snapshot.Capacity
+		most    float64
 	)
 	for _, sl := range b.leastLoaded(item) {
 		found, loss, ok := b.roomFor(sl, item)
 		if !ok {
 			continue
 		}
-		if gain := b.gainOf(sl, item) - lossFactor*loss; gain > most {
+		cost := moveCost
+		if len(found) > 0 {
+			cost = evictionCost
+		}
+		if gain := b.gainOf(sl, item) - lossFactor*loss - cost*b.snapshot.Capacity; gain > most {
 			best, victims, most = sl, found, gain
 		}
 	}
--- a/internal/aubplacement/marginal.go
+++ b/internal/aubplacement/marginal.go
@@ -8,6 +8,7 @@
 // Plan implements Planner.
 func (MarginalAttainment) Plan(s Snapshot) Plan {
 	b := newBoard(s)
+	b.discard()
 	b.spreadLoad()
 	b.reach()
 	b.spread()
--- a/internal/aubplacement/pending.go
+++ b/internal/aubplacement/pending.go
@@ -37,6 +37,11 @@
 	at time.Time
 }
 
+// is reports whether p, which may be nil, stands for the order as it was sent.
+func (p *pendingOrder) is(order Order, fence uint64) bool {
+	return p != nil && p.order.Action == order.Action && p.fence == fence
+}
+
 // ledger holds the orders whose effects the reports don't show yet. Its methods
 // may be called concurrently; mu guards all fields.
 type ledger struct {
@@ -46,14 +51,19 @@
 	// by backend server. Later orders there carry a higher one, so that the
 	// agent refuses the lost one if it comes late.
 	uncertain map[string]uint64
-	backoff   map[string]time.Time
-	moves     map[MoveKey]Move
+	// unloaded is the number of the last unload of an item on a backend server.
+	// A later load there carries a higher one, so that the agent refuses a
+	// second delivery of the unload.
+	unloaded map[MoveKey]uint64
+	backoff  map[string]time.Time
+	moves    map[MoveKey]Move
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		pending:   make(map[MoveKey]*pendingOrder),
 		uncertain: make(map[string]uint64),
+		unloaded:  make(map[MoveKey]uint64),
 		backoff:   make(map[string]time.Time),
 		moves:     make(map[MoveKey]Move),
 	}
@@ -65,18 +75,24 @@
 	defer l.mu.Unlock()
 	clear(l.pending)
 	clear(l.uncertain)
+	clear(l.unloaded)
 	clear(l.backoff)
 	clear(l.moves)
 }
 
-// sent notes an order before it goes out.
+// sent notes an order before it goes out. A confirmation changes nothing and is
+// not noted.
 func (l *ledger) sent(now time.Time, clock time.Duration, order Order, fence uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
+	if order.Action == ActionConfirm {
+		return
+	}
 	l.pending[key] = &pendingOrder{order: order, fence: fence, at: now}
-	if order.Action != ActionConfirm {
-		l.moves[key] = Move{Action: order.Action, At: clock}
+	l.moves[key] = Move{Action: order.Action, At: clock}
+	if order.Action == ActionUnload {
+		l.unloaded[key] = fence
 	}
 }
 
@@ -85,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
-	if p := l.pending[key]; p != nil && p.fence == fence {
+	if p := l.pending[key]; p.is(order, fence) {
 		delete(l.pending, key)
 	}
 }
@@ -96,22 +112,16 @@
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
 	p := l.pending[key]
-	if p == nil || p.fence != fence {
+	if !p.is(order, fence) {
 		return
 	}
 	p.at = now
 	switch outcome {
 	case aubwire.OrderOutcome_ORDER_OUTCOME_ACCEPTED:
 		p.state = orderAccepted
-		if order.Action == ActionConfirm {
-			delete(l.pending, key)
-		}
 	case aubwire.OrderOutcome_ORDER_OUTCOME_UNCERTAIN, aubwire.OrderOutcome_ORDER_OUTCOME_UNSPECIFIED:
 		p.state = orderUncertain
 		l.uncertain[order.Backend] = max(l.uncertain[order.Backend], p.fence)
-		if order.Action == ActionConfirm {
-			delete(l.pending, key)
-		}
 	case aubwire.OrderOutcome_ORDER_OUTCOME_STALE_FENCE:
 		delete(l.pending, key)
 		l.uncertain[order.Backend] = max(l.uncertain[order.Backend], p.fence)
@@ -121,11 +131,15 @@
 	}
 }
 
-// floor returns the fencing number that the next order to the member must exceed.
-func (l *ledger) floor(name string) uint64 {
+// floor returns the fencing number that the order's must exceed.
+func (l *ledger) floor(order Order) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.uncertain[name]
+	floor := l.uncertain[order.Backend]
+	if order.Action == ActionUnload {
+		return floor
+	}
+	return max(floor, l.unloaded[MoveKey{Backend: order.Backend, Item: order.Item.Key}])
 }
 
 // correct applies what is pending to a reported backend server.
--- a/internal/aubplacement/placer.go
+++ b/internal/aubplacement/placer.go
@@ -59,6 +59,18 @@
 // NewPlacer starts planning; it gives orders only while leadership says so.
 // Errors are *OptsError.
 func NewPlacer(ctx context.Context, common aubcommon.Common, opts PlacerOpts) (*Placer, error) {
+	p, err := newPlacer(common, opts)
+	if err != nil {
+		return nil, err
+	}
+	p.sender.start(ctx, &p.closed)
+	ticks := common.Timer.Subscribe(ctx, p.opts.Interval)
+	p.closed.Go(func() { p.run(ctx, ticks) })
+	return p, nil
+}
+
+// newPlacer returns a placer without goroutines.
+func newPlacer(common aubcommon.Common, opts PlacerOpts) (*Placer, error) {
 	opts = opts.withDefaults()
 	if err := opts.check(); err != nil {
 		return nil, err
@@ -68,21 +80,19 @@
 		return nil, err
 	}
 	common = common.WithPart("placement")
-	p := &Placer{
+	orders := newLedger()
+	return &Placer{
 		common:     common,
 		opts:       opts,
 		planner:    planner,
-		ledger:     newLedger(),
+		ledger:     orders,
+		sender:     newSender(common, opts, orders),
 		wake:       make(chan struct{}, 1),
 		started:    common.Timer.Now(),
 		requests:   make(requests),
 		forecaster: NewForecaster(),
 		loads:      rate.NewLimiter(rate.Limit(opts.LoadRate), opts.LoadConcurrency),
-	}
-	p.sender = newSender(ctx, common, opts, p.ledger, &p.closed)
-	ticks := common.Timer.Subscribe(ctx, opts.Interval)
-	p.closed.Go(func() { p.run(ctx, ticks) })
-	return p, nil
+	}, nil
 }
 
 // Request asks for a load that a caller waits for. It may be repeated.
@@ -225,7 +235,7 @@
 func (p *Placer) highestFloor(view aubmembership.View, orders []Order) uint64 {
 	var floor uint64
 	for _, order := range orders {
-		floor = max(floor, p.ledger.floor(order.Backend))
+		floor = max(floor, p.ledger.floor(order))
 		m, ok := view.Member(order.Backend)
 		if fence := m.Announcement.GetBackend().GetFence(); ok && fence > 0 {
 			floor = max(floor, fence-1)
--- a/internal/aubplacement/placer_test.go
+++ b/internal/aubplacement/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -16,7 +17,19 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
+func TestMain(m *testing.M) {
+	flag.Parse()
+	setDefaultFlag("rapid.seed", "20261203")
+	setDefaultFlag("rapid.steps", "100")
+	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
+}
+
+// setDefaultFlag sets a flag unless the command line did.
+func setDefaultFlag(name, value string) {
+	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
+	}
+}
 
 // run is a placer over a fake site.
 type run struct {
--- a/internal/aubplacement/reach.go
+++ b/internal/aubplacement/reach.go
@@ -15,6 +15,27 @@
 	}
 }
 
+// oversubscribed reports whether one copy of each item doesn't fit at once, by
+// putting the largest first where it fits. Only then may a last copy make room.
+func (b *board) oversubscribed() bool {
+	room := make([]int64, 0, len(b.backends))
+	for _, sl := range b.backends {
+		if !sl.backend.Leaving {
+			room = append(room, sl.backend.MemoryBytes)
+		}
+	}
+	items := slices.Clone(b.snapshot.Items)
+	slices.SortFunc(items, func(x, y Item) int { return cmp.Compare(y.MemoryBytes, x.MemoryBytes) })
+	for _, item := range items {
+		i := slices.IndexFunc(room, func(bytes int64) bool { return bytes >= item.MemoryBytes })
+		if i < 0 {
+			return true
+		}
+		room[i] -= item.MemoryBytes
+	}
+	return false
+}
+
 // missing returns the items without a copy, most urgent first. Among equals the
 // largest come first, which packs best.
 func (b *board) missing() []Item {
@@ -45,7 +66,7 @@
 	if b.makeRoom(item, b.surplus) || b.shift(item) {
 		return
 	}
-	if b.demand[item.Key].Waiting > 0 && b.makeRoom(item, b.idle) {
+	if b.demand[item.Key].Waiting > 0 && b.oversubscribed() && b.makeRoom(item, b.idle) {
 		return
 	}
 	b.plan.Unplaced = append(b.plan.Unplaced, item.Key)
--- a/internal/aubplacement/recent.go
+++ b/internal/aubplacement/recent.go
@@ -12,6 +12,7 @@
 // Plan implements Planner.
 func (LeastRecentlyUsed) Plan(s Snapshot) Plan {
 	b := newBoard(s)
+	b.discard()
 	for _, item := range b.missing() {
 		if b.demand[item.Key].Waiting == 0 {
 			continue
--- a/internal/aubplacement/sender.go
+++ b/internal/aubplacement/sender.go
@@ -35,10 +35,12 @@
 	jobs   chan job
 }
 
-func newSender(
-	ctx context.Context, common aubcommon.Common, opts PlacerOpts, l *ledger, closed *sync.WaitGroup,
-) *sender {
-	s := &sender{common: common, opts: opts, ledger: l, jobs: make(chan job, maxQueuedOrders)}
+func newSender(common aubcommon.Common, opts PlacerOpts, l *ledger) *sender {
+	return &sender{common: common, opts: opts, ledger: l, jobs: make(chan job, maxQueuedOrders)}
+}
+
+// start runs the workers until ctx ends.
+func (s *sender) start(ctx context.Context, closed *sync.WaitGroup) {
 	for range senders {
 		closed.Go(func() {
 			for {
@@ -51,7 +53,6 @@
 			}
 		})
 	}
-	return s
 }
 
 // offer queues a job, or refuses it when too many wait.
--- a/internal/aubplacement/snapshot.go
+++ b/internal/aubplacement/snapshot.go
@@ -156,6 +156,7 @@
 	ReasonRoom        Reason = "room"
 	ReasonDemand      Reason = "on_demand"
 	ReasonConfirm     Reason = "confirm"
+	ReasonRemoved     Reason = "removed"
 )
 
 // Order is one change of what a backend server holds.
