Eject faulty backend servers, forget slowness, bound the load of prefixes

A member that was slow once was never tried again: its expected time stayed lengthened, so it got no request that could show it well. Slowness is now forgotten with a time constant of 5 s.

Members above the load bound now come last whatever they cache; the test asks for 25 to 45 of 100.

--- /dev/null
+++ b/internal/aubroute/behaviour_test.go
@@ -0,0 +1,222 @@
+package aubroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// send picks, starts and finishes requests and counts the members chosen.
+func send(t testing.TB, r *aubroute.Router, n int, outcome func(name string) aubroute.Outcome) map[string]int {
+	t.Helper()
+	picked := map[string]int{}
+	for range n {
+		c, err := r.Pick(aubroute.Request{Model: "m", PromptTokens: 100})
+		qt.Assert(t, err, qt.IsNil)
+		name := c.Member.Announcement.GetName()
+		picked[name]++
+		c.Started()
+		c.Finished(outcome(name))
+	}
+	return picked
+}
+
+func good(string) aubroute.Outcome { return aubroute.Outcome{FirstToken: 100 * time.Millisecond} }
+
+// badly returns an outcome for w1 and good ones for the others.
+func badly(bad aubroute.Outcome) func(string) aubroute.Outcome {
+	return func(name string) aubroute.Outcome {
+		if name == "w1" {
+			return bad
+		}
+		return good(name)
+	}
+}
+
+func TestFaultyMemberIsEjectedAndReturnsSlowly(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		bad   aubroute.Outcome
+		atMax int
+	}{
+		{"failing", aubroute.Outcome{Failure: aubroute.FailureBackend}, 3},
+		{"silent", aubroute.Outcome{Failure: aubroute.FailureSilent}, 1},
+		{"slow", aubroute.Outcome{FirstToken: 3 * time.Second}, 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+			for _, name := range []string{"w1", "w2", "w3"} {
+				source.report(name, "a", nil)
+			}
+			sick := send(t, r, 300, badly(test.bad))
+			qt.Assert(t, sick["w1"] >= 1 && sick["w1"] <= test.atMax, qt.IsTrue, qt.Commentf("%v", sick))
+
+			source.timer.Advance(4 * time.Second)
+			early := send(t, r, 300, good)
+			qt.Assert(t, early["w1"] < 80, qt.IsTrue, qt.Commentf("%v", early))
+
+			source.timer.Advance(20 * time.Second)
+			late := send(t, r, 300, good)
+			qt.Assert(t, late["w1"] > 80, qt.IsTrue, qt.Commentf("%v", late))
+		})
+	}
+}
+
+func TestRefusalsAndLeavingCallersSpeakAgainstNobody(t *testing.T) {
+	for _, f := range []aubroute.Failure{aubroute.FailureRefused, aubroute.FailureCanceled} {
+		r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+		source.report("w1", "a", nil)
+		source.report("w2", "a", nil)
+		picked := send(t, r, 200, badly(aubroute.Outcome{Failure: f}))
+		qt.Assert(t, picked["w1"] > 70, qt.IsTrue, qt.Commentf("%v", picked))
+	}
+}
+
+func TestOnlyHolderIsUsedThoughEjected(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	source.report("w1", "a", nil)
+	picked := send(t, r, 20, badly(aubroute.Outcome{Failure: aubroute.FailureConnection}))
+	qt.Assert(t, picked["w1"], qt.Equals, 20)
+}
+
+func TestLeavingExcludedAndRestartedMembers(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	source.report("w1", "a", func(a *aubwire.Announcement) { a.Leaving = true })
+	source.report("w2", "a", nil)
+	source.report("w3", "a", nil)
+	for range 50 {
+		c, err := r.Pick(aubroute.Request{Model: "m", Exclude: []string{"w2"}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Member.Announcement.GetName(), qt.Equals, "w3")
+	}
+	// A new incarnation begins without the faults of the old one.
+	send(t, r, 100, func(name string) aubroute.Outcome {
+		return aubroute.Outcome{Failure: aubroute.FailureSilent}
+	})
+	source.report("w3", "a", func(a *aubwire.Announcement) { a.Incarnation = 2 })
+	c, err := r.Pick(aubroute.Request{Model: "m"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Member.Announcement.GetIncarnation(), qt.Equals, uint64(2))
+}
+
+func TestAdapterNeedsItsModelOnTheSameMember(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	with := func(model aubwire.Residency) func(*aubwire.Announcement) {
+		return func(a *aubwire.Announcement) {
+			a.Backend.Resident = []*aubwire.Resident{
+				{Name: "m", State: model},
+				{Name: "ad", Adapter: true, State: aubwire.Residency_RESIDENCY_READY},
+			}
+		}
+	}
+	source.report("w1", "a", with(aubwire.Residency_RESIDENCY_UNLOADING))
+	source.report("w2", "b", with(aubwire.Residency_RESIDENCY_READY))
+	for range 20 {
+		c, err := r.Pick(aubroute.Request{Model: "m", Adapter: "ad"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.Member.Announcement.GetName(), qt.Equals, "w2")
+	}
+}
+
+func TestPrefixAttractsUntilTheLoadBound(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	for i := range 4 {
+		source.report(fmt.Sprintf("w%d", i), "a", nil)
+	}
+	request := aubroute.Request{Model: "m", PromptTokens: 160, Prefixes: []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}}
+	first, err := r.Pick(request)
+	qt.Assert(t, err, qt.IsNil)
+	first.Started()
+	first.Finished(aubroute.Outcome{FirstToken: 160 * time.Millisecond})
+	holder := first.Member.Announcement.GetName()
+
+	picked := map[string]int{}
+	for range 100 {
+		c, err := r.Pick(request)
+		qt.Assert(t, err, qt.IsNil)
+		c.Started()
+		picked[c.Member.Announcement.GetName()]++
+	}
+	// The cached prompt costs nothing there, but no more than the bound goes there.
+	qt.Assert(t, picked[holder] >= 25 && picked[holder] <= 45, qt.IsTrue, qt.Commentf("%s of %v", holder, picked))
+}
+
+// TestCacheEventsNeverBreakAChoice feeds events that are late, doubled, with gaps
+// and wrong; each choice must still be a member that can take the request.
+func TestCacheEventsNeverBreakAChoice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+		for i := range 3 {
+			source.report(fmt.Sprintf("w%d", i), "a", nil)
+		}
+		source.report("gone", "a", func(a *aubwire.Announcement) { a.Leaving = true })
+		blocks := rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, 8)
+		for range rapid.IntRange(1, 30).Draw(rt, "events") {
+			m := source.members[rapid.IntRange(0, 3).Draw(rt, "member")]
+			r.CacheEvent(m, aubroute.CacheEvent{
+				Sequence: rapid.Uint64Range(0, 12).Draw(rt, "sequence"),
+				Stored:   blocks.Draw(rt, "stored"), Evicted: blocks.Draw(rt, "evicted"),
+				Cleared: rapid.Bool().Draw(rt, "cleared"),
+			})
+			c, err := r.Pick(aubroute.Request{Model: "m", PromptTokens: 64, Prefixes: blocks.Draw(rt, "prompt")})
+			if err != nil || c.Member.Announcement.GetName() == "gone" || c.Expected < 0 {
+				rt.Fatalf("picked %v, %v", c.Member, err)
+			}
+		}
+	})
+}
+
+func TestRetryBudgetIsAShareOfTraffic(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := aubroute.NewRetryBudget(now, 0.1)
+	for b.Take(now) {
+		continue
+	}
+	allowed := 0
+	for range 1000 {
+		b.Add(now)
+		if b.Take(now) {
+			allowed++
+		}
+	}
+	qt.Assert(t, allowed >= 99 && allowed <= 100, qt.IsTrue, qt.Commentf("%d", allowed))
+	qt.Assert(t, b.Take(now.Add(3*time.Second)), qt.IsTrue)
+}
+
+// BenchmarkPick is the cost of one choice by fleet size, all members holding the model.
+func BenchmarkPick(b *testing.B) {
+	for _, policy := range []string{
+		aubroute.PolicyExpectedFirstToken, aubroute.PolicyLeastInFlight, aubroute.PolicyRoundRobin,
+	} {
+		for _, members := range []int{15, 100, 1000, 6500} {
+			b.Run(fmt.Sprintf("policy=%s/members=%d", policy, members), func(b *testing.B) {
+				r, source := newRouter(b, policy)
+				rnd := rand.New(rand.NewPCG(1, 1))
+				for i := range members {
+					source.report(fmt.Sprintf("w%05d", i), string(rune('a'+i%3)), func(a *aubwire.Announcement) {
+						a.Backend.Running = rnd.Int32N(8)
+						a.Backend.QueuedTokens = rnd.Int64N(2000)
+					})
+				}
+				source.fix()
+				request := aubroute.Request{Model: "m", PromptTokens: 500, Prefixes: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}
+				b.ReportAllocs()
+				for b.Loop() {
+					c, err := r.Pick(request)
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Started()
+					c.Finished(aubroute.Outcome{FirstToken: 500 * time.Millisecond})
+				}
+			})
+		}
+	}
+}
--- a/internal/aubroute/expected.go
+++ b/internal/aubroute/expected.go
@@ -9,24 +9,28 @@
 	defaultPrefillRate = 4000.0
 	// perRequestDelay is the share of a batch step that each request in flight adds.
 	perRequestDelay = 500 * time.Microsecond
-	// boundedLoad is how far above the candidates' mean a member's load may be
-	// before its cached prefixes stop counting.
+	// boundedLoad and loadSlack are how far above the candidates' mean a member's
+	// requests in flight may be; cached prefixes attract no more beyond.
 	boundedLoad = 1.25
+	loadSlack   = 2
+	// overLimitSeconds is added to the time expected above the load bound.
+	overLimitSeconds = 3600
 )
 
 // ExpectedFirstToken takes the candidate with the least expected first-token
 // time: the work that waits before the prompt, the prompt's uncached part, and
-// the distance.
+// the distance. Candidates above the load bound come last.
 type ExpectedFirstToken struct{}
 
 // Choose implements Policy.
 func (ExpectedFirstToken) Choose(q Query, candidates []Candidate) int {
-	limit := affinityLimit(candidates)
+	limit := loadLimit(candidates)
 	return smallest(q, candidates, func(c Candidate) float64 {
+		seconds := Expect(q, c).Seconds()
 		if float64(c.InFlight) > limit {
-			c.CachedTokens = 0
+			seconds += overLimitSeconds
 		}
-		return Expect(q, c).Seconds()
+		return seconds
 	})
 }
 
@@ -42,11 +46,12 @@
 	return c.Distance + time.Duration(float64(wait)*max(c.Slowness, 1))
 }
 
-// affinityLimit is the load above which cached prefixes no longer attract.
-func affinityLimit(candidates []Candidate) float64 {
+// loadLimit is the number of requests in flight above which a candidate is
+// taken only when all are.
+func loadLimit(candidates []Candidate) float64 {
 	var sum int
 	for _, c := range candidates {
 		sum += c.InFlight
 	}
-	return boundedLoad*float64(sum)/float64(len(candidates)) + 1
+	return boundedLoad*float64(sum)/float64(len(candidates)) + loadSlack
 }
--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -150,12 +150,14 @@
 		return option{}, false
 	}
 	s := r.state(now, m)
-	return option{member: m, state: s, candidate: r.candidate(m, s, request)}, true
+	return option{member: m, state: s, candidate: r.candidate(now, m, s, request)}, true
 }
 
 // candidate corrects the member's report, which lags, by this instance's own
 // work since.
-func (r *Router) candidate(m aubmembership.Member, s *memberState, request Request) Candidate {
+func (r *Router) candidate(
+	now time.Time, m aubmembership.Member, s *memberState, request Request,
+) Candidate {
 	b := m.Announcement.GetBackend()
 	requests, tokens := s.unreported(m.HeardAt.Add(-r.opts.ReportLag))
 	c := Candidate{
@@ -164,7 +166,7 @@
 		OwnInFlight:   s.inFlight.Len(),
 		PrefillRate:   b.GetPrefillRate(),
 		CachedTokens:  int64(r.prefixes.cached(s.holder(), request.Prefixes)) * r.opts.BlockTokens,
-		Slowness:      max(s.health.Slowness, 1),
+		Slowness:      s.health.SlownessAt(now),
 	}
 	if m.Announcement.GetZone() != r.opts.Zone {
 		c.Distance = r.opts.ZoneDistance
--- a/internal/aubroute/health.go
+++ b/internal/aubroute/health.go
@@ -1,6 +1,7 @@
 package aubroute
 
 import (
+	"math"
 	"time"
 )
 
@@ -14,6 +15,11 @@
 	samplesToEject = 8
 	// slownessShare is the weight of the newest answer in the ratio.
 	slownessShare = 0.2
+	// slownessMemory is the time constant with which slowness is forgotten, so
+	// that a member that was slow is tried again.
+	slownessMemory = 5 * time.Second
+	// minSlowness is the ratio below which a member doesn't count as slow.
+	minSlowness = 1.25
 	// baseEjection is the first time out; it doubles with each ejection in a row.
 	baseEjection = 2 * time.Second
 	maxEjection  = time.Minute
@@ -28,9 +34,11 @@
 type Health struct {
 	// Failures in a row.
 	Failures int
-	// Slowness is the smoothed ratio of measured to expected first-token time.
-	Slowness float64
-	Samples  int
+	// Slowness is the smoothed ratio of measured to expected first-token time at
+	// MeasuredAt.
+	Slowness   float64
+	MeasuredAt time.Time
+	Samples    int
 	// Ejections in a row without a full return.
 	Ejections int
 	// EjectedUntil and ReturnedAt bound the time out and the slow return.
@@ -47,10 +55,9 @@
 	if ratio <= 0 {
 		return h
 	}
-	if h.Samples == 0 {
-		h.Slowness = ratio
-	}
-	h.Slowness += slownessShare * (ratio - h.Slowness)
+	before := h.decayed(now)
+	h.Slowness = before + slownessShare*(ratio-before)
+	h.MeasuredAt = now
 	h.Samples++
 	if h.Samples >= samplesToEject && h.Slowness >= slownessToEject {
 		return h.ejected(now)
@@ -58,6 +65,23 @@
 	return h
 }
 
+// SlownessAt returns the factor by which expected times are lengthened, at least 1.
+func (h Health) SlownessAt(now time.Time) float64 {
+	if s := h.decayed(now); s >= minSlowness {
+		return s
+	}
+	return 1
+}
+
+// decayed returns the slowness after the time since it was measured.
+func (h Health) decayed(now time.Time) float64 {
+	if h.MeasuredAt.IsZero() {
+		return 1
+	}
+	passed := now.Sub(h.MeasuredAt).Seconds() / slownessMemory.Seconds()
+	return 1 + (h.Slowness-1)*math.Exp(-passed)
+}
+
 // WithFailure returns the health after a fault.
 func (h Health) WithFailure(now time.Time, f Failure) Health {
 	h.Failures++
@@ -90,6 +114,6 @@
 	h.EjectedUntil = now.Add(min(d, maxEjection))
 	h.Failures = 0
 	h.Samples = 0
-	h.Slowness = 0
+	h.MeasuredAt = time.Time{}
 	return h
 }
--- a/internal/aubroute/router_test.go
+++ b/internal/aubroute/router_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"flag"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -15,14 +17,32 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("20261203")
+	}
+	os.Exit(m.Run())
+}
+
 // fakeSource is a membership whose view the test sets.
 type fakeSource struct {
 	timer   *aubtimer.Manual
 	members []aubmembership.Member
 	shape   uint64
+	fixed   *aubmembership.View
+}
+
+// fix makes later views the present one.
+func (s *fakeSource) fix() {
+	v := s.View()
+	s.fixed = &v
 }
 
 func (s *fakeSource) View() aubmembership.View {
+	if s.fixed != nil {
+		return *s.fixed
+	}
 	return aubmembership.NewView(s.timer.Now(), s.members...).WithShape(s.shape)
 }
 
