Count each death of an engine once

Cause: an agent put a failure of a request that it had sent to an engine already known to be dead down to a new death, with the request as its only suspect; an innocent request was refused after such a retry. Ruled out: the entry's table (one death id counts once) and the order of the entry's reports.

--- a/internal/aubagent/deaths.go
+++ b/internal/aubagent/deaths.go
@@ -28,6 +28,8 @@
 	alone  string
 	judged chan struct{}
 	died   bool
+	// boot is the run of the engine that died; empty when it is not known.
+	boot string
 }
 
 // flight is a request that was handed over.
@@ -120,10 +122,17 @@
 
 // judge finds out whether the backend server died under x. Failures that come
 // close together share one probe and one list of suspects.
-func (d *deaths) judge(ctx context.Context, x *execution, probe func(context.Context) bool) *scene {
+//
+// A run of the engine dies once: a request that was handed to one already known
+// to be dead is no suspect of its death.
+func (d *deaths) judge(ctx context.Context, x *execution, boot string, probe func(context.Context) bool) *scene {
 	d.mu.Lock()
 	s := d.last
 	now := d.timer.Now()
+	if s.isDeathOf(boot) && d.flights[x].since.After(s.at) {
+		d.mu.Unlock()
+		return &scene{id: s.id, died: true}
+	}
 	if s != nil && !s.over(now) && !d.flights[x].since.After(s.at) {
 		d.mu.Unlock()
 		select {
@@ -133,7 +142,7 @@
 			return &scene{}
 		}
 	}
-	s = d.newScene(now)
+	s = d.newScene(now, boot)
 	d.last = s
 	d.mu.Unlock()
 	s.died = probe(ctx)
@@ -142,6 +151,19 @@
 	return s
 }
 
+// isDeathOf reports whether the scene is the death of that run of the engine.
+func (s *scene) isDeathOf(boot string) bool {
+	if s == nil || boot == "" || s.boot != boot {
+		return false
+	}
+	select {
+	case <-s.judged:
+		return s.died
+	default:
+		return false
+	}
+}
+
 // over reports whether later failures belong to another scene.
 func (s *scene) over(now time.Time) bool {
 	select {
@@ -152,8 +174,8 @@
 	}
 }
 
-func (d *deaths) newScene(now time.Time) *scene {
-	s := &scene{id: uuid.NewString(), at: now, judged: make(chan struct{})}
+func (d *deaths) newScene(now time.Time, boot string) *scene {
+	s := &scene{id: uuid.NewString(), at: now, boot: boot, judged: make(chan struct{})}
 	for _, f := range d.flights {
 		fingerprint := f.fingerprint
 		if fingerprint != "" && !slices.Contains(s.suspects, fingerprint) {
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -50,11 +50,7 @@
 	if !a.registry.hand(x) {
 		return mayHaveRun(aubwire.FailureReason_FAILURE_REASON_UNKNOWN_REQUEST, "another attempt was handed over")
 	}
-	if f := a.backend(x, boot).run(); f != nil {
-		return f
-	}
-	a.deaths.clear(x.start.GetFingerprint())
-	return nil
+	return a.backend(x, boot).run()
 }
 
 // runner executes a request that was handed over and sends its answer's frames.
@@ -169,7 +165,10 @@
 	}}, len(data))
 }
 
+// sendEnd closes a whole answer. Its fingerprint is cleared first, so that nobody
+// who holds the answer still finds it suspected.
 func (b backendCall) sendEnd(end *aubwire.FrameEnd) {
+	b.agent.deaths.clear(b.x.start.GetFingerprint())
 	frame := &aubwire.ExecuteFrame{Frame: &aubwire.ExecuteFrame_End{End: end}}
 	b.x.frames.close(frame, b.agent.common.Timer.Now())
 }
@@ -182,7 +181,7 @@
 	if errors.Is(err, aubengine.ErrMixed) {
 		return mayHaveRun(aubwire.FailureReason_FAILURE_REASON_MIXED, err.Error())
 	}
-	scene := b.agent.deaths.judge(b.agent.ctx, b.x, b.probe)
+	scene := b.agent.deaths.judge(b.agent.ctx, b.x, b.boot, b.probe)
 	f := mayHaveRun(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, err.Error())
 	if scene.died {
 		f.reason = aubwire.FailureReason_FAILURE_REASON_BACKEND_DIED
