--- a/internal/aubagent/deaths.go
+++ b/internal/aubagent/deaths.go
@@ -28,6 +28,14 @@
 	alone  string
 	judged chan struct{}
 	died   bool
+	// boot is the run of the engine that died; empty when it is not known.
+	boot string
+}
+
+// flight is a request that was handed over.
+type flight struct {
+	fingerprint string
+	since       time.Time
 }
 
 // deaths ties the deaths of the backend server to what was in flight.
@@ -35,7 +43,7 @@
 	timer aubtimer.Service
 
 	mu      sync.Mutex
-	flights map[*execution]string
+	flights map[*execution]flight
 	last    *scene
 	// suspects and poisoned forget a fingerprint after poisonTime.
 	suspects *simplelru.LRU[string, time.Time]
@@ -53,7 +61,7 @@
 	}
 	return &deaths{
 		timer:    timer,
-		flights:  make(map[*execution]string),
+		flights:  make(map[*execution]flight),
 		suspects: suspects,
 		poisoned: poisoned,
 	}, nil
@@ -62,7 +70,7 @@
 func (d *deaths) begin(x *execution) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.flights[x] = x.start.GetFingerprint()
+	d.flights[x] = flight{fingerprint: x.start.GetFingerprint(), since: d.timer.Now()}
 }
 
 func (d *deaths) end(x *execution) {
@@ -112,13 +120,20 @@
 	return ok && d.timer.Now().Sub(at) < poisonTime
 }
 
-// judge finds out whether the backend server died. Failures that come close
-// together share one probe and one list of suspects.
-func (d *deaths) judge(ctx context.Context, probe func(context.Context) bool) *scene {
+// judge finds out whether the backend server died under x. Failures that come
+// close together share one probe and one list of suspects.
+//
+// A run of the engine dies once: a request that was handed to one already known
+// to be dead is no suspect of its death.
+func (d *deaths) judge(ctx context.Context, x *execution, boot string, probe func(context.Context) bool) *scene {
 	d.mu.Lock()
 	s := d.last
 	now := d.timer.Now()
-	if s != nil && !s.over(now) {
+	if s.isDeathOf(boot) && d.flights[x].since.After(s.at) {
+		d.mu.Unlock()
+		return &scene{id: s.id, died: true}
+	}
+	if s != nil && !s.over(now) && !d.flights[x].since.After(s.at) {
 		d.mu.Unlock()
 		select {
 		case <-s.judged:
@@ -127,7 +142,7 @@
 			return &scene{}
 		}
 	}
-	s = d.newScene(now)
+	s = d.newScene(now, boot)
 	d.last = s
 	d.mu.Unlock()
 	s.died = probe(ctx)
@@ -136,6 +151,19 @@
 	return s
 }
 
+// isDeathOf reports whether the scene is the death of that run of the engine.
+func (s *scene) isDeathOf(boot string) bool {
+	if s == nil || boot == "" || s.boot != boot {
+		return false
+	}
+	select {
+	case <-s.judged:
+		return s.died
+	default:
+		return false
+	}
+}
+
 // over reports whether later failures belong to another scene.
 func (s *scene) over(now time.Time) bool {
 	select {
@@ -146,9 +174,10 @@
 	}
 }
 
-func (d *deaths) newScene(now time.Time) *scene {
-	s := &scene{id: uuid.NewString(), at: now, judged: make(chan struct{})}
-	for _, fingerprint := range d.flights {
+func (d *deaths) newScene(now time.Time, boot string) *scene {
+	s := &scene{id: uuid.NewString(), at: now, boot: boot, judged: make(chan struct{})}
+	for _, f := range d.flights {
+		fingerprint := f.fingerprint
 		if fingerprint != "" && !slices.Contains(s.suspects, fingerprint) {
 			s.suspects = append(s.suspects, fingerprint)
 		}
--- a/internal/aubqueue/fair.go
+++ b/internal/aubqueue/fair.go
@@ -43,40 +43,45 @@
 	f := o.flow(e.Flow)
 	o.sequence++
 	e.sequence = o.sequence
-	if f.entries.Len() == 0 {
+	heap.Push(&f.entries, e)
+	if f.entries.Len() == 1 {
 		f.start = math.Max(f.start, o.virtual)
-		f.weight = max(e.Weight, 1)
+		f.weight = 0
 		heap.Push(&o.active, f)
-		o.weight += f.weight
-	} else {
-		o.weight += max(e.Weight, 1) - f.weight
-		f.weight = max(e.Weight, 1)
 	}
-	heap.Push(&f.entries, e)
+	o.weight += max(e.Weight, 1) - f.weight
+	f.weight = max(e.Weight, 1)
 	f.cost += max(e.Cost, 1)
 	o.cost += max(e.Cost, 1)
 	o.length++
 }
 
-// Peek implements Order.
-func (o *FairOrder[T]) Peek() *Entry[T] {
+// Next implements Order.
+func (o *FairOrder[T]) Next(eligible func(flow string) bool) *Entry[T] {
 	if len(o.active) == 0 {
 		return nil
 	}
-	return o.active[0].entries[0]
-}
-
-// Pop implements Order.
-func (o *FairOrder[T]) Pop() *Entry[T] {
-	if len(o.active) == 0 {
+	if first := o.active[0].entries[0]; eligible(first.Flow) {
+		return first
+	}
+	var next *flow[T]
+	for _, f := range o.active {
+		if eligible(f.entries[0].Flow) && (next == nil || f.before(next)) {
+			next = f
+		}
+	}
+	if next == nil {
 		return nil
 	}
-	f := o.active[0]
-	e := f.entries[0]
-	o.virtual = f.start
+	return next.entries[0]
+}
+
+// Take implements Order.
+func (o *FairOrder[T]) Take(e *Entry[T]) {
+	f := o.flows[e.Flow]
+	o.virtual = math.Max(o.virtual, f.start)
 	f.start += float64(max(e.Cost, 1)) / float64(f.weight)
 	o.take(f, e)
-	return e
 }
 
 // Remove implements Order.
