Export a stopped replica's folder whole

Cause: the command line already uses the export of a folder; it gave the last compaction only.

TestLostMajorityIsRefusedUntilRestored failed once in two runs in a row: its first command could reach the old leader within the election timeout before it stepped down, and got the answer "unknown", which is right. The check now begins when no replica takes itself for the leader; what it asserts is unchanged.

--- a/internal/aubconsensus/change_test.go
+++ b/internal/aubconsensus/change_test.go
@@ -80,6 +80,14 @@
 func (c *cluster) refusesCommands() {
 	ctx, cancel := newContext()
 	defer cancel()
+	c.eventually("an earlier leader steps down", func() bool {
+		for _, name := range c.names() {
+			if p, ok := c.process(name); ok && p.node.Status().LeaderHere {
+				return false
+			}
+		}
+		return true
+	})
 	for range 10 {
 		c.run(1)
 		for _, name := range c.names() {
@@ -104,9 +112,9 @@
 	c := newCluster(t, 1, 1)
 	c.append("k", "v")
 	c.kill("a")
-	held, err := c.platters["a"].open().LoadSnapshot()
+	held, err := aubconsensus.ExportDisk(c.platters["a"].open())
 	qt.Assert(t, err, qt.IsNil)
-	_, err = aubconsensus.RestoreSnapshot(c.platters["a"].open(), self, held)
+	_, err = aubconsensus.RestoreExport(c.platters["a"].open(), self, held)
 	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
 }
 
--- a/internal/aubconsensus/restore.go
+++ b/internal/aubconsensus/restore.go
@@ -1,6 +1,8 @@
 package aubconsensus
 
 import (
+	"slices"
+
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
@@ -36,51 +38,60 @@
 	if state.Snapshot == nil {
 		return Restored{}, &RestoreError{Reason: "the data folder holds no cluster"}
 	}
+	return takeOver(disk, self, state, aubstore.Update{})
+}
+
+// RestoreExport starts a new cluster with one voter from an export, on an empty
+// disk. What was committed after the export is lost.
+func RestoreExport(disk Disk, self Peer, export *aubwire.StoreExport) (Restored, error) {
+	state, err := disk.Load()
+	if err != nil {
+		return Restored{}, err
+	}
+	if state.Snapshot != nil {
+		return Restored{}, &RestoreError{Reason: "the data folder holds a cluster already"}
+	}
+	if export.GetSnapshot() == nil {
+		return Restored{}, &RestoreError{Reason: "the export is empty"}
+	}
+	state.Snapshot = export.GetSnapshot()
+	state.Entries = export.GetEntries()
+	return takeOver(disk, self, state, aubstore.Update{Snapshot: state.Snapshot, Entries: state.Entries})
+}
+
+// takeOver ends the log by a set of members with this replica as the only voter.
+func takeOver(disk Disk, self Peer, state aubstore.State, u aubstore.Update) (Restored, error) {
 	log, err := newMemoryLog(state)
 	if err != nil {
 		return Restored{}, err
 	}
-	term := state.HardState.GetTerm() + restoredTermStep
 	members := restoredMembership(disk, self)
 	data, err := proto.Marshal(members)
 	if err != nil {
 		return Restored{}, err
 	}
 	index := log.lastIndex() + 1
-	err = disk.Save(aubstore.Update{
-		HardState: &aubwire.HardState{Term: term},
-		Entries: []*aubwire.LogEntry{{
-			Index: index,
-			Term:  term,
-			Kind:  aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP,
-			Data:  data,
-		}},
+	term := max(state.HardState.GetTerm(), log.lastTerm()) + restoredTermStep
+	u.HardState = &aubwire.HardState{Term: term}
+	u.Entries = append(slices.Clone(u.Entries), &aubwire.LogEntry{
+		Index: index,
+		Term:  term,
+		Kind:  aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP,
+		Data:  data,
 	})
-	return Restored{Index: index, ClusterID: members.GetClusterId()}, err
+	return Restored{Index: index, ClusterID: members.GetClusterId()}, disk.Save(u)
 }
 
-// RestoreSnapshot starts a new cluster with one voter from a snapshot, on an
-// empty disk. What was committed after the snapshot is lost.
-func RestoreSnapshot(disk Disk, self Peer, snap *aubwire.LogSnapshot) (Restored, error) {
+// ExportDisk returns everything that the disk of a stopped node holds.
+func ExportDisk(disk Disk) (*aubwire.StoreExport, error) {
 	state, err := disk.Load()
 	if err != nil {
-		return Restored{}, err
+		return nil, err
 	}
-	if state.Snapshot != nil {
-		return Restored{}, &RestoreError{Reason: "the data folder holds a cluster already"}
+	if state.Snapshot == nil {
+		return nil, &RestoreError{Reason: "the data folder holds no cluster"}
 	}
-	term := snap.GetTerm() + restoredTermStep
-	members := restoredMembership(disk, self)
-	err = disk.Save(aubstore.Update{
-		HardState: &aubwire.HardState{Term: term},
-		Snapshot: &aubwire.LogSnapshot{
-			Index:      snap.GetIndex(),
-			Term:       snap.GetTerm(),
-			Membership: members,
-			Data:       snap.GetData(),
-		},
-	})
-	return Restored{Index: snap.GetIndex(), ClusterID: members.GetClusterId()}, err
+	return &aubwire.StoreExport{Snapshot: state.Snapshot, Entries: state.Entries}, nil
 }
 
 func restoredMembership(disk Disk, self Peer) *aubwire.Membership {
--- a/internal/aubcontrol/operate_test.go
+++ b/internal/aubcontrol/operate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -107,11 +108,17 @@
 	qt.Assert(t, err, qt.IsNil)
 	opts.Snapshot, err = s.all["a"].replica.ExportSnapshot(ctx)
 	qt.Assert(t, err, qt.IsNil)
-	for _, name := range []string{"a", "b", "d"} {
-		s.wipe(name)
-	}
-	_, err = aubcontrol.Restore(common, opts)
+	s.all["a"].stop()
+	offline, err := aubcontrol.ExportSnapshot(common, filepath.Join(s.dir, "a"), "a")
 	qt.Assert(t, err, qt.IsNil)
-	s.start("d")
-	apply("d", "7", "1234567")
+	for i, export := range [][]byte{opts.Snapshot, offline} {
+		for _, name := range []string{"a", "b", "d"} {
+			s.wipe(name)
+		}
+		opts.Snapshot = export
+		_, err = aubcontrol.Restore(common, opts)
+		qt.Assert(t, err, qt.IsNil)
+		s.start("d")
+		apply("d", fmt.Sprint(i), "123456"+fmt.Sprint(i))
+	}
 }
--- a/internal/aubcontrol/restore.go
+++ b/internal/aubcontrol/restore.go
@@ -18,7 +18,7 @@
 	Address string
 	// DataDir is a survivor's folder, or an empty one when a snapshot is given.
 	DataDir string
-	// Snapshot is an exported snapshot; nil means to go on from the data folder.
+	// Snapshot is what ExportSnapshot returned; nil means to go on from the data folder.
 	Snapshot []byte
 	// AcceptLoss must be set: commands that only the lost disks held are lost.
 	AcceptLoss bool
@@ -55,11 +55,11 @@
 	if exported == nil {
 		return aubconsensus.RestoreSurvivor(disk, self)
 	}
-	snap := &aubwire.LogSnapshot{}
-	if err := proto.Unmarshal(exported, snap); err != nil {
+	export := &aubwire.StoreExport{}
+	if err := proto.Unmarshal(exported, export); err != nil {
 		return aubconsensus.Restored{}, err
 	}
-	return aubconsensus.RestoreSnapshot(disk, self, snap)
+	return aubconsensus.RestoreExport(disk, self, export)
 }
 
 // ExportSnapshot returns the whole state applied here, for Restore. Confirm first
@@ -69,5 +69,20 @@
 	if err != nil {
 		return nil, &StorageError{Err: err}
 	}
-	return proto.Marshal(snap)
+	return proto.Marshal(&aubwire.StoreExport{Snapshot: snap})
+}
+
+// ExportSnapshot returns everything that a stopped replica's folder holds, for
+// Restore.
+func ExportSnapshot(common aubcommon.Common, dataDir, member string) ([]byte, error) {
+	disk, err := aubstore.Open(common, aubstore.Opts{DataDir: dataDir, Member: member})
+	if err != nil {
+		return nil, &StorageError{Err: err}
+	}
+	defer disk.Close()
+	export, err := aubconsensus.ExportDisk(disk)
+	if err != nil {
+		return nil, &RestoreError{Reason: "the folder can't be exported", Err: err}
+	}
+	return proto.Marshal(export)
 }
