Keep deliveries below gRPC's message limit

Cause: a batch of up to 2 MB and one more command of 2 MB could exceed the 4 MB that gRPC accepts, and would have been sent again without end. Batches now end at 1 MB. Commands of nearly 2 MB pass every hop in the new test, larger ones are refused as not committed. Test listeners use loopback IPs of their own, so that no other process takes their port.

--- a/internal/aubconsensus/transport.go
+++ b/internal/aubconsensus/transport.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	linkQueue     = 1024
-	deliverBytes  = 2 << 20
+	linkQueue = 1024
+	// deliverBytes and one more message stay below gRPC's limit of 4 MB.
+	deliverBytes  = 1 << 20
 	deliverCount  = 64
 	redialBackoff = 50 * time.Millisecond
 )
--- a/internal/aubcontrol/remote_test.go
+++ b/internal/aubcontrol/remote_test.go
@@ -211,3 +211,21 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(result.Body), qt.Equals, "xy")
 }
+
+func TestLargestCommandsPassEveryHop(t *testing.T) {
+	const large = 2<<20 - 1000
+	s := newSite(t, "a", "b", "c")
+	ctx := newContext(t)
+	remote := newRemote(t, s.addresses()...)
+	for range 3 {
+		_, err := remote.Apply(ctx, "counter", make([]byte, large))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	_, err := remote.Apply(ctx, "counter", make([]byte, 3<<20))
+	var refused *aubcontrol.NotCommittedError
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	for _, p := range s.peers {
+		_, err := s.all[p.Name].replica.Confirm(ctx)
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
--- a/internal/aubcontrol/replica_test.go
+++ b/internal/aubcontrol/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"strings"
@@ -58,8 +59,10 @@
 	return s
 }
 
+// freeAddress returns an address on a loopback IP of its own, so that no outgoing
+// connection of another process takes the port before it is listened on.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250)))
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
 	return l.Addr().String()
