Export the replicated state of a running site

The replica exports its applied state after a confirmed read; the command line fetches it over the administration API. A site of real processes loses all three disks and goes on from the export.

--- a/internal/aubadmin/handler.go
+++ b/internal/aubadmin/handler.go
@@ -3,6 +3,7 @@
 package aubadmin
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
@@ -42,6 +43,8 @@
 	Members    aubmembership.Source
 	// Burn gives the counts of the service-level objectives; nil counts nothing.
 	Burn func() aubapi.BurnCounts
+	// Snapshot exports the replicated state; nil offers none.
+	Snapshot func(ctx context.Context) ([]byte, error)
 }
 
 // NewHandler returns the administration API. It ends with the requests' contexts.
@@ -60,6 +63,7 @@
 	mux.HandleFunc("GET /admin/v1/version", queries.version)
 	mux.HandleFunc("GET /admin/v1/members", queries.members)
 	mux.HandleFunc("GET /admin/v1/burn", queries.burn)
+	mux.HandleFunc("GET /admin/v1/snapshot", queries.snapshot)
 	return requireCredential(common, opts.Credential, mux)
 }
 
--- a/internal/aubadmin/query.go
+++ b/internal/aubadmin/query.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
@@ -66,6 +68,24 @@
 	writeAnswer(w, r, http.StatusOK, q.opts.Burn())
 }
 
+// snapshot exports everything that was committed until now.
+func (q *queries) snapshot(w http.ResponseWriter, r *http.Request) {
+	if q.opts.Snapshot == nil || !q.confirm(r) {
+		writeProblem(w, problem{
+			status: http.StatusServiceUnavailable, code: "not_confirmed", retryAfter: retryAfterUnconfirmed,
+			detail: "this instance can't confirm that it holds everything committed",
+		})
+		return
+	}
+	data, err := q.opts.Snapshot(r.Context())
+	if err != nil {
+		q.common.Log.Error("Could not export a snapshot.", zap.Error(err))
+		writeProblem(w, problem{status: http.StatusInternalServerError, code: "snapshot_failed", detail: "the state can't be exported"})
+		return
+	}
+	writeAnswer(w, r, http.StatusOK, aubapi.Snapshot{Data: data})
+}
+
 func (q *queries) workspaces(w http.ResponseWriter, r *http.Request) {
 	writeAnswer(w, r, http.StatusOK, q.read(w, r).Workspaces())
 }
--- a/internal/aubcli/site_fault_test.go
+++ b/internal/aubcli/site_fault_test.go
@@ -192,6 +192,29 @@
 	})
 }
 
+// TestRestoreFromExportedSnapshot loses all disks and goes on from an export.
+func TestRestoreFromExportedSnapshot(t *testing.T) {
+	s := newSite(t)
+	var out, errOut bytes.Buffer
+	export := []string{"snapshot", "export", "--admin", "http://" + s.admin["entry-b"], "--credential_file", s.path("credential"), "--out", s.path("snapshot.bin")}
+	qt.Assert(t, Run(export, &out, &errOut), qt.Equals, ExitDone, qt.Commentf("%s", errOut.String()))
+	for _, name := range s.entries {
+		s.signal(t, name, syscall.SIGKILL)
+		qt.Assert(t, os.RemoveAll(s.path("data-"+name)), qt.IsNil)
+	}
+	restore := []string{"snapshot", "restore", "--settings", s.files["entry-c"], "--from", s.path("snapshot.bin"), "--accept_loss"}
+	qt.Assert(t, Run(restore, &out, &errOut), qt.Equals, ExitDone, qt.Commentf("%s", errOut.String()))
+	for _, name := range []string{"entry-c", "entry-a", "entry-b"} {
+		s.start(t, name)
+	}
+	for _, entry := range s.entries {
+		s.awaitServing(t, entry)
+		outcome, err := s.client(entry).Ticket(context.Background(), 1)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, outcome.Status, qt.Equals, aubapi.TicketAccepted)
+	}
+}
+
 // confirm repeats one claimed call through changing entries until it has a final
 // answer, and reports whether that said not run.
 func (s *site) confirm(i int) (notRun bool) {
--- a/internal/aubcli/snapshot.go
+++ b/internal/aubcli/snapshot.go
@@ -15,14 +15,13 @@
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
-// newSnapshotCommand returns the commands for the data folder of a stopped
-// control replica.
+// newSnapshotCommand returns the commands that save and restore the replicated state.
 func newSnapshotCommand(s streams) *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "snapshot",
 		ShortUsage:  "auburndale snapshot export | restore [flags]",
-		ShortHelp:   "export and restore the state of a stopped control replica",
-		LongHelp:    "Example:\n  auburndale snapshot export --settings entry-a.yaml --out snapshot.bin",
+		ShortHelp:   "export and restore the replicated state",
+		LongHelp:    "Example:\n  auburndale snapshot restore --settings entry-a.yaml --accept_loss",
 		FlagSet:     s.newFlagSet("auburndale snapshot"),
 		Subcommands: []*ffcli.Command{newSnapshotExportCommand(s), newSnapshotRestoreCommand(s)},
 		Exec: func(context.Context, []string) error {
@@ -33,28 +32,30 @@
 
 func newSnapshotExportCommand(s streams) *ffcli.Command {
 	fs := s.newFlagSet("auburndale snapshot export")
-	file := fs.String("settings", "", "settings file of the stopped replica")
+	var admin adminFlags
+	admin.register(fs)
 	out := fs.String("out", "", "file for the snapshot")
 	return &ffcli.Command{
 		Name:       "export",
-		ShortUsage: "auburndale snapshot export --settings FILE --out FILE",
-		ShortHelp:  "write the last snapshot of a stopped replica to a file",
-		LongHelp:   "Commands after the last snapshot are not part of it.\nExample:\n  auburndale snapshot export --settings entry-a.yaml --out snapshot.bin",
-		FlagSet:    fs,
-		Exec: func(_ context.Context, args []string) error {
-			if *file == "" || *out == "" || len(args) > 0 {
-				return s.usageError("snapshot export needs -settings and -out, and nothing besides")
+		ShortUsage: "auburndale snapshot export --admin URL --out FILE",
+		ShortHelp:  "write the whole replicated state of a running site to a file",
+		LongHelp: "What is committed after the export is not part of it.\n" +
+			"Example:\n  auburndale snapshot export --admin http://127.0.1.1:7200 --credential_file admin.credential --out snapshot.bin",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *out == "" || len(args) > 0 {
+				return s.usageError("snapshot export needs -out, and takes flags only")
 			}
-			cfg, err := aubsettings.Load(*file)
+			client, err := admin.newClient(s)
 			if err != nil {
 				return err
 			}
-			data, err := aubcontrol.ExportSnapshot(newQuietCommon(), cfg.Control.DataDir, cfg.Name)
+			snapshot, err := client.Snapshot(ctx)
 			if err != nil {
 				return err
 			}
 			return writeTo(s.out, *out, func(w io.Writer) error {
-				_, err := w.Write(data)
+				_, err := w.Write(snapshot.Data)
 				return err
 			})
 		},
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -231,6 +231,7 @@
 			Reader:     e.control.replica,
 			Members:    e.members,
 			Burn:       e.burn.Counts,
+			Snapshot:   e.control.replica.ExportSnapshot,
 		}),
 	})
 	return err
--- a/pkg/aubclient/client.go
+++ b/pkg/aubclient/client.go
@@ -79,6 +79,11 @@
 	return get[[]aubapi.Workspace](ctx, c, "workspaces")
 }
 
+// Snapshot exports the whole replicated state.
+func (c *Client) Snapshot(ctx context.Context) (aubapi.Snapshot, error) {
+	return get[aubapi.Snapshot](ctx, c, "snapshot")
+}
+
 // Burn returns the counts of the service-level objectives of one instance.
 func (c *Client) Burn(ctx context.Context) (aubapi.BurnCounts, error) {
 	return get[aubapi.BurnCounts](ctx, c, "burn")
