--- /dev/null
+++ b/internal/aubdistribution/server_test.go
@@ -0,0 +1,42 @@
+package aubdistribution_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// A follower that says nothing more is given up, so that its stream holds
+// nothing on the server.
+func TestServerEndsSilentStreams(t *testing.T) {
+	s := newSite(t)
+	s.addReplica("a").grow(t, 2)
+	conn, err := s.dial("a")
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	stream, err := aubwire.NewDistributionClient(conn).Watch(s.ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, stream.Send(&aubwire.WatchRequest{Process: "agent", Sequence: 1}), qt.IsNil)
+
+	first, err := stream.Recv()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first.GetDelta().GetToVersion(), qt.Equals, uint64(2))
+	second, err := stream.Recv()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second.GetHeartbeat().GetSequence(), qt.Equals, uint64(1))
+
+	ended := make(chan error, 1)
+	go func() {
+		_, err := stream.Recv()
+		ended <- err
+	}()
+	s.pass(3 * time.Second)
+	qt.Assert(t, ended, qt.HasLen, 0)
+	s.until("the end of the stream", func() bool { return len(ended) == 1 })
+	qt.Assert(t, status.Code(<-ended), qt.Equals, codes.DeadlineExceeded)
+}
