--- a/internal/aubagent/site_test.go
+++ b/internal/aubagent/site_test.go
@@ -40,6 +40,9 @@
 	executor *aubexecution.Executor
 	target   aubexecution.Target
 	opts     aubagent.AgentOpts
+	wire     *wire
+	backend  *httptest.Server
+	server   *grpc.Server
 }
 
 func newContext(t testing.TB) context.Context {
@@ -77,6 +80,7 @@
 	s.engine = aubstandin.NewEngine(s.ctx, s.common, engine)
 	server := httptest.NewServer(s.engine.Handler())
 	t.Cleanup(server.Close)
+	s.backend = server
 	s.opts.EngineURL = server.URL
 	s.startAgent(t)
 	return s
@@ -87,6 +91,7 @@
 	s.service = aubstandin.NewService(s.ctx, s.common, aubstandin.ServiceOpts{Name: "roster"})
 	server := httptest.NewServer(s.service.Handler())
 	t.Cleanup(server.Close)
+	s.backend = server
 	s.opts.ServiceURL = server.URL
 	s.opts.Services = []string{"roster"}
 	s.startAgent(t)
@@ -97,7 +102,9 @@
 	agent, err := aubagent.NewAgent(s.ctx, s.common, s.opts)
 	qt.Assert(t, err, qt.IsNil)
 	s.agent = agent
-	server := grpc.NewServer()
+	s.wire = &wire{}
+	server := grpc.NewServer(grpc.StreamInterceptor(s.wire.intercept))
+	s.server = server
 	agent.Register(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
