Keep the key from backend servers in path, body and hop-by-hop headers

Cause: hop-by-hop headers were removed before the key was noted, so 'Connection: Authorization' hid a given key from the scan; a key in the path was passed on, and one in other case in the body. Found by reading. Bodies and paths can't be changed on the way, so such a request is refused.

--- a/internal/aubauth/strip.go
+++ b/internal/aubauth/strip.go
@@ -1,6 +1,7 @@
 package aubauth
 
 import (
+	"bytes"
 	"encoding/base64"
 	"net/http"
 	"net/url"
@@ -200,6 +201,20 @@
 	return false
 }
 
+// HoldsBytes reports whether a body holds a key as it is or in other case.
+func (s Stripper) HoldsBytes(data []byte) bool {
+	if len(s.secrets) == 0 {
+		return false
+	}
+	lower := bytes.ToLower(data)
+	for _, secret := range s.secrets {
+		if bytes.Contains(lower, []byte(secret)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s Stripper) holdsAny(values []string) bool {
 	for _, v := range values {
 		if s.Holds(v) {
--- a/internal/aubentry/fixture_test.go
+++ b/internal/aubentry/fixture_test.go
@@ -270,6 +270,14 @@
 	})
 }
 
+// addRoute adds a route of alpha to the configuration.
+func (f *fixture) addRoute(prefix, service string) {
+	opts := f.config.Config().Opts()
+	opts.Version++
+	opts.Routes = append(opts.Routes, aubapi.Route{Name: service, Prefix: prefix, Service: service, Workspaces: []string{"alpha"}})
+	f.config.set(aubquery.NewConfig(opts))
+}
+
 func storeKey(t testing.TB, secret, name, workspace string) aubapi.Key {
 	key, err := aubauth.StoreKey(secret, name, workspace)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/aubentry/model_call.go
+++ b/internal/aubentry/model_call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/auburndale/auburndale/internal/aubauth"
 )
 
 // callModel runs a generation or embedding request.
@@ -18,7 +20,7 @@
 	if f != nil {
 		return f
 	}
-	if f := refuseKeyInBody(x, data); f != nil {
+	if f := refuseKey(x, data); f != nil {
 		return f
 	}
 	body, f := parseModelBody(data)
@@ -45,6 +47,8 @@
 		return call{}, err
 	}
 	prompt := body.promptTokens(t.model.BytesPerToken)
+	header := http.Header{"Content-Type": {"application/json"}, "Accept": x.r.Header.Values("Accept")}
+	aubauth.NewStripper(x.r.Header, x.r.URL).StripHeader(header)
 	return call{
 		id:           x.id,
 		group:        t.model.Name,
@@ -52,7 +56,7 @@
 		adapter:      t.adapter,
 		method:       http.MethodPost,
 		path:         x.r.URL.Path,
-		header:       http.Header{"Content-Type": {"application/json"}, "Accept": x.r.Header.Values("Accept")},
+		header:       header,
 		body:         encoded,
 		prefixes:     body.prefixes(),
 		promptTokens: prompt,
--- a/internal/aubentry/service_call.go
+++ b/internal/aubentry/service_call.go
@@ -1,7 +1,6 @@
 package aubentry
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"slices"
@@ -13,9 +12,6 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
-// minKeyLength is the least length of a key that is looked for in bodies.
-const minKeyLength = 8
-
 // hopHeaders concern one connection only and are never passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -39,7 +35,7 @@
 	if f != nil {
 		return f
 	}
-	if f := refuseKeyInBody(x, body); f != nil {
+	if f := refuseKey(x, body); f != nil {
 		return f
 	}
 	c := h.newServiceCall(x, route, w, body)
@@ -70,9 +66,12 @@
 func (h *Handler) newServiceCall(x *exchange, route aubapi.Route, w aubapi.Workspace, body []byte) call {
 	u := *x.r.URL
 	header := x.r.Header.Clone()
+	// The key is noted before any header goes, hop-by-hop ones included.
+	stripper := aubauth.NewStripper(header, &u)
 	removeHopHeaders(header)
-	aubauth.StripKey(header, &u)
-	header.Set(headerRequestID, x.echoID())
+	stripper.StripHeader(header)
+	stripper.StripURL(&u)
+	header.Set(headerRequestID, x.id)
 	header.Del(headerWorkspace)
 	if w.Name != "" {
 		header.Set(headerWorkspace, w.Name)
@@ -110,14 +109,19 @@
 	}
 }
 
-// refuseKeyInBody refuses a body that shows the caller's key: no backend server
-// may see it, and a body can't be changed on the way.
-func refuseKeyInBody(x *exchange, body []byte) *refusal {
-	key := aubauth.PresentedKey(x.r.Header)
-	if len(key) < minKeyLength || !bytes.Contains(body, []byte(key)) {
-		return nil
+// refuseKey refuses a request that shows its key where it can't be taken out:
+// in the path, the body or the idempotency key. No backend server may see it.
+func refuseKey(x *exchange, body []byte) *refusal {
+	stripper := aubauth.NewStripper(x.r.Header, x.r.URL)
+	switch {
+	case stripper.Holds(x.r.URL.Path):
+		return refuse(problemInvalid).WithDetail("The path must not contain the key.")
+	case stripper.Holds(x.r.Header.Get(headerIdempotencyKey)):
+		return refuse(problemInvalid).WithDetail("The idempotency key must not contain the key.")
+	case stripper.HoldsBytes(body):
+		return refuse(problemInvalid).WithDetail("The body must not contain the key.")
 	}
-	return refuse(problemInvalid).WithDetail("The body must not contain the key.")
+	return nil
 }
 
 func hasDotSegment(path string) bool {
