--- a/internal/aubclaim/fake_test.go
+++ b/internal/aubclaim/fake_test.go
@@ -31,6 +31,7 @@
 	table *aubclaim.Table
 	index uint64
 	clock time.Duration
+	bytes int
 	late  [][]byte
 	// next decides the fate of each command.
 	next func() fate
@@ -74,6 +75,7 @@
 
 func (l *fakeLog) commit(body []byte) aubcontrol.Result {
 	l.index++
+	l.bytes += len(body)
 	out := l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock, Body: body})
 	return aubcontrol.Result{Index: l.index, Body: out}
 }
--- /dev/null
+++ b/internal/aublimit/bench_test.go
@@ -0,0 +1,117 @@
+package aublimit_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+func manyWorkspaces(n int) *site {
+	all := make([]aubapi.Workspace, n)
+	for i := range all {
+		all[i] = aubapi.Workspace{Name: fmt.Sprintf("workspace-%03d", i), Rate: 1_000_000, Burst: 2_000_000}
+	}
+	return newSite(all...)
+}
+
+// BenchmarkReserveSettle gives the processor time of one reservation.
+func BenchmarkReserveSettle(b *testing.B) {
+	s := newSite(aubapi.Workspace{Name: workspace, Rate: 1e9, Burst: 1e9})
+	start := time.Now()
+	log := newFakeLog(s, aublimit.Terms{}, func() time.Duration { return time.Since(start) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := aublimit.NewLimiter(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aublimit.LimiterOpts{
+		Instance: "a", Zone: "z", Incarnation: 1, Proposer: log, Source: s,
+	})
+	b.ReportAllocs()
+	refused := 0
+	for b.Loop() {
+		r, err := l.Reserve(ctx, workspace, 100)
+		if err != nil {
+			refused++
+			continue
+		}
+		r.Settle(60)
+	}
+	b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
+}
+
+// BenchmarkSync gives the commits and bytes a second of a fleet in virtual time,
+// and the processor time of the table and the limiters for a second of it.
+func BenchmarkSync(b *testing.B) {
+	cases := []struct{ workspaces, instances, requests int }{
+		{5, 3, 0}, {5, 3, 50}, {5, 3, 500}, {5, 10, 500}, {50, 3, 500}, {50, 10, 500}, {50, 30, 500}, {280, 10, 500}, {280, 10, 5000},
+	}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("workspaces=%d/instances=%d/requests=%d", c.workspaces, c.instances, c.requests), func(b *testing.B) {
+			s := manyWorkspaces(c.workspaces)
+			f := newLeases(s, c.instances)
+			n := 0
+			second := func() {
+				for step := range int(time.Second / fleetStep) {
+					f.step()
+					for n*int(time.Second/fleetStep) < (step+1)*c.requests {
+						r, _, err := f.holders[n%c.instances].limiter.TryReserve(fmt.Sprintf("workspace-%03d", n%c.workspaces), 500)
+						if err == nil {
+							f.open = append(f.open, settling{end: f.now + time.Second, used: 300, reserve: r})
+						}
+						n++
+					}
+				}
+				n = 0
+			}
+			for range 3 {
+				second()
+			}
+			f.syncs, f.log.bytes, f.log.replyBytes = 0, 0, 0
+			seconds := 0
+			for b.Loop() {
+				second()
+				seconds++
+			}
+			b.ReportMetric(float64(f.syncs)/float64(seconds), "commits/s")
+			b.ReportMetric(float64(f.log.bytes)/float64(seconds), "command_B/s")
+			b.ReportMetric(float64(f.log.replyBytes)/float64(seconds), "reply_B/s")
+			data, err := f.log.table.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(data)), "snapshot_B")
+		})
+	}
+}
+
+// BenchmarkMemory gives the table's and the limiters' heap for each pair of
+// workspace and instance.
+func BenchmarkMemory(b *testing.B) {
+	for _, c := range []struct{ workspaces, instances int }{{50, 10}, {280, 10}, {280, 40}} {
+		b.Run(fmt.Sprintf("workspaces=%d/instances=%d", c.workspaces, c.instances), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				f := newLeases(manyWorkspaces(c.workspaces), c.instances)
+				for range 600 {
+					f.step()
+				}
+				grown := heapBytes() - before
+				b.ReportMetric(float64(grown)/float64(c.workspaces*c.instances), "B/pair")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc) //nolint:gosec // A test's heap is small.
+}
--- a/internal/aublimit/fake_test.go
+++ b/internal/aublimit/fake_test.go
@@ -41,12 +41,14 @@
 
 // fakeLog commits to one table at a replicated clock.
 type fakeLog struct {
-	mu     sync.Mutex
-	table  *aublimit.Table
-	index  uint64
-	clock  func() time.Duration
-	bytes  int
-	refuse bool
+	mu    sync.Mutex
+	table *aublimit.Table
+	index uint64
+	clock func() time.Duration
+	bytes int
+	// replyBytes counts the encoded replies.
+	replyBytes int
+	refuse     bool
 }
 
 var _ aubcontrol.Proposer = (*fakeLog)(nil)
@@ -71,5 +73,7 @@
 func (l *fakeLog) commit(body []byte) []byte {
 	l.index++
 	l.bytes += len(body)
-	return l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body})
+	out := l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body})
+	l.replyBytes += len(out)
+	return out
 }
--- /dev/null
+++ b/internal/aubqueue/bench_test.go
@@ -0,0 +1,71 @@
+package aubqueue_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubqueue"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// BenchmarkAdmit gives the processor time of one admission and release.
+func BenchmarkAdmit(b *testing.B) {
+	for _, workspaces := range []int{5, 50, 280} {
+		b.Run(fmt.Sprintf("free/workspaces=%d", workspaces), func(b *testing.B) {
+			q := aubqueue.New(aubcommon.NewCommon(aubtimer.NewReal()), aubqueue.Opts{})
+			names := workspaceNames(workspaces)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				slot, err := q.Admit(context.Background(), aubqueue.Item{Workspace: names[n%workspaces], Cost: 500, Group: "m"})
+				if err != nil {
+					b.Fatal(err)
+				}
+				slot.Release()
+			}
+		})
+		b.Run(fmt.Sprintf("busy/workspaces=%d", workspaces), func(b *testing.B) { busy(b, workspaces) })
+	}
+}
+
+// busy keeps a thousand requests waiting: each step lets one in and one out.
+func busy(b *testing.B, workspaces int) {
+	const waiting = 1000
+	q := aubqueue.New(aubcommon.NewCommon(aubtimer.NewReal()), aubqueue.Opts{})
+	names := workspaceNames(workspaces)
+	var queued []aubqueue.Arrival
+	n := 0
+	enter := func() {
+		n++
+		a, err := q.Enter(aubqueue.Item{Workspace: names[n%workspaces], Cost: 500, Group: "m"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		queued = append(queued, a)
+	}
+	for range waiting {
+		enter()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		enter()
+		for i := range queued {
+			if slot, ok := queued[i].Slot(); ok {
+				slot.Release()
+				queued = append(queued[:i], queued[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+func workspaceNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%03d", i)
+	}
+	return names
+}
