--- a/internal/aublimit/history_test.go
+++ b/internal/aublimit/history_test.go
@@ -66,10 +66,11 @@
 
 // event is a spend, or else the limits to honour from then on.
 type event struct {
-	at    time.Duration
-	spend *spend
-	rate  float64
-	burst float64
+	at     time.Duration
+	spend  *spend
+	holder *holder
+	rate   float64
+	burst  float64
 }
 
 func terms(floorPerMille int64) aublimit.Terms {
@@ -148,10 +149,10 @@
 	return w.holders[rapid.IntRange(0, len(w.holders)-1).Draw(w.t, label)]
 }
 
-func (w *world) record(tokens int64, r aublimit.Reservation) {
+func (w *world) record(h *holder, tokens int64, r aublimit.Reservation) {
 	s := &spend{used: tokens, reserve: r, reserved: tokens}
 	w.spends = append(w.spends, s)
-	w.events = append(w.events, event{at: w.now, spend: s})
+	w.events = append(w.events, event{at: w.now, spend: s, holder: h})
 }
 
 func (w *world) reserve(h *holder, tokens int64) {
@@ -161,7 +162,7 @@
 	case waiting != nil:
 		h.waiting = append(h.waiting, wait{w: waiting, tokens: tokens})
 	default:
-		w.record(tokens, r)
+		w.record(h, tokens, r)
 	}
 }
 
@@ -174,7 +175,7 @@
 			done = true
 		}
 		if done && err == nil {
-			w.record(x.tokens, r)
+			w.record(h, x.tokens, r)
 		}
 		return done
 	})
@@ -191,7 +192,7 @@
 		return
 	}
 	switch {
-	case h.cut && rapid.Bool().Draw(w.t, "certain"):
+	case h.cut && (w.t == nil || rapid.Bool().Draw(w.t, "certain")):
 		s.Fail(&aubcontrol.NotCommittedError{Reason: "cut"})
 	case h.cut:
 		w.late = append(w.late, s.Body())
--- a/internal/aublimit/limiter.go
+++ b/internal/aublimit/limiter.go
@@ -161,6 +161,7 @@
 	now := l.lapse()
 	a := l.account(workspace)
 	a.demand.observe(tokens)
+	l.serve(a, now)
 	if len(a.waiters) == 0 {
 		if p, ok := l.pay(a, now, tokens); ok {
 			return nil, p, nil
