Measure agent and executor; show that suspects run alone

Benchmarks give processor time a request at 1 to 1024 tokens, with and without agent and executor, and the heap of an idle agent. The connection fault table also loses frames in one direction only, which the executor's own watch has to find (fails without it); a suspect that does not run alone fails TestSuspectRunsAlone.

--- /dev/null
+++ b/internal/aubagent/bench_test.go
@@ -0,0 +1,101 @@
+package aubagent_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubagent"
+	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubstandin"
+)
+
+// processorNanos is the processor time of this process so far.
+func processorNanos(b *testing.B) int64 {
+	var usage syscall.Rusage
+	qt.Assert(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage), qt.IsNil)
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
+
+// BenchmarkExecution gives the processor time of executor, agent and stand-in
+// engine together; the slope over the token counts is that of one token.
+func BenchmarkExecution(b *testing.B) {
+	for _, tokens := range []int{1, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			s := newEngineSite(b, aubstandin.EngineOpts{Items: []aubengine.Item{ready("m", gib)}}, fastOpts())
+			s.ctx = context.Background()
+			s.awaitReady(b, "m")
+			before := processorNanos(b)
+			b.ResetTimer()
+			for i := range b.N {
+				id := fmt.Sprintf("r%d", i)
+				req := chatRequest(id, "m", "hello", true)
+				body := `{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`
+				req.Body = strings.NewReader(fmt.Sprintf(body, tokens))
+				_, _, err := s.call(req)
+				qt.Assert(b, err, qt.IsNil)
+			}
+			b.ReportMetric(float64(processorNanos(b)-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// BenchmarkEngineDirect is the same work without agent and executor.
+func BenchmarkEngineDirect(b *testing.B) {
+	for _, tokens := range []int{1, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			s := newEngineSite(b, aubstandin.EngineOpts{Items: []aubengine.Item{ready("m", gib)}}, fastOpts())
+			client := aubengine.NewClient(s.ctx, s.common, aubengine.ClientOpts{URL: s.opts.EngineURL})
+			s.awaitReady(b, "m")
+			before := processorNanos(b)
+			b.ResetTimer()
+			for range b.N {
+				body := `{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`
+				resp, err := client.Do(context.Background(), aubengine.Call{
+					Method: "POST",
+					Path:   "/v1/chat/completions",
+					Body:   fmt.Appendf(nil, body, tokens),
+				})
+				qt.Assert(b, err, qt.IsNil)
+				events := aubengine.NewEventReader(resp.Body)
+				for err == nil {
+					_, err = events.Next()
+				}
+				_ = resp.Body.Close()
+			}
+			b.ReportMetric(float64(processorNanos(b)-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+// BenchmarkIdleAgent gives the heap of one agent that holds 16 items.
+func BenchmarkIdleAgent(b *testing.B) {
+	items := make([]aubengine.Item, 16)
+	for i := range items {
+		items[i] = ready(fmt.Sprintf("m%d", i), gib)
+	}
+	s := newEngineSite(b, aubstandin.EngineOpts{Items: items}, fastOpts())
+	before := heapBytes()
+	agents := make([]*aubagent.Agent, 0, b.N)
+	b.ResetTimer()
+	for range b.N {
+		agent, err := aubagent.NewAgent(s.ctx, s.common, s.opts)
+		qt.Assert(b, err, qt.IsNil)
+		agents = append(agents, agent)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(heapBytes()-before)/float64(b.N), "heap-B/agent")
+	runtime.KeepAlive(agents)
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/aubagent/leave_test.go
+++ b/internal/aubagent/leave_test.go
@@ -134,6 +134,33 @@
 	qt.Assert(t, s.agent.Report().GetPoisoned(), qt.DeepEquals, []string{"poison"})
 }
 
+// TestSuspectRunsAlone has a suspect wait until nothing else runs.
+func TestSuspectRunsAlone(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		t.Run(fmt.Sprintf("asked by the entry %v", asked), func(t *testing.T) {
+			s := slowSite(t, 20*time.Millisecond)
+			if !asked {
+				s.engine.SetFaults(aubstandin.Faults{PoisonPrompt: "poison"})
+				with, err := s.executor.Execute(s.ctx, s.target, chatRequest("with", "m", "suspect", true))
+				qt.Assert(t, err, qt.IsNil)
+				_, _, err = s.call(chatRequest("p", "m", "poison", true))
+				asDied(t, err)
+				_, err = readAll(s.ctx, with)
+				asDied(t, err)
+				s.revive(t)
+			}
+			before := s.engine.Stats().TokensOut
+			_, err := s.executor.Execute(s.ctx, s.target, chatRequest("other", "m", "other", true))
+			qt.Assert(t, err, qt.IsNil)
+			req := chatRequest("r", "m", "suspect", true)
+			req.Alone = asked
+			_, err = s.executor.Execute(s.ctx, s.target, req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, s.engine.Stats().TokensOut-before >= 8, qt.IsTrue)
+		})
+	}
+}
+
 // revive restarts the engine and loads its model again.
 func (s *site) revive(t testing.TB) {
 	s.engine.Restart()
--- a/internal/aubagent/whole_test.go
+++ b/internal/aubagent/whole_test.go
@@ -35,7 +35,7 @@
 // TestConnectionFaultAtEveryFrame breaks the connection between executor and
 // agent at each frame: the answer is resumed, whole and in order.
 func TestConnectionFaultAtEveryFrame(t *testing.T) {
-	faults := map[string]wireFault{"cut": wireCut, "silent": wireSilent, "deaf": wireDeaf}
+	faults := map[string]wireFault{"cut": wireCut, "silent": wireSilent, "mute": wireMute, "deaf": wireDeaf}
 	for name, fault := range faults {
 		for _, stream := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, stream %v", name, stream), func(t *testing.T) {
--- a/internal/aubagent/wire_test.go
+++ b/internal/aubagent/wire_test.go
@@ -18,6 +18,8 @@
 	wireCut
 	// wireSilent loses that frame and everything after it, both ways.
 	wireSilent
+	// wireMute loses that frame and everything after it towards the caller.
+	wireMute
 	// wireDeaf loses everything from the caller from that frame on.
 	wireDeaf
 )
@@ -70,7 +72,7 @@
 		switch s.fault {
 		case wireCut:
 			return status.Error(codes.Unavailable, "cut")
-		case wireSilent:
+		case wireSilent, wireMute:
 			return nil
 		default:
 		}
