Check the executor against an agent that breaks its contract

Cause: the executor was only tested with a real agent. A scripted agent now sends frames twice, with gaps, of another request, without an end or a head, goes silent and says not run after it began; the start goes out once in each case. Also: the stand-in engine kept every answer for good; it now keeps the newest 4096.

--- a/internal/aubagent/leave_test.go
+++ b/internal/aubagent/leave_test.go
@@ -144,9 +144,9 @@
 				with, err := s.executor.Execute(s.ctx, s.target, chatRequest("with", "m", "suspect", true))
 				qt.Assert(t, err, qt.IsNil)
 				_, _, err = s.call(chatRequest("p", "m", "poison", true))
-				asDied(t, err)
+				qt.Assert(t, asDied(t, err), qt.IsNotNil)
 				_, err = readAll(s.ctx, with)
-				asDied(t, err)
+				qt.Assert(t, asDied(t, err), qt.IsNotNil)
 				s.revive(t)
 			}
 			before := s.engine.Stats().TokensOut
--- /dev/null
+++ b/internal/aubexecution/executor_test.go
@@ -0,0 +1,242 @@
+package aubexecution_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubexecution"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+const (
+	heartbeat = 60 * time.Millisecond
+	patience  = 20 * time.Second
+	requestID = "r"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// connection is what the fake agent sends on one connection. It then ends it,
+// or stays silent when it is told to hang.
+type connection struct {
+	frames []*aubwire.ExecuteFrame
+	hang   bool
+}
+
+// fakeAgent plays one connection after another; the last one is repeated.
+type fakeAgent struct {
+	aubwire.UnimplementedAgentServer
+	mu     sync.Mutex
+	script []connection
+	first  []*aubwire.ExecuteRequest
+}
+
+func (f *fakeAgent) next(m *aubwire.ExecuteRequest) connection {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = append(f.first, m)
+	return f.script[min(len(f.first), len(f.script))-1]
+}
+
+// Execute implements the agent's gRPC service.
+func (f *fakeAgent) Execute(stream grpc.BidiStreamingServer[aubwire.ExecuteRequest, aubwire.ExecuteFrame]) error {
+	m, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	c := f.next(m)
+	for _, frame := range c.frames {
+		if err := stream.Send(frame); err != nil {
+			return err
+		}
+	}
+	if c.hang {
+		<-stream.Context().Done()
+	}
+	return nil
+}
+
+func frame(sequence uint64) *aubwire.ExecuteFrame {
+	return &aubwire.ExecuteFrame{RequestId: requestID, Attempt: 1, Sequence: sequence}
+}
+
+func head() *aubwire.ExecuteFrame {
+	f := frame(1)
+	f.Frame = &aubwire.ExecuteFrame_Head{Head: &aubwire.FrameHead{Status: 200}}
+	return f
+}
+
+func data(sequence uint64, text string) *aubwire.ExecuteFrame {
+	f := frame(sequence)
+	f.Frame = &aubwire.ExecuteFrame_Data{Data: &aubwire.FrameData{Data: []byte(text)}}
+	return f
+}
+
+func end(sequence uint64) *aubwire.ExecuteFrame {
+	f := frame(sequence)
+	f.Frame = &aubwire.ExecuteFrame_End{End: &aubwire.FrameEnd{OutputTokens: 2}}
+	return f
+}
+
+func failure(state aubwire.ExecutionState) *aubwire.ExecuteFrame {
+	f := frame(1)
+	f.Frame = &aubwire.ExecuteFrame_Failure{Failure: &aubwire.FrameFailure{Execution: state}}
+	return f
+}
+
+func other(f *aubwire.ExecuteFrame) *aubwire.ExecuteFrame {
+	f.RequestId = "another"
+	return f
+}
+
+// TestAnswerContract plays what agents may do and says what the caller gets.
+func TestAnswerContract(t *testing.T) {
+	notRun := failure(aubwire.ExecutionState_EXECUTION_STATE_NOT_RUN)
+	type frames = []*aubwire.ExecuteFrame
+	tests := []struct {
+		name   string
+		script []connection
+		body   string
+		// execution is empty for a whole answer.
+		execution aubapi.Execution
+	}{
+		{
+			name:   "whole",
+			script: []connection{{frames: frames{head(), data(2, "a"), data(3, "b"), end(4)}}},
+			body:   "ab",
+		},
+		{
+			name:   "frames sent again",
+			script: []connection{{frames: frames{head(), data(2, "a"), data(2, "a"), head(), data(3, "b"), end(4)}}},
+			body:   "ab",
+		},
+		{
+			name: "connection ends before the end frame",
+			script: []connection{
+				{frames: frames{head(), data(2, "a")}},
+				{frames: frames{data(3, "b"), end(4)}},
+			},
+			body: "ab",
+		},
+		{
+			name: "gap",
+			script: []connection{
+				{frames: frames{head(), data(3, "b"), end(4)}},
+				{frames: frames{data(2, "a"), data(3, "b"), end(4)}},
+			},
+			body: "ab",
+		},
+		{
+			name: "frame of another request",
+			script: []connection{
+				{frames: frames{head(), other(data(2, "x")), end(3)}},
+				{frames: frames{data(2, "a"), data(3, "b"), end(4)}},
+			},
+			body: "ab",
+		},
+		{
+			name: "silent",
+			script: []connection{
+				{frames: frames{head(), data(2, "a")}, hang: true},
+				{frames: frames{data(3, "b"), end(4)}},
+			},
+			body: "ab",
+		},
+		{name: "never a frame", script: []connection{{}}, execution: aubapi.ExecutionMayHaveRun},
+		{
+			name:      "never the end",
+			script:    []connection{{frames: frames{head(), data(2, "a")}}, {}},
+			body:      "a",
+			execution: aubapi.ExecutionMayHaveRun,
+		},
+		{name: "end without a head", script: []connection{{frames: frames{end(1)}}}, execution: aubapi.ExecutionMayHaveRun},
+		{name: "refused", script: []connection{{frames: frames{notRun}}}, execution: aubapi.ExecutionNotRun},
+		{
+			name:      "unknown after the start was lost",
+			script:    []connection{{}, {frames: frames{notRun}}},
+			execution: aubapi.ExecutionNotRun,
+		},
+		{
+			name:      "said not to have run after it began",
+			script:    []connection{{frames: frames{head(), data(2, "a")}}, {frames: frames{notRun}}},
+			body:      "a",
+			execution: aubapi.ExecutionMayHaveRun,
+		},
+		{
+			name:      "failure without a state",
+			script:    []connection{{frames: frames{failure(aubwire.ExecutionState_EXECUTION_STATE_UNSPECIFIED)}}},
+			execution: aubapi.ExecutionMayHaveRun,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			agent := &fakeAgent{script: test.script}
+			body, err := execute(t, agent)
+			qt.Assert(t, body, qt.Equals, test.body)
+			checkResumes(t, agent)
+			if test.execution == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			var failed *aubexecution.FailedError
+			qt.Assert(t, errors.As(err, &failed), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, failed.Execution, qt.Equals, test.execution)
+		})
+	}
+}
+
+// checkResumes makes sure that the start went out once.
+func checkResumes(t *testing.T, agent *fakeAgent) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	for i, m := range agent.first {
+		qt.Assert(t, m.GetStart() != nil, qt.Equals, i == 0)
+	}
+}
+
+func execute(t *testing.T, agent *fakeAgent) (string, error) {
+	server := grpc.NewServer()
+	aubwire.RegisterAgentServer(server, agent)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	executor := aubexecution.NewExecutor(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubexecution.ExecutorOpts{
+		Dial: func(address string) (*grpc.ClientConn, error) {
+			return grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		},
+		Heartbeat: heartbeat,
+	})
+	target := aubexecution.Target{Address: listener.Addr().String()}
+	a, err := executor.Execute(ctx, target, aubexecution.Request{RequestID: requestID, Attempt: 1})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body := ""
+	for {
+		piece, err := a.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+		body += string(piece)
+	}
+}
--- a/internal/aubstandin/engine.go
+++ b/internal/aubstandin/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubengine"
@@ -14,6 +15,7 @@
 
 const (
 	defaultMaxBatch    = 32
+	maxAnswers         = 4096
 	defaultResumeGrace = 10 * time.Second
 )
 
@@ -66,13 +68,14 @@
 	// mu guards what follows. Lock order: mu before memory.mu.
 	mu sync.Mutex
 	// life ends with the current boot.
-	life      context.Context
-	end       context.CancelFunc
-	boot      string
-	crashed   bool
-	fence     uint64
-	sched     *scheduler
-	answers   map[string]*answer
+	life    context.Context
+	end     context.CancelFunc
+	boot    string
+	crashed bool
+	fence   uint64
+	sched   *scheduler
+	// answers holds those that can be resumed; the oldest are forgotten.
+	answers   *simplelru.LRU[string, *answer]
 	published aubengine.Report
 	reportAt  time.Time
 }
@@ -97,6 +100,12 @@
 		memory: newMemory(opts.MemoryBytes, rec),
 		cache:  newPrefixCache(opts.CacheTokens),
 	}
+	answers, err := simplelru.NewLRU[string, *answer](maxAnswers, nil)
+	if err != nil {
+		// Only a size below one fails.
+		panic(err)
+	}
+	e.answers = answers
 	e.mux = e.routes()
 	e.start()
 	for _, item := range opts.Items {
@@ -115,7 +124,7 @@
 	e.crashed = false
 	e.fence = 0
 	e.sched = newScheduler(e.opts.MaxBatch)
-	e.answers = make(map[string]*answer)
+	e.answers.Purge()
 	e.reportAt = time.Time{}
 }
 
--- a/internal/aubstandin/generate.go
+++ b/internal/aubstandin/generate.go
@@ -68,7 +68,7 @@
 	ctx, cancel := context.WithCancel(life)
 	a := newAnswer(requestID, req.Stream, cancel)
 	e.mu.Lock()
-	e.answers[answerID] = a
+	e.answers.Add(answerID, a)
 	e.mu.Unlock()
 	run := run{
 		engine: e,
@@ -91,7 +91,7 @@
 func (e *Engine) other(a *answer) *answer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, b := range e.answers {
+	for _, b := range e.answers.Values() {
 		if b != a {
 			return b
 		}
--- a/internal/aubstandin/transmit.go
+++ b/internal/aubstandin/transmit.go
@@ -125,8 +125,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a, ok := e.answers[id]
-	return a, ok
+	return e.answers.Get(id)
 }
 
 func (e *Engine) handleStatus(w http.ResponseWriter, r *http.Request) {
@@ -155,8 +154,8 @@
 
 func (e *Engine) handleAbort(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	a, ok := e.answers[r.PathValue("id")]
-	delete(e.answers, r.PathValue("id"))
+	a, ok := e.answers.Peek(r.PathValue("id"))
+	e.answers.Remove(r.PathValue("id"))
 	e.mu.Unlock()
 	if ok {
 		a.cancel()
