--- /dev/null
+++ b/internal/aubcontrol/recent.go
@@ -0,0 +1,106 @@
+package aubcontrol
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// commandLifetime is how long after its issue a command may be applied.
+	commandLifetime = time.Minute
+	recentTableName = "recent_commands"
+
+	maxRecentCount = 8192
+	maxRecentBytes = 2 << 20
+)
+
+// recentCommands keeps the outcomes of recent commands by id, a bounded number of
+// them. A command issued no later than one whose outcome was dropped is refused,
+// because it may be a resend. It is part of the replicated state and used by the
+// applying goroutine only.
+type recentCommands struct {
+	results   []*aubwire.CommandResult
+	byID      map[string]*aubwire.CommandResult
+	bytes     int
+	forgotten time.Duration
+}
+
+var _ Table = (*recentCommands)(nil)
+
+func newRecentCommands() *recentCommands {
+	return &recentCommands{byID: make(map[string]*aubwire.CommandResult)}
+}
+
+// Name implements Table.
+func (r *recentCommands) Name() string { return recentTableName }
+
+// Apply implements Table; no command is addressed to it.
+func (r *recentCommands) Apply(Command) []byte { return nil }
+
+func (r *recentCommands) find(id string) (*aubwire.CommandResult, bool) {
+	result, ok := r.byID[id]
+	return result, ok
+}
+
+func (r *recentCommands) add(result *aubwire.CommandResult) {
+	if result.GetCommandId() == "" {
+		return
+	}
+	r.results = append(r.results, result)
+	r.byID[result.GetCommandId()] = result
+	r.bytes += len(result.GetResult())
+}
+
+// trim drops what no resend can ask for any more, and what exceeds the bounds.
+func (r *recentCommands) trim(clock time.Duration) {
+	n := 0
+	for ; n < len(r.results); n++ {
+		isOver := len(r.results)-n > maxRecentCount || r.bytes > maxRecentBytes
+		if !isOver && !isLate(issuedAt(r.results[n]), clock) {
+			break
+		}
+		r.drop(r.results[n])
+		r.results[n] = nil
+	}
+	r.results = r.results[n:]
+}
+
+func (r *recentCommands) drop(result *aubwire.CommandResult) {
+	delete(r.byID, result.GetCommandId())
+	r.bytes -= len(result.GetResult())
+	r.forgotten = max(r.forgotten, issuedAt(result))
+}
+
+// refuses reports whether a command may be a resend whose outcome is forgotten.
+func (r *recentCommands) refuses(env *aubwire.Envelope, clock time.Duration) bool {
+	issued := issuedAt(env)
+	return isLate(issued, clock) || issued <= r.forgotten
+}
+
+// Snapshot implements Table.
+func (r *recentCommands) Snapshot() ([]byte, error) {
+	return proto.Marshal(&aubwire.CommandResults{Results: r.results, ForgottenMs: r.forgotten.Milliseconds()})
+}
+
+// Restore implements Table.
+func (r *recentCommands) Restore(data []byte) error {
+	all := &aubwire.CommandResults{}
+	if err := proto.Unmarshal(data, all); err != nil {
+		return err
+	}
+	*r = *newRecentCommands()
+	r.forgotten = time.Duration(all.GetForgottenMs()) * time.Millisecond
+	for _, result := range all.GetResults() {
+		r.add(result)
+	}
+	return nil
+}
+
+func issuedAt(m interface{ GetIssuedMs() int64 }) time.Duration {
+	return time.Duration(m.GetIssuedMs()) * time.Millisecond
+}
+
+func isLate(issued, clock time.Duration) bool { return clock-issued > commandLifetime }
