Let reported queues drain with time when routing

Reports are up to a second old, and the policy took their queues as still full. Reported queues now drain at the prefill rate.

--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -159,9 +159,10 @@
 	now time.Time, m aubmembership.Member, s *memberState, request Request,
 ) Candidate {
 	b := m.Announcement.GetBackend()
-	requests, tokens := s.unreported(m.HeardAt.Add(-r.opts.ReportLag))
+	reportedAt := m.HeardAt.Add(-r.opts.ReportLag)
+	requests, tokens := s.unreported(reportedAt)
 	c := Candidate{
-		PendingTokens: b.GetQueuedTokens() + tokens,
+		PendingTokens: remaining(b, now.Sub(reportedAt)) + tokens,
 		InFlight:      int(b.GetRunning()+b.GetQueued()) + requests,
 		OwnInFlight:   s.inFlight.Len(),
 		PrefillRate:   b.GetPrefillRate(),
@@ -174,6 +175,15 @@
 	return c
 }
 
+// remaining is what is left of the reported queue after the time since.
+func remaining(b *aubwire.BackendReport, age time.Duration) int64 {
+	rate := b.GetPrefillRate()
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	return max(b.GetQueuedTokens()-int64(rate*age.Seconds()), 0)
+}
+
 // ready reports whether the model is ready on the member.
 func ready(a *aubwire.Announcement, model string) bool {
 	return slices.ContainsFunc(a.GetBackend().GetResident(), func(r *aubwire.Resident) bool {
--- /dev/null
+++ b/internal/aubroute/measure_test.go
@@ -0,0 +1,300 @@
+package aubroute_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// The queue model: each worker prefills prompts one after the other and decodes
+// without limit; it caches prompt blocks and reports its load once a second,
+// late. Three entries choose without talking to each other.
+const (
+	modelPrefillRate = 5000.0
+	modelBlock       = 16
+	modelCacheBlocks = 4000
+	modelReportEvery = time.Second
+	modelReportLag   = 100 * time.Millisecond
+	modelEntries     = 3
+	modelRun         = 2 * time.Minute
+	modelTokenTime   = 25 * time.Millisecond
+)
+
+type siteSize struct {
+	name     string
+	workers  int
+	models   int
+	rate     float64
+	distance time.Duration
+}
+
+var siteSizes = []siteSize{
+	{name: "zilina", workers: 12, models: 20, rate: 65, distance: 1500 * time.Microsecond},
+	{name: "pampa", workers: 18, models: 30, rate: 100, distance: 500 * time.Microsecond},
+}
+
+// event is something that happens at a time.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (q events) Len() int           { return len(q) }
+func (q events) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q events) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *events) Push(x any) {
+	if e, ok := x.(event); ok {
+		*q = append(*q, e)
+	}
+}
+
+// Pop implements heap.Interface.
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type modelWorker struct {
+	a        *aubwire.Announcement
+	heardAt  time.Time
+	freeAt   time.Duration
+	running  int
+	slowness float64
+	cache    *lru.LRU[uint64, struct{}]
+}
+
+type queueModel struct {
+	size    siteSize
+	rnd     *rand.Rand
+	timer   *aubtimer.Manual
+	now     time.Duration
+	queue   events
+	workers []*modelWorker
+	view    aubmembership.View
+	routers []*aubroute.Router
+	first   []float64
+}
+
+func (q *queueModel) View() aubmembership.View { return q.view }
+
+func newQueueModel(b *testing.B, size siteSize, policy string, seed uint64, slow bool) *queueModel {
+	q := &queueModel{
+		size: size, rnd: rand.New(rand.NewPCG(seed, 0)), timer: aubtimer.NewManual(time.Unix(1000, 0)),
+	}
+	for i := range size.workers {
+		cache, _ := lru.NewLRU[uint64, struct{}](modelCacheBlocks, nil)
+		w := &modelWorker{slowness: 1, cache: cache, heardAt: q.timer.Now(), a: &aubwire.Announcement{
+			Name: fmt.Sprintf("w%02d", i), Zone: string(rune('a' + i%3)), Incarnation: 1,
+			Backend: &aubwire.BackendReport{Engine: true, PrefillRate: modelPrefillRate},
+		}}
+		q.workers = append(q.workers, w)
+	}
+	if slow {
+		q.workers[0].slowness = 6
+	}
+	next := 0
+	for m := range size.models {
+		for range copiesOfRank(m) {
+			w := q.workers[next%size.workers]
+			next++
+			w.a.Backend.Resident = append(w.a.Backend.Resident, &aubwire.Resident{
+				Name: fmt.Sprintf("m%02d", m), State: aubwire.Residency_RESIDENCY_READY,
+			})
+		}
+	}
+	q.publish()
+	for e := range modelEntries {
+		r, err := aubroute.NewRouter(aubcommon.NewCommon(q.timer), aubroute.RouterOpts{
+			Policy: policy, Zone: string(rune('a' + e)), Source: q, ZoneDistance: 2 * size.distance,
+			Rand: rand.New(rand.NewPCG(seed, uint64(e)+1)),
+		})
+		qt.Assert(b, err, qt.IsNil)
+		q.routers = append(q.routers, r)
+	}
+	return q
+}
+
+func copiesOfRank(rank int) int {
+	switch {
+	case rank < 3:
+		return 5
+	case rank < 8:
+		return 3
+	}
+	return 2
+}
+
+func (q *queueModel) at(at time.Duration, do func()) { heap.Push(&q.queue, event{at: at, do: do}) }
+
+func (q *queueModel) publish() {
+	members := make([]aubmembership.Member, 0, len(q.workers))
+	for _, w := range q.workers {
+		members = append(members, aubmembership.Member{Announcement: w.a, HeardAt: w.heardAt})
+	}
+	q.view = aubmembership.NewView(q.timer.Now(), members...).WithShape(1)
+}
+
+// report captures a worker's load now and shows it late.
+func (q *queueModel) report(w *modelWorker) {
+	pending := int64(max(w.freeAt-q.now, 0).Seconds() * modelPrefillRate)
+	next := &aubwire.Announcement{Name: w.a.GetName(), Zone: w.a.GetZone(), Incarnation: 1, Backend: &aubwire.BackendReport{
+		Engine: true, PrefillRate: modelPrefillRate, Resident: w.a.GetBackend().GetResident(),
+		QueuedTokens: pending, Running: int32(w.running),
+	}}
+	q.at(q.now+modelReportLag, func() {
+		w.a, w.heardAt = next, q.timer.Now()
+		q.publish()
+	})
+	q.at(q.now+modelReportEvery, func() { q.report(w) })
+}
+
+// arrive sends one request and plans the next.
+func (q *queueModel) arrive() {
+	gap := q.rnd.ExpFloat64() / (q.size.rate * q.burst())
+	q.at(q.now+time.Duration(gap*float64(time.Second)), q.arrive)
+	m := q.zipf()
+	session := q.rnd.IntN(6)
+	blocks := 25 + q.rnd.IntN(50)
+	prefixes := make([]uint64, 0, blocks)
+	for i := range blocks {
+		// The first half of a prompt is shared by the session's requests.
+		seed := uint64(m)<<32 | uint64(session)<<16 | uint64(i)
+		if i > 35 {
+			seed ^= q.rnd.Uint64() << 40
+		}
+		prefixes = append(prefixes, seed+1)
+	}
+	q.send(fmt.Sprintf("m%02d", m), prefixes)
+}
+
+func (q *queueModel) send(model string, prefixes []uint64) {
+	entry := q.rnd.IntN(modelEntries)
+	// Everything random is drawn on arrival, so that all policies see one trace.
+	tokens := 20 + q.rnd.IntN(200)
+	prompt := int64(len(prefixes) * modelBlock)
+	c, err := q.routers[entry].Pick(aubroute.Request{Model: model, PromptTokens: prompt, Prefixes: prefixes})
+	if err != nil {
+		q.first = append(q.first, math.Inf(1))
+		return
+	}
+	c.Started()
+	w := q.worker(c.Member.Announcement.GetName())
+	distance := time.Duration(0)
+	if int(w.a.GetZone()[0]-'a') != entry {
+		distance = q.size.distance
+	}
+	sent := q.now
+	q.at(q.now+distance, func() { q.prefill(w, c, sent, distance, prefixes, tokens) })
+}
+
+func (q *queueModel) prefill(w *modelWorker, c aubroute.Choice, sent, distance time.Duration, prefixes []uint64, tokens int) {
+	cached := 0
+	for cached < len(prefixes) && w.cache.Contains(prefixes[cached]) {
+		cached++
+	}
+	for _, p := range prefixes {
+		w.cache.Add(p, struct{}{})
+	}
+	seconds := float64((len(prefixes)-cached)*modelBlock+1) / modelPrefillRate * w.slowness * (1 + 0.01*float64(w.running))
+	w.freeAt = max(w.freeAt, q.now) + time.Duration(seconds*float64(time.Second))
+	w.running++
+	q.at(w.freeAt+distance, func() {
+		took := q.now - sent
+		q.first = append(q.first, took.Seconds())
+		c.FirstToken()
+		q.at(q.now+time.Duration(tokens)*modelTokenTime, func() {
+			w.running--
+			c.Finished(aubroute.Outcome{FirstToken: took, Duration: q.now - sent, Tokens: int64(tokens)})
+		})
+	})
+}
+
+func (q *queueModel) worker(name string) *modelWorker {
+	for _, w := range q.workers {
+		if w.a.GetName() == name {
+			return w
+		}
+	}
+	return nil
+}
+
+// burst is the factor on the rate: half again for five seconds in twenty.
+func (q *queueModel) burst() float64 {
+	if q.now%(20*time.Second) < 5*time.Second {
+		return 1.5
+	}
+	return 0.85
+}
+
+func (q *queueModel) zipf() int {
+	weights := 0.0
+	for i := range q.size.models {
+		weights += 1 / float64(i+2)
+	}
+	at := q.rnd.Float64() * weights
+	for i := range q.size.models {
+		if at -= 1 / float64(i+2); at <= 0 {
+			return i
+		}
+	}
+	return q.size.models - 1
+}
+
+func (q *queueModel) run() {
+	for _, w := range q.workers {
+		q.at(time.Duration(q.rnd.Float64()*float64(modelReportEvery)), func() { q.report(w) })
+	}
+	q.at(0, q.arrive)
+	for q.now < modelRun {
+		next, ok := heap.Pop(&q.queue).(event)
+		if !ok {
+			return
+		}
+		q.timer.Advance(next.at - q.now)
+		q.now = next.at
+		next.do()
+	}
+}
+
+// BenchmarkPolicies compares the policies on the same arrivals. Run it with
+// -benchtime 1x; the time means nothing.
+func BenchmarkPolicies(b *testing.B) {
+	for _, size := range siteSizes {
+		for _, slow := range []bool{false, true} {
+			for seed := range uint64(3) {
+				for _, policy := range []string{
+					aubroute.PolicyExpectedFirstToken, aubroute.PolicyLeastInFlight, aubroute.PolicyRoundRobin,
+				} {
+					b.Run(fmt.Sprintf("site=%s/slow_worker=%t/seed=%d/policy=%s", size.name, slow, seed, policy), func(b *testing.B) {
+						q := newQueueModel(b, size, policy, seed, slow)
+						q.run()
+						slices.Sort(q.first)
+						b.ReportMetric(1000*stat.Quantile(0.5, stat.Empirical, q.first, nil), "p50-ms")
+						b.ReportMetric(1000*stat.Quantile(0.95, stat.Empirical, q.first, nil), "p95-ms")
+						b.ReportMetric(1000*stat.Quantile(0.99, stat.Empirical, q.first, nil), "p99-ms")
+						b.ReportMetric(0, "ns/op")
+					})
+				}
+			}
+		}
+	}
+}
