--- a/internal/aubplacement/gain.go
+++ b/internal/aubplacement/gain.go
@@ -17,6 +17,9 @@
 	// evictionCost is what a load must gain that another copy is unloaded for, as a
 	// share of one backend server's capacity. It keeps noise from causing moves.
 	evictionCost = 0.15
+	// spareCost comes on top for each victim that then has fewer copies than wished:
+	// until it has them again, the loss of a zone may make it wait for a load.
+	spareCost = 0.5
 	// lossFactor is how much more than it loses a move must gain.
 	lossFactor = 1.3
 	// lateWeight is how much a workspace that misses its target all the time
@@ -122,10 +125,7 @@
 		if !ok {
 			continue
 		}
-		cost := moveCost
-		if len(found) > 0 {
-			cost = evictionCost
-		}
+		cost := b.costOf(found)
 		if gain := b.gainOf(sl, item) - lossFactor*loss - cost*b.snapshot.Capacity; gain > most {
 			best, victims, most = sl, found, gain
 		}
@@ -143,6 +143,21 @@
 	}
 }
 
+// costOf is what a load must gain when the victims are unloaded for it, as a
+// share of one backend server's capacity.
+func (b *board) costOf(victims []Item) float64 {
+	if len(victims) == 0 {
+		return moveCost
+	}
+	cost := evictionCost
+	for _, victim := range victims {
+		if len(b.byItem[victim.Key]) <= victim.Copies {
+			cost += spareCost
+		}
+	}
+	return cost
+}
+
 // leastLoaded returns some backend servers that could take the item, least loaded first.
 func (b *board) leastLoaded(item Item) []*slot {
 	var open []*slot
--- a/internal/aubplacement/plan_test.go
+++ b/internal/aubplacement/plan_test.go
@@ -198,6 +198,34 @@
 	qt.Assert(t, after >= 2*before, qt.IsTrue, qt.Commentf("%d copies, then %d", before, after))
 }
 
+func TestObjectiveDecidesWhoGetsTheOnlyRoom(t *testing.T) {
+	for objective, first := range map[aubplacement.Objective]string{
+		aubplacement.ObjectiveWorstServed: "small",
+		aubplacement.ObjectiveRefusals:    "large",
+	} {
+		// Two full backend servers and one with room for one model.
+		b := newBoard(t, 3, 20*gib, model("large", 20*gib), model("small", 20*gib))
+		for i, name := range []string{"large", "small"} {
+			backend := &b.snapshot.Backends[i]
+			backend.Residents[aubplacement.Key{Name: name}] = aubwire.Residency_RESIDENCY_READY
+			backend.UsedBytes = 20 * gib
+		}
+		for i := range b.snapshot.Items {
+			b.snapshot.Items[i].Copies = 1
+		}
+		b.snapshot.Objective = objective
+		b.snapshot.Demand.Late = map[string]float64{"small": 0.8, "large": 0.1}
+		for name, rate := range map[string]float64{"large": 10, "small": 8} {
+			b.snapshot.Demand.Items[aubplacement.Key{Name: name}] = aubplacement.ItemDemand{
+				Rate: map[string]float64{name: rate}, ServiceSeconds: 1,
+			}
+		}
+		orders := marginal.Plan(b.snapshot).Orders
+		qt.Assert(t, orders, qt.HasLen, 1)
+		qt.Check(t, orders[0].Item.Key.Name, qt.Equals, first, qt.Commentf("%s", objective))
+	}
+}
+
 func TestLostZoneIsMadeGood(t *testing.T) {
 	b := newBoard(t, 12, 80*gib, models(20, 20*gib)...)
 	for range 30 {
