--- /dev/null
+++ b/internal/aubconsensus/status.go
@@ -0,0 +1,92 @@
+package aubconsensus
+
+import (
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// published is what other goroutines may read of the node.
+type published struct {
+	status     Status
+	leading    bool
+	leaseUntil time.Time
+}
+
+// Status is what a node knows of itself and its cluster.
+type Status struct {
+	Self       Peer
+	Leader     Peer
+	LeaderHere bool
+	Term       uint64
+	Applied    uint64
+	Commit     uint64
+	ClusterID  string
+	Voters     []Peer
+	Learners   []Peer
+	// IsVoter is false while this member's disk is not part of the voters.
+	IsVoter bool
+	// InChange is set while a change of the members is not committed; IsJoint while
+	// decisions need the old voters and the new ones.
+	InChange bool
+	IsJoint  bool
+}
+
+// publish lets other goroutines see the state that is durable now.
+func (n *Node) publish() {
+	members := n.log.membership()
+	p := published{status: Status{
+		Self:       n.opts.Self,
+		Leader:     n.leaderPeer(),
+		LeaderHere: n.lead != nil,
+		Term:       n.term,
+		Applied:    n.applied,
+		Commit:     n.commit,
+		ClusterID:  members.wire.GetClusterId(),
+		Voters:     toPeers(members.wire.GetVoters()),
+		Learners:   toPeers(members.wire.GetLearners()),
+		IsVoter:    members.isVoter(n.self.GetDiskId()),
+		IsJoint:    members.isJoint(),
+		InChange:   members.isJoint() || n.log.membershipIndex() > n.commit,
+	}}
+	if n.lead != nil && n.lead.ready && n.lead.transfer == nil {
+		p.leading = true
+		p.leaseUntil = n.leaseUntil()
+	}
+	n.report(p.status)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.err == nil {
+		n.published = p
+	}
+}
+
+func (n *Node) report(s Status) {
+	n.common.Metrics.Gauge("term").Update(float64(s.Term))
+	n.common.Metrics.Gauge("applied_index").Update(float64(s.Applied))
+	leads := 0.0
+	if s.LeaderHere {
+		leads = 1
+	}
+	n.common.Metrics.Gauge("leads").Update(leads)
+}
+
+func (n *Node) leaderPeer() Peer {
+	m, ok := n.log.membership().member(n.leaderID)
+	if !ok {
+		return Peer{}
+	}
+	return toPeer(m)
+}
+
+func toPeer(m *aubwire.ConsensusMember) Peer {
+	return Peer{Name: m.GetName(), Address: m.GetAddress()}
+}
+
+func toPeers(members []*aubwire.ConsensusMember) []Peer {
+	peers := make([]Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, toPeer(m))
+	}
+	return peers
+}
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -165,65 +165,6 @@
 	return &aubwire.ApplyResponse{Result: result.GetResult(), Index: result.GetIndex(), ClockMs: result.GetClockMs()}, nil
 }
 
-// leaderClock returns a replicated clock that the leader showed not long ago.
-func (r *Replica) leaderClock(ctx context.Context, leader aubconsensus.Peer) (int64, error) {
-	r.mu.Lock()
-	clockMs, at := r.clockMs, r.clockAt
-	r.mu.Unlock()
-	now := r.common.Timer.Now()
-	if !at.IsZero() && now.Sub(at) < clockRefresh {
-		return clockMs, nil
-	}
-	resp, err := r.pool.readIndex(ctx, leader.Address, true)
-	if err != nil {
-		return 0, err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.clockMs = max(resp.GetClockMs(), 1)
-	r.clockAt = now
-	return r.clockMs, nil
-}
-
-// forgetClock makes the next command ask the leader for its clock again.
-func (r *Replica) forgetClock() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.clockAt = time.Time{}
-}
-
-// Confirm implements Reader.
-func (r *Replica) Confirm(ctx context.Context) (uint64, error) {
-	ctx, cancel := withDefaultTimeout(ctx, r.opts.ApplyTimeout)
-	defer cancel()
-	return r.confirm(ctx)
-}
-
-func (r *Replica) confirm(ctx context.Context) (uint64, error) {
-	index, err := retryRead(ctx, r.common.Timer, r.tryReadIndex)
-	if err != nil {
-		return 0, err
-	}
-	if err := r.node.WaitApplied(ctx, index); err != nil {
-		return 0, &NotConfirmedError{Reason: "local state is behind", Err: err}
-	}
-	return index, nil
-}
-
-func (r *Replica) tryReadIndex(ctx context.Context) (uint64, error) {
-	leader, here, err := r.leader()
-	if err != nil {
-		return 0, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	if here {
-		return r.node.ReadIndex(ctx)
-	}
-	resp, err := r.pool.readIndex(ctx, leader.Address, true)
-	return resp.GetIndex(), err
-}
-
 // WaitReady waits until the state is at or above the leader's confirmed index.
 func (r *Replica) WaitReady(ctx context.Context) error {
 	_, err := r.confirm(ctx)
