Hold time still where a vote depends on it

Cause: the test of votes against a lease measured real time, so a busy machine could let the promise run out; and the promise after a restart was not provoked. The asked replica now runs on the manual timer. Without the promise after a restart the test fails at that line; without the promise to a leader that was heard, and without the comparison of logs, it fails as before (each run once on a scratch copy). What it asserts otherwise is unchanged.

--- a/internal/aubconsensus/cluster_test.go
+++ b/internal/aubconsensus/cluster_test.go
@@ -75,6 +75,8 @@
 	network *fakeNetwork
 	peers   []aubconsensus.Peer
 	rand    *rand.Rand
+	// timer is what replicas started from now on use.
+	timer aubtimer.Service
 
 	mu       sync.Mutex
 	platters map[string]*platter
@@ -85,6 +87,7 @@
 	c := &cluster{
 		t:        t,
 		network:  newFakeNetwork(seed),
+		timer:    aubtimer.NewReal(),
 		rand:     rand.New(rand.NewPCG(seed, 2)),
 		platters: make(map[string]*platter),
 		running:  make(map[string]*process),
@@ -120,7 +123,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	machine := newListMachine()
-	node, err := aubconsensus.NewNode(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubconsensus.Opts{
+	node, err := aubconsensus.NewNode(ctx, aubcommon.NewCommon(c.timer), aubconsensus.Opts{
 		Self:            aubconsensus.Peer{Name: name, Address: name},
 		Voters:          c.peers,
 		Disk:            disk,
--- a/internal/aubconsensus/vote_test.go
+++ b/internal/aubconsensus/vote_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -88,16 +89,25 @@
 	leader := c.leader()
 	first := c.any(leader)
 	second := c.any(leader, first)
-	for range 5 {
-		qt.Assert(t, b.ask(first, second, 1000, whole(true, false)), qt.Equals, refusedVote)
-		qt.Assert(t, b.ask(first, second, 1000, whole(false, false)), qt.Equals, refusedVote)
-	}
+
+	// Time stands still for the one that is asked, after it heard the leader.
+	manual := aubtimer.NewManual(time.Now())
+	c.timer = manual
 	c.restart(second)
+	manual.Advance(2 * electionTimeout)
+	c.append("k", "w")
+	c.hasEverywhere("k", "v,w,")
+	qt.Assert(t, b.ask(first, second, 1000, whole(true, false)), qt.Equals, refusedVote)
 	qt.Assert(t, b.ask(first, second, 1000, whole(false, false)), qt.Equals, refusedVote)
 
+	// A restarted replica forgot whom it heard: its time stands still until moved.
 	c.kill(leader)
 	c.kill(first)
-	c.run(2)
+	c.restart(second)
+	qt.Assert(t, b.ask(first, second, 1000, whole(true, false)), qt.Equals, refusedVote)
+	manual.Advance(electionTimeout - 1)
+	qt.Assert(t, b.ask(first, second, 1000, whole(false, false)), qt.Equals, refusedVote)
+	manual.Advance(1)
 	short := &aubwire.VoteRequest{Pre: true, LastIndex: 1, LastTerm: 1}
 	qt.Assert(t, b.ask(first, second, 1001, short), qt.Equals, refusedVote)
 	qt.Assert(t, b.ask(first, second, 1001, whole(true, false)), qt.Equals, grantedVote)
