--- /dev/null
+++ b/internal/aublimit/concurrent_test.go
@@ -0,0 +1,68 @@
+package aublimit_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// TestConcurrentReservationsHoldTheBound floods three running limiters from many
+// goroutines, with callers that leave, while the log refuses now and then.
+func TestConcurrentReservationsHoldTheBound(t *testing.T) {
+	const (
+		rate, burst, tokens = 20_000, 10_000, 50
+		callers             = 24
+		calls               = 200
+	)
+	s := newSite(aubapi.Workspace{Name: workspace, Rate: rate, Burst: burst})
+	begin := time.Now()
+	log := newFakeLog(s, aublimit.Terms{}, func() time.Duration { return time.Since(begin) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	limiters := make([]*aublimit.Limiter, 0, 3)
+	for i := range 3 {
+		limiters = append(limiters, aublimit.NewLimiter(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aublimit.LimiterOpts{
+			Instance: fmt.Sprint(i), Zone: fmt.Sprint(i), Incarnation: 1, Proposer: log, Source: s,
+			SyncEvery: 5 * time.Millisecond, MaxWait: 20 * time.Millisecond,
+		}))
+	}
+	var used atomic.Int64
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for n := range calls {
+				callCtx, leave := context.WithTimeout(ctx, time.Duration(n%8)*5*time.Millisecond)
+				r, err := limiters[c%len(limiters)].Reserve(callCtx, workspace, tokens)
+				leave()
+				if err != nil {
+					continue
+				}
+				used.Add(tokens / 2)
+				r.Settle(tokens / 2)
+			}
+		})
+	}
+	for n := range 20 {
+		log.setRefuse(n%4 == 0)
+		time.Sleep(5 * time.Millisecond)
+	}
+	log.setRefuse(false)
+	wg.Wait()
+	bound := time.Since(begin).Seconds()*rate + burst
+	qt.Assert(t, float64(used.Load()) <= bound, qt.IsTrue, qt.Commentf("%d of %.0f", used.Load(), bound))
+	qt.Assert(t, used.Load() > 0, qt.IsTrue)
+	for _, l := range limiters {
+		qt.Assert(t, l.Leave(ctx), qt.IsNil)
+	}
+	qt.Assert(t, log.table.Held(workspace), qt.Equals, aublimit.Held{})
+}
--- a/internal/aublimit/fake_test.go
+++ b/internal/aublimit/fake_test.go
@@ -70,6 +70,12 @@
 	return aubcontrol.Result{Index: l.index, Body: out}, nil
 }
 
+func (l *fakeLog) setRefuse(refuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = refuse
+}
+
 func (l *fakeLog) commit(body []byte) []byte {
 	l.index++
 	l.bytes += len(body)
