--- a/internal/aublimit/limiter.go
+++ b/internal/aublimit/limiter.go
@@ -2,51 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
-	"github.com/auburndale/auburndale/internal/aubcontrol"
-	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
 )
 
-// Defaults of the limiter's options.
-const (
-	// DefaultSyncEvery is the time between syncs while tokens move.
-	DefaultSyncEvery = 100 * time.Millisecond
-	// DefaultIdleEvery is the time between syncs while nothing moves.
-	DefaultIdleEvery = time.Second
-	// DefaultApplyTimeout bounds one try to commit a sync.
-	DefaultApplyTimeout = time.Second
-	// DefaultHorizon is the recent use that is fetched ahead.
-	DefaultHorizon = 100 * time.Millisecond
-	// DefaultMaxWait bounds how long a reservation waits for tokens.
-	DefaultMaxWait = 500 * time.Millisecond
-	// contactTimeout is the silence of the table after which it counts as cut off.
-	contactTimeout = 2500 * time.Millisecond
-)
-
-// LimiterOpts configures the limiter of one instance.
-type LimiterOpts struct {
-	Instance string
-	Zone     string
-	// Incarnation grows with every start of the instance.
-	Incarnation uint64
-	// PredecessorEnded says that every earlier incarnation of the instance is
-	// certainly gone, for example because this one holds its listen address or
-	// the lock of its data folder. The instance then gets its floor, empty, at
-	// once; else only when the predecessor's floor lease has ended.
-	PredecessorEnded bool
-	Proposer         aubcontrol.Proposer
-	Source           aubquery.Source
-	SyncEvery        time.Duration
-	IdleEvery        time.Duration
-	ApplyTimeout     time.Duration
-	Horizon          time.Duration
-	MaxWait          time.Duration
-}
-
 // Limiter reserves tokens for the requests of one instance. It is safe for
 // concurrent use.
 type Limiter struct {
@@ -188,47 +149,6 @@
 	return p, !lost
 }
 
-// await waits until the waiter is paid or refused.
-func (l *Limiter) await(ctx context.Context, workspace string, w *waiter) error {
-	timerCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timeout := l.common.Timer.After(timerCtx, l.opts.MaxWait)
-	var cause error
-	select {
-	case <-w.ready:
-	case <-ctx.Done():
-		cause = &CanceledError{Err: ctx.Err()}
-	case <-l.ended:
-		cause = refuse(ReasonEnded, 0)
-	case <-timeout:
-	}
-	return l.leaveQueue(workspace, w, cause)
-}
-
-// leaveQueue ends the wait. A payment that comes with a cancellation is given back.
-func (l *Limiter) leaveQueue(workspace string, w *waiter, cause error) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.account(workspace)
-	if w.paid {
-		if cause != nil {
-			a.settle(l.now(), &settlement{tokens: w.tokens, parts: w.parts}, 0)
-		}
-		return cause
-	}
-	if i := slices.Index(a.waiters, w); i >= 0 {
-		a.waiters = slices.Delete(a.waiters, i, i+1)
-	}
-	if cause == nil {
-		cause = w.err
-	}
-	if cause == nil {
-		cause = l.shortage(a, l.lapse(), w.tokens)
-	}
-	l.countRefusal(cause)
-	return cause
-}
-
 // settle implements settler.
 func (l *Limiter) settle(s *settlement, used int64) {
 	l.mu.Lock()
@@ -287,22 +207,3 @@
 		l.common.Metrics.Tagged(map[string]string{"reason": string(r.Reason)}).Counter("refused").Inc(1)
 	}
 }
-
-func (o LimiterOpts) withDefaults() LimiterOpts {
-	if o.SyncEvery <= 0 {
-		o.SyncEvery = DefaultSyncEvery
-	}
-	if o.IdleEvery <= 0 {
-		o.IdleEvery = DefaultIdleEvery
-	}
-	if o.ApplyTimeout <= 0 {
-		o.ApplyTimeout = DefaultApplyTimeout
-	}
-	if o.Horizon <= 0 {
-		o.Horizon = DefaultHorizon
-	}
-	if o.MaxWait <= 0 {
-		o.MaxWait = DefaultMaxWait
-	}
-	return o
-}
--- /dev/null
+++ b/internal/aublimit/wait.go
@@ -0,0 +1,47 @@
+package aublimit
+
+import (
+	"context"
+	"slices"
+)
+
+// await waits until the waiter is paid or refused.
+func (l *Limiter) await(ctx context.Context, workspace string, w *waiter) error {
+	timerCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := l.common.Timer.After(timerCtx, l.opts.MaxWait)
+	var cause error
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		cause = &CanceledError{Err: ctx.Err()}
+	case <-l.ended:
+		cause = refuse(ReasonEnded, 0)
+	case <-timeout:
+	}
+	return l.leaveQueue(workspace, w, cause)
+}
+
+// leaveQueue ends the wait. A payment that comes with a cancellation is given back.
+func (l *Limiter) leaveQueue(workspace string, w *waiter, cause error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(workspace)
+	if w.paid {
+		if cause != nil {
+			a.settle(l.now(), &settlement{tokens: w.tokens, parts: w.parts}, 0)
+		}
+		return cause
+	}
+	if i := slices.Index(a.waiters, w); i >= 0 {
+		a.waiters = slices.Delete(a.waiters, i, i+1)
+	}
+	if cause == nil {
+		cause = w.err
+	}
+	if cause == nil {
+		cause = l.shortage(a, l.lapse(), w.tokens)
+	}
+	l.countRefusal(cause)
+	return cause
+}
--- a/internal/aubqueue/group.go
+++ b/internal/aubqueue/group.go
@@ -98,7 +98,11 @@
 		return 0
 	}
 	// Besides what waits ahead, one place has to become free.
-	rate := g.meanCost / g.meanSeconds * float64(g.capacity)
+	places := g.capacity
+	if g.tenants.isLoud(item.Workspace) {
+		places -= g.tenants.reserve
+	}
+	rate := g.meanCost / g.meanSeconds * float64(places)
 	ahead := float64(g.order.Ahead(item.Workspace, item.Weight)) + g.meanCost
 	return time.Duration(ahead / rate * float64(time.Second))
 }
