--- a/internal/aublimit/fake_test.go
+++ b/internal/aublimit/fake_test.go
@@ -49,6 +49,8 @@
 	// replyBytes counts the encoded replies.
 	replyBytes int
 	refuse     bool
+	// replica, if any, applies the same commands and is never restored.
+	replica *aublimit.Table
 }
 
 var _ aubcontrol.Proposer = (*fakeLog)(nil)
@@ -79,7 +81,11 @@
 func (l *fakeLog) commit(body []byte) []byte {
 	l.index++
 	l.bytes += len(body)
-	out := l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body})
+	cmd := aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body}
+	out := l.table.Apply(cmd)
+	if l.replica != nil {
+		l.replica.Apply(cmd)
+	}
 	l.replyBytes += len(out)
 	return out
 }
--- a/internal/aublimit/history_test.go
+++ b/internal/aublimit/history_test.go
@@ -1,6 +1,7 @@
 package aublimit_test
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"slices"
@@ -95,6 +96,7 @@
 func newWorld(tb rapid.TB, holders int, terms aublimit.Terms) *world {
 	w := &world{TB: tb, site: newSite(aubapi.Workspace{Name: workspace, Rate: 100, Burst: 300})}
 	w.log = newFakeLog(w.site, terms, func() time.Duration { return w.clock })
+	w.log.replica = aublimit.NewTable(aublimit.TableOpts{Workspaces: w.site.workspace, Terms: terms})
 	for i := range holders {
 		w.holders = append(w.holders, w.start(fmt.Sprintf("i%d", i), 1, true))
 	}
@@ -260,9 +262,26 @@
 	}
 }
 
+// checkReplica fails when the table, restored now and then, and a replica that
+// was not differ.
+func (w *world) checkReplica() {
+	restored, err := w.log.table.Snapshot()
+	if err != nil {
+		w.Fatal(err)
+	}
+	replica, err := w.log.replica.Snapshot()
+	if err != nil {
+		w.Fatal(err)
+	}
+	if !bytes.Equal(restored, replica) {
+		w.Fatal("replicas differ")
+	}
+}
+
 // check fails when any window of the history saw more than its rate times its
 // length and the burst. A token bucket that never runs empty proves all windows.
 func (w *world) check() {
+	w.checkReplica()
 	level, rate, burst := math.Inf(1), 0.0, math.Inf(1)
 	at := time.Duration(0)
 	for _, e := range w.events {
@@ -404,6 +423,7 @@
 					Burst: rapid.SampledFrom([]int64{0, 30, 300, 1500}).Draw(t, "burst"),
 				})
 				w.log.table.Refresh(w.clock)
+				w.log.replica.Refresh(w.clock)
 				w.note()
 			}
 			w.step()
