--- a/internal/aublimit/fake_test.go
+++ b/internal/aublimit/fake_test.go
@@ -49,6 +49,8 @@
 	// replyBytes counts the encoded replies.
 	replyBytes int
 	refuse     bool
+	// replica, if any, applies the same commands and is never restored.
+	replica *aublimit.Table
 }
 
 var _ aubcontrol.Proposer = (*fakeLog)(nil)
@@ -70,10 +72,20 @@
 	return aubcontrol.Result{Index: l.index, Body: out}, nil
 }
 
+func (l *fakeLog) setRefuse(refuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = refuse
+}
+
 func (l *fakeLog) commit(body []byte) []byte {
 	l.index++
 	l.bytes += len(body)
-	out := l.table.Apply(aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body})
+	cmd := aubcontrol.Command{Index: l.index, Clock: l.clock(), Body: body}
+	out := l.table.Apply(cmd)
+	if l.replica != nil {
+		l.replica.Apply(cmd)
+	}
 	l.replyBytes += len(out)
 	return out
 }
