--- a/internal/aubprocess/control.go
+++ b/internal/aubprocess/control.go
@@ -52,7 +52,7 @@
 		Address:         p.cfg.Internal.Listen.String(),
 		Voters:          voters(p.cfg.Control.Voters),
 		DataDir:         p.cfg.Control.DataDir,
-		Tables:          []aubcontrol.Table{c.config, c.limits, c.claims, c.poison, c.placement},
+		Tables:          []aubcontrol.Table{&refreshingTable{ConfigTable: c.config, limits: c.limits}, c.limits, c.claims, c.poison, c.placement},
 		Dial:            p.transport.Dial,
 		Heartbeat:       p.cfg.Control.Heartbeat.Value(),
 		ElectionTimeout: p.cfg.Control.Election.Value(),
@@ -97,6 +97,22 @@
 	}
 }
 
+// refreshingTable lets the limits see every change of the configuration at its
+// place in the log. A limit that is changed and changed back between two commands
+// of the limits would go unnoticed otherwise.
+type refreshingTable struct {
+	*aubstate.ConfigTable
+
+	limits *aublimit.Table
+}
+
+// Apply implements aubcontrol.Table.
+func (t *refreshingTable) Apply(cmd aubcontrol.Command) []byte {
+	result := t.ConfigTable.Apply(cmd)
+	t.limits.Refresh(cmd.Clock)
+	return result
+}
+
 func voters(peers []aubsettings.Peer) []aubcontrol.Peer {
 	out := make([]aubcontrol.Peer, 0, len(peers))
 	for _, peer := range peers {
--- /dev/null
+++ b/internal/aubprocess/control_test.go
@@ -0,0 +1,75 @@
+package aubprocess
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubstate"
+	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// directLog applies commands to one table at once.
+type directLog struct {
+	table aubcontrol.Table
+	index uint64
+}
+
+func (l *directLog) Apply(_ context.Context, _ string, body []byte) (aubcontrol.Result, error) {
+	l.index++
+	return aubcontrol.Result{Index: l.index, Body: l.table.Apply(aubcontrol.Command{Index: l.index, Body: body})}, nil
+}
+
+// tableSource shows the table's configuration.
+type tableSource struct{ *aubstate.ConfigTable }
+
+func (tableSource) ConfirmedAt() time.Time { return time.Now() }
+
+// holdTokens makes one instance hold tokens of the workspace w.
+func holdTokens(t *testing.T, limits *aublimit.Table, config *aubstate.ConfigTable) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	limiter := aublimit.NewLimiter(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aublimit.LimiterOpts{
+		Instance: "entry", Zone: "a", Incarnation: 1, PredecessorEnded: true,
+		Proposer: &directLog{table: limits}, Source: tableSource{config},
+	})
+	_, err := limiter.Reserve(ctx, "w", 1)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// applyRate applies a ticket that sets the rate of the workspace w.
+func applyRate(t *testing.T, table aubcontrol.Table, number uint64, rate int64) {
+	ticket := aubapi.Ticket{Number: number, Workspaces: []aubapi.Workspace{{Name: "w", Rate: rate, Burst: 1000}}}
+	body, err := aubcodec.EncodeTicket(ticket)
+	qt.Assert(t, err, qt.IsNil)
+	table.Apply(aubcontrol.Command{Index: number + 100, Clock: time.Duration(number) * time.Second, Body: body})
+}
+
+// TestLimitsSeeEveryChange applies tickets that change the limits and checks
+// that the limits read the configuration once for each.
+func TestLimitsSeeEveryChange(t *testing.T) {
+	config := aubstate.NewConfigTable(aubcommon.NewCommon(aubtimer.NewReal()))
+	var seen []int64
+	limits := aublimit.NewTable(aublimit.TableOpts{Workspaces: func(name string) (aubapi.Workspace, bool) {
+		w, ok := config.Config().Workspace(name)
+		seen = append(seen, w.Rate)
+		return w, ok
+	}})
+	table := &refreshingTable{ConfigTable: config, limits: limits}
+	applyRate(t, config, 1, 100)
+	holdTokens(t, limits, config)
+	seen = nil
+	for i, rate := range []int64{100, 500, 100} {
+		applyRate(t, table, uint64(i+2), rate)
+	}
+	qt.Check(t, seen[len(seen)-1], qt.Equals, int64(100))
+	qt.Check(t, slices.Contains(seen, 500), qt.IsTrue, qt.Commentf("the limits never saw the rate in between: %v", seen))
+}
