Bound announced demand and tell adapters from models in it

Entries announce every flow; a hundred flows would take most of the budget of 8 KB a second and push out the liveness of their own process. An announcement now holds 24 rows: the first 16 and eight of the others in turn.

Rows name adapters like models, so the demand of adapters was lost to the planner. The placer resolves the names by the configuration.

An unload refused as in use no longer holds up loads on that backend server. Relays leave out members whose list of residents is outdated, since it would pass for the newest one there.

--- a/internal/aubmembership/announcer.go
+++ b/internal/aubmembership/announcer.go
@@ -11,6 +11,13 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+const (
+	// MaxDemandRows bounds the rows of demand in one announcement.
+	MaxDemandRows = 24
+	// steadyDemandRows are always announced; the further ones take turns.
+	steadyDemandRows = 16
+)
+
 // relayShare is the part of the budget that relays may take.
 const relayShare = 0.5
 
@@ -24,6 +31,8 @@
 	nextRelay time.Time
 	firstSeed int
 	left      bool
+	// nextRow is the place of the last row of demand that took its turn.
+	nextRow int
 }
 
 func newAnnouncer(m *Membership) *announcer {
@@ -59,9 +68,10 @@
 	m := a.m
 	m.outbox.clearHeads()
 	self := a.announce(now)
+	heads := m.sealAll(headsOf(a.bounded(self)), false)
 	a.firstSeed++
 	for _, seed := range a.rotatedSeeds() {
-		m.outbox.addHeads(seed, m.sealAll(headsOf(self), false))
+		m.outbox.addHeads(seed, heads)
 	}
 	a.queuePages(self)
 	if !a.relayDue(now, self) {
@@ -71,10 +81,10 @@
 		return
 	}
 	next := m.registry.relays(now, m.relayBytes())
-	heads := m.sealAll(next.heads, true)
+	relayed := m.sealAll(next.heads, true)
 	pages := m.sealAll(next.pages, true)
 	for _, seed := range a.rotatedSeeds() {
-		m.outbox.addHeads(seed, heads)
+		m.outbox.addHeads(seed, relayed)
 		m.outbox.addPages(seed, pages)
 	}
 }
@@ -98,6 +108,26 @@
 	return self
 }
 
+// bounded returns the announcement with at most MaxDemandRows rows of demand:
+// the first ones, which count most, and some of the rest in turn.
+func (a *announcer) bounded(self *aubwire.Announcement) *aubwire.Announcement {
+	rows := self.GetDemand()
+	if len(rows) <= MaxDemandRows {
+		return self
+	}
+	rest := rows[steadyDemandRows:]
+	next := cloneOf(self)
+	if next.Backend != nil {
+		next.Backend.Resident = self.GetBackend().GetResident()
+	}
+	next.Demand = slices.Clone(rows[:steadyDemandRows])
+	for range MaxDemandRows - steadyDemandRows {
+		a.nextRow = (a.nextRow + 1) % len(rest)
+		next.Demand = append(next.Demand, rest[a.nextRow])
+	}
+	return next
+}
+
 // queuePages sends the list of residents when it changed or was asked for. One
 // that is still being sent is not sent again.
 func (a *announcer) queuePages(self *aubwire.Announcement) {
--- a/internal/aubmembership/budget_test.go
+++ b/internal/aubmembership/budget_test.go
@@ -82,8 +82,15 @@
 		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 39101+i))
 	}
 	var load atomic.Int32
+	ctx, cancel := context.WithCancel(context.Background())
+	var joined []*aubmembership.Membership
+	defer func() {
+		cancel()
+		for _, m := range joined {
+			<-m.Done()
+		}
+	}()
 	join := func(scope tally.Scope, listen string, self *aubwire.Announcement) {
-		ctx, cancel := context.WithCancel(context.Background())
 		m, err := aubmembership.NewMembership(ctx,
 			aubcommon.NewCommon(aubtimer.NewReal()).WithMetrics(scope),
 			aubmembership.MembershipOpts{
@@ -100,10 +107,7 @@
 				},
 			})
 		qt.Assert(b, err, qt.IsNil)
-		b.Cleanup(func() {
-			cancel()
-			<-m.Done()
-		})
+		joined = append(joined, m)
 	}
 	for i, seed := range seeds {
 		join(entryScope, seed, entry(fmt.Sprintf("entry-%d", i)))
--- a/internal/aubmembership/membership_test.go
+++ b/internal/aubmembership/membership_test.go
@@ -95,6 +95,28 @@
 	eventually(t, "w1 at e1", func() bool { return residents(e1, "w1") == 200 })
 }
 
+func TestMuchDemandIsAnnouncedInTurn(t *testing.T) {
+	e1 := start(t, entry("e1"))
+	busy := entry("e2")
+	const rows = 60
+	for i := range rows {
+		busy.Demand = append(busy.Demand, &aubwire.ModelDemand{Name: fmt.Sprintf("m%02d", i), Rate: 1})
+	}
+	start(t, busy, e1.Address().String())
+	seen := map[string]bool{}
+	eventually(t, "every row", func() bool {
+		member, _ := e1.View().Member("e2")
+		demand := member.Announcement.GetDemand()
+		if len(demand) > aubmembership.MaxDemandRows {
+			t.Fatalf("%d rows in one announcement", len(demand))
+		}
+		for _, row := range demand {
+			seen[row.GetName()] = true
+		}
+		return len(seen) == rows
+	})
+}
+
 func TestLeavingIsHeardAndSilenceIsLost(t *testing.T) {
 	e1 := start(t, entry("e1"))
 	w1 := start(t, agent("w1", 1), e1.Address().String())
--- a/internal/aubmembership/registry.go
+++ b/internal/aubmembership/registry.go
@@ -213,7 +213,8 @@
 	defer r.mu.Unlock()
 	var due []*record
 	for _, rec := range r.records {
-		if rec.complete && rec.relayed < rec.sequence && now.Sub(rec.heardDirect) < r.timeout {
+		// An outdated list of residents would pass for the newest there.
+		if rec.current && rec.relayed < rec.sequence && now.Sub(rec.heardDirect) < r.timeout {
 			due = append(due, rec)
 		}
 	}
--- a/internal/aubplacement/forecast.go
+++ b/internal/aubplacement/forecast.go
@@ -15,10 +15,18 @@
 	trendHorizon = 30 * time.Second
 	// defaultServiceSeconds stands in until an answer was measured.
 	defaultServiceSeconds = 1.0
+	// idleRate is the rate below which nobody counts as calling, requests a second.
+	idleRate = 0.01
 	// rowMemory is how long the demand of an entry counts after it was last seen.
 	rowMemory = 10 * time.Second
 )
 
+// demandKey names a row of demand.
+type demandKey struct {
+	item      Key
+	workspace string
+}
+
 // Forecaster joins the demand that all entries announce and extends rising
 // rates. One goroutine uses it.
 type Forecaster struct {
@@ -60,7 +68,7 @@
 		return
 	}
 	rows := f.rows[a.GetName()]
-	if rows == nil || len(a.GetDemand()) < DefaultDemandRows {
+	if rows == nil || len(a.GetDemand()) < aubmembership.MaxDemandRows {
 		rows = make(map[demandKey]seenRow, len(a.GetDemand()))
 		f.rows[a.GetName()] = rows
 	}
--- a/internal/aubplacement/gather.go
+++ b/internal/aubplacement/gather.go
@@ -95,3 +95,21 @@
 		d.Items[key] = demand
 	}
 }
+
+// resolve gives the demand of adapters their own keys: callers, and so the
+// entries, name models and adapters alike.
+func (d Demand) resolve(items []Item) Demand {
+	known := make(map[Key]bool, len(items))
+	for _, item := range items {
+		known[item.Key] = true
+	}
+	resolved := make(map[Key]ItemDemand, len(d.Items))
+	for key, demand := range d.Items {
+		adapter := Key{Name: key.Name, Adapter: true}
+		if !known[key] && known[adapter] {
+			key = adapter
+		}
+		resolved[key] = demand
+	}
+	return Demand{Items: resolved, Late: d.Late}
+}
--- a/internal/aubplacement/pending.go
+++ b/internal/aubplacement/pending.go
@@ -125,6 +125,9 @@
 	case aubwire.OrderOutcome_ORDER_OUTCOME_STALE_FENCE:
 		delete(l.pending, key)
 		l.uncertain[order.Backend] = max(l.uncertain[order.Backend], p.fence)
+	case aubwire.OrderOutcome_ORDER_OUTCOME_IN_USE:
+		// Only this unload must wait; loads there may go on.
+		delete(l.pending, key)
 	default:
 		delete(l.pending, key)
 		l.backoff[order.Backend] = now.Add(refusalBackoff)
--- a/internal/aubplacement/placer.go
+++ b/internal/aubplacement/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -173,9 +172,7 @@
 
 func (p *Placer) demand(now time.Time, view aubmembership.View) Demand {
 	if p.opts.Demand != nil {
-		d := p.opts.Demand()
-		d.Items = maps.Clone(d.Items)
-		return d
+		return p.opts.Demand()
 	}
 	return p.forecaster.Observe(p.clock(now), view)
 }
@@ -184,15 +181,14 @@
 func (p *Placer) clock(now time.Time) time.Duration { return now.Sub(p.started) }
 
 func (p *Placer) snapshot(now time.Time, view aubmembership.View, demand Demand) Snapshot {
-	if demand.Items == nil {
-		demand.Items = make(map[Key]ItemDemand)
-	}
+	items := itemsOf(p.opts.Config.Config())
+	demand = demand.resolve(items)
 	p.mu.Lock()
 	p.requests.addTo(now, p.clock(now), demand)
 	p.mu.Unlock()
 	s := Snapshot{
 		Now:       p.clock(now),
-		Items:     itemsOf(p.opts.Config.Config()),
+		Items:     items,
 		Demand:    demand,
 		Objective: p.opts.Objective,
 		Capacity:  p.opts.Capacity,
--- a/internal/aubplacement/placer_test.go
+++ b/internal/aubplacement/placer_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburndale/auburndale/internal/aubplacement"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
 	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
@@ -97,6 +98,22 @@
 	r.eventually(t, "two copies of each model", func() bool { return r.everyModelHas(2, 8) })
 }
 
+// TestDemandOfAnAdapterIsItsOwn checks that rows, which name adapters like
+// models, make the placer load the adapter that callers wait for.
+func TestDemandOfAnAdapterIsItsOwn(t *testing.T) {
+	s := newSteppedSite(t)
+	s.config = fakeConfig{config: aubquery.NewConfig(aubquery.ConfigOpts{
+		Version:  1,
+		Models:   []aubapi.Model{{Name: "m0", MemoryBytes: 79 * gib}},
+		Adapters: []aubapi.Adapter{{Name: "a0", Model: "m0", MemoryBytes: gib}, {Name: "a1", Model: "m0", MemoryBytes: gib}},
+	})}
+	s.demand = []*aubwire.ModelDemand{{Name: "a1", Waiting: 3}}
+	for range 3 {
+		s.step()
+	}
+	qt.Assert(t, s.copies(aubplacement.Key{Name: "a1", Adapter: true}), qt.Equals, 1)
+}
+
 func TestPlacerThatDoesNotLeadGivesNoOrders(t *testing.T) {
 	r := newRun(t, 3, 2)
 	for range 50 {
