--- a/internal/aubmembership/registry_test.go
+++ b/internal/aubmembership/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -236,7 +237,7 @@
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			r := aubmembership.NewRegistry(timeout)
 			now := time.Unix(1000, 0)
-			heads := fill(r, now, members)
+			heads := fill(r, now, members, 6)
 			b.ReportAllocs()
 			for b.Loop() {
 				b.StopTimer()
@@ -258,7 +259,7 @@
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			r := aubmembership.NewRegistry(timeout)
 			now := time.Unix(1000, 0)
-			heads := fill(r, now, members)
+			heads := fill(r, now, members, 6)
 			secret := []byte("secret")
 			b.ReportAllocs()
 			i := 0
@@ -274,10 +275,36 @@
 	}
 }
 
-func fill(r *aubmembership.Registry, now time.Time, members int) []*aubwire.Announcement {
+// BenchmarkMemory is the heap that the registry and one view take for each member.
+func BenchmarkMemory(b *testing.B) {
+	for _, members := range []int{15, 1000, 6500} {
+		for _, residents := range []int{6, 40} {
+			b.Run(fmt.Sprintf("members=%d/residents=%d", members, residents), func(b *testing.B) {
+				before := heap()
+				r := aubmembership.NewRegistry(timeout)
+				now := time.Unix(1000, 0)
+				fill(r, now, members, residents)
+				v := r.View(now)
+				b.ReportMetric(float64(heap()-before)/float64(members), "B/member")
+				b.ReportMetric(0, "ns/op")
+				runtime.KeepAlive(v)
+				runtime.KeepAlive(r)
+			})
+		}
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+func fill(r *aubmembership.Registry, now time.Time, members, residents int) []*aubwire.Announcement {
 	heads := make([]*aubwire.Announcement, 0, members)
 	for i := range members {
-		a := agent(fmt.Sprintf("worker-%05d", i), 6)
+		a := agent(fmt.Sprintf("worker-%05d", i), residents)
 		a.Sequence = 1
 		head := aubmembership.HeadsOf(a)[0]
 		r.Apply(now, head, true)
