Wait for a lost backend server before replacing second copies

Items without any copy don't wait. The test fails when the copies that went silent aren't counted.

The router gets a test for the race detector.

--- a/internal/aubplacement/gather.go
+++ b/internal/aubplacement/gather.go
@@ -60,6 +60,23 @@
 	return b
 }
 
+// lostCopies counts the ready copies of members that went silent within the
+// patience and did not leave.
+func lostCopies(now time.Time, v aubmembership.View, patience time.Duration) map[Key]int {
+	lost := make(map[Key]int)
+	for _, m := range v.Lost() {
+		if now.Sub(m.HeardAt) >= patience {
+			continue
+		}
+		for _, r := range m.Announcement.GetBackend().GetResident() {
+			if r.GetState() == aubwire.Residency_RESIDENCY_READY {
+				lost[Key{Name: r.GetName(), Adapter: r.GetAdapter()}]++
+			}
+		}
+	}
+	return lost
+}
+
 // loading counts the loads on their way.
 func loading(backends []Backend) (models, adapters int) {
 	for _, b := range backends {
--- a/internal/aubplacement/opts.go
+++ b/internal/aubplacement/opts.go
@@ -15,6 +15,7 @@
 	DefaultInterval        = 500 * time.Millisecond
 	DefaultSettle          = 2 * time.Second
 	DefaultOrderTimeout    = 5 * time.Second
+	DefaultLostPatience    = 30 * time.Second
 	DefaultLoadRate        = 1.5
 	DefaultLoadConcurrency = 4
 	DefaultAdapterLimit    = 30
@@ -48,6 +49,10 @@
 	Settle time.Duration
 	// OrderTimeout bounds one order; 0 means DefaultOrderTimeout.
 	OrderTimeout time.Duration
+	// LostPatience is how long a silent backend server may come back before its
+	// second copies are replaced; 0 means DefaultLostPatience. Items that are left
+	// without a copy don't wait.
+	LostPatience time.Duration
 	// LoadRate, in loads a second, and LoadConcurrency are the weight store's
 	// limits; 0 means the defaults.
 	LoadRate        float64
@@ -66,6 +71,7 @@
 	setDefault(&o.Interval, DefaultInterval)
 	setDefault(&o.Settle, DefaultSettle)
 	setDefault(&o.OrderTimeout, DefaultOrderTimeout)
+	setDefault(&o.LostPatience, DefaultLostPatience)
 	setDefault(&o.LoadRate, DefaultLoadRate)
 	setDefault(&o.LoadConcurrency, DefaultLoadConcurrency)
 	setDefault(&o.AdapterLimit, DefaultAdapterLimit)
--- a/internal/aubplacement/placer.go
+++ b/internal/aubplacement/placer.go
@@ -190,6 +190,7 @@
 		Now:       p.clock(now),
 		Items:     items,
 		Demand:    demand,
+		Lost:      lostCopies(now, view, p.opts.LostPatience),
 		Objective: p.opts.Objective,
 		Capacity:  p.opts.Capacity,
 		Moves:     p.ledger.recentMoves(p.clock(now)),
--- a/internal/aubplacement/plan_test.go
+++ b/internal/aubplacement/plan_test.go
@@ -244,6 +244,31 @@
 	}
 }
 
+func TestSecondCopiesWaitForALostBackendServer(t *testing.T) {
+	b := newBoard(t, 6, 80*gib, models(6, 20*gib)...)
+	for range 20 {
+		b.round(marginal)
+	}
+	lost := b.snapshot.Backends[0]
+	b.snapshot.Backends = b.snapshot.Backends[1:]
+	b.snapshot.Lost = map[aubplacement.Key]int{}
+	for key := range lost.Residents {
+		b.snapshot.Lost[key]++
+	}
+	qt.Assert(t, len(b.snapshot.Lost) > 0, qt.IsTrue)
+	qt.Assert(t, marginal.Plan(b.snapshot).Orders, qt.HasLen, 0)
+	// One that has no copy left is loaded at once all the same.
+	key := b.snapshot.Items[0].Key
+	for _, backend := range b.snapshot.Backends {
+		delete(backend.Residents, key)
+	}
+	orders := marginal.Plan(b.snapshot).Orders
+	qt.Assert(t, orders, qt.HasLen, 1)
+	qt.Assert(t, orders[0].Item.Key, qt.Equals, key)
+	b.snapshot.Lost = nil
+	qt.Assert(t, len(marginal.Plan(b.snapshot).Orders) > 1, qt.IsTrue)
+}
+
 func TestLastCopyGivesWayOnlyWhenNotAllFit(t *testing.T) {
 	planner := marginal
 	b := newBoard(t, 2, 40*gib, models(4, 20*gib)...)
--- a/internal/aubplacement/snapshot.go
+++ b/internal/aubplacement/snapshot.go
@@ -87,6 +87,9 @@
 	Items    []Item
 	Backends []Backend
 	Demand   Demand
+	// Lost counts the copies on backend servers that went silent a short while ago
+	// and may come back with them. They stand for second copies only.
+	Lost map[Key]int
 	// ModelLoads and AdapterLoads are the loads that may start now.
 	ModelLoads   int
 	AdapterLoads int
--- a/internal/aubplacement/spread.go
+++ b/internal/aubplacement/spread.go
@@ -23,7 +23,7 @@
 	var scarce []Item
 	for _, item := range b.snapshot.Items {
 		n := len(b.byItem[item.Key])
-		if n > 0 && n < item.Copies && !b.unloadedWithin(item.Key, minResidence) {
+		if n > 0 && n+b.snapshot.Lost[item.Key] < item.Copies && !b.unloadedWithin(item.Key, minResidence) {
 			scarce = append(scarce, item)
 		}
 	}
--- a/internal/aubroute/behaviour_test.go
+++ b/internal/aubroute/behaviour_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,3 +222,36 @@
 		}
 	}
 }
+
+// TestRouterIsSafeForConcurrentUse is for the race detector, and checks that the
+// work in flight adds up to nothing when all is finished.
+func TestRouterIsSafeForConcurrentUse(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	for i := range 6 {
+		source.report(fmt.Sprintf("w%d", i), string(rune('a'+i%3)), nil)
+	}
+	source.fix()
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				c, err := r.Pick(aubroute.Request{Model: "m", PromptTokens: 50, Prefixes: []uint64{uint64(i)}})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c.Started()
+				c.FirstToken()
+				if i%7 == g%7 {
+					r.CacheEvent(c.Member, aubroute.CacheEvent{Sequence: uint64(i), Evicted: []uint64{uint64(i)}})
+				}
+				c.Finished(aubroute.Outcome{FirstToken: 10 * time.Millisecond})
+				c.Finished(aubroute.Outcome{})
+				r.AllowRetry()
+			}
+		})
+	}
+	wg.Wait()
+	picked := send(t, r, 300, func(string) aubroute.Outcome { return aubroute.Outcome{FirstToken: 10 * time.Millisecond} })
+	qt.Assert(t, picked["w0"]+picked["w3"], qt.Equals, 300, qt.Commentf("%v", picked))
+}
