--- a/internal/aubplacement/board.go
+++ b/internal/aubplacement/board.go
@@ -34,6 +34,7 @@
 	unloaded     map[Key]time.Duration
 	modelLoads   int
 	adapterLoads int
+	meanLateness float64
 	plan         Plan
 }
 
@@ -61,6 +62,7 @@
 		modelLoads:   s.ModelLoads,
 		adapterLoads: s.AdapterLoads,
 	}
+	b.measureLateness()
 	for _, item := range s.Items {
 		b.items[item.Key] = item
 	}
--- a/internal/aubplacement/gain.go
+++ b/internal/aubplacement/gain.go
@@ -54,14 +54,34 @@
 	return sum * d.ServiceSeconds * max(d.Forecast, 1)
 }
 
-// weight is what a request of the workspace counts.
+// weight is what a request of the workspace counts; the mean over all requests is 1,
+// so that an objective doesn't change what a move may cost.
 func (b *board) weight(workspace string) float64 {
 	if b.snapshot.Objective != ObjectiveWorstServed {
 		return 1
 	}
+	return b.lateness(workspace) / b.meanLateness
+}
+
+func (b *board) lateness(workspace string) float64 {
 	return 1 + (lateWeight-1)*b.snapshot.Demand.Late[workspace]
 }
 
+// measureLateness sets the mean lateness over all requests.
+func (b *board) measureLateness() {
+	var sum, rates float64
+	for _, d := range b.demand {
+		for workspace, rate := range d.Rate {
+			sum += rate * b.lateness(workspace)
+			rates += rate
+		}
+	}
+	b.meanLateness = 1
+	if rates > 0 {
+		b.meanLateness = sum / rates
+	}
+}
+
 // spreadLoad shares out the demand of each item to its copies.
 func (b *board) spreadLoad() {
 	for key, slots := range b.byItem {
--- a/internal/aubplacement/measure_test.go
+++ b/internal/aubplacement/measure_test.go
@@ -54,6 +54,8 @@
 	unreachableLater int
 	waited           map[aubplacement.Key]int
 	longest          int
+	// called and served count requests, and those within target, by workspace.
+	called, served map[string]float64
 }
 
 func newDemandModel(b *testing.B, size siteSize, seed uint64) *demandModel {
@@ -68,8 +70,11 @@
 			Base: fmt.Sprintf("m%02d", i%size.models), MemoryBytes: gib / 4, Copies: 2,
 		})
 	}
+	site := newBoard(b, size.workers, 80*gib, items...)
+	site.snapshot.Demand.Late = map[string]float64{}
 	return &demandModel{
-		board: newBoard(b, size.workers, 80*gib, items...), size: size, rnd: rnd,
+		board: site, size: size, rnd: rnd,
+		called: map[string]float64{}, served: map[string]float64{},
 		doneAt: map[aubplacement.MoveKey]int{}, rates: map[aubplacement.Key]float64{}, waited: map[aubplacement.Key]int{},
 	}
 }
@@ -100,20 +105,50 @@
 			loads[name] += d.rates[key] / float64(len(d.holders(key)))
 		}
 	}
+	missed, arrived := map[string]float64{}, map[string]float64{}
 	for i, count := range counts {
 		key := d.snapshot.Items[i].Key
 		holders := d.holders(key)
 		d.note(key, count, len(holders), second)
-		d.requests += count
+		var served float64
 		for _, name := range holders {
-			d.attained += count / float64(len(holders)) / (1 + math.Pow(loads[name]/modelCapacity, 4))
+			served += count / float64(len(holders)) / (1 + math.Pow(loads[name]/modelCapacity, 4))
+		}
+		d.requests += count
+		d.attained += served
+		workspace := workspaceOf(key)
+		d.called[workspace] += count
+		d.served[workspace] += served
+		arrived[workspace] += count
+		missed[workspace] += count - served
+	}
+	for workspace, n := range arrived {
+		late := d.snapshot.Demand.Late[workspace]
+		if n > 0 {
+			d.snapshot.Demand.Late[workspace] = late + modelSmooth*(missed[workspace]/n-late)
 		}
 	}
 }
 
+// workspaceOf shares the models out to five workspaces, two of them large.
+func workspaceOf(key aubplacement.Key) string {
+	var i int
+	_, _ = fmt.Sscanf(key.Name, "m%d", &i)
+	return []string{"a", "b", "a", "c", "b", "a", "d", "b", "a", "e"}[i%10]
+}
+
+// worst is the share within target of the worst-served workspace.
+func (d *demandModel) worst() float64 {
+	worst := 1.0
+	for workspace, called := range d.called {
+		worst = min(worst, d.served[workspace]/called)
+	}
+	return worst
+}
+
 func (d *demandModel) note(key aubplacement.Key, count float64, holders, second int) {
 	demand := d.snapshot.Demand.Items[key]
-	demand.Rate = map[string]float64{"ws": d.rates[key]}
+	demand.Rate = map[string]float64{workspaceOf(key): d.rates[key]}
 	demand.ServiceSeconds, demand.Forecast = 1, 1
 	if count > 0 {
 		demand.LastArrival = time.Duration(second+1) * time.Second
@@ -203,18 +238,28 @@
 	return n
 }
 
-// BenchmarkPolicies compares the policies on the same requests: a tenfold step
-// for one model and then the loss of a zone. Run it with -benchtime 1x.
+// BenchmarkPolicies compares the policies and objectives on the same requests: a
+// tenfold step for one model and then the loss of a zone. Run it with
+// -benchtime 1x.
 func BenchmarkPolicies(b *testing.B) {
+	runs := []struct {
+		policy    string
+		objective aubplacement.Objective
+	}{
+		{aubplacement.PolicyMarginalAttainment, aubplacement.ObjectiveWorstServed},
+		{aubplacement.PolicyMarginalAttainment, aubplacement.ObjectiveRefusals},
+		{aubplacement.PolicyLeastRecentlyUsed, aubplacement.ObjectiveRefusals},
+	}
 	for _, size := range siteSizes {
 		for seed := range uint64(3) {
-			for _, policy := range []string{aubplacement.PolicyMarginalAttainment, aubplacement.PolicyLeastRecentlyUsed} {
-				b.Run(fmt.Sprintf("site=%s/seed=%d/policy=%s", size.name, seed, policy), func(b *testing.B) {
-					planner, err := aubplacement.NewPlanner(policy)
+			for _, run := range runs {
+				b.Run(fmt.Sprintf("site=%s/seed=%d/policy=%s/objective=%s", size.name, seed, run.policy, run.objective), func(b *testing.B) {
+					planner, err := aubplacement.NewPlanner(run.policy)
 					if err != nil {
 						b.Fatal(err)
 					}
 					d := newDemandModel(b, size, seed)
+					d.snapshot.Objective = run.objective
 					for second := range modelSeconds {
 						if second == modelLostAt {
 							d.lose("a")
@@ -222,15 +267,20 @@
 						d.second(second)
 						d.step(second, planner)
 					}
-					b.ReportMetric(d.attained/d.requests*100, "attained-%")
-					b.ReportMetric(d.attained/modelSeconds/float64(size.workers), "attained/s/accelerator")
-					b.ReportMetric(float64(d.orders), "moves")
-					b.ReportMetric(float64(d.unreachable), "unreachable-model-s")
-					b.ReportMetric(float64(d.unreachableLater), "unreachable-later-model-s")
-					b.ReportMetric(float64(d.longest), "longest-s")
-					b.ReportMetric(0, "ns/op")
+					d.reportTo(b)
 				})
 			}
 		}
 	}
 }
+
+func (d *demandModel) reportTo(b *testing.B) {
+	b.ReportMetric(d.attained/d.requests*100, "attained-%")
+	b.ReportMetric(d.worst()*100, "worst-workspace-%")
+	b.ReportMetric(d.attained/modelSeconds/float64(d.size.workers), "attained/s/accelerator")
+	b.ReportMetric(float64(d.orders), "moves")
+	b.ReportMetric(float64(d.unreachable), "unreachable-model-s")
+	b.ReportMetric(float64(d.unreachableLater), "unreachable-later-model-s")
+	b.ReportMetric(float64(d.longest), "longest-s")
+	b.ReportMetric(0, "ns/op")
+}
