Keep an unload pending when a later send of it is refused

With agents that restart, the history test found two more ways to lose the last ready copy: - The refusal of an order to the old incarnation settled the same order to the new one, since both had one fencing number. Each send now has a number of its own in the ledger. - An unload was accepted, the agent restarted, and the unload's second send was refused for its incarnation. That ended the wait for the first, and the copy counted as ready by a report from before. Refusals of the sender, not of the item, no longer settle an unload.

--- a/internal/aubplacement/history_test.go
+++ b/internal/aubplacement/history_test.go
@@ -23,9 +23,12 @@
 type slowAgent struct {
 	name, zone string
 	memory     int64
-	fence      uint64
-	residents  map[string]aubwire.Residency
-	bytes      map[string]int64
+	// incarnation and the floor of fence change with a restart; what the engine
+	// holds and does stays.
+	incarnation uint64
+	fence       uint64
+	residents   map[string]aubwire.Residency
+	bytes       map[string]int64
 }
 
 func (a *slowAgent) used() int64 {
@@ -37,6 +40,9 @@
 }
 
 func (a *slowAgent) execute(r *aubwire.OrderRequest) aubwire.OrderOutcome {
+	if r.GetAgentIncarnation() != a.incarnation {
+		return aubwire.OrderOutcome_ORDER_OUTCOME_WRONG_INCARNATION
+	}
 	if r.GetFence() < a.fence {
 		return aubwire.OrderOutcome_ORDER_OUTCOME_STALE_FENCE
 	}
@@ -76,7 +82,7 @@
 		b.Resident = append(b.Resident, &aubwire.Resident{Name: name, State: state})
 	}
 	return &aubwire.Announcement{
-		Name: a.name, Zone: a.zone, Role: aubwire.Role_ROLE_AGENT, Incarnation: 1, Backend: b,
+		Name: a.name, Zone: a.zone, Role: aubwire.Role_ROLE_AGENT, Incarnation: a.incarnation, Backend: b,
 	}
 }
 
@@ -247,7 +253,7 @@
 	}
 	for i := range 4 {
 		a := &slowAgent{
-			name: fmt.Sprintf("w%d", i), zone: string(rune('a' + i%3)), memory: 50 * gib,
+			name: fmt.Sprintf("w%d", i), zone: string(rune('a' + i%3)), memory: 50 * gib, incarnation: 1,
 			residents: map[string]aubwire.Residency{}, bytes: map[string]int64{},
 		}
 		h.agents = append(h.agents, a)
@@ -320,6 +326,15 @@
 					h.deliver(h.held[rapid.IntRange(0, len(h.held)-1).Draw(t, "held")])
 				}
 			},
+			"restart": func(t *rapid.T) {
+				a := h.pickAgent()
+				a.incarnation++
+				floor, err := aubplacement.Register(ctx, h.log, a.name, a.incarnation)
+				if err != nil {
+					t.Fatal(err)
+				}
+				a.fence = floor
+			},
 			"leader": func(*rapid.T) { h.addLeader() },
 			"add":    func(*rapid.T) { h.end = min(h.end+1, h.first+7) },
 			"remove": func(*rapid.T) {
--- a/internal/aubplacement/pending.go
+++ b/internal/aubplacement/pending.go
@@ -30,22 +30,24 @@
 )
 
 type pendingOrder struct {
-	order Order
-	fence uint64
-	state orderState
+	// number tells the sends of one item to one backend server apart.
+	number uint64
+	order  Order
+	fence  uint64
+	state  orderState
 	// at is when it was sent, and then when its answer came.
 	at time.Time
 }
 
-// is reports whether p, which may be nil, stands for the order as it was sent.
-func (p *pendingOrder) is(order Order, fence uint64) bool {
-	return p != nil && p.order.Action == order.Action && p.fence == fence
-}
+// is reports whether p, which may be nil, stands for the numbered send.
+func (p *pendingOrder) is(number uint64) bool { return p != nil && p.number == number }
 
 // ledger holds the orders whose effects the reports don't show yet. Its methods
 // may be called concurrently; mu guards all fields.
 type ledger struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// number is that of the last send.
+	number  uint64
 	pending map[MoveKey]*pendingOrder
 	// uncertain is the highest fencing number of an order with unknown outcome,
 	// by backend server. Later orders there carry a higher one, so that the
@@ -81,38 +83,40 @@
 }
 
 // sent notes an order before it goes out. A confirmation changes nothing and is
-// not noted.
-func (l *ledger) sent(now time.Time, clock time.Duration, order Order, fence uint64) {
+// not noted and has the number 0.
+func (l *ledger) sent(now time.Time, clock time.Duration, order Order, fence uint64) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
 	if order.Action == ActionConfirm {
-		return
+		return 0
 	}
-	l.pending[key] = &pendingOrder{order: order, fence: fence, at: now}
+	l.number++
+	l.pending[key] = &pendingOrder{number: l.number, order: order, fence: fence, at: now}
 	l.moves[key] = Move{Action: order.Action, At: clock}
 	if order.Action == ActionUnload {
 		l.unloaded[key] = fence
 	}
+	return l.number
 }
 
 // unsent forgets an order that never went out.
-func (l *ledger) unsent(order Order, fence uint64) {
+func (l *ledger) unsent(order Order, number uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
-	if p := l.pending[key]; p.is(order, fence) {
+	if p := l.pending[key]; p.is(number) {
 		delete(l.pending, key)
 	}
 }
 
 // answered notes the outcome of an order.
-func (l *ledger) answered(now time.Time, order Order, fence uint64, outcome aubwire.OrderOutcome) {
+func (l *ledger) answered(now time.Time, order Order, number uint64, outcome aubwire.OrderOutcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := MoveKey{Backend: order.Backend, Item: order.Item.Key}
 	p := l.pending[key]
-	if !p.is(order, fence) {
+	if !p.is(number) {
 		return
 	}
 	p.at = now
@@ -123,8 +127,12 @@
 		p.state = orderUncertain
 		l.uncertain[order.Backend] = max(l.uncertain[order.Backend], p.fence)
 	case aubwire.OrderOutcome_ORDER_OUTCOME_STALE_FENCE:
-		delete(l.pending, key)
 		l.uncertain[order.Backend] = max(l.uncertain[order.Backend], p.fence)
+		l.refused(key, p)
+	case aubwire.OrderOutcome_ORDER_OUTCOME_WRONG_INCARNATION,
+		aubwire.OrderOutcome_ORDER_OUTCOME_NOT_READY:
+		l.backoff[order.Backend] = now.Add(refusalBackoff)
+		l.refused(key, p)
 	case aubwire.OrderOutcome_ORDER_OUTCOME_IN_USE:
 		// Only this unload must wait; loads there may go on.
 		delete(l.pending, key)
@@ -134,6 +142,17 @@
 	}
 }
 
+// refused forgets a load. An unload stays: the agent refused this send without
+// looking at the item, and an earlier send of it may have been executed. It ends
+// with a report that shows the item gone or another incarnation.
+func (l *ledger) refused(key MoveKey, p *pendingOrder) {
+	if p.order.Action != ActionUnload {
+		delete(l.pending, key)
+		return
+	}
+	p.state = orderUncertain
+}
+
 // floor returns the fencing number that the order's must exceed.
 func (l *ledger) floor(order Order) uint64 {
 	l.mu.Lock()
--- a/internal/aubplacement/placer.go
+++ b/internal/aubplacement/placer.go
@@ -250,9 +250,9 @@
 	if order.Action == ActionLoad && !order.Item.Key.Adapter && !p.loads.AllowN(now, 1) {
 		return
 	}
-	p.ledger.sent(now, p.clock(now), order, p.fence)
-	if !p.sender.offer(job{member: m, order: order, fence: p.fence, term: p.term}) {
-		p.ledger.unsent(order, p.fence)
+	number := p.ledger.sent(now, p.clock(now), order, p.fence)
+	if !p.sender.offer(job{number: number, member: m, order: order, fence: p.fence, term: p.term}) {
+		p.ledger.unsent(order, number)
 	}
 }
 
--- a/internal/aubplacement/sender.go
+++ b/internal/aubplacement/sender.go
@@ -21,6 +21,8 @@
 
 // job is one order on its way.
 type job struct {
+	// number is the ledger's number of the send.
+	number uint64
 	member aubmembership.Member
 	order  Order
 	fence  uint64
@@ -71,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.opts.OrderTimeout)
 	defer cancel()
 	if term, ok := s.opts.Leadership.Leading(); !ok || term != j.term {
-		s.ledger.unsent(j.order, j.fence)
+		s.ledger.unsent(j.order, j.number)
 		return
 	}
 	response, err := s.opts.Orders.Order(ctx, j.member, request)
@@ -79,7 +81,7 @@
 	if err != nil {
 		outcome = aubwire.OrderOutcome_ORDER_OUTCOME_UNCERTAIN
 	}
-	s.ledger.answered(s.common.Timer.Now(), j.order, j.fence, outcome)
+	s.ledger.answered(s.common.Timer.Now(), j.order, j.number, outcome)
 	s.note(j, outcome, response.GetDetail(), err)
 }
 
