--- a/internal/aubplacement/gather.go
+++ b/internal/aubplacement/gather.go
@@ -60,6 +60,23 @@
 	return b
 }
 
+// lostCopies counts the ready copies of members that went silent within the
+// patience and did not leave.
+func lostCopies(now time.Time, v aubmembership.View, patience time.Duration) map[Key]int {
+	lost := make(map[Key]int)
+	for _, m := range v.Lost() {
+		if now.Sub(m.HeardAt) >= patience {
+			continue
+		}
+		for _, r := range m.Announcement.GetBackend().GetResident() {
+			if r.GetState() == aubwire.Residency_RESIDENCY_READY {
+				lost[Key{Name: r.GetName(), Adapter: r.GetAdapter()}]++
+			}
+		}
+	}
+	return lost
+}
+
 // loading counts the loads on their way.
 func loading(backends []Backend) (models, adapters int) {
 	for _, b := range backends {
@@ -95,3 +112,21 @@
 		d.Items[key] = demand
 	}
 }
+
+// resolve gives the demand of adapters their own keys: callers, and so the
+// entries, name models and adapters alike.
+func (d Demand) resolve(items []Item) Demand {
+	known := make(map[Key]bool, len(items))
+	for _, item := range items {
+		known[item.Key] = true
+	}
+	resolved := make(map[Key]ItemDemand, len(d.Items))
+	for key, demand := range d.Items {
+		adapter := Key{Name: key.Name, Adapter: true}
+		if !known[key] && known[adapter] {
+			key = adapter
+		}
+		resolved[key] = demand
+	}
+	return Demand{Items: resolved, Late: d.Late}
+}
