--- a/internal/aubagent/memory_test.go
+++ b/internal/aubagent/memory_test.go
@@ -201,6 +201,7 @@
 			name := map[bool]string{true: "fence checked", false: "fence ignored"}[checks] +
 				map[bool]string{true: ", journal", false: ", no journal"}[disk]
 			t.Run(name, func(t *testing.T) {
+				t.Parallel()
 				opts := yardOpts{checksFence: checks, loadTime: step}
 				if disk {
 					opts.dataDir = t.TempDir()
@@ -214,6 +215,7 @@
 // TestMemoryUnderOrderFaults loads a small item, lets a fault strike at the order for
 // a large one, then asks for another large one.
 func TestMemoryUnderOrderFaults(t *testing.T) {
+	t.Parallel()
 	delay := step.Milliseconds()
 	tests := []struct {
 		name    string
@@ -405,8 +407,10 @@
 
 // TestMemoryNeverOvercommitted drives random orders, faults and restarts.
 func TestMemoryNeverOvercommitted(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(map[bool]string{true: "fence checked", false: "fence ignored"}[checks], func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(rt *rapid.T) {
 				opts := yardOpts{checksFence: checks, loadTime: rapid.SampledFrom([]time.Duration{0, step}).Draw(rt, "load time")}
 				if rapid.Bool().Draw(rt, "journal") {
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -50,11 +50,7 @@
 	if !a.registry.hand(x) {
 		return mayHaveRun(aubwire.FailureReason_FAILURE_REASON_UNKNOWN_REQUEST, "another attempt was handed over")
 	}
-	if f := a.backend(x, boot).run(); f != nil {
-		return f
-	}
-	a.deaths.clear(x.start.GetFingerprint())
-	return nil
+	return a.backend(x, boot).run()
 }
 
 // runner executes a request that was handed over and sends its answer's frames.
@@ -169,7 +165,10 @@
 	}}, len(data))
 }
 
+// sendEnd closes a whole answer. Its request is no suspect any more by the time
+// the caller sees the end.
 func (b backendCall) sendEnd(end *aubwire.FrameEnd) {
+	b.agent.deaths.clear(b.x.start.GetFingerprint())
 	frame := &aubwire.ExecuteFrame{Frame: &aubwire.ExecuteFrame_End{End: end}}
 	b.x.frames.close(frame, b.agent.common.Timer.Now())
 }
--- a/internal/aubagent/whole_test.go
+++ b/internal/aubagent/whole_test.go
@@ -35,10 +35,12 @@
 // TestConnectionFaultAtEveryFrame breaks the connection between executor and
 // agent at each frame: the answer is resumed, whole and in order.
 func TestConnectionFaultAtEveryFrame(t *testing.T) {
+	t.Parallel()
 	faults := map[string]wireFault{"cut": wireCut, "silent": wireSilent, "mute": wireMute, "deaf": wireDeaf}
 	for name, fault := range faults {
 		for _, stream := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, stream %v", name, stream), func(t *testing.T) {
+				t.Parallel()
 				s := chatSite(t)
 				frames := streamFrames
 				if !stream {
@@ -75,9 +77,11 @@
 // each event. An engine that can resume gives the whole answer; with one that
 // can't, the answer fails and what came is a true part of it.
 func TestEngineFaultAtEveryEvent(t *testing.T) {
+	t.Parallel()
 	for _, forget := range []bool{false, true} {
 		for _, silent := range []bool{false, true} {
 			t.Run(fmt.Sprintf("forgetful %v, silent %v", forget, silent), func(t *testing.T) {
+				t.Parallel()
 				s := chatSite(t)
 				for at := range streamEvents {
 					faults := aubstandin.Faults{ForgetAnswers: forget}
