Catch memory freed before the engine confirmed a higher number

Cause: two late orders arrived at the same moment in TestTwoLateOrders, so that their order was chance and the gap hidden.

--- a/internal/aubagent/memory_test.go
+++ b/internal/aubagent/memory_test.go
@@ -287,7 +287,10 @@
 		y.send(loadOrder(y.fence, "large", 60))
 		y.look()
 		y.send(loadOrder(y.fence, "other", 60))
-		y.advance(lifetime)
+		// In small steps, so that the two arrive one after the other.
+		for range lifetime / pollInterval {
+			y.look()
+		}
 		y.check()
 	})
 }
