Show an agent and a plain service that die under a request

Cause: both were written and not tried. An agent that dies under a stream, with and without its next incarnation at the same address, gives may have run; a plain service that dies names its suspect. Fuzz target for the usage of engine events.

--- /dev/null
+++ b/internal/aubagent/export_test.go
@@ -0,0 +1,8 @@
+package aubagent
+
+// HideUsage is hideUsage over the data of one event.
+func HideUsage(data []byte) []byte {
+	c, _ := parseChunk(data)
+	raw := append(append([]byte("data: "), data...), "\n\n"...)
+	return hideUsage(raw, data, c)
+}
--- a/internal/aubagent/site_test.go
+++ b/internal/aubagent/site_test.go
@@ -88,7 +88,10 @@
 
 func newServiceSite(t testing.TB, opts aubagent.AgentOpts) *site {
 	s := &site{ctx: newContext(t), common: aubcommon.NewCommon(aubtimer.NewReal()), opts: opts}
-	s.service = aubstandin.NewService(s.ctx, s.common, aubstandin.ServiceOpts{Name: "roster"})
+	s.service = aubstandin.NewService(s.ctx, s.common, aubstandin.ServiceOpts{
+		Name:    "roster",
+		OnCrash: func() { _ = s.backend.Listener.Close() },
+	})
 	server := httptest.NewServer(s.service.Handler())
 	t.Cleanup(server.Close)
 	s.backend = server
@@ -98,7 +101,9 @@
 	return s
 }
 
-func (s *site) startAgent(t testing.TB) {
+func (s *site) startAgent(t testing.TB) { s.startAgentAt(t, "127.0.0.1:0") }
+
+func (s *site) startAgentAt(t testing.TB, address string) {
 	agent, err := aubagent.NewAgent(s.ctx, s.common, s.opts)
 	qt.Assert(t, err, qt.IsNil)
 	s.agent = agent
@@ -106,7 +111,7 @@
 	server := grpc.NewServer(grpc.StreamInterceptor(s.wire.intercept))
 	s.server = server
 	agent.Register(server)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(server.Stop)
 	go func() { _ = server.Serve(listener) }()
