Never take a lost outcome for a clear one

Cause: three faults, found by reading and each shown by a failing test first. 1. An engine that died under a request and then refused the resume's connection gave 'not run' (TestEngineProcessDies): the resume was not sent, the request was. 2. A load order that the engine executed and answered by a 5xx status gave its memory back, since the wrapped refusal showed through the unknown outcome (TestOrderAnsweredByAnError). Unknown outcomes no longer unwrap. 3. A request that came alone while a plain service was down counted as what ended it, and was refused as poison after that (TestPlainServiceDies). Requests that no connection took are no suspects.

--- a/internal/aubagent/dies_test.go
+++ b/internal/aubagent/dies_test.go
@@ -1,12 +1,14 @@
 package aubagent_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubengine"
 	"github.com/auburndale/auburndale/internal/aubexecution"
 	"github.com/auburndale/auburndale/internal/aubstandin"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -52,4 +54,31 @@
 	var refused *aubexecution.FailedError
 	qt.Assert(t, err, qt.ErrorAs, &refused)
 	qt.Assert(t, refused.Reason, qt.Equals, aubwire.FailureReason_FAILURE_REASON_POISON)
+
+	// One that comes while the service is down had no part in its death.
+	innocent := serviceRequest("r3", http.MethodPost, "/x", []byte("innocent"))
+	innocent.Fingerprint = "g"
+	_, _, err = s.call(innocent)
+	checkExecution(t, err, aubapi.ExecutionNotRun)
+	qt.Assert(t, asDied(t, err).Suspects, qt.HasLen, 0)
+	qt.Assert(t, s.agent.Report().GetPoisoned(), qt.DeepEquals, []string{"f"})
+}
+
+// TestEngineProcessDies has a request end an engine that then refuses connections.
+func TestEngineProcessDies(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %v", stream), func(t *testing.T) {
+			var s *site
+			s = newEngineSite(t, aubstandin.EngineOpts{
+				Items:   []aubengine.Item{ready("m", gib)},
+				OnCrash: func() { _ = s.backend.Listener.Close() },
+			}, fastOpts())
+			s.awaitReady(t, "m")
+			s.engine.SetFaults(aubstandin.Faults{PoisonPrompt: "poison"})
+			_, _, err := s.call(chatRequest("r", "m", "poison", stream))
+			checkExecution(t, err, aubapi.ExecutionMayHaveRun)
+			qt.Assert(t, asDied(t, err).Suspects, qt.DeepEquals, []string{"poison"})
+			qt.Assert(t, s.agent.Report().GetPoisoned(), qt.DeepEquals, []string{"poison"})
+		})
+	}
 }
--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -87,7 +87,7 @@
 	case errors.As(err, &refused):
 		return false
 	case errors.As(err, &notSent):
-		return g.headed
+		return false
 	}
 	return true
 }
@@ -121,7 +121,13 @@
 }
 
 func (g *generation) resume(ctx context.Context) (*http.Response, error) {
-	return g.agent.client.Resume(ctx, g.answerID(), int(g.events.Load()))
+	resp, err := g.agent.client.Resume(ctx, g.answerID(), int(g.events.Load()))
+	var notSent *aubengine.NotSentError
+	if errors.As(err, &notSent) {
+		// The resume was not sent, but the request was.
+		return nil, &aubengine.UncertainError{Err: err}
+	}
+	return resp, err
 }
 
 func (g *generation) readEvents(resp *http.Response) error {
--- a/internal/aubagent/memory_test.go
+++ b/internal/aubagent/memory_test.go
@@ -40,7 +40,9 @@
 	agent  *aubagent.Agent
 	kill   context.CancelFunc
 	// held, when set, keeps load orders from the engine until it is closed.
-	held    atomic.Pointer[chan struct{}]
+	held atomic.Pointer[chan struct{}]
+	// failing has load orders executed and answered by an error.
+	failing atomic.Bool
 	fence   uint64
 	floor   uint64
 	started uint64
@@ -88,6 +90,11 @@
 
 func (y *yard) hold(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if y.failing.Load() && r.URL.Path == aubengine.PathLoad {
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
 		if held := y.held.Load(); held != nil && r.URL.Path == aubengine.PathLoad {
 			<-*held
 		}
@@ -295,6 +302,19 @@
 	})
 }
 
+// TestOrderAnsweredByAnError has an engine execute an order and then fail to say so.
+func TestOrderAnsweredByAnError(t *testing.T) {
+	eachEngine(t, func(t *testing.T, opts yardOpts) {
+		y := newYard(t, t, opts)
+		y.insist(loadOrder(y.fence, "small", 10))
+		y.failing.Store(true)
+		qt.Assert(t, y.send(loadOrder(y.fence, "large", 60)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_UNCERTAIN)
+		y.failing.Store(false)
+		qt.Assert(t, y.send(loadOrder(y.fence, "other", 60)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_NO_MEMORY)
+		y.check()
+	})
+}
+
 // TestOrderSlowerThanItsLifetime holds an order on its way for longer than orders live.
 func TestOrderSlowerThanItsLifetime(t *testing.T) {
 	eachEngine(t, func(t *testing.T, opts yardOpts) {
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -181,6 +181,10 @@
 	if errors.Is(err, aubengine.ErrMixed) {
 		return mayHaveRun(aubwire.FailureReason_FAILURE_REASON_MIXED, err.Error())
 	}
+	var notSent *aubengine.NotSentError
+	if errors.As(err, &notSent) {
+		return b.unsent(err)
+	}
 	scene := b.agent.deaths.judge(b.agent.ctx, b.x, b.boot, b.probe)
 	f := mayHaveRun(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, err.Error())
 	if scene.died {
@@ -188,10 +192,15 @@
 		f.suspects = scene.suspects
 		f.deathID = scene.id
 	}
-	var notSent *aubengine.NotSentError
-	if errors.As(err, &notSent) {
-		f.execution = aubwire.ExecutionState_EXECUTION_STATE_NOT_RUN
-		f.retryAfter = retryShortly
+	return f
+}
+
+// unsent builds the failure of a request that no connection took. It had no part
+// in a death of the backend server, so it is no suspect.
+func (b backendCall) unsent(err error) *failure {
+	f := notRun(aubwire.FailureReason_FAILURE_REASON_BACKEND_FAILED, err.Error(), retryShortly)
+	if b.probe(b.agent.ctx) {
+		f.reason = aubwire.FailureReason_FAILURE_REASON_BACKEND_DIED
 	}
 	return f
 }
--- a/internal/aubengine/error.go
+++ b/internal/aubengine/error.go
@@ -27,15 +27,13 @@
 func (e *NotSentError) Unwrap() error { return e.Err }
 
 // UncertainError says that a request may have been executed: it was handed
-// over and its answer never came.
+// over and no answer settles it. It does not unwrap, so that a cause that would
+// be a clear outcome by itself is not taken for one.
 type UncertainError struct{ Err error }
 
 // Error implements error.
 func (e *UncertainError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Err) }
 
-// Unwrap returns the cause.
-func (e *UncertainError) Unwrap() error { return e.Err }
-
 // Errors of an answer's body.
 var (
 	// ErrIncomplete says that an answer ended before its end mark.
