--- a/internal/aubagent/memory_test.go
+++ b/internal/aubagent/memory_test.go
@@ -40,7 +40,9 @@
 	agent  *aubagent.Agent
 	kill   context.CancelFunc
 	// held, when set, keeps load orders from the engine until it is closed.
-	held    atomic.Pointer[chan struct{}]
+	held atomic.Pointer[chan struct{}]
+	// failing has load orders executed and answered by an error.
+	failing atomic.Bool
 	fence   uint64
 	floor   uint64
 	started uint64
@@ -88,6 +90,11 @@
 
 func (y *yard) hold(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if y.failing.Load() && r.URL.Path == aubengine.PathLoad {
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
 		if held := y.held.Load(); held != nil && r.URL.Path == aubengine.PathLoad {
 			<-*held
 		}
@@ -201,6 +208,7 @@
 			name := map[bool]string{true: "fence checked", false: "fence ignored"}[checks] +
 				map[bool]string{true: ", journal", false: ", no journal"}[disk]
 			t.Run(name, func(t *testing.T) {
+				t.Parallel()
 				opts := yardOpts{checksFence: checks, loadTime: step}
 				if disk {
 					opts.dataDir = t.TempDir()
@@ -214,6 +222,7 @@
 // TestMemoryUnderOrderFaults loads a small item, lets a fault strike at the order for
 // a large one, then asks for another large one.
 func TestMemoryUnderOrderFaults(t *testing.T) {
+	t.Parallel()
 	delay := step.Milliseconds()
 	tests := []struct {
 		name    string
@@ -285,7 +294,23 @@
 		y.send(loadOrder(y.fence, "large", 60))
 		y.look()
 		y.send(loadOrder(y.fence, "other", 60))
-		y.advance(lifetime)
+		// In small steps, so that the two arrive one after the other.
+		for range lifetime / pollInterval {
+			y.look()
+		}
+		y.check()
+	})
+}
+
+// TestOrderAnsweredByAnError has an engine execute an order and then fail to say so.
+func TestOrderAnsweredByAnError(t *testing.T) {
+	eachEngine(t, func(t *testing.T, opts yardOpts) {
+		y := newYard(t, t, opts)
+		y.insist(loadOrder(y.fence, "small", 10))
+		y.failing.Store(true)
+		qt.Assert(t, y.send(loadOrder(y.fence, "large", 60)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_UNCERTAIN)
+		y.failing.Store(false)
+		qt.Assert(t, y.send(loadOrder(y.fence, "other", 60)), qt.Equals, aubwire.OrderOutcome_ORDER_OUTCOME_NO_MEMORY)
 		y.check()
 	})
 }
@@ -405,8 +430,10 @@
 
 // TestMemoryNeverOvercommitted drives random orders, faults and restarts.
 func TestMemoryNeverOvercommitted(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(map[bool]string{true: "fence checked", false: "fence ignored"}[checks], func(t *testing.T) {
+			t.Parallel()
 			rapid.Check(t, func(rt *rapid.T) {
 				opts := yardOpts{checksFence: checks, loadTime: rapid.SampledFrom([]time.Duration{0, step}).Draw(rt, "load time")}
 				if rapid.Bool().Draw(rt, "journal") {
