--- a/internal/aubentry/demand.go
+++ b/internal/aubentry/demand.go
@@ -42,6 +42,7 @@
 	common     aubcommon.Common
 	firstToken time.Duration
 	keep       float64
+	onWait     func()
 
 	// mu guards flows; it is a leaf lock.
 	mu    sync.Mutex
@@ -54,6 +55,8 @@
 	HalfLife time.Duration
 	// FirstToken is the objective that tells a late answer.
 	FirstToken time.Duration
+	// OnWait is called when a caller begins to wait for a load; nil for nothing.
+	OnWait func()
 }
 
 // NewDemand returns empty averages; they are updated until ctx ends.
@@ -61,6 +64,7 @@
 	d := &Demand{
 		common:     common,
 		firstToken: opts.FirstToken,
+		onWait:     opts.OnWait,
 		keep:       math.Exp2(-demandInterval.Seconds() / max(opts.HalfLife.Seconds(), 1)),
 		flows:      make(map[flow]*flowState),
 	}
@@ -97,6 +101,9 @@
 // Wait counts a caller that waits for a load until the returned function is called.
 func (d *Demand) Wait(f flow) (done func()) {
 	d.change(f, func(s *flowState) { s.waiting++ })
+	if d.onWait != nil {
+		d.onWait()
+	}
 	return func() { d.change(f, func(s *flowState) { s.waiting-- }) }
 }
 
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -105,6 +105,8 @@
 	e.demand = aubentry.NewDemand(e.ctx, e.common, aubentry.DemandOpts{
 		HalfLife:   e.cfg.Placement.DemandHalfLife.Value(),
 		FirstToken: e.cfg.Objectives.FirstToken.Value(),
+		// The leader learns of the waiting caller now, not with the next announcement.
+		OnWait: func() { e.members.Announce() },
 	})
 	e.burn = aubburn.NewTracker(e.common, e.cfg.Name, burnTargets(e.cfg.Objectives))
 	members, err := e.newMembership(e.announcement)
--- a/internal/aubroute/behaviour_test.go
+++ b/internal/aubroute/behaviour_test.go
@@ -46,10 +46,12 @@
 		name  string
 		bad   aubroute.Outcome
 		atMax int
+		// earlyMin is the least number of picks soon after the ejection.
+		earlyMin int
 	}{
-		{"failing", aubroute.Outcome{Failure: aubroute.FailureBackend}, 3},
-		{"silent", aubroute.Outcome{Failure: aubroute.FailureSilent}, 1},
-		{"slow", aubroute.Outcome{FirstToken: 3 * time.Second}, 20},
+		{"failing", aubroute.Outcome{Failure: aubroute.FailureBackend}, 3, 1},
+		{"silent", aubroute.Outcome{Failure: aubroute.FailureSilent}, 1, 1},
+		{"slow", aubroute.Outcome{FirstToken: 3 * time.Second}, 20, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
@@ -61,7 +63,7 @@
 
 			source.timer.Advance(4 * time.Second)
 			early := send(t, r, 300, good)
-			qt.Assert(t, early["w1"] < 80, qt.IsTrue, qt.Commentf("%v", early))
+			qt.Assert(t, early["w1"] >= test.earlyMin && early["w1"] < 80, qt.IsTrue, qt.Commentf("%v", early))
 
 			source.timer.Advance(20 * time.Second)
 			late := send(t, r, 300, good)
--- a/internal/aubsettings/default.go
+++ b/internal/aubsettings/default.go
@@ -49,7 +49,7 @@
 		StoreConcurrency:    4,
 		AdapterLoadsAtOnce:  30,
 		DemandHalfLife:      seconds(30),
-		LostBackendPatience: seconds(3),
+		LostBackendPatience: seconds(30),
 	}
 }
 
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -119,7 +119,7 @@
 	StoreConcurrency    int      `yaml:"store_concurrency" doc:"Loads at once at the weight store's full speed."`
 	AdapterLoadsAtOnce  int      `yaml:"adapter_loads_at_once" doc:"Adapter loads in flight at full speed."`
 	DemandHalfLife      Duration `yaml:"demand_half_life" doc:"Half-life of the demand average."`
-	LostBackendPatience Duration `yaml:"lost_backend_patience" doc:"Time before a lost backend server's copies are replaced."`
+	LostBackendPatience Duration `yaml:"lost_backend_patience" doc:"Time before a lost backend server's second copies are replaced; its only copies are replaced at once."`
 }
 
 // Agent is the settings of the backend server beside an agent.
