Expand a site from a short plan

A site at today's sizes has 34 or 46 processes; settings written by hand for each would drift apart. A site plan names zones, sizes, the time model and the policies, and auburndale settings site writes the settings of every process. Engines share one stand-in weight store, which auburndale engine serves with standin.weight_store.serve.

Nothing is measured yet.

--- a/internal/aubcli/settings.go
+++ b/internal/aubcli/settings.go
@@ -15,17 +15,18 @@
 func newSettingsCommand(s streams) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "settings",
-		ShortUsage: "auburndale settings check FILE... | reference | errors",
+		ShortUsage: "auburndale settings check FILE... | site PLAN | reference | errors",
 		ShortHelp:  "check settings files and write the generated pages",
 		LongHelp:   "Example:\n  auburndale settings check examples/site/entry-a.yaml",
 		FlagSet:    s.newFlagSet("auburndale settings"),
 		Subcommands: []*ffcli.Command{
 			newSettingsCheckCommand(s),
+			newSettingsSiteCommand(s),
 			newPageCommand(s, "reference", "write the reference page of all settings", aubsettings.WriteReference),
 			newPageCommand(s, "errors", "write the page of all refusals that callers may get", aubentry.WriteErrorReference),
 		},
 		Exec: func(context.Context, []string) error {
-			return s.usageError("settings needs the command check, reference or errors")
+			return s.usageError("settings needs the command check, site, reference or errors")
 		},
 	}
 }
--- a/internal/aubprocess/engine.go
+++ b/internal/aubprocess/engine.go
@@ -9,7 +9,7 @@
 	"github.com/auburndale/auburndale/internal/aubstandin"
 )
 
-// RunEngine runs a stand-in engine or plain service until ctx ends.
+// RunEngine runs a stand-in engine, plain service or weight store until ctx ends.
 func RunEngine(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error {
 	common = common.WithPart("standin")
 	l, err := listen(ctx, "standin.listen", cfg.Standin.Listen)
@@ -25,6 +25,13 @@
 	if s.Service != "" {
 		return aubstandin.NewService(ctx, common, aubstandin.ServiceOpts{Name: s.Service}).Handler()
 	}
+	if s.WeightStore.Serve {
+		return aubstandin.NewWeightStore(common, aubstandin.WeightStoreOpts{
+			LoadsPerSecond: s.WeightStore.Rate,
+			Concurrent:     s.WeightStore.Concurrency,
+			AdapterKnee:    s.WeightStore.AdapterKnee,
+		}).Handler()
+	}
 	var store aubstandin.Store
 	if s.StoreURL != "" {
 		store = aubstandin.NewRemoteStore(s.StoreURL)
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -162,4 +162,14 @@
 	LoadTime        Duration `yaml:"load_time" doc:"Time that one model load takes at the weight store's full speed."`
 	StoreURL        string   `yaml:"store_url" doc:"Base address of a weight store that engines share; each has its own while empty."`
 	IgnoreFence     bool     `yaml:"ignore_fence" doc:"Ignore fencing numbers, as some engines do."`
+
+	WeightStore WeightStore `yaml:"weight_store" doc:"Stand-in weight store instead of an engine."`
+}
+
+// WeightStore is the settings of a stand-in weight store that engines share.
+type WeightStore struct {
+	Serve       bool    `yaml:"serve" doc:"Serve a weight store instead of an engine."`
+	Rate        float64 `yaml:"rate" doc:"Model loads a second; no bound while 0."`
+	Concurrency int     `yaml:"concurrency" doc:"Model loads at once at full speed; no bound while 0."`
+	AdapterKnee int     `yaml:"adapter_knee" doc:"Adapter loads at once at full speed; no bound while 0."`
 }
