--- a/internal/aubcli/site_fault_test.go
+++ b/internal/aubcli/site_fault_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/auburndale/auburndale/internal/aubstandin"
 	"github.com/auburndale/auburndale/pkg/aubapi"
@@ -215,6 +216,44 @@
 	}
 }
 
+// TestReplaceInstanceOnAnotherAddress brings a lost entry back under its name on
+// an empty disk and another internal address, then loses one of the others.
+func TestReplaceInstanceOnAnotherAddress(t *testing.T) {
+	s := newSite(t)
+	s.signal(t, "entry-c", syscall.SIGKILL)
+	qt.Assert(t, os.RemoveAll(s.path("data-entry-c")), qt.IsNil)
+	data, err := os.ReadFile(s.files["entry-c"])
+	qt.Assert(t, err, qt.IsNil)
+	var cfg struct {
+		Internal struct{ Listen string }
+	}
+	qt.Assert(t, yaml.Unmarshal(data, &cfg), qt.IsNil)
+	moved := strings.ReplaceAll(string(data), cfg.Internal.Listen, (&portPicker{t: t}).next())
+	writeFile(t, s.files["entry-c"], moved)
+	s.start(t, "entry-c")
+	s.awaitServing(t, "entry-c")
+	s.awaitVote(t, "entry-c")
+
+	s.signal(t, "entry-a", syscall.SIGKILL)
+	change := aubapi.Ticket{Number: 2, Workspaces: []aubapi.Workspace{{Name: "late", Rate: 1, Burst: 10}}}
+	eventually(t, "ticket 2 accepted by the new instance and one old one", func() bool {
+		outcome, err := s.client("entry-c").ApplyTicket(context.Background(), change, time.Second)
+		return err == nil && outcome.Status == aubapi.TicketAccepted
+	})
+}
+
+// awaitVote waits until the log of an entry says that it has a vote again.
+func (s *site) awaitVote(t *testing.T, name string) {
+	eventually(t, name+" has a vote", func() bool {
+		for _, entry := range s.entries {
+			if strings.Contains(s.processes[entry].log.String(), "Learner becomes a voter.") {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // confirm repeats one claimed call through changing entries until it has a final
 // answer, and reports whether that said not run.
 func (s *site) confirm(i int) (notRun bool) {
--- a/internal/aubcli/site_test.go
+++ b/internal/aubcli/site_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -56,10 +57,28 @@
 // process is one running role.
 type process struct {
 	cmd  *exec.Cmd
-	log  *bytes.Buffer
+	log  *logBuffer
 	done chan struct{}
 }
 
+// logBuffer gathers a process's log and may be read while it is written.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
 // newSite starts three entries, two engines with agents, and a roster service.
 func newSite(t *testing.T) *site {
 	s := &site{
@@ -136,7 +155,7 @@
 
 func (s *site) start(t *testing.T, name string) {
 	role, _, _ := strings.Cut(name, "-")
-	p := &process{log: &bytes.Buffer{}, done: make(chan struct{})}
+	p := &process{log: &logBuffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(os.Args[0], role, "--settings", s.files[name])
 	p.cmd.Env = append(os.Environ(), roleEnv+"=1")
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
