--- a/internal/aubcli/site_test.go
+++ b/internal/aubcli/site_test.go
@@ -52,6 +52,7 @@
 	admin     map[string]string
 	callers   map[string]string
 	standins  map[string]string
+	platform  map[string]string
 }
 
 // process is one running role.
@@ -83,7 +84,7 @@
 func newSite(t *testing.T) *site {
 	s := &site{
 		dir: t.TempDir(), files: map[string]string{}, processes: map[string]*process{},
-		admin: map[string]string{}, callers: map[string]string{}, standins: map[string]string{},
+		admin: map[string]string{}, callers: map[string]string{}, standins: map[string]string{}, platform: map[string]string{},
 	}
 	writeFile(t, s.path("secret"), "site-test-secret")
 	writeFile(t, s.path("credential"), siteCredential)
@@ -112,7 +113,7 @@
 	}
 	for i, name := range s.entries {
 		s.admin[name], s.callers[name] = ports.next(), ports.next()
-		s.write(t, name, i, settings{
+		s.write(t, ports, name, i, settings{
 			"internal":   settings{"listen": internals[i]},
 			"membership": settings{"listen": seeds[i], "seeds": seeds, "interval": "200ms", "timeout": "2s", "budget": "64KiB"},
 			"control":    settings{"data_dir": s.path("data-" + name), "voters": voters},
@@ -131,8 +132,8 @@
 			standin["service"] = "roster"
 			agent = settings{"service_url": address, "services": []string{"roster"}}
 		}
-		s.write(t, "engine-"+name, i, settings{"standin": standin})
-		s.write(t, "agent-"+name, i, settings{
+		s.write(t, ports, "engine-"+name, i, settings{"standin": standin})
+		s.write(t, ports, "agent-"+name, i, settings{
 			"internal":   settings{"listen": ports.next()},
 			"membership": settings{"listen": ports.next(), "seeds": seeds, "interval": "200ms", "timeout": "2s", "budget": "64KiB"},
 			"control":    settings{"addresses": internals},
@@ -141,11 +142,13 @@
 	}
 }
 
-func (s *site) write(t *testing.T, name string, i int, cfg settings) {
+func (s *site) write(t *testing.T, ports *portPicker, name string, i int, cfg settings) {
 	cfg["name"] = name
 	cfg["zone"] = string(rune('a' + i))
 	cfg["secret_file"] = s.path("secret")
 	cfg["log"] = settings{"level": "info", "format": "console"}
+	s.platform[name] = ports.next()
+	cfg["platform"] = settings{"listen": s.platform[name]}
 	cfg["shutdown"] = settings{"delay": "300ms", "timeout": "120s"}
 	data, err := yaml.Marshal(cfg)
 	qt.Assert(t, err, qt.IsNil)
