--- /dev/null
+++ b/internal/aubstandin/weight_store_test.go
@@ -0,0 +1,57 @@
+package aubstandin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubstandin"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// TestWeightStoreSlowsBeyondTheKnee gives how many steps of 10 ms each of some
+// loads that begin together takes.
+func TestWeightStoreSlowsBeyondTheKnee(t *testing.T) {
+	tests := []struct {
+		name    string
+		opts    aubstandin.WeightStoreOpts
+		adapter bool
+		loads   int
+		steps   int
+	}{
+		{name: "unbounded", loads: 8, steps: 10},
+		{name: "within the knee", opts: aubstandin.WeightStoreOpts{AdapterKnee: 4}, adapter: true, loads: 4, steps: 10},
+		{name: "twice the knee", opts: aubstandin.WeightStoreOpts{AdapterKnee: 4}, adapter: true, loads: 8, steps: 20},
+		{name: "twice the concurrency", opts: aubstandin.WeightStoreOpts{Concurrent: 4}, loads: 8, steps: 20},
+		{name: "two loads a second", opts: aubstandin.WeightStoreOpts{LoadsPerSecond: 2}, loads: 3, steps: 110},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			timer := aubtimer.NewManual(time.Unix(0, 0))
+			store := aubstandin.NewWeightStore(aubcommon.NewCommon(timer), test.opts)
+			done := make(chan error, test.loads)
+			for range test.loads {
+				go func() { done <- store.Fetch(context.Background(), test.adapter, 100*time.Millisecond) }()
+			}
+			time.Sleep(20 * time.Millisecond)
+			finished, steps := 0, 0
+			for finished < test.loads {
+				timer.Advance(10 * time.Millisecond)
+				steps++
+				for settled := false; !settled; {
+					select {
+					case err := <-done:
+						qt.Assert(t, err, qt.IsNil)
+						finished++
+					case <-time.After(5 * time.Millisecond):
+						settled = true
+					}
+				}
+			}
+			qt.Assert(t, steps, qt.Equals, test.steps)
+		})
+	}
+}
