--- a/internal/aubconsensus/restore.go
+++ b/internal/aubconsensus/restore.go
@@ -1,8 +1,6 @@
 package aubconsensus
 
 import (
-	"slices"
-
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
@@ -38,7 +36,7 @@
 	if state.Snapshot == nil {
 		return Restored{}, &RestoreError{Reason: "the data folder holds no cluster"}
 	}
-	return takeOver(disk, self, state, aubstore.Update{})
+	return takeOver(disk, self, state)
 }
 
 // RestoreExport starts a new cluster with one voter from an export, on an empty
@@ -56,11 +54,13 @@
 	}
 	state.Snapshot = export.GetSnapshot()
 	state.Entries = export.GetEntries()
-	return takeOver(disk, self, state, aubstore.Update{Snapshot: state.Snapshot, Entries: state.Entries})
+	return takeOver(disk, self, state)
 }
 
 // takeOver ends the log by a set of members with this replica as the only voter.
-func takeOver(disk Disk, self Peer, state aubstore.State, u aubstore.Update) (Restored, error) {
+// Every earlier set gets the new cluster's identity: a joining replica passes
+// through them and would leave a cluster with another identity than its leader's.
+func takeOver(disk Disk, self Peer, state aubstore.State) (Restored, error) {
 	log, err := newMemoryLog(state)
 	if err != nil {
 		return Restored{}, err
@@ -70,10 +70,14 @@
 	if err != nil {
 		return Restored{}, err
 	}
+	u, err := renameCluster(state, members.GetClusterId())
+	if err != nil {
+		return Restored{}, err
+	}
 	index := log.lastIndex() + 1
 	term := max(state.HardState.GetTerm(), log.lastTerm()) + restoredTermStep
 	u.HardState = &aubwire.HardState{Term: term}
-	u.Entries = append(slices.Clone(u.Entries), &aubwire.LogEntry{
+	u.Entries = append(u.Entries, &aubwire.LogEntry{
 		Index: index,
 		Term:  term,
 		Kind:  aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP,
@@ -82,6 +86,45 @@
 	return Restored{Index: index, ClusterID: members.GetClusterId()}, disk.Save(u)
 }
 
+// renameCluster returns the update that rewrites the identity of the cluster in
+// the snapshot and in every membership entry.
+func renameCluster(state aubstore.State, id string) (aubstore.Update, error) {
+	snapshot := proto.CloneOf(state.Snapshot)
+	if snapshot.GetMembership() != nil {
+		snapshot.Membership.ClusterId = id
+	}
+	u := aubstore.Update{Snapshot: snapshot, Entries: make([]*aubwire.LogEntry, 0, len(state.Entries)+1)}
+	for _, e := range state.Entries {
+		renamed, err := renameEntry(e, id)
+		if err != nil {
+			return aubstore.Update{}, err
+		}
+		u.Entries = append(u.Entries, renamed)
+	}
+	if len(u.Entries) > 0 {
+		u.TruncateFrom = u.Entries[0].GetIndex()
+	}
+	return u, nil
+}
+
+func renameEntry(e *aubwire.LogEntry, id string) (*aubwire.LogEntry, error) {
+	if e.GetKind() != aubwire.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		return e, nil
+	}
+	members := &aubwire.Membership{}
+	if err := proto.Unmarshal(e.GetData(), members); err != nil {
+		return nil, err
+	}
+	members.ClusterId = id
+	data, err := proto.Marshal(members)
+	if err != nil {
+		return nil, err
+	}
+	renamed := proto.CloneOf(e)
+	renamed.Data = data
+	return renamed, nil
+}
+
 // ExportDisk returns everything that the disk of a stopped node holds.
 func ExportDisk(disk Disk) (*aubwire.StoreExport, error) {
 	state, err := disk.Load()
