--- a/internal/aubcli/site_fault_test.go
+++ b/internal/aubcli/site_fault_test.go
@@ -228,7 +228,7 @@
 		Internal struct{ Listen string }
 	}
 	qt.Assert(t, yaml.Unmarshal(data, &cfg), qt.IsNil)
-	moved := strings.ReplaceAll(string(data), cfg.Internal.Listen, (&portPicker{t: t}).next())
+	moved := strings.ReplaceAll(string(data), cfg.Internal.Listen, addressPicker{}.next())
 	writeFile(t, s.files["entry-c"], moved)
 	s.start(t, "entry-c")
 	s.awaitServing(t, "entry-c")
--- a/internal/aubcli/site_test.go
+++ b/internal/aubcli/site_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -101,7 +101,7 @@
 
 // layOut writes the settings of every process.
 func (s *site) layOut(t *testing.T) {
-	ports := &portPicker{t: t}
+	ports := addressPicker{}
 	zones := []string{"a", "b", "c"}
 	voters := make([]settings, 0, len(zones))
 	seeds, internals := make([]string, 0, len(zones)), make([]string, 0, len(zones))
@@ -142,7 +142,7 @@
 	}
 }
 
-func (s *site) write(t *testing.T, ports *portPicker, name string, i int, cfg settings) {
+func (s *site) write(t *testing.T, ports addressPicker, name string, i int, cfg settings) {
 	cfg["name"] = name
 	cfg["zone"] = string(rune('a' + i))
 	cfg["secret_file"] = s.path("secret")
@@ -222,17 +222,18 @@
 	return aubclient.NewClient(aubclient.ClientOpts{BaseURL: "http://" + s.admin[entry], Credential: siteCredential})
 }
 
-// portPicker hands out free loopback ports, for TCP and UDP alike.
-type portPicker struct {
-	t *testing.T
-}
+// addressPicker hands out loopback addresses that no other test process uses and
+// that no outgoing connection can take, because those come from 127.0.0.1.
+type addressPicker struct{}
+
+// addressesUsed counts over all sites of this test process.
+var addressesUsed atomic.Uint32
 
-func (p *portPicker) next() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(p.t, err, qt.IsNil)
-	address := l.Addr().String()
-	_ = l.Close()
-	return address
+func (addressPicker) next() string {
+	const perBlock, firstPort = 250, 7000
+	n := int(addressesUsed.Add(1))
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 100+pid%100, pid/100%250, 1+n%perBlock, firstPort+n/perBlock)
 }
 
 func writeFile(t *testing.T, name, text string) {
