--- a/internal/aubadmin/ticket.go
+++ b/internal/aubadmin/ticket.go
@@ -49,7 +49,7 @@
 		writeProblem(w, commitProblem(ticket.Number, err))
 		return
 	}
-	t.common.Log.Info("ticket decided", zap.Uint64("ticket", outcome.Number),
+	t.common.Log.Info("Ticket decided.", zap.Uint64("ticket", outcome.Number),
 		zap.String("status", string(outcome.Status)), zap.Uint64("version", outcome.Version))
 	if outcome.Status == aubapi.TicketAccepted && wait > 0 {
 		outcome.Unconfirmed = t.waiter.waitInForce(r.Context(), outcome.Version, wait)
--- a/internal/aubagent/keeper.go
+++ b/internal/aubagent/keeper.go
@@ -118,7 +118,7 @@
 			k.raise(floor)
 			return true
 		}
-		k.common.Log.Info("no fence floor yet", zap.Error(err))
+		k.common.Log.Info("No fence floor yet.", zap.Error(err))
 		if aubtimer.Wait(ctx, k.common.Timer, k.opts.Poll) != nil {
 			return false
 		}
@@ -190,7 +190,7 @@
 	number := k.nextNumber()
 	err := k.client.Fence(ctx, aubengine.Order{OrderID: k.orderID(number), Fence: number})
 	if err != nil {
-		k.common.Log.Info("engine did not confirm a fence", zap.Error(err))
+		k.common.Log.Info("Engine did not confirm a fence.", zap.Error(err))
 		k.learnNumber(ctx, err)
 		return err
 	}
@@ -229,7 +229,7 @@
 		_, err := k.sendUnload(ctx, name)
 		k.orderMu.Unlock()
 		if err != nil {
-			k.common.Log.Info("unload order failed again", zap.String("name", name), zap.Error(err))
+			k.common.Log.Info("Unload order failed again.", zap.String("name", name), zap.Error(err))
 		}
 	}
 }
@@ -248,7 +248,7 @@
 		return
 	}
 	if err := k.writeJournal(unsettled); err != nil {
-		k.common.Log.Warn("journal of orders not written", zap.Error(err))
+		k.common.Log.Warn("Journal of orders not written.", zap.Error(err))
 	}
 }
 
--- a/internal/aubagent/opts.go
+++ b/internal/aubagent/opts.go
@@ -1,6 +1,7 @@
 package aubagent
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -70,15 +71,15 @@
 }
 
 func (o AgentOpts) withDefaults() AgentOpts {
-	o.Heartbeat = orDefault(o.Heartbeat, defaultHeartbeat)
-	o.Silence = orDefault(o.Silence, silentHeartbeats*o.Heartbeat)
-	o.Linger = orDefault(o.Linger, defaultLinger)
-	o.OrderLifetime = orDefault(o.OrderLifetime, defaultOrderLifetime)
-	o.BackendSilence = orDefault(o.BackendSilence, defaultBackendSilence)
-	o.Poll = orDefault(o.Poll, defaultPoll)
-	o.LoadingPoll = orDefault(o.LoadingPoll, defaultLoadingPoll)
-	o.MaxBodyBytes = orDefault(o.MaxBodyBytes, defaultMaxBody)
-	o.MaxRunning = orDefault(o.MaxRunning, defaultMaxRunning)
+	o.Heartbeat = cmp.Or(o.Heartbeat, defaultHeartbeat)
+	o.Silence = cmp.Or(o.Silence, silentHeartbeats*o.Heartbeat)
+	o.Linger = cmp.Or(o.Linger, defaultLinger)
+	o.OrderLifetime = cmp.Or(o.OrderLifetime, defaultOrderLifetime)
+	o.BackendSilence = cmp.Or(o.BackendSilence, defaultBackendSilence)
+	o.Poll = cmp.Or(o.Poll, defaultPoll)
+	o.LoadingPoll = cmp.Or(o.LoadingPoll, defaultLoadingPoll)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, defaultMaxBody)
+	o.MaxRunning = cmp.Or(o.MaxRunning, defaultMaxRunning)
 	return o
 }
 
@@ -90,11 +91,3 @@
 	}
 	return o.ServiceURL
 }
-
-func orDefault[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
--- a/internal/aubagent/order.go
+++ b/internal/aubagent/order.go
@@ -97,7 +97,7 @@
 	}
 	k.mu.Unlock()
 	if err != nil {
-		k.common.Log.Warn("load order has an unknown outcome", zap.String("name", name), zap.Error(err))
+		k.common.Log.Warn("Load order has an unknown outcome.", zap.String("name", name), zap.Error(err))
 		return k.respondError(err)
 	}
 	return k.respond(aubwire.OrderOutcome_ORDER_OUTCOME_ACCEPTED, "")
@@ -191,7 +191,7 @@
 		return
 	}
 	if err := k.readState(ctx); err != nil {
-		k.common.Log.Info("engine state not read", zap.Error(err))
+		k.common.Log.Info("Engine state not read.", zap.Error(err))
 	}
 }
 
--- a/internal/aubclaim/pending.go
+++ b/internal/aubclaim/pending.go
@@ -59,7 +59,7 @@
 			return
 		}
 		if _, err := c.apply(ctx, cmd); err != nil {
-			c.common.Log.Debug("update of a claim not committed yet", zap.Error(err))
+			c.common.Log.Debug("Update of a claim not committed yet.", zap.Error(err))
 			return
 		}
 		c.drop(cmd)
--- a/internal/aubdistribution/cache.go
+++ b/internal/aubdistribution/cache.go
@@ -42,13 +42,13 @@
 	data, err := os.ReadFile(c.path())
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
-			c.common.Log.Error("configuration copy not read", zap.String("file", c.path()), zap.Error(err))
+			c.common.Log.Error("Configuration copy not read.", zap.String("file", c.path()), zap.Error(err))
 		}
 		return empty
 	}
 	cfg, err := decodeFull(data)
 	if err != nil {
-		c.common.Log.Error("configuration copy is damaged", zap.String("file", c.path()), zap.Error(err))
+		c.common.Log.Error("Configuration copy is damaged.", zap.String("file", c.path()), zap.Error(err))
 		return empty
 	}
 	return cfg
@@ -65,9 +65,9 @@
 		return
 	}
 	c.common.Metrics.Counter("cache_failures").Inc(1)
-	c.common.Log.Error("configuration copy not written", zap.Uint64("version", cfg.Version()), zap.Error(err))
+	c.common.Log.Error("Configuration copy not written.", zap.Uint64("version", cfg.Version()), zap.Error(err))
 	if err := os.Remove(c.path()); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		c.common.Log.Error("old configuration copy not removed", zap.Error(err))
+		c.common.Log.Error("Old configuration copy not removed.", zap.Error(err))
 	}
 }
 
--- a/internal/aubdistribution/follower.go
+++ b/internal/aubdistribution/follower.go
@@ -73,7 +73,7 @@
 			return
 		}
 		reconnects.Inc(1)
-		f.common.Log.Info("configuration stream ended", zap.String("address", address), zap.Error(err))
+		f.common.Log.Info("Configuration stream ended.", zap.String("address", address), zap.Error(err))
 		pause := minReconnect + rand.N(maxReconnect-minReconnect)
 		if aubtimer.Wait(ctx, f.common.Timer, pause) != nil {
 			return
--- a/internal/aubdistribution/session.go
+++ b/internal/aubdistribution/session.go
@@ -101,7 +101,7 @@
 	case stepResync:
 		s.ask(requests, &aubwire.WatchRequest{Resync: true})
 	case stepFull:
-		s.common.Log.Warn("configuration does not match its digest", zap.Uint64("version", next.Version()))
+		s.common.Log.Warn("Configuration does not match its digest.", zap.Uint64("version", next.Version()))
 		s.ask(requests, &aubwire.WatchRequest{Full: true})
 	case stepNone:
 	}
--- a/internal/aubdistribution/shown.go
+++ b/internal/aubdistribution/shown.go
@@ -118,7 +118,7 @@
 	if s.open {
 		return
 	}
-	s.common.Log.Warn("no confirmed configuration; the process is cut off", zap.Uint64("version", s.held.Version()))
+	s.common.Log.Warn("No confirmed configuration; the process is cut off.", zap.Uint64("version", s.held.Version()))
 	s.open = true
 	s.show()
 }
--- a/internal/aublimit/sync.go
+++ b/internal/aublimit/sync.go
@@ -95,7 +95,7 @@
 // certainly not committed.
 func (l *Limiter) failed(p *pendingSync, err error) {
 	l.common.Metrics.Counter("sync_failed").Inc(1)
-	l.common.Log.Debug("limits not synced", zap.Error(err))
+	l.common.Log.Debug("Limits not synced.", zap.Error(err))
 	var notCommitted *aubcontrol.NotCommittedError
 	if errors.As(err, &notCommitted) && !p.uncertain {
 		l.session.pending = nil
@@ -118,7 +118,7 @@
 		l.close()
 		return
 	default:
-		l.common.Log.Error("table of limits refused a sync", zap.Stringer("outcome", r.GetOutcome()))
+		l.common.Log.Error("Table of limits refused a sync.", zap.Stringer("outcome", r.GetOutcome()))
 		return
 	}
 	if p.sync.GetLeaving() {
--- a/internal/aubmembership/membership.go
+++ b/internal/aubmembership/membership.go
@@ -126,7 +126,7 @@
 	d, err := Open(m.opts.Secret, data)
 	if err != nil {
 		m.counters.rejected.Inc(1)
-		m.common.Log.Debug("datagram rejected", zap.Stringer("from", from), zap.Error(err))
+		m.common.Log.Debug("Datagram rejected.", zap.Stringer("from", from), zap.Error(err))
 		return
 	}
 	if slices.Contains(d.GetWanted(), m.name) {
--- a/internal/aubplacement/opts.go
+++ b/internal/aubplacement/opts.go
@@ -1,6 +1,7 @@
 package aubplacement
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -66,26 +67,19 @@
 }
 
 func (o PlacerOpts) withDefaults() PlacerOpts {
-	setDefault(&o.Policy, PolicyMarginalAttainment)
-	setDefault(&o.Objective, ObjectiveWorstServed)
-	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.Settle, DefaultSettle)
-	setDefault(&o.OrderTimeout, DefaultOrderTimeout)
-	setDefault(&o.LostPatience, DefaultLostPatience)
-	setDefault(&o.LoadRate, DefaultLoadRate)
-	setDefault(&o.LoadConcurrency, DefaultLoadConcurrency)
-	setDefault(&o.AdapterLimit, DefaultAdapterLimit)
-	setDefault(&o.Capacity, DefaultCapacity)
+	o.Policy = cmp.Or(o.Policy, PolicyMarginalAttainment)
+	o.Objective = cmp.Or(o.Objective, ObjectiveWorstServed)
+	o.Interval = cmp.Or(o.Interval, DefaultInterval)
+	o.Settle = cmp.Or(o.Settle, DefaultSettle)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, DefaultOrderTimeout)
+	o.LostPatience = cmp.Or(o.LostPatience, DefaultLostPatience)
+	o.LoadRate = cmp.Or(o.LoadRate, DefaultLoadRate)
+	o.LoadConcurrency = cmp.Or(o.LoadConcurrency, DefaultLoadConcurrency)
+	o.AdapterLimit = cmp.Or(o.AdapterLimit, DefaultAdapterLimit)
+	o.Capacity = cmp.Or(o.Capacity, DefaultCapacity)
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 func (o PlacerOpts) check() error {
 	if o.Objective != ObjectiveWorstServed && o.Objective != ObjectiveRefusals {
 		return &OptsError{Field: "objective", Value: string(o.Objective)}
--- a/internal/aubplacement/placer.go
+++ b/internal/aubplacement/placer.go
@@ -217,7 +217,7 @@
 	defer cancel()
 	fence, err := acquireFence(ctx, p.opts.Proposer, p.term)
 	if err != nil {
-		p.common.Log.Warn("no fencing number", zap.Error(err))
+		p.common.Log.Warn("No fencing number.", zap.Error(err))
 		return false
 	}
 	p.fence = fence
--- a/internal/aubplacement/sender.go
+++ b/internal/aubplacement/sender.go
@@ -91,7 +91,7 @@
 		"outcome": outcome.String(),
 		"reason":  string(j.order.Reason),
 	}).Counter("orders").Inc(1)
-	s.common.Log.Info("order answered",
+	s.common.Log.Info("Order answered.",
 		zap.Stringer("action", j.order.Action),
 		zap.String("item", j.order.Item.Key.Name),
 		zap.String("backend_server", j.order.Backend),
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -62,6 +62,9 @@
 }
 
 func (e *entry) run(ctx context.Context) error {
+	if e.cfg.Control.DataDir == "" {
+		return &SettingError{Path: "control.data_dir", Reason: "an entry carries a control replica and needs a data folder"}
+	}
 	incarnation, err := nextIncarnation(e.cfg.Control.DataDir, e.common.Timer.Now())
 	if err != nil {
 		return err
--- a/internal/aubprocess/local.go
+++ b/internal/aubprocess/local.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -50,17 +49,6 @@
 	Out io.Writer
 }
 
-// ListenError says that a local site can't listen at an address.
-type ListenError struct {
-	Address string
-	Reason  string
-}
-
-// Error implements error.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("--listen %q: %s", e.Address, e.Reason)
-}
-
 // RunLocal runs a whole site in one process on loopback until ctx ends.
 func RunLocal(ctx context.Context, common aubcommon.Common, opts LocalOpts) error {
 	if err := checkLoopback(opts.Listen); err != nil {
--- a/internal/aubstate/table.go
+++ b/internal/aubstate/table.go
@@ -54,7 +54,7 @@
 	body, err := aubcodec.EncodeOutcome(outcome)
 	if err != nil {
 		// Only text that is not UTF-8 can't be encoded, and no decoder lets it in.
-		t.common.Log.Error("outcome not encoded", zap.Uint64("ticket", outcome.Number), zap.Error(err))
+		t.common.Log.Error("Outcome not encoded.", zap.Uint64("ticket", outcome.Number), zap.Error(err))
 	}
 	return body
 }
