Share backend servers' places by demand, bound batches in routing, name adapters

After: places follow demand and waiting requests, with an even part kept; the batch is learnt from reports with waiting requests; demand names adapters.

--- a/internal/aubentry/call.go
+++ b/internal/aubentry/call.go
@@ -51,7 +51,7 @@
 	if name == "" {
 		name = c.service
 	}
-	return flow{name: name, workspace: c.workspace.Name}
+	return flow{name: name, adapter: c.adapter != "", workspace: c.workspace.Name, group: c.group}
 }
 
 // fingerprintOf identifies the content of a request across its repeats.
--- a/internal/aubentry/demand.go
+++ b/internal/aubentry/demand.go
@@ -22,7 +22,10 @@
 // flow is the demand of one workspace for one model, adapter or service.
 type flow struct {
 	name      string
+	adapter   bool
 	workspace string
+	// group is the model or service whose backend servers serve the flow.
+	group string
 }
 
 type flowState struct {
@@ -107,6 +110,19 @@
 	return func() { d.change(f, func(s *flowState) { s.waiting-- }) }
 }
 
+// Rates returns the arrivals a second of each model and service; those of
+// adapters count for their model. A burst counts from its first second on, before
+// the averages follow.
+func (d *Demand) Rates() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rates := make(map[string]float64, len(d.flows))
+	for f, s := range d.flows {
+		rates[f.group] += max(s.rate, float64(s.arrived)/demandInterval.Seconds())
+	}
+	return rates
+}
+
 // Report returns the demand of every flow, the greatest first.
 func (d *Demand) Report() []*aubwire.ModelDemand {
 	d.mu.Lock()
@@ -114,7 +130,7 @@
 	report := make([]*aubwire.ModelDemand, 0, len(d.flows))
 	for f, s := range d.flows {
 		report = append(report, &aubwire.ModelDemand{
-			Name: f.name, Workspace: f.workspace, Rate: s.rate,
+			Name: f.name, Adapter: f.adapter, Workspace: f.workspace, Rate: s.rate,
 			Waiting: s.waiting, Late: s.lateShare, ServiceSeconds: s.service,
 		})
 	}
--- /dev/null
+++ b/internal/aubentry/demand_test.go
@@ -0,0 +1,33 @@
+package aubentry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// TestDemandNamesAdaptersAsSuch checks that a caller who waits for an adapter
+// counts for the adapter, and its arrivals for the model's capacity.
+func TestDemandNamesAdaptersAsSuch(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	d := NewDemand(ctx, aubcommon.NewCommon(timer), DemandOpts{HalfLife: time.Second, FirstToken: time.Second})
+	f := call{model: "base", adapter: "tuned", group: "base"}.flow()
+	d.Arrive(f)
+	done := d.Wait(f)
+	defer done()
+	d.update()
+
+	report := d.Report()
+	qt.Assert(t, report, qt.HasLen, 1)
+	qt.Check(t, report[0].GetName(), qt.Equals, "tuned")
+	qt.Check(t, report[0].GetAdapter(), qt.IsTrue)
+	qt.Check(t, report[0].GetWaiting(), qt.Equals, int32(1))
+	qt.Check(t, d.Rates()["base"] > 0, qt.IsTrue)
+}
--- a/internal/aubentry/handler.go
+++ b/internal/aubentry/handler.go
@@ -128,9 +128,6 @@
 // Leave refuses every new request from now on.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
-// Leaving reports whether new requests are refused.
-func (h *Handler) Leaving() bool { return h.leaving.Load() }
-
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int64 { return h.running.Load() }
 
--- a/internal/aubprocess/capacity.go
+++ b/internal/aubprocess/capacity.go
@@ -1,17 +1,26 @@
 package aubprocess
 
 import (
+	"math"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// capacityInterval is the time between two updates of the queue's capacities.
-const capacityInterval = 250 * time.Millisecond
+const (
+	// capacityInterval is the time between two updates of the queue's capacities.
+	capacityInterval = 250 * time.Millisecond
+	// idleRate stands in for the demand of what nobody asks for, requests a second,
+	// so that its first request finds a place.
+	idleRate = 0.1
+	// evenPart is the part of the backend servers' capacity that is split evenly
+	// between the entries; the rest follows their demand.
+	evenPart = 0.25
+)
 
 // feedCapacity keeps the queue's capacity of each model and service in step with
-// the ready backend servers.
+// the ready backend servers and the demand.
 func (e *entry) feedCapacity() {
 	ticks := e.common.Timer.Subscribe(e.ctx, capacityInterval)
 	e.group.Go(func() error {
@@ -30,33 +39,81 @@
 // updateCapacity sets the capacities; a group that lost its last backend server
 // keeps the least one, so that its requests reach the load on demand.
 func (e *entry) updateCapacity(known map[string]bool) {
-	view := e.members.View()
-	ready := countReady(view)
-	for name := range ready {
+	rates := e.demand.Rates()
+	for name := range rates {
+		rates[name] += float64(e.queue.Waiting(name))
+	}
+	capacities := newCapacities(e.members.View(), e.cfg.Name, rates, e.cfg.Queue.PerBackend)
+	for name := range capacities {
 		known[name] = true
 	}
-	entries := max(len(view.Role(aubwire.Role_ROLE_ENTRY)), 1)
 	for name := range known {
-		n := max(ready[name], 1) * e.cfg.Queue.PerBackend
-		e.queue.SetCapacity(name, max((n+entries-1)/entries, 1))
+		e.queue.SetCapacity(name, max(capacities[name], 1))
 	}
 }
 
-// countReady counts the backend servers that are ready for each model and service.
-func countReady(view aubmembership.View) map[string]int {
-	ready := map[string]int{}
+// newCapacities returns how many requests of each model and service this entry
+// runs at once. A backend server's places are shared by all it holds, because an
+// engine's batch is, and by all entries; both by demand.
+func newCapacities(view aubmembership.View, self string, rates map[string]float64, perBackend int) map[string]int {
+	places := float64(perBackend) * entryShare(view, self)
+	sums := map[string]float64{}
 	for _, m := range view.Role(aubwire.Role_ROLE_AGENT) {
-		if m.Announcement.GetLeaving() {
-			continue
+		if !m.Announcement.GetLeaving() {
+			addPlaces(sums, readyNames(m.Announcement.GetBackend()), rates, places)
 		}
-		for _, name := range m.Announcement.GetBackend().GetServices() {
-			ready[name]++
+	}
+	capacities := make(map[string]int, len(sums))
+	for name, sum := range sums {
+		capacities[name] = int(math.Ceil(sum))
+	}
+	return capacities
+}
+
+// addPlaces splits the places of one backend server by demand.
+func addPlaces(sums map[string]float64, names []string, rates map[string]float64, places float64) {
+	total := 0.0
+	for _, name := range names {
+		total += rates[name] + idleRate
+	}
+	for _, name := range names {
+		sums[name] += places * (rates[name] + idleRate) / total
+	}
+}
+
+// readyNames returns the models and services that a backend server is ready for.
+// Adapters count as their model.
+func readyNames(b *aubwire.BackendReport) []string {
+	names := append([]string(nil), b.GetServices()...)
+	for _, r := range b.GetResident() {
+		if !r.GetAdapter() && r.GetState() == aubwire.Residency_RESIDENCY_READY {
+			names = append(names, r.GetName())
 		}
-		for _, r := range m.Announcement.GetBackend().GetResident() {
-			if !r.GetAdapter() && r.GetState() == aubwire.Residency_RESIDENCY_READY {
-				ready[r.GetName()]++
-			}
+	}
+	return names
+}
+
+// entryShare returns the part of the backend servers' places that this entry may
+// use: an even part, and the rest by the demand that the entries announce.
+func entryShare(view aubmembership.View, self string) float64 {
+	var own, total float64
+	n := 0.0
+	for _, m := range view.Role(aubwire.Role_ROLE_ENTRY) {
+		rate := 0.0
+		for _, d := range m.Announcement.GetDemand() {
+			rate += d.GetRate()
+		}
+		if m.Announcement.GetName() == self {
+			own = rate
 		}
+		total += rate
+		n++
+	}
+	if n == 0 {
+		return 1
+	}
+	if total == 0 {
+		return 1 / n
 	}
-	return ready
+	return evenPart/n + (1-evenPart)*own/total
 }
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,8 @@
 	burn        *aubburn.Tracker
 	handler     *aubentry.Handler
 	callers     *http.Server
+	// leaving is set once the entry refuses new requests.
+	leaving atomic.Bool
 }
 
 // RunEntry runs an entry instance until ctx asks for a graceful shutdown.
@@ -213,7 +216,7 @@
 		Zone:          e.cfg.Zone,
 		Address:       e.cfg.Internal.Listen.String(),
 		Incarnation:   e.incarnation,
-		Leaving:       !e.health.ready.Load() && e.handler != nil && e.handler.Leaving(),
+		Leaving:       e.leaving.Load(),
 		ConfigVersion: e.control.source.Config().Version(),
 	}
 	a.Demand = e.demand.Report()
@@ -278,6 +281,7 @@
 	e.health.ready.Store(false)
 	e.common.Log.Info("Entry leaves.")
 	_ = aubtimer.Wait(e.ctx, e.common.Timer, e.cfg.Shutdown.Delay.Value())
+	e.leaving.Store(true)
 	e.handler.Leave()
 	e.members.Leave()
 	ctx, cancel := context.WithTimeout(e.ctx, e.cfg.Shutdown.Timeout.Value())
--- a/internal/aubroute/behaviour_test.go
+++ b/internal/aubroute/behaviour_test.go
@@ -257,3 +257,16 @@
 	picked := send(t, r, 300, func(string) aubroute.Outcome { return aubroute.Outcome{FirstToken: 10 * time.Millisecond} })
 	qt.Assert(t, picked["w0"]+picked["w3"], qt.Equals, 300, qt.Commentf("%v", picked))
 }
+
+// TestFullBatchOutweighsACachedPrefix checks that a member whose batch is full is
+// passed over for one with a free place, though it holds the prompt's prefix.
+func TestFullBatchOutweighsACachedPrefix(t *testing.T) {
+	full := aubroute.Candidate{
+		InFlight: 8, Batch: 8, ServiceTime: 400 * time.Millisecond, PrefillRate: 2000, CachedTokens: 90, Slowness: 1,
+	}
+	free := aubroute.Candidate{InFlight: 7, Batch: 8, ServiceTime: 400 * time.Millisecond, PrefillRate: 2000, Slowness: 1}
+	q := aubroute.Query{PromptTokens: 100}
+	chosen := aubroute.ExpectedFirstToken{}.Choose(q, []aubroute.Candidate{full, free})
+	qt.Assert(t, chosen, qt.Equals, 1)
+	qt.Assert(t, aubroute.Expect(q, full) > aubroute.Expect(q, free), qt.IsTrue)
+}
--- a/internal/aubroute/expected.go
+++ b/internal/aubroute/expected.go
@@ -42,10 +42,20 @@
 	}
 	uncached := max(q.PromptTokens-c.CachedTokens, 0)
 	seconds := float64(c.PendingTokens+uncached) / rate
-	wait := time.Duration(seconds*float64(time.Second)) + time.Duration(c.InFlight)*perRequestDelay
+	wait := time.Duration(seconds*float64(time.Second)) + time.Duration(c.InFlight)*perRequestDelay + batchWait(c)
 	return c.Distance + time.Duration(float64(wait)*max(c.Slowness, 1))
 }
 
+// batchWait is the time until a place in a full batch is free: places free up
+// evenly over the service time.
+func batchWait(c Candidate) time.Duration {
+	if c.Batch == 0 || c.InFlight < c.Batch {
+		return 0
+	}
+	ahead := c.InFlight - c.Batch + 1
+	return c.ServiceTime * time.Duration(ahead) / time.Duration(c.Batch)
+}
+
 // loadLimit is the number of requests in flight above which a candidate is
 // taken only when all are.
 func loadLimit(candidates []Candidate) float64 {
--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -161,12 +161,15 @@
 	b := m.Announcement.GetBackend()
 	reportedAt := m.HeardAt.Add(-r.opts.ReportLag)
 	requests, tokens := s.unreported(reportedAt)
+	s.learnBatch(b)
 	c := Candidate{
 		PendingTokens: remaining(b, now.Sub(reportedAt)) + tokens,
 		InFlight:      int(b.GetRunning()+b.GetQueued()) + requests,
 		OwnInFlight:   s.inFlight.Len(),
 		PrefillRate:   b.GetPrefillRate(),
 		CachedTokens:  int64(r.prefixes.cached(s.holder(), request.Prefixes)) * r.opts.BlockTokens,
+		Batch:         s.batch,
+		ServiceTime:   s.serviceTime,
 		Slowness:      s.health.SlownessAt(now),
 	}
 	if m.Announcement.GetZone() != r.opts.Zone {
--- a/internal/aubroute/policy.go
+++ b/internal/aubroute/policy.go
@@ -40,6 +40,11 @@
 	PrefillRate float64
 	// CachedTokens of the prompt that the member is believed to hold.
 	CachedTokens int64
+	// Batch is the number of requests that the member was seen to run at once
+	// while others waited; 0 while it is not known.
+	Batch int
+	// ServiceTime is the mean time of one request on the member; 0 while unknown.
+	ServiceTime time.Duration
 	// Slowness is the ratio of measured to expected first-token time, at least 1.
 	Slowness float64
 }
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -214,6 +214,9 @@
 			ratio = outcome.FirstToken.Seconds() / max(c.work.expected, minExpected).Seconds()
 		}
 		s.health = s.health.WithSuccess(now, ratio)
+		if outcome.Duration > 0 {
+			s.learnServiceTime(outcome.Duration)
+		}
 		r.prefixes.store(s.holder(), c.work.prefixes)
 	case outcome.Failure.faulty():
 		s.health = s.health.WithFailure(now, outcome.Failure)
--- a/internal/aubroute/state.go
+++ b/internal/aubroute/state.go
@@ -3,8 +3,13 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+// serviceTimeWeight is the number of requests that the mean service time spans.
+const serviceTimeWeight = 16
+
 // work is one request of this instance on a member.
 type work struct {
 	member    *memberState
@@ -31,6 +36,9 @@
 	// cacheSequence is the last cache event heard.
 	cacheSequence uint64
 	lastUsed      time.Time
+	// batch and serviceTime are learnt, see Candidate.
+	batch       int
+	serviceTime time.Duration
 }
 
 // unreported returns the work started since the time, and its prompt tokens
@@ -49,6 +57,22 @@
 	return requests, tokens
 }
 
+// learnBatch takes the batch's bound from a report: it is full while requests wait.
+func (s *memberState) learnBatch(b *aubwire.BackendReport) {
+	if b.GetQueued() > 0 && b.GetRunning() > 0 {
+		s.batch = int(b.GetRunning())
+	}
+}
+
+// learnServiceTime moves the mean time of one request towards a new one.
+func (s *memberState) learnServiceTime(d time.Duration) {
+	if s.serviceTime == 0 {
+		s.serviceTime = d
+		return
+	}
+	s.serviceTime += (d - s.serviceTime) / serviceTimeWeight
+}
+
 func (s *memberState) start(w *work) { w.element = s.inFlight.PushBack(w) }
 
 // finish forgets the work; a second call does nothing.
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -99,7 +99,7 @@
 // Queue is the settings of admission.
 type Queue struct {
 	Policy     Choice `yaml:"policy" allowed:"fair fcfs" doc:"Order in which waiting requests run."`
-	PerBackend int    `yaml:"per_backend" doc:"Requests that run at once for each ready backend server."`
+	PerBackend int    `yaml:"per_backend" doc:"Requests that run at once on each backend server, over all its models and all entries; near the engine's batch."`
 	MaxWaiting int    `yaml:"max_waiting" doc:"Requests that may wait."`
 }
 
