--- a/internal/aubprocess/control_test.go
+++ b/internal/aubprocess/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,19 +58,27 @@
 // that the limits read the configuration once for each.
 func TestLimitsSeeEveryChange(t *testing.T) {
 	config := aubstate.NewConfigTable(aubcommon.NewCommon(aubtimer.NewReal()))
+	// The limiter's own goroutine applies commands too.
+	var mu sync.Mutex
 	var seen []int64
 	limits := aublimit.NewTable(aublimit.TableOpts{Workspaces: func(name string) (aubapi.Workspace, bool) {
 		w, ok := config.Config().Workspace(name)
+		mu.Lock()
+		defer mu.Unlock()
 		seen = append(seen, w.Rate)
 		return w, ok
 	}})
 	table := &refreshingTable{ConfigTable: config, limits: limits}
 	applyRate(t, config, 1, 100)
 	holdTokens(t, limits, config)
+	mu.Lock()
 	seen = nil
+	mu.Unlock()
 	for i, rate := range []int64{100, 500, 100} {
 		applyRate(t, table, uint64(i+2), rate)
 	}
+	mu.Lock()
+	defer mu.Unlock()
 	qt.Check(t, seen[len(seen)-1], qt.Equals, int64(100))
 	qt.Check(t, slices.Contains(seen, 500), qt.IsTrue, qt.Commentf("the limits never saw the rate in between: %v", seen))
 }
