--- a/internal/aubsettings/default.go
+++ b/internal/aubsettings/default.go
@@ -16,7 +16,7 @@
 		},
 		Limits:    Limits{Policy: "leased"},
 		Queue:     Queue{Policy: "fair", PerBackend: 32, MaxWaiting: 1024},
-		Routing:   Routing{Policy: "expected_first_token", RetryShare: 0.1, Attempts: 3},
+		Routing:   Routing{Policy: "least_in_flight", RetryShare: 0.1, Attempts: 3},
 		Placement: defaultPlacement(),
 		Standin: Standin{
 			Memory:          48 << 30,
