--- a/internal/aubcli/role.go
+++ b/internal/aubcli/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -64,7 +65,12 @@
 			if err != nil {
 				return err
 			}
-			return aubprocess.RunLocal(ctx, common, opts)
+			err = aubprocess.RunLocal(ctx, common, opts)
+			var refused *aubprocess.ListenError
+			if errors.As(err, &refused) {
+				return s.usageError("%v", refused)
+			}
+			return err
 		},
 	}
 }
