Hash a request's content once and judge poison requests in one place

A claimed call hashed its body a second time over a copy of it, and the first send of every call looked its verdict up by two copies of the same code. Behaviour is the same: equal content has an equal digest, and a blocked request gets the same refusal.

--- a/internal/aubentry/call.go
+++ b/internal/aubentry/call.go
@@ -10,6 +10,9 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
+// fingerprintBytes is the length of a fingerprint before its hex encoding.
+const fingerprintBytes = 16
+
 // call is one request on its way to a backend server. It is immutable.
 type call struct {
 	id        string
@@ -20,12 +23,13 @@
 	adapter string
 	service string
 
-	method      string
-	path        string
-	header      http.Header
-	body        []byte
-	fingerprint string
-	prefixes    []uint64
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	// digest identifies the content across repeats.
+	digest   []byte
+	prefixes []uint64
 
 	promptTokens int64
 	// cost is the tokens reserved for the call.
@@ -54,23 +58,27 @@
 	return flow{name: name, adapter: c.adapter != "", workspace: c.workspace.Name, group: c.group}
 }
 
-// fingerprintOf identifies the content of a request across its repeats.
-func fingerprintOf(workspace, method, path string, body []byte) string {
+// digestOf identifies the content of a request across its repeats.
+func digestOf(workspace, method, path string, body []byte) []byte {
 	digest := sha256.New()
 	for _, part := range []string{workspace, method, path} {
 		digest.Write([]byte(part))
 		digest.Write([]byte{0})
 	}
 	digest.Write(body)
-	return hex.EncodeToString(digest.Sum(nil)[:16])
+	return digest.Sum(nil)
 }
 
+// fingerprint returns the short form of the digest that backend servers' deaths
+// are tied to.
+func (c call) fingerprint() string { return hex.EncodeToString(c.digest[:fingerprintBytes]) }
+
 // execute runs a call within the limits of its workspace.
 func (h *Handler) execute(ctx context.Context, x *exchange, c call) error {
 	x.timing.flow = c.flow()
 	h.parts.Demand.Arrive(x.timing.flow)
-	if err := h.checkPoison(c); err != nil {
-		return err
+	if _, f := h.judge(c); f != nil {
+		return f
 	}
 	settle, err := h.reserve(ctx, c)
 	if err != nil {
--- a/internal/aubentry/claimed.go
+++ b/internal/aubentry/claimed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"maps"
 	"net/http"
@@ -17,10 +16,9 @@
 // executeClaimed runs a non-idempotent call under its idempotency key: the claim
 // is committed before the call is sent, and a repeat gets the recorded outcome.
 func (h *Handler) executeClaimed(ctx context.Context, x *exchange, c call) error {
-	digest := sha256.Sum256([]byte(c.fingerprint + c.method + c.path + string(c.body)))
 	claim := aubclaim.Claim{
 		ID:     aubclaim.ID{Workspace: c.workspace.Name, Key: x.r.Header.Get(headerIdempotencyKey)},
-		Digest: digest[:],
+		Digest: c.digest,
 		Hold:   c.deadline.Sub(x.started) + claimMargin,
 	}
 	result, err := h.parts.Claims.Begin(ctx, claim)
--- a/internal/aubentry/model_call.go
+++ b/internal/aubentry/model_call.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	c.workspace = w
-	c.fingerprint = fingerprintOf(w.Name, c.method, c.path, c.body)
+	c.digest = digestOf(w.Name, c.method, c.path, c.body)
 	return h.execute(ctx, x, c)
 }
 
--- a/internal/aubentry/send.go
+++ b/internal/aubentry/send.go
@@ -112,9 +112,9 @@
 
 // sendOnce runs one attempt on the chosen backend server.
 func (h *Handler) sendOnce(ctx context.Context, x *exchange, c call, choice aubroute.Choice, attempt uint32) outcome {
-	verdict, left := h.parts.Poison.Table().Verdict(c.fingerprint)
-	if verdict == aubpoison.VerdictBlocked {
-		return outcome{err: refuse(problemPoison).WithRetryAfter(left), execution: aubapi.ExecutionNotRun}
+	verdict, f := h.judge(c)
+	if f != nil {
+		return outcome{err: f, execution: f.execution}
 	}
 	choice.Started()
 	began := h.common.Timer.Now()
@@ -146,7 +146,7 @@
 		Stream:      c.stream,
 		HideUsage:   c.hideUsage,
 		Timeout:     c.deadline.Sub(h.common.Timer.Now()),
-		Fingerprint: c.fingerprint,
+		Fingerprint: c.fingerprint(),
 		Alone:       verdict == aubpoison.VerdictSuspect,
 	}
 }
@@ -171,11 +171,12 @@
 	}
 }
 
-// checkPoison refuses a request that ended two backend servers.
-func (h *Handler) checkPoison(c call) error {
-	verdict, left := h.parts.Poison.Table().Verdict(c.fingerprint)
+// judge returns how a request is run, or the refusal of one that ended two
+// backend servers.
+func (h *Handler) judge(c call) (aubpoison.Verdict, *refusal) {
+	verdict, left := h.parts.Poison.Table().Verdict(c.fingerprint())
 	if verdict == aubpoison.VerdictBlocked {
-		return refuse(problemPoison).WithRetryAfter(left)
+		return verdict, refuse(problemPoison).WithRetryAfter(left)
 	}
-	return nil
+	return verdict, nil
 }
--- a/internal/aubentry/service_call.go
+++ b/internal/aubentry/service_call.go
@@ -81,18 +81,18 @@
 		timeout = time.Duration(route.TimeoutSeconds) * time.Second
 	}
 	return call{
-		id:          x.id,
-		workspace:   w,
-		group:       route.Service,
-		service:     route.Service,
-		method:      x.r.Method,
-		path:        u.RequestURI(),
-		header:      header,
-		body:        body,
-		fingerprint: fingerprintOf(w.Name, x.r.Method, u.RequestURI(), body),
-		cost:        route.Cost,
-		idempotent:  route.Idempotent,
-		deadline:    x.started.Add(timeout),
+		id:         x.id,
+		workspace:  w,
+		group:      route.Service,
+		service:    route.Service,
+		method:     x.r.Method,
+		path:       u.RequestURI(),
+		header:     header,
+		body:       body,
+		digest:     digestOf(w.Name, x.r.Method, u.RequestURI(), body),
+		cost:       route.Cost,
+		idempotent: route.Idempotent,
+		deadline:   x.started.Add(timeout),
 	}
 }
 
