--- /dev/null
+++ b/internal/aubcli/platform.go
@@ -0,0 +1,26 @@
+package aubcli
+
+import (
+	"context"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubprocess"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	aubplatform "github.com/auburndale/auburndale/platform"
+)
+
+// runAdapted runs one role behind an adapter.
+type runAdapted func(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings, adapter aubprocess.Adapter) error
+
+// withPlatform gives a role the adapter of the users' platform.
+func withPlatform(run runAdapted) runRole {
+	return func(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error {
+		return run(ctx, common, cfg, aubprocess.Adapter{
+			Protocol:       aubplatform.Protocol{},
+			DecodeSite:     aubplatform.DecodeSite,
+			Engine:         aubplatform.NewEngines(aubprocess.DialBackend),
+			ReadyHandler:   aubplatform.NewReadyHandler,
+			ControlHandler: aubplatform.NewControlHandler,
+		})
+	}
+}
--- a/internal/aubcli/run.go
+++ b/internal/aubcli/run.go
@@ -50,6 +50,8 @@
 			newLocalCommand(s),
 			newRoleCommand(s, "entry", "run an entry instance", aubprocess.RunEntry),
 			newRoleCommand(s, "agent", "run the process beside a backend server", aubprocess.RunAgent),
+			newRoleCommand(s, "relay", "run an instance that relays requests on the users' platform", withPlatform(aubprocess.RunRelay)),
+			newRoleCommand(s, "control", "run a control process on the users' platform", withPlatform(aubprocess.RunController)),
 			newRoleCommand(s, "engine", "run a stand-in engine or plain service", aubprocess.RunEngine),
 			newLoadCommand(s),
 			newTicketCommand(s),
--- a/internal/aubconsensus/change.go
+++ b/internal/aubconsensus/change.go
@@ -66,7 +66,29 @@
 		return r.dead, true
 	}
 	isListed := slices.ContainsFunc(n.opts.Voters, func(p Peer) bool { return p.Name == m.GetName() })
-	return "", isListed && n.hasRoom(m.GetName())
+	if isListed && n.hasRoom(m.GetName()) {
+		return "", true
+	}
+	return n.openVacancy()
+}
+
+// openVacancy returns the place that a replica which the settings don't list may
+// take: a new one while there are few voters, else that of a silent voter.
+func (n *Node) openVacancy() (string, bool) {
+	members := n.log.membership().wire
+	if len(members.GetVoters())+len(members.GetLearners()) < n.opts.MaxVoters {
+		return "", true
+	}
+	if n.opts.ReplaceAfter == 0 || n.now().Sub(n.lead.since) < n.opts.ReplaceAfter {
+		return "", false
+	}
+	for _, voter := range members.GetVoters() {
+		id := voter.GetDiskId()
+		if id != n.self.GetDiskId() && n.now().Sub(n.progressOf(id).answeredAt) > n.opts.ReplaceAfter {
+			return voter.GetName(), true
+		}
+	}
+	return "", false
 }
 
 // hasRoom reports whether the settings list more voters than there are.
--- a/internal/aubconsensus/join.go
+++ b/internal/aubconsensus/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 
@@ -125,6 +126,10 @@
 // mayForm reports whether this replica forms the cluster: it has the lowest name
 // and every other replica answered that it holds nothing and never did.
 func (n *Node) mayForm(answers []helloAnswer) bool {
+	isListed := slices.ContainsFunc(n.opts.Voters, func(p Peer) bool { return p.Name == n.opts.Self.Name })
+	if n.opts.JoinOnly || !isListed {
+		return false
+	}
 	others := 0
 	for _, v := range n.opts.Voters {
 		if v.Name == n.opts.Self.Name {
--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -69,7 +69,16 @@
 	Self Peer
 	// Voters lists the replicas that form the cluster, this one included.
 	Voters    []Peer
-	Disk      Disk
+	// JoinOnly keeps this replica from forming a cluster; it waits until one takes
+	// it in.
+	JoinOnly bool
+	// MaxVoters lets replicas that the settings don't list join until there are so
+	// many voters; 0 lets none.
+	MaxVoters int
+	// ReplaceAfter is the silence after which a replica that joins takes a voter's
+	// place by itself; 0 leaves that to an operator.
+	ReplaceAfter time.Duration
+	Disk         Disk
 	Transport Transport
 	Machine   Machine
 	// ElectionTimeout is the least silence of a leader that starts an election.
--- a/internal/aubcontrol/opts.go
+++ b/internal/aubcontrol/opts.go
@@ -22,6 +22,11 @@
 	Address string
 	// Voters lists the replicas that form the site, this one included.
 	Voters []Peer
+	// JoinOnly, MaxVoters and ReplaceAfter are those of the replicated log: whether
+	// the replica may form a site, and who may join one by itself.
+	JoinOnly     bool
+	MaxVoters    int
+	ReplaceAfter time.Duration
 	// DataDir is the folder of the replica's own state.
 	DataDir string
 	Tables  []Table
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -62,6 +62,9 @@
 	node, err := aubconsensus.NewNode(ctx, common, aubconsensus.Opts{
 		Self:            aubconsensus.Peer{Name: opts.Member, Address: opts.Address},
 		Voters:          toConsensusPeers(opts.Voters),
+		JoinOnly:        opts.JoinOnly,
+		MaxVoters:       opts.MaxVoters,
+		ReplaceAfter:    opts.ReplaceAfter,
 		Disk:            disk,
 		Transport:       aubconsensus.NewRemoteTransport(ctx, common, opts.Dial, 2*opts.ElectionTimeout),
 		Machine:         machine,
--- /dev/null
+++ b/internal/auborder/place.go
@@ -0,0 +1,193 @@
+package auborder
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// adapterLoadTime is the time until an adapter that was ordered is ready, unless
+	// very many load at once.
+	adapterLoadTime = 12 * time.Millisecond
+	// adapterIdle is how long an adapter must have been idle to make room.
+	adapterIdle = time.Second
+	// handoverRetry is when to come back while a new leader gives no orders yet.
+	handoverRetry = time.Second
+)
+
+var _ aubregistry.Placer = (*Director)(nil)
+
+// Place implements aubregistry.Placer: it returns an engine that holds the model
+// or adapter, and loads an adapter at once.
+func (d *Director) Place(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+	d.mu.Lock()
+	now := d.common.Timer.Now()
+	isActing := d.lead(now)
+	isLeading := d.term != 0
+	d.mu.Unlock()
+	if !isLeading && !req.GetForwarded() {
+		return d.opts.Forward(ctx, &aubwire.PlaceRequest{
+			Service: req.GetService(), Model: req.GetModel(), Adapter: req.GetAdapter(), Forwarded: true,
+		})
+	}
+	site := d.opts.Site()
+	if !isActing || site == nil {
+		return &aubwire.PlaceResponse{RetryAfterMs: handoverRetry.Milliseconds()}, nil
+	}
+	service, ok := site.Service(req.GetService())
+	if !ok || service.Engine == nil {
+		return &aubwire.PlaceResponse{}, nil
+	}
+	return d.placeIn(ctx, now, service, req), nil
+}
+
+func (d *Director) placeIn(ctx context.Context, now time.Time, service aubsite.Service, req *aubwire.PlaceRequest) *aubwire.PlaceResponse {
+	model, ok := modelsOf(service.Engine)[req.GetModel()]
+	if !ok {
+		return &aubwire.PlaceResponse{}
+	}
+	holders := d.holders(service, model.Name)
+	switch {
+	case len(holders) == 0:
+		return d.want(now, service, model)
+	case req.GetAdapter() == "":
+		return &aubwire.PlaceResponse{Backend: holders[0].record.GetId()}
+	}
+	return d.placeAdapter(ctx, service, model, req.GetAdapter(), holders)
+}
+
+// want makes the next plan load a model that callers wait for.
+func (d *Director) want(now time.Time, service aubsite.Service, model aubsite.Model) *aubwire.PlaceResponse {
+	d.mu.Lock()
+	d.wanted[aubregistry.ModelName(service.Name, model.Name)] = now
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	return &aubwire.PlaceResponse{RetryAfterMs: model.LoadTime.Milliseconds()}
+}
+
+// holders returns the engines with a ready copy of the model, the least loaded first.
+func (d *Director) holders(service aubsite.Service, model string) []*engineState {
+	loads := d.opts.Loads.InFlight()
+	d.mu.Lock()
+	engines := slices.Collect(maps.Values(d.engines))
+	d.mu.Unlock()
+	var holders []*engineState
+	for _, e := range engines {
+		e.mu.Lock()
+		held := e.models[model]
+		isReady := held != nil && held.state == CopyReady && e.known && e.record.GetService() == service.Name &&
+			e.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
+		e.mu.Unlock()
+		if isReady {
+			holders = append(holders, e)
+		}
+	}
+	slices.SortFunc(holders, func(a, b *engineState) int {
+		return loads[a.record.GetId()] - loads[b.record.GetId()]
+	})
+	return holders
+}
+
+// placeAdapter returns a holder of the adapter, or loads it on the engine with
+// the most free places, or in place of the one idle for longest.
+func (d *Director) placeAdapter(
+	ctx context.Context, service aubsite.Service, model aubsite.Model, adapter string, holders []*engineState,
+) *aubwire.PlaceResponse {
+	best, most := (*engineState)(nil), 0
+	for _, e := range holders {
+		e.mu.Lock()
+		_, isHeld := e.models[model.Name].adapterAt(adapter)
+		free := service.Engine.AdapterSlots - e.adapterCount()
+		e.mu.Unlock()
+		if isHeld {
+			return &aubwire.PlaceResponse{Backend: e.record.GetId()}
+		}
+		if free > most {
+			best, most = e, free
+		}
+	}
+	if best == nil {
+		best = d.evictAdapter(ctx, service, holders)
+	}
+	if best == nil || !d.loadAdapter(ctx, best, model.Name, adapter) {
+		return &aubwire.PlaceResponse{RetryAfterMs: adapterIdle.Milliseconds()}
+	}
+	_ = aubtimer.Wait(ctx, d.common.Timer, adapterLoadTime)
+	return &aubwire.PlaceResponse{Backend: best.record.GetId()}
+}
+
+func (c *modelCopy) adapterAt(name string) (time.Time, bool) {
+	if c == nil {
+		return time.Time{}, false
+	}
+	at, ok := c.adapters[name]
+	return at, ok
+}
+
+// loadAdapter orders an adapter; it reports whether the engine takes it.
+func (d *Director) loadAdapter(ctx context.Context, e *engineState, model, adapter string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := e.models[model]
+	if held == nil || held.state != CopyReady {
+		return false
+	}
+	outcome := d.send(ctx, e, Order{Action: ActionLoad, Model: model, Adapter: adapter})
+	if outcome != OutcomeRefused && outcome != OutcomeConflict {
+		held.adapters[adapter] = d.common.Timer.Now()
+	}
+	return outcome == OutcomeAccepted || outcome == OutcomeHolds
+}
+
+// evictAdapter frees the place of the adapter that is idle for longest.
+func (d *Director) evictAdapter(ctx context.Context, service aubsite.Service, holders []*engineState) *engineState {
+	var oldest *engineState
+	var model, adapter string
+	var oldestAt time.Time
+	for _, e := range holders {
+		e.mu.Lock()
+		for m, held := range e.models {
+			for name, at := range held.adapters {
+				at = d.usedAt(service.Name, m, name, at)
+				if oldest == nil || at.Before(oldestAt) {
+					oldest, model, adapter, oldestAt = e, m, name, at
+				}
+			}
+		}
+		e.mu.Unlock()
+	}
+	if oldest == nil || d.common.Timer.Now().Sub(oldestAt) < adapterIdle {
+		return nil
+	}
+	oldest.mu.Lock()
+	defer oldest.mu.Unlock()
+	outcome := d.send(ctx, oldest, Order{Action: ActionUnload, Model: model, Adapter: adapter})
+	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
+		return nil
+	}
+	if held := oldest.models[model]; held != nil {
+		delete(held.adapters, adapter)
+	}
+	return oldest
+}
+
+// usedAt is when an adapter was last asked for, at least since it was loaded.
+func (d *Director) usedAt(service, model, adapter string, loadedAt time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.meter.usedAt[aubregistry.ModelKey{Model: aubregistry.ModelName(service, model), Adapter: adapter}]
+	if at.After(loadedAt) {
+		return at
+	}
+	return loadedAt
+}
--- /dev/null
+++ b/internal/auborder/plan.go
@@ -0,0 +1,248 @@
+package auborder
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// CopyState is the state of a model on an engine.
+type CopyState int
+
+// States of a copy.
+const (
+	CopyReady CopyState = iota + 1
+	CopyLoading
+	CopyUnloading
+)
+
+// EngineView is one engine in a snapshot.
+type EngineView struct {
+	ID string
+	// FreeMegabytes is what the models held, and those that an unanswered order may
+	// load, leave of the accelerator memory.
+	FreeMegabytes float64
+	Megabytes     float64
+	Models        map[string]CopyState
+	// Kept names models whose load does not need the weight store.
+	Kept map[string]bool
+	// Busy engines take no order now.
+	Busy bool
+	// Load is the number of requests in flight.
+	Load int
+}
+
+// ModelView is one model in a snapshot.
+type ModelView struct {
+	Name      string
+	Megabytes float64
+	// Work is the arriving work in tokens a second.
+	Work float64
+	// Waiting is set while callers wait for a first copy.
+	Waiting bool
+}
+
+// Snapshot is all that the planner sees.
+type Snapshot struct {
+	Engines []EngineView
+	Models  []ModelView
+	// StoreLoads is the number of loads from the weight store that may begin now.
+	StoreLoads int
+	// Orders bounds the loads and unloads in progress, those of Busy engines included.
+	Orders int
+}
+
+// Move is one planned order for a model.
+type Move struct {
+	Action Action
+	Engine string
+	Model  string
+	// FromStore is set for loads from the weight store.
+	FromStore bool
+}
+
+const (
+	// moveGain is the ratio by which the work for each copy of a model must exceed
+	// that of the model whose copy makes room.
+	moveGain = 1.5
+	// idleWork is the arriving work in tokens a second below which a model needs no
+	// second copy.
+	idleWork = 300.0
+)
+
+// plan is a plan in the making.
+type plan struct {
+	snapshot Snapshot
+	ready    map[string]int
+	coming   map[string]int
+	wanted   map[string]int
+	busy     map[string]bool
+	moves    []Move
+}
+
+// Plan decides which models to load and unload next. Every model keeps a ready
+// copy; the places left go to the models with the most work for each copy.
+func Plan(s Snapshot) []Move {
+	p := &plan{
+		snapshot: s,
+		ready:    make(map[string]int),
+		coming:   make(map[string]int),
+		busy:     make(map[string]bool),
+	}
+	room := s.Orders
+	for _, e := range s.Engines {
+		if e.Busy {
+			p.busy[e.ID] = true
+			room--
+		}
+		for model, state := range e.Models {
+			switch state {
+			case CopyReady:
+				p.ready[model]++
+			case CopyLoading:
+				p.coming[model]++
+			}
+		}
+	}
+	p.wanted = wantedCopies(s)
+	for _, m := range p.needs() {
+		if len(p.moves) >= room {
+			break
+		}
+		p.place(m)
+	}
+	return p.moves
+}
+
+// wantedCopies shares the places of all engines among the models.
+func wantedCopies(s Snapshot) map[string]int {
+	wanted := make(map[string]int, len(s.Models))
+	largest := 0.0
+	for _, m := range s.Models {
+		wanted[m.Name] = 1
+		largest = max(largest, m.Megabytes)
+	}
+	if largest == 0 {
+		return wanted
+	}
+	places := 0
+	for _, e := range s.Engines {
+		places += int(e.Megabytes / largest)
+	}
+	for range places - len(s.Models) {
+		best, most := "", idleWork
+		for _, m := range s.Models {
+			if perCopy := m.Work / float64(wanted[m.Name]); perCopy > most && wanted[m.Name] < len(s.Engines) {
+				best, most = m.Name, perCopy
+			}
+		}
+		if best == "" {
+			break
+		}
+		wanted[best]++
+	}
+	return wanted
+}
+
+// needs lists the models that lack copies, the neediest first.
+func (p *plan) needs() []ModelView {
+	var needs []ModelView
+	for _, m := range p.snapshot.Models {
+		if p.ready[m.Name]+p.coming[m.Name] < p.wanted[m.Name] {
+			needs = append(needs, m)
+		}
+	}
+	slices.SortStableFunc(needs, func(a, b ModelView) int { return cmp.Compare(p.need(b), p.need(a)) })
+	return needs
+}
+
+// need is the work for each copy that the model has or gets.
+func (p *plan) need(m ModelView) float64 {
+	copies := p.ready[m.Name] + p.coming[m.Name]
+	if copies == 0 {
+		if m.Waiting {
+			return math.Inf(1)
+		}
+		return math.MaxFloat64/2 + m.Work
+	}
+	return m.Work / float64(copies)
+}
+
+// place loads the model where there is room, or makes room for it.
+func (p *plan) place(m ModelView) {
+	if e, ok := p.roomFor(m); ok {
+		p.load(e, m)
+		return
+	}
+	if e, victim, ok := p.victimFor(m); ok {
+		p.moves = append(p.moves, Move{Action: ActionUnload, Engine: e.ID, Model: victim})
+		p.busy[e.ID] = true
+		p.ready[victim]--
+	}
+}
+
+func (p *plan) load(e EngineView, m ModelView) {
+	fromStore := !e.Kept[m.Name]
+	if fromStore {
+		if p.snapshot.StoreLoads == 0 {
+			return
+		}
+		p.snapshot.StoreLoads--
+	}
+	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore})
+	p.busy[e.ID] = true
+	p.coming[m.Name]++
+}
+
+// roomFor returns the engine to load the model on: one that keeps its weights,
+// then the one with the least load.
+func (p *plan) roomFor(m ModelView) (EngineView, bool) {
+	return p.best(m, func(e EngineView) bool { return e.FreeMegabytes >= m.Megabytes })
+}
+
+func (p *plan) best(m ModelView, fits func(EngineView) bool) (EngineView, bool) {
+	var found []EngineView
+	for _, e := range p.snapshot.Engines {
+		if _, holds := e.Models[m.Name]; !holds && !p.busy[e.ID] && fits(e) {
+			found = append(found, e)
+		}
+	}
+	if len(found) == 0 {
+		return EngineView{}, false
+	}
+	return slices.MinFunc(found, func(a, b EngineView) int {
+		if a.Kept[m.Name] != b.Kept[m.Name] {
+			if a.Kept[m.Name] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+	}), true
+}
+
+// victimFor returns an engine and a model on it that makes room for the needy
+// one: a surplus copy whose loss costs least.
+func (p *plan) victimFor(m ModelView) (EngineView, string, bool) {
+	work := make(map[string]float64, len(p.snapshot.Models))
+	for _, other := range p.snapshot.Models {
+		work[other.Name] = other.Work
+	}
+	need := p.need(m)
+	victims := make(map[string]string)
+	e, ok := p.best(m, func(e EngineView) bool {
+		least := math.Inf(1)
+		for model, state := range e.Models {
+			if state != CopyReady || p.ready[model] < 2 || p.ready[model]+p.coming[model] <= p.wanted[model] {
+				continue
+			}
+			cost := work[model] / float64(p.ready[model]-1)
+			if cost*moveGain < need && (cost < least || cost == least && model < victims[e.ID]) {
+				least = cost
+				victims[e.ID] = model
+			}
+		}
+		return victims[e.ID] != ""
+	})
+	return e, victims[e.ID], ok
+}
--- /dev/null
+++ b/internal/aubprocess/controller.go
@@ -0,0 +1,219 @@
+package aubprocess
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/auborder"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// confirmRetry is the time between two tries to confirm the state after the start.
+const confirmRetry = 100 * time.Millisecond
+
+// controller is one control process: a replica of the state, the registry of
+// backend servers and, while it leads, the director of the engines.
+type controller struct {
+	*process
+
+	adapter   Adapter
+	replica   *aubcontrol.Replica
+	table     *aubsite.Table
+	site      *aubsite.Current
+	registry  *aubregistry.Registry
+	loads     *aubregistry.Loads
+	server    *aubregistry.Server
+	client    *aubregistry.Client
+	director  *auborder.Director
+	confirmed atomic.Bool
+}
+
+// RunController runs a control process until ctx asks for a graceful shutdown.
+func RunController(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings, adapter Adapter) error {
+	p, err := newProcess(ctx, common, cfg)
+	if err != nil {
+		return err
+	}
+	c := &controller{process: p, adapter: adapter}
+	if err := c.run(ctx); err != nil {
+		p.common.Log.Error("Control process failed.", zap.Error(err))
+		_ = p.close()
+		return err
+	}
+	p.common.Log.Info("Control process stopped.")
+	return p.close()
+}
+
+func (c *controller) run(ctx context.Context) error {
+	c.common.Log.Info("Control process starts.", zap.String("zone", c.cfg.Zone), zap.Bool("may_form", c.cfg.Control.Form))
+	if c.cfg.Control.DataDir == "" {
+		return &SettingError{Path: "control.data_dir", Reason: "a control process carries a replica and needs a data folder"}
+	}
+	if err := c.startReplica(); err != nil {
+		return err
+	}
+	c.startRegistry()
+	if err := c.serveInternal(); err != nil {
+		return err
+	}
+	if err := c.servePlatform(); err != nil {
+		return err
+	}
+	configs := aubsite.NewConfigurations(c.table, c.replica, c.replica)
+	_, err := c.serveHTTP(httpOpts{
+		setting: "registry.listen", listen: c.cfg.Registry.Listen,
+		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.server),
+	})
+	if err != nil {
+		return err
+	}
+	c.group.Go(func() error {
+		c.confirm()
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+		c.leave()
+		return nil
+	case <-c.replica.Done():
+		return c.replica.Err()
+	case <-c.ctx.Done():
+		return nil
+	}
+}
+
+func (c *controller) startReplica() error {
+	c.table = aubsite.NewTable()
+	c.site = aubsite.NewCurrent(c.common, c.adapter.DecodeSite)
+	self := c.cfg.Internal.Listen.String()
+	var voters []aubcontrol.Peer
+	for _, seed := range controlSeeds(c.cfg) {
+		voters = append(voters, aubcontrol.Peer{Name: seed, Address: seed})
+	}
+	replica, err := aubcontrol.NewReplica(c.ctx, c.common, aubcontrol.ReplicaOpts{
+		// The address is the member's name, because it is all that the seeds tell.
+		Member:          self,
+		Address:         self,
+		Voters:          voters,
+		JoinOnly:        !c.cfg.Control.Form,
+		MaxVoters:       2*c.cfg.Control.Losses + 1,
+		ReplaceAfter:    c.cfg.Control.Silence.Value(),
+		DataDir:         c.cfg.Control.DataDir,
+		Tables:          []aubcontrol.Table{c.table},
+		Dial:            c.transport.Dial,
+		Heartbeat:       c.cfg.Control.Heartbeat.Value(),
+		ElectionTimeout: c.cfg.Control.Election.Value(),
+	})
+	if err != nil {
+		return err
+	}
+	c.replica = replica
+	replica.Register(c.process.server)
+	return nil
+}
+
+func (c *controller) startRegistry() {
+	c.registry = aubregistry.NewRegistry(c.common, silenceOf(c.cfg))
+	c.loads = aubregistry.NewLoads(c.common)
+	c.director = auborder.NewDirector(c.ctx, c.common, auborder.DirectorOpts{
+		Holder:     c.cfg.Name,
+		Engine:     c.adapter.Engine,
+		Leadership: c.replica,
+		Registry:   c.registry,
+		Loads:      c.loads,
+		Site:       c.site.Site,
+		Interval:   c.cfg.Placement.Interval.Value(),
+		Handover:   c.cfg.Placement.Handover.Value(),
+		Forward:    c.forwardPlace,
+	})
+	c.server = aubregistry.NewServer(c.common, aubregistry.ServerOpts{
+		Registry:  c.registry,
+		Loads:     c.loads,
+		Revisions: c.table,
+		Placer:    c.director,
+		Confirmed: c.confirmed.Load,
+		Addresses: c.addresses,
+	})
+	aubwire.RegisterRegistryServer(c.process.server, c.server)
+	c.client = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
+		Process:  c.cfg.Name,
+		Self:     c.cfg.Internal.Listen.String(),
+		Seeds:    c.addresses,
+		Dial:     c.transport.Dial,
+		Registry: c.registry,
+	})
+	go c.followTable()
+}
+
+// followTable brings committed configurations into force here.
+func (c *controller) followTable() {
+	for {
+		revision, changed := c.table.Revision()
+		if revision.GetNumber() > 0 {
+			c.site.Offer(revision.GetNumber(), revision.GetDocument())
+		}
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// addresses lists the control processes of the settings and of the replicated log.
+func (c *controller) addresses() []string {
+	addresses := controlSeeds(c.cfg)
+	status := c.replica.Status()
+	for _, peer := range slices.Concat(status.Voters, status.Learners) {
+		if !slices.Contains(addresses, peer.Address) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
+// confirm waits until the state was confirmed once since the start.
+func (c *controller) confirm() {
+	for c.ctx.Err() == nil {
+		if err := c.replica.WaitReady(c.ctx); err == nil {
+			c.confirmed.Store(true)
+			c.health.ready.Store(true)
+			c.common.Log.Info("Control process is ready.", zap.Any("status", c.replica.Status()))
+			return
+		}
+		_ = aubtimer.Wait(c.ctx, c.common.Timer, confirmRetry)
+	}
+}
+
+// forwardPlace passes a question for a copy on to the leader.
+func (c *controller) forwardPlace(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+	leader := c.replica.Status().Leader
+	if leader == "" || leader == c.cfg.Internal.Listen.String() {
+		return nil, &aubregistry.NoControlError{}
+	}
+	return c.client.PlaceAt(ctx, leader, req)
+}
+
+// leave hands the leadership over before the process ends.
+func (c *controller) leave() {
+	c.health.ready.Store(false)
+	c.common.Log.Info("Control process leaves.")
+	ctx, cancel := context.WithTimeout(c.ctx, giveBackTimeout)
+	defer cancel()
+	if _, leads := c.replica.Leading(); !leads {
+		return
+	}
+	if err := c.replica.TransferLeadership(ctx); err != nil {
+		c.common.Log.Warn("Could not hand over the leadership.", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/aubprocess/relay.go
@@ -0,0 +1,241 @@
+package aubprocess
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubrelay"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// registrationsMissed is the number of registrations whose absence makes a
+	// backend server count as lost; one second more allows for late ones.
+	registrationsMissed = 3
+	registrationSlack   = time.Second
+	// relayRetryBurst and relayRetryFloor keep the repeats of all relays together
+	// below the platform's budget: a fifth of the requests and some tens.
+	relayRetryBurst = 4
+	relayRetryFloor = 0.1
+	// relayPrefillRate is the pace of engines in prompt tokens a second that
+	// routing starts from; it learns the ratio to it.
+	relayPrefillRate = 40000
+	// relayEjectSlowness is the ratio of measured to expected first-token time from
+	// which a backend server gets no requests. Queues stretch the time, so that
+	// only a stuck one reaches it.
+	relayEjectSlowness = 40
+	// readyInterval is the time between two looks whether a relay can serve.
+	readyInterval = 50 * time.Millisecond
+)
+
+// relay is one instance that relays callers' requests and keeps no state.
+type relay struct {
+	*process
+
+	adapter  Adapter
+	site     *aubsite.Current
+	registry *aubregistry.Registry
+	client   *aubregistry.Client
+	limiter  *aublimit.SharedCounters
+	router   *aubroute.Router
+	demand   *aubrelay.Demand
+	peers    *peerLoads
+	handler  *aubrelay.Handler
+	callers  *http.Server
+}
+
+// RunRelay runs a relay instance until ctx asks for a graceful shutdown.
+func RunRelay(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings, adapter Adapter) error {
+	p, err := newProcess(ctx, common, cfg)
+	if err != nil {
+		return err
+	}
+	r := &relay{process: p, adapter: adapter}
+	if err := r.run(ctx); err != nil {
+		p.common.Log.Error("Relay failed.", zap.Error(err))
+		_ = p.close()
+		return err
+	}
+	p.common.Log.Info("Relay stopped.")
+	return p.close()
+}
+
+func (r *relay) run(ctx context.Context) error {
+	r.common.Log.Info("Relay starts.", zap.String("zone", r.cfg.Zone))
+	if err := r.newParts(); err != nil {
+		return err
+	}
+	if err := r.servePlatform(); err != nil {
+		return err
+	}
+	if err := r.serveReady(r.adapter); err != nil {
+		return err
+	}
+	callers, err := r.serveHTTP(httpOpts{
+		setting: "caller.listen", listen: r.cfg.Caller.Listen, tls: r.cfg.Caller.TLS, handler: r.handler,
+	})
+	if err != nil {
+		return err
+	}
+	r.callers = callers
+	r.group.Go(func() error {
+		r.awaitReady()
+		return nil
+	})
+	select {
+	case <-ctx.Done():
+		r.leave()
+	case <-r.ctx.Done():
+	}
+	return nil
+}
+
+func (r *relay) newParts() error {
+	r.site = aubsite.NewCurrent(r.common, r.adapter.DecodeSite)
+	r.registry = aubregistry.NewRegistry(r.common, silenceOf(r.cfg))
+	r.demand = aubrelay.NewDemand(r.common)
+	r.peers = &peerLoads{}
+	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{Bounds: r.boundsOf})
+	router, err := aubroute.NewRouter(r.common, aubroute.RouterOpts{
+		Policy:        aubroute.PolicyExpectedFirstToken,
+		Zone:          r.cfg.Zone,
+		Source:        r.registry,
+		RetryShare:    float64(r.cfg.Routing.RetryShare),
+		RetryBurst:    relayRetryBurst,
+		RetryFloor:    relayRetryFloor,
+		BlockTokens:   aubrelay.PrefixBlockTokens,
+		Peers:         r.peers.load,
+		PrefillRate:   relayPrefillRate,
+		EjectSlowness: relayEjectSlowness,
+	})
+	if err != nil {
+		return err
+	}
+	r.router = router
+	r.client = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
+		Process:    r.cfg.Name,
+		Relay:      true,
+		Seeds:      func() []string { return controlSeeds(r.cfg) },
+		Dial:       r.transport.Dial,
+		Registry:   r.registry,
+		Report:     r.report(uint64(r.common.Timer.Now().UnixNano())),
+		OnRevision: r.site.Offer,
+		OnPeers:    r.takePeers,
+	})
+	r.handler = aubrelay.NewHandler(r.common, aubrelay.Parts{
+		Protocol: r.adapter.Protocol,
+		Site:     r.site,
+		Limiter:  r.limiter,
+		Router:   r.router,
+		Registry: r.registry,
+		Demand:   r.demand,
+		Copies:   aubrelay.NewCopies(r.common, r.registry, r.client.Place),
+		Dial:     DialBackend,
+	})
+	return nil
+}
+
+// boundsOf returns rate and burst of a workspace in the configuration in force.
+func (r *relay) boundsOf(workspace string) (rate, burst int64, ok bool) {
+	site := r.site.Site()
+	if site == nil {
+		return 0, 0, false
+	}
+	w, ok := site.Workspace(workspace)
+	return w.Rate, w.Burst, ok
+}
+
+// report returns the function that builds this instance's load reports.
+func (r *relay) report(incarnation uint64) func() *aubwire.LoadReport {
+	return func() *aubwire.LoadReport {
+		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report()}
+		for id, load := range r.router.InFlight() {
+			report.Loads = append(report.Loads, &aubwire.BackendLoad{
+				Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
+			})
+		}
+		for workspace, tokens := range r.limiter.Uses() {
+			report.Uses = append(report.Uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens})
+		}
+		return report
+	}
+}
+
+func (r *relay) takePeers(peers *aubwire.Peers, isFirst bool) {
+	r.peers.set(peers.GetLoads())
+	uses := make(map[string]int64, len(peers.GetUses()))
+	for _, use := range peers.GetUses() {
+		uses[use.GetWorkspace()] = use.GetTokens()
+	}
+	r.limiter.TakePeers(int(peers.GetInstances()), uses, isFirst)
+}
+
+// awaitReady reports ready once there is a configuration and a backend server.
+func (r *relay) awaitReady() {
+	ticks := r.common.Timer.Subscribe(r.ctx, readyInterval)
+	for r.site.Site() == nil || len(r.registry.Records()) == 0 {
+		select {
+		case <-ticks:
+		case <-r.ctx.Done():
+			return
+		}
+	}
+	r.health.ready.Store(true)
+	r.common.Log.Info("Relay is ready.",
+		zap.Uint64("revision", r.site.Site().Number()), zap.Int("backend_servers", len(r.registry.Records())))
+}
+
+// leave is the graceful shutdown: readiness first, then the balancer's delay,
+// then the running requests.
+func (r *relay) leave() {
+	r.health.ready.Store(false)
+	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.Running()))
+	_ = aubtimer.Wait(r.ctx, r.common.Timer, r.cfg.Shutdown.Delay.Value())
+	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, r.cfg.Shutdown.Timeout.Value())
+	defer cancel()
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", r.handler.Running()), zap.Error(err))
+	}
+}
+
+// serveReady serves the readiness checks of the users' platform.
+func (p *process) serveReady(adapter Adapter) error {
+	if p.cfg.Platform.Ready == "" {
+		return nil
+	}
+	_, err := p.serveHTTP(httpOpts{
+		setting: "platform.ready", listen: p.cfg.Platform.Ready, handler: adapter.ReadyHandler(p.health.ready.Load),
+	})
+	return err
+}
+
+// silenceOf is the silence after which a backend server counts as lost.
+func silenceOf(cfg aubsettings.Settings) time.Duration {
+	if cfg.Registry.Heartbeat == 0 {
+		return 0
+	}
+	return registrationsMissed*cfg.Registry.Heartbeat.Value() + registrationSlack
+}
+
+// controlSeeds returns the internal addresses on the seeds' hosts.
+func controlSeeds(cfg aubsettings.Settings) []string {
+	addresses := make([]string, 0, len(cfg.Control.Seeds))
+	for _, seed := range cfg.Control.Seeds {
+		// The settings were checked: the address splits.
+		host, _, _ := net.SplitHostPort(seed.String())
+		addresses = append(addresses, net.JoinHostPort(host, strconv.Itoa(cfg.Control.Port)))
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/aubregistry/copy.go
@@ -0,0 +1,53 @@
+package aubregistry
+
+import (
+	"slices"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// AddCopy notes that a backend server holds a model, or an adapter of it, before
+// its next registration says so.
+func (r *Registry) AddCopy(id, service, model, adapter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.entries[id]
+	if held == nil || held.record.GetService() != service {
+		return
+	}
+	next := cloneRecord(held.record)
+	i := slices.IndexFunc(next.GetModels(), func(m *aubwire.ModelCopy) bool { return m.GetName() == model })
+	if i < 0 {
+		next.Models = append(next.Models, &aubwire.ModelCopy{Name: model})
+		i = len(next.Models) - 1
+	}
+	if adapter != "" && !slices.Contains(next.GetModels()[i].GetAdapters(), adapter) {
+		next.Models[i].Adapters = append(next.Models[i].Adapters, adapter)
+	}
+	held.record = next
+	r.shape++
+}
+
+// DropCopy notes that a backend server lacks an adapter, or the model when the
+// adapter is empty, until its next registration.
+func (r *Registry) DropCopy(id, model, adapter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.entries[id]
+	if held == nil {
+		return
+	}
+	next := cloneRecord(held.record)
+	for i, m := range next.GetModels() {
+		if m.GetName() != model {
+			continue
+		}
+		if adapter == "" {
+			next.Models = slices.Delete(next.Models, i, i+1)
+			break
+		}
+		m.Adapters = slices.DeleteFunc(m.Adapters, func(name string) bool { return name == adapter })
+	}
+	held.record = next
+	r.shape++
+}
--- /dev/null
+++ b/internal/aubregistry/load.go
@@ -0,0 +1,161 @@
+package aubregistry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// reportAge is the age from which a relay's load no longer counts.
+const reportAge = 1500 * time.Millisecond
+
+// ModelKey names a model or, with an adapter, an adapter of it.
+type ModelKey struct {
+	Model   string
+	Adapter string
+}
+
+// ModelCount is how much arrived for a model or adapter since the start of the
+// gathering process.
+type ModelCount struct {
+	Requests int64
+	Tokens   int64
+}
+
+// reported is the newest report of one relay with what it has added so far.
+type reported struct {
+	at          time.Time
+	incarnation uint64
+	loads       []*aubwire.BackendLoad
+	uses        map[string]int64
+	models      map[ModelKey]ModelCount
+	// added is the relay's own part of the totals.
+	added map[string]int64
+}
+
+// Loads sums the load reports of all relays.
+//
+// Lock order: mu is taken alone.
+type Loads struct {
+	common aubcommon.Common
+
+	mu      sync.Mutex
+	relays  map[string]*reported
+	uses    map[string]int64
+	demands map[ModelKey]ModelCount
+}
+
+// NewLoads returns an empty sum.
+func NewLoads(common aubcommon.Common) *Loads {
+	return &Loads{
+		common:  common,
+		relays:  make(map[string]*reported),
+		uses:    make(map[string]int64),
+		demands: make(map[ModelKey]ModelCount),
+	}
+}
+
+// Take adds a relay's report. Counters of an incarnation that was not seen
+// before are a baseline: what came before is not known to be recent.
+func (l *Loads) Take(report *aubwire.LoadReport) {
+	now := l.common.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.relays[report.GetInstance()]
+	isFirst := held == nil || held.incarnation != report.GetIncarnation()
+	if held == nil {
+		held = &reported{added: make(map[string]int64)}
+		l.relays[report.GetInstance()] = held
+	}
+	if isFirst {
+		held.incarnation = report.GetIncarnation()
+		held.uses = make(map[string]int64)
+		held.models = make(map[ModelKey]ModelCount)
+	}
+	held.at = now
+	held.loads = report.GetLoads()
+	for _, use := range report.GetUses() {
+		if !isFirst {
+			grown := max(use.GetTokens()-held.uses[use.GetWorkspace()], 0)
+			l.uses[use.GetWorkspace()] += grown
+			held.added[use.GetWorkspace()] += grown
+		}
+		held.uses[use.GetWorkspace()] = use.GetTokens()
+	}
+	for _, m := range report.GetModels() {
+		l.takeModel(held, m, isFirst)
+	}
+}
+
+func (l *Loads) takeModel(held *reported, m *aubwire.ModelUse, isFirst bool) {
+	key := ModelKey{Model: m.GetModel(), Adapter: m.GetAdapter()}
+	before := held.models[key]
+	next := ModelCount{Requests: m.GetRequests(), Tokens: m.GetTokens()}
+	held.models[key] = next
+	if isFirst {
+		return
+	}
+	total := l.demands[key]
+	l.demands[key] = ModelCount{
+		Requests: total.Requests + max(next.Requests-before.Requests, 0),
+		Tokens:   total.Tokens + max(next.Tokens-before.Tokens, 0),
+	}
+}
+
+// Peers sums what all relays but the named one report.
+func (l *Loads) Peers(instance string) *aubwire.Peers {
+	now := l.common.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sums := make(map[string]*aubwire.BackendLoad)
+	peers := &aubwire.Peers{}
+	var own map[string]int64
+	for name, relay := range l.relays {
+		if name == instance {
+			own = relay.added
+			continue
+		}
+		if now.Sub(relay.at) > reportAge {
+			continue
+		}
+		peers.Instances++
+		for _, load := range relay.loads {
+			sum := sums[load.GetId()]
+			if sum == nil {
+				sum = &aubwire.BackendLoad{Id: load.GetId()}
+				sums[load.GetId()] = sum
+			}
+			sum.InFlight += load.GetInFlight()
+			sum.PrefillTokens += load.GetPrefillTokens()
+		}
+	}
+	for _, sum := range sums {
+		peers.Loads = append(peers.Loads, sum)
+	}
+	for workspace, tokens := range l.uses {
+		peers.Uses = append(peers.Uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens - own[workspace]})
+	}
+	return peers
+}
+
+// Demand returns the counts of all models and adapters. They only grow.
+func (l *Loads) Demand() map[ModelKey]ModelCount {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make(map[ModelKey]ModelCount, len(l.demands))
+	for key, count := range l.demands {
+		counts[key] = count
+	}
+	return counts
+}
+
+// InFlight returns the requests in flight on each backend server.
+func (l *Loads) InFlight() map[string]int {
+	inFlight := make(map[string]int)
+	for _, load := range l.Peers("").GetLoads() {
+		inFlight[load.GetId()] = int(load.GetInFlight())
+	}
+	return inFlight
+}
--- /dev/null
+++ b/internal/aubregistry/record.go
@@ -0,0 +1,66 @@
+package aubregistry
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// supersedes reports whether the record is newer than the one held.
+func supersedes(record, held *aubwire.BackendRecord) bool {
+	if record.GetStartedMs() != held.GetStartedMs() {
+		return record.GetStartedMs() > held.GetStartedMs()
+	}
+	return record.GetSequence() > held.GetSequence()
+}
+
+func cloneRecord(record *aubwire.BackendRecord) *aubwire.BackendRecord {
+	return proto.CloneOf(record)
+}
+
+// ModelName names a model of a service for the router.
+func ModelName(service, model string) string { return service + "/" + model }
+
+// AdapterName names an adapter of a service's model for the router.
+func AdapterName(service, model, adapter string) string {
+	return ModelName(service, model) + "/" + adapter
+}
+
+// announcementOf describes a backend server in the terms of the membership.
+func announcementOf(record *aubwire.BackendRecord) *aubwire.Announcement {
+	a := &aubwire.Announcement{
+		Name:        record.GetId(),
+		Role:        aubwire.Role_ROLE_AGENT,
+		Zone:        record.GetZone(),
+		Address:     record.GetAddress(),
+		Incarnation: uint64(record.GetStartedMs()),
+		Sequence:    uint64(record.GetSequence()),
+		Leaving:     record.GetState() != aubwire.BackendState_BACKEND_STATE_READY,
+		Backend:     &aubwire.BackendReport{Services: []string{record.GetService()}},
+	}
+	for _, m := range record.GetModels() {
+		state := aubwire.Residency_RESIDENCY_READY
+		if slices.Contains(record.GetUnloading(), m.GetName()) {
+			state = aubwire.Residency_RESIDENCY_UNLOADING
+		}
+		a.Backend.Engine = true
+		a.Backend.Resident = append(a.Backend.Resident,
+			&aubwire.Resident{Name: ModelName(record.GetService(), m.GetName()), State: state})
+		for _, adapter := range m.GetAdapters() {
+			a.Backend.Resident = append(a.Backend.Resident, &aubwire.Resident{
+				Name: AdapterName(record.GetService(), m.GetName(), adapter), Adapter: true, State: state,
+			})
+		}
+	}
+	return a
+}
+
+// sameShape reports whether two records differ in nothing that routing needs.
+func sameShape(a, b *aubwire.BackendRecord) bool {
+	return a != nil && a.GetState() == b.GetState() && a.GetStartedMs() == b.GetStartedMs() &&
+		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() &&
+		slices.Equal(a.GetUnloading(), b.GetUnloading()) &&
+		slices.EqualFunc(a.GetModels(), b.GetModels(), func(x, y *aubwire.ModelCopy) bool { return proto.Equal(x, y) })
+}
--- /dev/null
+++ b/internal/aubregistry/server.go
@@ -0,0 +1,243 @@
+package aubregistry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// reportInterval is the time between two requests of a watcher, and two
+	// responses to it while nothing changes.
+	reportInterval = 250 * time.Millisecond
+	// silenceLimit is the silence after which either end gives a stream up.
+	silenceLimit = 1500 * time.Millisecond
+)
+
+// Placer finds or makes a ready copy of a model or adapter.
+type Placer interface {
+	Place(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error)
+}
+
+// Revisions gives the newest committed configuration.
+type Revisions interface {
+	// Revision returns the revision held and a channel that is closed by the next.
+	Revision() (*aubwire.SiteRevision, <-chan struct{})
+}
+
+// ServerOpts are the parts of a server.
+type ServerOpts struct {
+	Registry  *Registry
+	Loads     *Loads
+	Revisions Revisions
+	Placer    Placer
+	// Confirmed reports whether the state was confirmed by a quorum since the start.
+	Confirmed func() bool
+	// Addresses lists all control processes known.
+	Addresses func() []string
+}
+
+// Server serves the registry of one control process.
+//
+// Lock order: mu is taken alone.
+type Server struct {
+	aubwire.UnimplementedRegistryServer
+
+	common aubcommon.Common
+	opts   ServerOpts
+
+	mu       sync.Mutex
+	watchers map[*watcher]bool
+	acked    chan struct{}
+}
+
+var _ aubwire.RegistryServer = (*Server)(nil)
+
+// NewServer returns a server.
+func NewServer(common aubcommon.Common, opts ServerOpts) *Server {
+	return &Server{
+		common:   common.WithPart("registry"),
+		opts:     opts,
+		watchers: make(map[*watcher]bool),
+		acked:    make(chan struct{}),
+	}
+}
+
+// Place implements aubwire.RegistryServer.
+func (s *Server) Place(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+	return s.opts.Placer.Place(ctx, req)
+}
+
+// Watch implements aubwire.RegistryServer.
+func (s *Server) Watch(stream grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	w := &watcher{server: s, stream: stream, process: first.GetProcess(), isRelay: first.GetRelay(), heardAt: s.common.Timer.Now()}
+	s.opts.Registry.Merge(first.GetKnown())
+	s.add(w)
+	defer s.remove(w)
+	w.take(first)
+	received := make(chan error, 1)
+	go func() { received <- w.receive() }()
+	sent := make(chan error, 1)
+	go func() { sent <- w.send(ctx) }()
+	select {
+	case err = <-received:
+	case err = <-sent:
+	}
+	return err
+}
+
+func (s *Server) add(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers[w] = true
+	s.common.Log.Info("Watcher connected.", zap.String("process", w.process), zap.Int("watchers", len(s.watchers)))
+}
+
+func (s *Server) remove(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watchers, w)
+	s.notify()
+	s.common.Log.Info("Watcher disconnected.", zap.String("process", w.process), zap.Int("watchers", len(s.watchers)))
+}
+
+// notify wakes those that wait for acknowledgements; the caller holds mu.
+func (s *Server) notify() {
+	close(s.acked)
+	s.acked = make(chan struct{})
+}
+
+// AwaitRelays waits until every connected relay has the registry's version in
+// effect. It returns false when ctx ends first.
+func (s *Server) AwaitRelays(ctx context.Context, version uint64) bool {
+	for {
+		missing, acked := s.missing(version)
+		if missing == 0 {
+			return true
+		}
+		select {
+		case <-acked:
+		case <-ctx.Done():
+			s.common.Log.Warn("Relays did not confirm a registration.", zap.Uint64("version", version), zap.Int("missing", missing))
+			return false
+		}
+	}
+}
+
+func (s *Server) missing(version uint64) (int, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	missing := 0
+	for w := range s.watchers {
+		if w.isRelay && w.acked < version {
+			missing++
+		}
+	}
+	return missing, s.acked
+}
+
+// watcher is one stream of a watching process. The server's mutex guards acked,
+// heardAt and wantsPeers.
+type watcher struct {
+	server     *Server
+	stream     grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]
+	process    string
+	isRelay    bool
+	acked      uint64
+	heardAt    time.Time
+	wantsPeers bool
+	// sent is the version and revision that the stream has carried; the sending
+	// goroutine owns both.
+	sent     uint64
+	revision uint64
+}
+
+func (w *watcher) receive() error {
+	for {
+		req, err := w.stream.Recv()
+		if err != nil {
+			return err
+		}
+		w.take(req)
+	}
+}
+
+func (w *watcher) take(req *aubwire.RegistryRequest) {
+	if req.GetReport() != nil {
+		w.server.opts.Loads.Take(req.GetReport())
+	}
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	w.heardAt = w.server.common.Timer.Now()
+	w.wantsPeers = req.GetWantsPeers()
+	if req.GetAcked() > w.acked {
+		w.acked = req.GetAcked()
+		w.server.notify()
+	}
+}
+
+// send carries changes as they come, and a response each interval without them.
+func (w *watcher) send(ctx context.Context) error {
+	ticks := w.server.common.Timer.Subscribe(ctx, reportInterval)
+	isDue := true
+	for {
+		records, version, changed := w.server.opts.Registry.Since(w.sent)
+		revision, revised := w.server.opts.Revisions.Revision()
+		resp := &aubwire.RegistryResponse{Update: version, Records: records}
+		if revision.GetNumber() > w.revision && w.server.opts.Confirmed() {
+			resp.Revision = revision
+		}
+		if isDue {
+			w.addTick(resp)
+		}
+		if isDue || len(records) > 0 || resp.Revision != nil {
+			if err := w.stream.Send(resp); err != nil {
+				return err
+			}
+			w.sent = version
+			w.revision = max(w.revision, resp.GetRevision().GetNumber())
+		}
+		isDue = false
+		select {
+		case <-changed:
+		case <-revised:
+		case <-ticks:
+			if w.isSilent() {
+				return status.Error(codes.DeadlineExceeded, "watcher fell silent")
+			}
+			isDue = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (w *watcher) addTick(resp *aubwire.RegistryResponse) {
+	resp.ControlAddresses = w.server.opts.Addresses()
+	w.server.mu.Lock()
+	wants := w.wantsPeers
+	w.server.mu.Unlock()
+	if wants {
+		resp.Peers = w.server.opts.Loads.Peers(w.process)
+	}
+}
+
+func (w *watcher) isSilent() bool {
+	w.server.mu.Lock()
+	defer w.server.mu.Unlock()
+	return w.server.common.Timer.Now().Sub(w.heardAt) > silenceLimit
+}
--- /dev/null
+++ b/internal/aubrelay/copies.go
@@ -0,0 +1,73 @@
+package aubrelay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// placeTimeout bounds one question for a copy.
+const placeTimeout = 600 * time.Millisecond
+
+// PlaceFunc asks the control leader for a copy.
+type PlaceFunc func(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error)
+
+// Copies asks for copies of models and adapters that no backend server holds.
+// Requests for the same one share a question.
+type Copies struct {
+	common   aubcommon.Common
+	registry *aubregistry.Registry
+	place    PlaceFunc
+	flights  singleflight.Group
+}
+
+// NewCopies returns the asking side.
+func NewCopies(common aubcommon.Common, registry *aubregistry.Registry, place PlaceFunc) *Copies {
+	return &Copies{common: common.WithPart("copies"), registry: registry, place: place}
+}
+
+// Await returns once a backend server holds the model or adapter. It fails with
+// *aubroute.NoBackendError when none does in time.
+func (c *Copies) Await(ctx context.Context, service, model, adapter string) error {
+	name := aubregistry.AdapterName(service, model, adapter)
+	result := c.flights.DoChan(name, func() (any, error) {
+		return c.ask(ctx, &aubwire.PlaceRequest{Service: service, Model: model, Adapter: adapter})
+	})
+	select {
+	case r := <-result:
+		if r.Err != nil {
+			return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
+		}
+		return c.take(name, service, model, adapter, r.Val)
+	case <-ctx.Done():
+		return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
+	}
+}
+
+func (c *Copies) ask(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+	// The question serves all that wait for it, also when the first one leaves.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeTimeout)
+	defer cancel()
+	resp, err := c.place(ctx, req)
+	c.common.Log.Info("Copy asked for.",
+		zap.String("service", req.GetService()), zap.String("model", req.GetModel()), zap.String("adapter", req.GetAdapter()),
+		zap.String("backend_server", resp.GetBackend()), zap.Int64("retry_after_ms", resp.GetRetryAfterMs()), zap.Error(err))
+	return resp, err
+}
+
+func (c *Copies) take(name, service, model, adapter string, value any) error {
+	resp, ok := value.(*aubwire.PlaceResponse)
+	if !ok || resp.GetBackend() == "" {
+		retryAfter := max(time.Duration(resp.GetRetryAfterMs())*time.Millisecond, retrySoon)
+		return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retryAfter}
+	}
+	c.registry.AddCopy(resp.GetBackend(), service, model, adapter)
+	return nil
+}
--- /dev/null
+++ b/internal/aubrelay/demand.go
@@ -0,0 +1,65 @@
+package aubrelay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// reportMemory is how long a model without arrivals stays in the load report.
+const reportMemory = 2 * time.Second
+
+// Demand counts the arrivals for each model and adapter at this instance.
+//
+// Lock order: mu is taken alone.
+type Demand struct {
+	common aubcommon.Common
+
+	mu     sync.Mutex
+	counts map[aubregistry.ModelKey]*arrivals
+}
+
+type arrivals struct {
+	count aubregistry.ModelCount
+	at    time.Time
+}
+
+// NewDemand returns an empty count.
+func NewDemand(common aubcommon.Common) *Demand {
+	return &Demand{common: common, counts: make(map[aubregistry.ModelKey]*arrivals)}
+}
+
+// Add counts one request for the model.
+func (d *Demand) Add(model string, call Call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := aubregistry.ModelKey{Model: model, Adapter: call.Adapter}
+	a := d.counts[key]
+	if a == nil {
+		a = &arrivals{}
+		d.counts[key] = a
+	}
+	a.count.Requests++
+	a.count.Tokens += call.PromptTokens + call.OutputTokens
+	a.at = d.common.Timer.Now()
+}
+
+// Report lists the models with arrivals of late.
+func (d *Demand) Report() []*aubwire.ModelUse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.common.Timer.Now()
+	var uses []*aubwire.ModelUse
+	for key, a := range d.counts {
+		if now.Sub(a.at) > reportMemory {
+			continue
+		}
+		uses = append(uses, &aubwire.ModelUse{
+			Model: key.Model, Adapter: key.Adapter, Requests: a.count.Requests, Tokens: a.count.Tokens,
+		})
+	}
+	return uses
+}
--- /dev/null
+++ b/internal/aubrelay/stream.go
@@ -0,0 +1,132 @@
+package aubrelay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubroute"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// streamBuffer is the size of a stream's read buffer in bytes.
+	streamBuffer = 4 << 10
+	// writeTimeout bounds how long a caller may take to accept an event.
+	writeTimeout = 5 * time.Second
+)
+
+// passStream passes events on as they come. Only whole events reach the caller,
+// so that a stream that breaks off can go on elsewhere.
+func (h *Handler) passStream(x *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) sendResult {
+	events := newEventReader(resp.Body)
+	control := http.NewResponseController(x.w)
+	for {
+		event, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return h.endStream(x, resp)
+		}
+		if err == nil && event.hasID {
+			err = checkOrder(x.lastEvent, event.id)
+		}
+		if err != nil {
+			return sendResult{verdict: verdictFailed, failure: aubroute.FailureConnection, err: err}
+		}
+		if x.firstEvent == 0 {
+			x.firstEvent = h.common.Timer.Now().Sub(started)
+			choice.FirstToken()
+		}
+		h.beginStream(x, resp)
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := x.w.Write(event.data); err != nil {
+			return sendResult{verdict: verdictDone, failure: aubroute.FailureCanceled, err: &goneError{err: err}}
+		}
+		if err := control.Flush(); err != nil {
+			return sendResult{verdict: verdictDone, failure: aubroute.FailureCanceled, err: &goneError{err: err}}
+		}
+		if event.hasID {
+			x.lastEvent = event.id
+		}
+	}
+}
+
+// beginStream sends the header with the first event; a stream that goes on
+// elsewhere keeps the first one's.
+func (h *Handler) beginStream(x *exchange, resp *http.Response) {
+	if x.written {
+		return
+	}
+	copyHeader(x.w.Header(), resp.Header)
+	x.written = true
+	x.status = resp.StatusCode
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+func (h *Handler) endStream(x *exchange, resp *http.Response) sendResult {
+	h.beginStream(x, resp)
+	return sendResult{verdict: verdictDone}
+}
+
+// checkOrder refuses an event that does not follow the last one.
+func checkOrder(last, next int64) error {
+	if last != NoEvent && next != last+1 {
+		return &eventOrderError{last: last, next: next}
+	}
+	return nil
+}
+
+// event is one whole event of a stream, with the blank line that ends it.
+type event struct {
+	data  []byte
+	id    int64
+	hasID bool
+}
+
+// eventReader splits a stream into events.
+type eventReader struct {
+	r *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, streamBuffer)}
+}
+
+// next returns the next whole event. It returns io.EOF at a proper end and
+// io.ErrUnexpectedEOF when the stream ends within an event.
+func (e *eventReader) next() (event, error) {
+	var ev event
+	for {
+		line, err := e.r.ReadSlice('\n')
+		ev.data = append(ev.data, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes:
+			continue
+		case errors.Is(err, bufio.ErrBufferFull):
+			return event{}, &eventSizeError{bytes: maxEventBytes}
+		case errors.Is(err, io.EOF) && len(ev.data) > 0:
+			return event{}, io.ErrUnexpectedEOF
+		case err != nil:
+			return event{}, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return ev, nil
+		}
+		ev.readID(line)
+	}
+}
+
+func (ev *event) readID(line []byte) {
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return
+	}
+	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err == nil {
+		ev.id, ev.hasID = id, true
+	}
+}
--- a/internal/aubroute/budget.go
+++ b/internal/aubroute/budget.go
@@ -8,16 +8,18 @@
 const (
 	// DefaultRetryShare is the number of retries that each request allows.
 	DefaultRetryShare = 0.1
-	// retryBurst bounds the retries saved up.
-	retryBurst = 20.0
-	// retryFloor is the number of retries a second allowed without traffic.
-	retryFloor = 1.0
+	// defaultRetryBurst bounds the retries saved up.
+	defaultRetryBurst = 20.0
+	// defaultRetryFloor is the number of retries a second allowed without traffic.
+	defaultRetryFloor = 1.0
 )
 
 // RetryBudget bounds retries to a share of the traffic. It is a token bucket
 // that requests fill and retries empty. Its methods may be called concurrently.
 type RetryBudget struct {
 	share float64
+	burst float64
+	floor float64
 
 	mu     sync.Mutex
 	tokens float64
@@ -26,7 +28,11 @@
 
 // NewRetryBudget returns a full budget with the share of retries to requests.
 func NewRetryBudget(now time.Time, share float64) *RetryBudget {
-	return &RetryBudget{share: share, tokens: retryBurst, last: now}
+	return newRetryBudget(now, RouterOpts{RetryShare: share, RetryBurst: defaultRetryBurst, RetryFloor: defaultRetryFloor})
+}
+
+func newRetryBudget(now time.Time, opts RouterOpts) *RetryBudget {
+	return &RetryBudget{share: opts.RetryShare, burst: opts.RetryBurst, floor: opts.RetryFloor, tokens: opts.RetryBurst, last: now}
 }
 
 // Add counts one request.
@@ -34,7 +40,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens = min(b.tokens+b.share, retryBurst)
+	b.tokens = min(b.tokens+b.share, b.burst)
 }
 
 // Take allows one retry and counts it, or refuses it.
@@ -52,5 +58,5 @@
 func (b *RetryBudget) refill(now time.Time) {
 	elapsed := max(now.Sub(b.last), 0)
 	b.last = now
-	b.tokens = min(b.tokens+retryFloor*elapsed.Seconds(), retryBurst)
+	b.tokens = min(b.tokens+b.floor*elapsed.Seconds(), b.burst)
 }
--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -172,12 +172,25 @@
 		ServiceTime:   s.serviceTime,
 		Slowness:      s.health.SlownessAt(now),
 	}
+	if r.opts.Peers != nil {
+		c.setPeers(r.opts.Peers(m.Announcement.GetName()), s)
+	}
+	if c.PrefillRate == 0 {
+		c.PrefillRate = r.opts.PrefillRate
+	}
 	if m.Announcement.GetZone() != r.opts.Zone {
 		c.Distance = r.opts.ZoneDistance
 	}
 	return c
 }
 
+// setPeers counts the work in flight of this instance and its peers.
+func (c *Candidate) setPeers(peers PeerLoad, s *memberState) {
+	requests, tokens := s.unreported(time.Time{})
+	c.InFlight = peers.Requests + requests
+	c.PendingTokens = peers.PrefillTokens + tokens
+}
+
 // remaining is what is left of the reported queue after the time since.
 func remaining(b *aubwire.BackendReport, age time.Duration) int64 {
 	rate := b.GetPrefillRate()
--- a/internal/aubroute/health.go
+++ b/internal/aubroute/health.go
@@ -46,8 +46,8 @@
 }
 
 // WithSuccess returns the health after an answer. Ratio is measured to expected
-// first-token time, 0 if none was measured.
-func (h Health) WithSuccess(now time.Time, ratio float64) Health {
+// first-token time, 0 if none was measured; at the limit the member is ejected.
+func (h Health) WithSuccess(now time.Time, ratio, limit float64) Health {
 	h.Failures = 0
 	if h.Ejections > 0 && h.Share(now) >= 1 {
 		h.Ejections = 0
@@ -59,7 +59,7 @@
 	h.Slowness = before + slownessShare*(ratio-before)
 	h.MeasuredAt = now
 	h.Samples++
-	if h.Samples >= samplesToEject && h.Slowness >= slownessToEject {
+	if h.Samples >= samplesToEject && h.Slowness >= limit {
 		return h.ejected(now)
 	}
 	return h
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -45,10 +45,30 @@
 	// BlockTokens is the number of prompt tokens that each hash in
 	// Request.Prefixes stands for; 0 means DefaultBlockTokens.
 	BlockTokens int64
+	// RetryBurst is the number of retries saved up, and RetryFloor those allowed a
+	// second without traffic; 0 means the defaults.
+	RetryBurst float64
+	RetryFloor float64
+	// Peers returns the work that other instances have in flight on a member. When
+	// it is set, it takes the place of the members' own reports.
+	Peers func(member string) PeerLoad
+	// PrefillRate stands in for members that report none, tokens a second; 0 means
+	// the default.
+	PrefillRate float64
+	// EjectSlowness is the ratio of measured to expected first-token time from
+	// which a member is ejected; 0 means the default.
+	EjectSlowness float64
 	// Rand chooses samples and equals; nil means a random seed.
 	Rand *rand.Rand
 }
 
+// PeerLoad is work in flight.
+type PeerLoad struct {
+	Requests int
+	// PrefillTokens belong to requests without a first token.
+	PrefillTokens int64
+}
+
 // DefaultBlockTokens is the usual size of a block of an engine's prompt cache.
 const DefaultBlockTokens = 16
 
@@ -87,7 +107,7 @@
 		common:   common,
 		opts:     opts,
 		policy:   policy,
-		budget:   NewRetryBudget(now, opts.RetryShare),
+		budget:   newRetryBudget(now, opts),
 		rnd:      opts.Rand,
 		states:   make(map[string]*memberState),
 		prefixes: newPrefixTable(),
@@ -106,6 +126,18 @@
 	if o.RetryShare == 0 {
 		o.RetryShare = DefaultRetryShare
 	}
+	if o.RetryBurst == 0 {
+		o.RetryBurst = defaultRetryBurst
+	}
+	if o.RetryFloor == 0 {
+		o.RetryFloor = defaultRetryFloor
+	}
+	if o.PrefillRate == 0 {
+		o.PrefillRate = defaultPrefillRate
+	}
+	if o.EjectSlowness == 0 {
+		o.EjectSlowness = slownessToEject
+	}
 	if o.BlockTokens == 0 {
 		o.BlockTokens = DefaultBlockTokens
 	}
@@ -213,7 +245,7 @@
 		if outcome.FirstToken > 0 && c.work.expected > 0 {
 			ratio = outcome.FirstToken.Seconds() / max(c.work.expected, minExpected).Seconds()
 		}
-		s.health = s.health.WithSuccess(now, ratio)
+		s.health = s.health.WithSuccess(now, ratio, r.opts.EjectSlowness)
 		if outcome.Duration > 0 {
 			s.learnServiceTime(outcome.Duration)
 		}
@@ -305,3 +337,16 @@
 		}
 	}
 }
+
+// InFlight returns the work that this instance has in flight on each member.
+func (r *Router) InFlight() map[string]PeerLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := make(map[string]PeerLoad)
+	for name, s := range r.states {
+		if requests, tokens := s.unreported(time.Time{}); requests > 0 {
+			loads[name] = PeerLoad{Requests: requests, PrefillTokens: tokens}
+		}
+	}
+	return loads
+}
--- a/internal/aubsettings/check.go
+++ b/internal/aubsettings/check.go
@@ -41,7 +41,7 @@
 }
 
 func (d *decoder) checkVoters(s Settings) {
-	if s.Control.DataDir == "" {
+	if s.Control.DataDir == "" || len(s.Control.Seeds) > 0 {
 		return
 	}
 	named := slices.ContainsFunc(s.Control.Voters, func(p Peer) bool { return p.Name == s.Name })
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -13,6 +13,7 @@
 	Membership Membership `yaml:"membership" doc:"Liveness and load datagrams (UDP)."`
 	Control    Control    `yaml:"control" doc:"Replicated state."`
 	Caller     Caller     `yaml:"caller" doc:"Listener for callers (HTTP)."`
+	Registry   Registry   `yaml:"registry" doc:"Listener for backend servers and operators of the users' platform (HTTP)."`
 	Admin      Admin      `yaml:"admin" doc:"Listener for operators (HTTP)."`
 	Platform   Platform   `yaml:"platform" doc:"Listener for health checks and metrics (HTTP)."`
 	Limits     Limits     `yaml:"limits" doc:"Token limits of workspaces."`
@@ -57,6 +58,11 @@
 type Control struct {
 	DataDir   string    `yaml:"data_dir" doc:"Data folder of the control replica; a process without it carries no replica."`
 	Voters    []Peer    `yaml:"voters" doc:"Control replicas at the first start, this one included."`
+	Seeds     []Address `yaml:"seeds" doc:"Addresses on hosts that run control processes, of which only the host counts; the first start forms the control replicas there."`
+	Port      int       `yaml:"port" doc:"Internal port of every control process that the seeds name."`
+	Form      bool      `yaml:"form" doc:"Form a new cluster with the seeds when no replica holds one."`
+	Losses    int       `yaml:"losses" doc:"Control replicas that may be lost at once; replicas join by themselves until twice as many and one vote."`
+	Silence   Duration  `yaml:"silence" doc:"Silence after which a replica that joins takes a voter's place; 0s leaves that to an operator."`
 	Addresses []Address `yaml:"addresses" doc:"Internal addresses of the control replicas, for a process that carries none."`
 	Heartbeat Duration  `yaml:"heartbeat" doc:"Time between two messages of the leader."`
 	Election  Duration  `yaml:"election" doc:"Least silence of the leader before an election."`
@@ -85,15 +91,23 @@
 	CredentialFile string  `yaml:"credential_file" doc:"File with the operators' bearer credential."`
 }
 
+// Registry is the settings of the listener for backend servers that register
+// themselves, and for operators that replace whole configurations.
+type Registry struct {
+	Listen    Address  `yaml:"listen" doc:"IP number and port for registrations and whole configurations."`
+	Heartbeat Duration `yaml:"heartbeat" doc:"Time between two registrations of a backend server."`
+}
+
 // Platform is the settings of the listener for the platform.
 type Platform struct {
 	Listen  Address `yaml:"listen" doc:"IP number and port for /healthz, /readyz and /metrics."`
+	Ready   Address `yaml:"ready" doc:"IP number and port for the readiness checks of the users' platform."`
 	Profile bool    `yaml:"profile" doc:"Serve processor and memory profiles under /debug/pprof/ on the same listener."`
 }
 
 // Limits is the settings of token limits.
 type Limits struct {
-	Policy Choice `yaml:"policy" allowed:"leased equal_shares" doc:"How a workspace's allowance is shared between instances."`
+	Policy Choice `yaml:"policy" allowed:"leased equal_shares shared_counters" doc:"How a workspace's allowance is shared between instances."`
 }
 
 // Queue is the settings of admission.
@@ -115,6 +129,7 @@
 	Policy              Choice   `yaml:"policy" allowed:"marginal_attainment least_recently_used" doc:"How copies of models are placed."`
 	Objective           Choice   `yaml:"objective" allowed:"worst_served_workspace refusals_within_rate" doc:"What placement weighs first."`
 	Interval            Duration `yaml:"interval" doc:"Time between two plans."`
+	Handover            Duration `yaml:"handover" doc:"Time without orders after a control process began to lead; orders of its predecessor have arrived by then."`
 	StoreRate           float64  `yaml:"store_rate" doc:"Loads a second that the weight store allows."`
 	StoreConcurrency    int      `yaml:"store_concurrency" doc:"Loads at once at the weight store's full speed."`
 	AdapterLoadsAtOnce  int      `yaml:"adapter_loads_at_once" doc:"Adapter loads in flight at full speed."`
--- /dev/null
+++ b/internal/aubsite/table.go
@@ -0,0 +1,92 @@
+package aubsite
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// TableName names the table in the replicated log.
+const TableName = "site"
+
+// Results of a proposed revision.
+var (
+	resultAccepted   = []byte{1}
+	resultSuperseded = []byte{2}
+)
+
+// Table is the replicated configuration: the document of the highest revision.
+// A revision that is not above the one held changes nothing.
+//
+// Lock order: mu is taken alone.
+type Table struct {
+	mu       sync.Mutex
+	revision *aubwire.SiteRevision
+	changed  chan struct{}
+}
+
+var _ aubcontrol.Table = (*Table)(nil)
+
+// NewTable returns a table without a revision.
+func NewTable() *Table {
+	return &Table{revision: &aubwire.SiteRevision{}, changed: make(chan struct{})}
+}
+
+// EncodeCommand returns the command that proposes a revision.
+func EncodeCommand(number uint64, document []byte) ([]byte, error) {
+	return proto.Marshal(&aubwire.SiteRevision{Number: number, Document: document})
+}
+
+// Name implements aubcontrol.Table.
+func (t *Table) Name() string { return TableName }
+
+// Apply implements aubcontrol.Table.
+func (t *Table) Apply(cmd aubcontrol.Command) []byte {
+	next := &aubwire.SiteRevision{}
+	if err := proto.Unmarshal(cmd.Body, next); err != nil {
+		return resultSuperseded
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if next.GetNumber() <= t.revision.GetNumber() {
+		return resultSuperseded
+	}
+	t.set(next)
+	return resultAccepted
+}
+
+// Revision returns the revision held and a channel that is closed by the next.
+func (t *Table) Revision() (*aubwire.SiteRevision, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision, t.changed
+}
+
+// Snapshot implements aubcontrol.Table.
+func (t *Table) Snapshot() ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return proto.Marshal(t.revision)
+}
+
+// Restore implements aubcontrol.Table.
+func (t *Table) Restore(data []byte) error {
+	revision := &aubwire.SiteRevision{}
+	if err := proto.Unmarshal(data, revision); err != nil {
+		return &SnapshotError{Err: err}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.set(revision)
+	return nil
+}
+
+// set replaces the revision; the caller holds mu.
+func (t *Table) set(revision *aubwire.SiteRevision) {
+	t.revision = revision
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
