--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -15,6 +15,11 @@
 	// startSeconds is the part of the rate, in seconds, that an instance may spend
 	// before it has heard its peers.
 	startSeconds = 0.5
+	// toleranceShare is the part of the tolerance that is given out; the rest covers
+	// what peers spend before they are heard.
+	toleranceShare = 0.5
+	// peerRateShare is the weight of the newest report in the peers' rate.
+	peerRateShare = 0.6
 )
 
 // CountersOpts configures SharedCounters.
@@ -22,6 +27,11 @@
 	// Bounds returns rate and burst of a workspace, false for one that is not
 	// configured. A rate of 0 sets no bound.
 	Bounds func(workspace string) (rate, burst int64, ok bool)
+	// Overrun, a share of rate and burst, and Slack, in tokens, are what the site
+	// tolerates above the allowance. A part of both is given out, so that the delay
+	// of the counters refuses nobody who is within the allowance.
+	Overrun float64
+	Slack   int64
 }
 
 // SharedCounters is the policy of instances that tell each other what they
@@ -43,6 +53,9 @@
 	peers   map[string]int64
 	heardAt time.Duration
 	heard   bool
+	// peerRates, in tokens a second, stand in for what peers spend until they are
+	// heard again.
+	peerRates map[string]float64
 	// instances counts this one and the peers.
 	instances int
 }
@@ -51,7 +64,10 @@
 type counterBucket struct {
 	level float64
 	at    time.Duration
+	rate  int64
 	burst int64
+	// assumed is the peers' spending since they were heard, taken from the level.
+	assumed float64
 }
 
 var _ Policy[Reservation] = (*SharedCounters)(nil)
@@ -65,13 +81,14 @@
 		buckets:   make(map[string]*counterBucket),
 		uses:      make(map[string]int64),
 		peers:     make(map[string]int64),
+		peerRates: make(map[string]float64),
 		instances: 1,
 	}
 }
 
 // Reserve implements Policy. It never waits.
 func (s *SharedCounters) Reserve(_ context.Context, workspace string, tokens int64) (Reservation, error) {
-	rate, burst, ok := s.opts.Bounds(workspace)
+	rate, burst, ok := s.bounds(workspace)
 	if !ok {
 		return Reservation{}, &RefusedError{Reason: ReasonUnknown}
 	}
@@ -91,6 +108,14 @@
 	return Reservation{settlement: &settlement{settler: s, workspace: workspace, tokens: tokens}}, nil
 }
 
+// bounds returns rate and burst with the tolerance that is given out.
+func (s *SharedCounters) bounds(workspace string) (rate, burst int64, ok bool) {
+	rate, burst, ok = s.opts.Bounds(workspace)
+	factor := 1 + toleranceShare*s.opts.Overrun
+	slack := int64(toleranceShare * float64(s.opts.Slack))
+	return int64(factor * float64(rate)), int64(factor*float64(burst)) + slack, ok
+}
+
 // settle implements settler: what was not used goes back into the bucket.
 func (s *SharedCounters) settle(settled *settlement, used int64) {
 	s.mu.Lock()
@@ -123,16 +148,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances = instances + 1
+	elapsed := (s.now() - s.heardAt).Seconds()
 	s.heardAt, s.heard = s.now(), true
 	for workspace, tokens := range uses {
-		grown := tokens - s.peers[workspace]
+		grown := float64(max(tokens-s.peers[workspace], 0))
 		s.peers[workspace] = tokens
-		if isFirst || grown <= 0 {
+		if isFirst {
+			grown = 0
+		}
+		b := s.buckets[workspace]
+		if b == nil {
 			continue
 		}
-		if b := s.buckets[workspace]; b != nil {
-			// A debt is bounded, so that one late burst doesn't shut the workspace out.
-			b.level = max(b.level-float64(grown), -float64(b.burst))
+		s.refill(workspace, b)
+		// A debt is bounded, so that one late burst doesn't shut the workspace out.
+		b.level = min(max(b.level+b.assumed-grown, -float64(b.burst)), float64(b.burst))
+		b.assumed = 0
+		if elapsed > 0 {
+			s.peerRates[workspace] += peerRateShare * (grown/elapsed - s.peerRates[workspace])
 		}
 	}
 }
@@ -145,14 +178,24 @@
 		b = &counterBucket{level: min(startSeconds*float64(rate), float64(burst)), at: now}
 		s.buckets[workspace] = b
 	}
-	refill := float64(rate)
+	b.rate, b.burst = rate, burst
+	s.refill(workspace, b)
+	return b
+}
+
+// refill moves the bucket to the present: it grows by the rate and shrinks by
+// what the peers are assumed to spend. The caller holds mu.
+func (s *SharedCounters) refill(workspace string, b *counterBucket) {
+	now := s.now()
+	elapsed := (now - b.at).Seconds()
+	b.at = now
 	if !s.heard || now-s.heardAt > peerSilence {
-		refill /= float64(s.instances)
+		b.level = min(b.level+float64(b.rate)/float64(s.instances)*elapsed, float64(b.burst))
+		return
 	}
-	b.burst = burst
-	b.level = min(b.level+refill*(now-b.at).Seconds(), float64(burst))
-	b.at = now
-	return b
+	spent := s.peerRates[workspace] * elapsed
+	b.assumed += spent
+	b.level = min(b.level+float64(b.rate)*elapsed-spent, float64(b.burst))
 }
 
 func (s *SharedCounters) now() time.Duration { return s.common.Timer.Now().Sub(s.started) }
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -27,6 +27,7 @@
 	*process
 
 	adapter   Adapter
+	live      *aubsettings.Live
 	replica   *aubcontrol.Replica
 	table     *aubsite.Table
 	site      *aubsite.Current
@@ -39,12 +40,12 @@
 }
 
 // RunController runs a control process until ctx asks for a graceful shutdown.
-func RunController(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings, adapter Adapter) error {
-	p, err := newProcess(ctx, common, cfg)
+func RunController(ctx context.Context, common aubcommon.Common, live *aubsettings.Live, adapter Adapter) error {
+	p, err := newProcess(ctx, common, live.Settings())
 	if err != nil {
 		return err
 	}
-	c := &controller{process: p, adapter: adapter}
+	c := &controller{process: p, adapter: adapter, live: live}
 	if err := c.run(ctx); err != nil {
 		p.common.Log.Error("Control process failed.", zap.Error(err))
 		_ = p.close()
@@ -172,7 +173,7 @@
 
 // addresses lists the control processes of the settings and of the replicated log.
 func (c *controller) addresses() []string {
-	addresses := controlSeeds(c.cfg)
+	addresses := controlSeeds(c.live.Settings())
 	status := c.replica.Status()
 	for _, peer := range slices.Concat(status.Voters, status.Learners) {
 		if !slices.Contains(addresses, peer.Address) {
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -38,6 +38,8 @@
 	relayEjectSlowness = 40
 	// readyInterval is the time between two looks whether a relay can serve.
 	readyInterval = 50 * time.Millisecond
+	// exitMargin is the time left to end the process before the platform kills it.
+	exitMargin = 150 * time.Millisecond
 )
 
 // relay is one instance that relays callers' requests and keeps no state.
@@ -45,6 +47,7 @@
 	*process
 
 	adapter  Adapter
+	live     *aubsettings.Live
 	site     *aubsite.Current
 	registry *aubregistry.Registry
 	client   *aubregistry.Client
@@ -57,12 +60,12 @@
 }
 
 // RunRelay runs a relay instance until ctx asks for a graceful shutdown.
-func RunRelay(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings, adapter Adapter) error {
-	p, err := newProcess(ctx, common, cfg)
+func RunRelay(ctx context.Context, common aubcommon.Common, live *aubsettings.Live, adapter Adapter) error {
+	p, err := newProcess(ctx, common, live.Settings())
 	if err != nil {
 		return err
 	}
-	r := &relay{process: p, adapter: adapter}
+	r := &relay{process: p, adapter: adapter, live: live}
 	if err := r.run(ctx); err != nil {
 		p.common.Log.Error("Relay failed.", zap.Error(err))
 		_ = p.close()
@@ -107,7 +110,11 @@
 	r.registry = aubregistry.NewRegistry(r.common, silenceOf(r.cfg))
 	r.demand = aubrelay.NewDemand(r.common)
 	r.peers = &peerLoads{}
-	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{Bounds: r.boundsOf})
+	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{
+		Bounds:  r.boundsOf,
+		Overrun: float64(r.cfg.Limits.Overrun),
+		Slack:   int64(r.cfg.Limits.Slack),
+	})
 	router, err := aubroute.NewRouter(r.common, aubroute.RouterOpts{
 		Policy:        aubroute.PolicyExpectedFirstToken,
 		Zone:          r.cfg.Zone,
@@ -127,7 +134,7 @@
 	r.client = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
 		Process:    r.cfg.Name,
 		Relay:      true,
-		Seeds:      func() []string { return controlSeeds(r.cfg) },
+		Seeds:      func() []string { return controlSeeds(r.live.Settings()) },
 		Dial:       r.transport.Dial,
 		Registry:   r.registry,
 		Report:     r.report(uint64(r.common.Timer.Now().UnixNano())),
@@ -201,9 +208,14 @@
 // then the running requests.
 func (r *relay) leave() {
 	r.health.ready.Store(false)
+	r.handler.Leave()
 	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.Running()))
+	timeout := r.cfg.Shutdown.Timeout.Value()
+	if grace := r.cfg.Shutdown.Grace.Value(); grace > 0 {
+		timeout = min(timeout, grace-r.cfg.Shutdown.Delay.Value()-exitMargin)
+	}
 	_ = aubtimer.Wait(r.ctx, r.common.Timer, r.cfg.Shutdown.Delay.Value())
-	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, r.cfg.Shutdown.Timeout.Value())
+	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, timeout)
 	defer cancel()
 	if err := r.callers.Shutdown(ctx); err != nil {
 		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", r.handler.Running()), zap.Error(err))
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -24,6 +24,8 @@
 	maxBody = 4 << 20
 	// retrySoon is the time to come back after a refusal that the next second may lift.
 	retrySoon = 500 * time.Millisecond
+	// retryElsewhere is the time to come back when another instance can serve at once.
+	retryElsewhere = 20 * time.Millisecond
 )
 
 // Parts are the parts that a request passes through.
@@ -47,6 +49,7 @@
 	transport http.RoundTripper
 	metrics   metrics
 	running   atomic.Int64
+	leaving   atomic.Bool
 }
 
 // NewHandler returns the callers' handler.
@@ -60,6 +63,10 @@
 	}
 }
 
+// Leave makes the handler turn new streams away: they may last longer than the
+// process does.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int64 { return h.running.Load() }
 
@@ -109,6 +116,9 @@
 		return refuse(http.StatusNotFound, CodeNoRoute, 0)
 	}
 	x.route = route
+	if h.leaving.Load() && route.Kind == aubsite.KindStream {
+		return refuse(http.StatusServiceUnavailable, CodeLeaving, retryElsewhere)
+	}
 	x.deadline = x.started.Add(patienceOf(call, route))
 	x.lastEvent = call.LastEvent
 	if !x.site.HasWorkspaces() {
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -107,7 +107,9 @@
 
 // Limits is the settings of token limits.
 type Limits struct {
-	Policy Choice `yaml:"policy" allowed:"leased equal_shares shared_counters" doc:"How a workspace's allowance is shared between instances."`
+	Policy  Choice   `yaml:"policy" allowed:"leased equal_shares shared_counters" doc:"How a workspace's allowance is shared between instances."`
+	Overrun Fraction `yaml:"overrun" doc:"Share of rate and burst that the site tolerates above the allowance; shared counters give out a part of it."`
+	Slack   int      `yaml:"slack" doc:"Tokens that the site tolerates on top of the overrun."`
 }
 
 // Queue is the settings of admission.
@@ -160,6 +162,7 @@
 type Shutdown struct {
 	Delay   Duration `yaml:"delay" doc:"Time between not ready and closing listeners, for the balancer to notice."`
 	Timeout Duration `yaml:"timeout" doc:"Longest time that running requests get to finish."`
+	Grace   Duration `yaml:"grace" doc:"Time from the signal until the platform kills the process; 0s sets no bound."`
 }
 
 // Standin is the settings of a stand-in engine or plain service.
