--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -9,12 +9,15 @@
 )
 
 const (
-	// peerSilence is the age of the peers' counters from which an instance spends
-	// only its equal share of the rate.
-	peerSilence = time.Second
+	// peerSilence is the age of the peers' counters from which an instance counts as
+	// cut off: two reports and the way there and back.
+	peerSilence = 700 * time.Millisecond
 	// startSeconds is the part of the rate, in seconds, that an instance may spend
 	// before it has heard its peers.
-	startSeconds = 0.5
+	startSeconds = 0.1
+	// cutOffShare is the part of its equal share that an instance spends while it
+	// hears nobody: the others may not have noticed.
+	cutOffShare = 0.5
 	// toleranceShare is the part of the tolerance that is given out; the rest covers
 	// what peers spend before they are heard.
 	toleranceShare = 0.5
@@ -190,7 +193,8 @@
 	elapsed := (now - b.at).Seconds()
 	b.at = now
 	if !s.heard || now-s.heardAt > peerSilence {
-		b.level = min(b.level+float64(b.rate)/float64(s.instances)*elapsed, float64(b.burst))
+		share := cutOffShare / float64(s.instances)
+		b.level = min(b.level+share*float64(b.rate)*elapsed, share*float64(b.burst))
 		return
 	}
 	spent := s.peerRates[workspace] * elapsed
--- /dev/null
+++ b/internal/aublimit/counters_test.go
@@ -0,0 +1,129 @@
+package aublimit_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// counterSite is a set of instances that hear each other's counters late.
+type counterSite struct {
+	timer     *aubtimer.Manual
+	instances []*aublimit.SharedCounters
+	// reports holds the counters that each instance sent last, arrived those that
+	// the gathering process holds.
+	reports []map[string]int64
+}
+
+const (
+	counterRate    = 80_000
+	counterBurst   = 80_000
+	counterOverrun = 0.1
+	counterSlack   = 110_000
+	counterWindow  = 8 * time.Second
+	counterStep    = 10 * time.Millisecond
+)
+
+func newCounterSite(n int) *counterSite {
+	s := &counterSite{timer: aubtimer.NewManual(time.Unix(0, 0)), reports: make([]map[string]int64, n)}
+	for range n {
+		s.instances = append(s.instances, aublimit.NewSharedCounters(aubcommon.NewCommon(s.timer), aublimit.CountersOpts{
+			Bounds:  func(string) (int64, int64, bool) { return counterRate, counterBurst, true },
+			Overrun: counterOverrun,
+			Slack:   counterSlack,
+		}))
+	}
+	return s
+}
+
+// exchange delivers the reports sent an interval ago and sends new ones.
+func (s *counterSite) exchange(isFirst, isCut bool) {
+	for i, instance := range s.instances {
+		if isCut && i == 0 {
+			continue
+		}
+		sum := int64(0)
+		for j, report := range s.reports {
+			if j != i {
+				sum += report["w"]
+			}
+		}
+		instance.TakePeers(len(s.instances)-1, map[string]int64{"w": sum}, isFirst)
+	}
+	for i, instance := range s.instances {
+		if isCut && i == 0 {
+			continue
+		}
+		s.reports[i] = instance.Uses()
+	}
+}
+
+// TestSharedCountersKeepTheWindow sends several times the allowance to instances
+// that get uneven shares of it.
+func TestSharedCountersKeepTheWindow(t *testing.T) {
+	const interval = 25
+	for _, test := range []struct {
+		name string
+		// factor is the demand in allowances, from is the step at which it begins.
+		factor float64
+		from   int
+		// cut is the step from which the first instance hears nobody and is not heard.
+		cut int
+	}{
+		{name: "steady at twice the allowance", factor: 2},
+		{name: "steady at five times the allowance", factor: 5},
+		{name: "burst after silence", factor: 8, from: 500},
+		{name: "an instance is cut off as a burst begins", factor: 8, from: 500, cut: 500},
+		{name: "an instance is cut off under load", factor: 5, cut: 1500},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			s := newCounterSite(8)
+			spent := make([]int64, 3000)
+			for step := range spent {
+				if step%interval == 0 {
+					s.exchange(step == 0, test.cut > 0 && step >= test.cut)
+				}
+				due := 0.0
+				if step >= test.from {
+					due = test.factor * counterRate * counterStep.Seconds()
+				}
+				for due > 0 {
+					cost := int64(1000 + rnd.ExpFloat64()*8000)
+					due -= float64(cost)
+					if due < 0 && rnd.Float64() < -due/float64(cost) {
+						break
+					}
+					// Instance 0 gets a third of the requests.
+					i := rnd.IntN(12) % len(s.instances)
+					if i > 7 {
+						i = 0
+					}
+					if _, err := s.instances[i].Reserve(context.Background(), "w", cost); err == nil {
+						spent[step] += cost
+					}
+				}
+				s.timer.Advance(counterStep)
+			}
+			window := int(counterWindow / counterStep)
+			allowed := int64((counterRate*counterWindow.Seconds()+counterBurst)*(1+counterOverrun) + counterSlack)
+			most, sum := int64(0), int64(0)
+			for step, tokens := range spent {
+				sum += tokens
+				if step >= window {
+					sum -= spent[step-window]
+				}
+				most = max(most, sum)
+			}
+			qt.Check(t, most <= allowed, qt.IsTrue, qt.Commentf("spent %d, allowed %d", most, allowed))
+			qt.Check(t, sum >= int64(0.95*counterRate*counterWindow.Seconds()), qt.IsTrue, qt.Commentf("only %d in the last window", sum))
+		})
+	}
+}
