--- a/internal/aubentry/send.go
+++ b/internal/aubentry/send.go
@@ -51,7 +51,7 @@
 	if o.execution == aubapi.ExecutionNotRun {
 		return true
 	}
-	return c.idempotent && h.parts.Router.AllowRetry()
+	return c.idempotent && h.parts.Router.AllowRetry("")
 }
 
 // admit waits for the call's turn.
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -154,8 +154,11 @@
 	known := make(map[string]bool)
 	d.mu.Lock()
 	for _, record := range records {
+		if record.GetState() != aubwire.BackendState_BACKEND_STATE_READY {
+			continue
+		}
 		known[record.GetId()] = true
-		if record.GetService() != service.Name || record.GetState() != aubwire.BackendState_BACKEND_STATE_READY {
+		if record.GetService() != service.Name {
 			continue
 		}
 		e := d.engines[record.GetId()]
@@ -252,7 +255,7 @@
 		d.store--
 		d.mu.Unlock()
 	}
-	e.operation = &operation{action: ActionLoad, model: move.Model, at: now}
+	e.operation = &operation{action: ActionLoad, model: move.Model, at: now, takes: move.Takes}
 	d.order(ctx, e, Order{Action: ActionLoad, Model: move.Model})
 }
 
@@ -324,6 +327,7 @@
 		name := aubregistry.ModelName(service.Name, m.Name)
 		s.Models = append(s.Models, ModelView{
 			Name: m.Name, Megabytes: m.Megabytes, Work: d.meter.work[name],
+			LoadTime: m.LoadTime, KeptLoadTime: m.DiskLoadTime,
 			Waiting: now.Sub(d.wanted[name]) < wantedMemory,
 		})
 	}
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -49,6 +49,8 @@
 	action Action
 	model  string
 	at     time.Time
+	// takes is how long a load is expected to take.
+	takes time.Duration
 	// marked is when relays were told to stop sending; the unload follows later.
 	marked bool
 	// ordered is set once the engine accepted it.
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -20,6 +20,8 @@
 	adapterIdle = time.Second
 	// handoverRetry is when to come back while a new leader gives no orders yet.
 	handoverRetry = time.Second
+	// noticeTime is the time until relays hear that a model is ready.
+	noticeTime = 300 * time.Millisecond
 )
 
 var _ aubregistry.Placer = (*Director)(nil)
@@ -63,7 +65,8 @@
 	return d.placeAdapter(ctx, service, model, req.GetAdapter(), holders)
 }
 
-// want makes the next plan load a model that callers wait for.
+// want makes the next plan load a model that callers wait for, and says when it
+// is likely to be ready.
 func (d *Director) want(now time.Time, service aubsite.Service, model aubsite.Model) *aubwire.PlaceResponse {
 	d.mu.Lock()
 	d.wanted[aubregistry.ModelName(service.Name, model.Name)] = now
@@ -72,20 +75,37 @@
 	case d.wake <- struct{}{}:
 	default:
 	}
-	return &aubwire.PlaceResponse{RetryAfterMs: model.LoadTime.Milliseconds()}
+	return &aubwire.PlaceResponse{RetryAfterMs: d.readyIn(now, model).Milliseconds()}
+}
+
+// readyIn is the time until a load of the model is likely to end.
+func (d *Director) readyIn(now time.Time, model aubsite.Model) time.Duration {
+	left := model.LoadTime
+	for _, e := range d.all() {
+		e.mu.Lock()
+		if op := e.operation; op != nil && op.action == ActionLoad && op.model == model.Name && op.ordered {
+			left = min(left, max(op.takes-now.Sub(op.at), 0))
+		}
+		e.mu.Unlock()
+	}
+	return left + noticeTime
+}
+
+// all returns the engines known.
+func (d *Director) all() []*engineState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.engines))
 }
 
 // holders returns the engines with a ready copy of the model, the least loaded first.
 func (d *Director) holders(service aubsite.Service, model string) []*engineState {
 	loads := d.opts.Loads.InFlight()
-	d.mu.Lock()
-	engines := slices.Collect(maps.Values(d.engines))
-	d.mu.Unlock()
 	var holders []*engineState
-	for _, e := range engines {
+	for _, e := range d.all() {
 		e.mu.Lock()
 		held := e.models[model]
-		isReady := held != nil && held.state == CopyReady && e.known && e.record.GetService() == service.Name &&
+		isReady := held != nil && held.state == CopyReady && e.record.GetService() == service.Name &&
 			e.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
 		e.mu.Unlock()
 		if isReady {
@@ -108,6 +128,10 @@
 		e.mu.Lock()
 		_, isHeld := e.models[model.Name].adapterAt(adapter)
 		free := service.Engine.AdapterSlots - e.adapterCount()
+		if !e.known || e.operation != nil {
+			// An engine that loads or drops a model takes no other order.
+			free = 0
+		}
 		e.mu.Unlock()
 		if isHeld {
 			return &aubwire.PlaceResponse{Backend: e.record.GetId()}
@@ -157,6 +181,9 @@
 	for _, e := range holders {
 		e.mu.Lock()
 		for m, held := range e.models {
+			if !e.known || e.operation != nil {
+				break
+			}
 			for name, at := range held.adapters {
 				at = d.usedAt(service.Name, m, name, at)
 				if oldest == nil || at.Before(oldestAt) {
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // CopyState is the state of a model on an engine.
@@ -40,6 +41,10 @@
 	Work float64
 	// Waiting is set while callers wait for a first copy.
 	Waiting bool
+	// LoadTime is the time of a load from the weight store, KeptLoadTime that from
+	// weights that the engine keeps.
+	LoadTime     time.Duration
+	KeptLoadTime time.Duration
 }
 
 // Snapshot is all that the planner sees.
@@ -59,6 +64,8 @@
 	Model  string
 	// FromStore is set for loads from the weight store.
 	FromStore bool
+	// Takes is how long a load is expected to take.
+	Takes time.Duration
 }
 
 const (
@@ -68,6 +75,12 @@
 	// idleWork is the arriving work in tokens a second below which a model needs no
 	// second copy.
 	idleWork = 300.0
+	// usableShare is the part of the memory that whole models can fill.
+	usableShare = 0.92
+	// busyWork is the arriving work in tokens a second from which a model gets
+	// busyCopies also where the memory can't hold every model.
+	busyWork   = 20000.0
+	busyCopies = 3
 )
 
 // plan is a plan in the making.
@@ -114,34 +127,39 @@
 	return p.moves
 }
 
-// wantedCopies shares the places of all engines among the models.
+// wantedCopies shares the memory of all engines among the models: one copy each,
+// and the rest to those with the most work for each copy.
 func wantedCopies(s Snapshot) map[string]int {
 	wanted := make(map[string]int, len(s.Models))
-	largest := 0.0
+	room := 0.0
+	for _, e := range s.Engines {
+		room += usableShare * e.Megabytes
+	}
 	for _, m := range s.Models {
 		wanted[m.Name] = 1
-		largest = max(largest, m.Megabytes)
-	}
-	if largest == 0 {
-		return wanted
+		room -= m.Megabytes
 	}
-	places := 0
-	for _, e := range s.Engines {
-		places += int(e.Megabytes / largest)
-	}
-	for range places - len(s.Models) {
-		best, most := "", idleWork
+	for {
+		best, most := ModelView{}, idleWork
 		for _, m := range s.Models {
-			if perCopy := m.Work / float64(wanted[m.Name]); perCopy > most && wanted[m.Name] < len(s.Engines) {
-				best, most = m.Name, perCopy
+			perCopy := m.Work / float64(wanted[m.Name])
+			if perCopy > most && wanted[m.Name] < len(s.Engines) && isWorthRoom(m, room, wanted[m.Name]) {
+				best, most = m, perCopy
 			}
 		}
-		if best == "" {
-			break
+		if best.Name == "" {
+			return wanted
 		}
-		wanted[best]++
+		wanted[best.Name]++
+		room -= best.Megabytes
 	}
-	return wanted
+}
+
+// isWorthRoom reports whether a model may have one more copy. Where the memory
+// can't hold every model, busy ones still get a second copy: idle ones make room
+// and come back when they are asked for.
+func isWorthRoom(m ModelView, room float64, copies int) bool {
+	return room >= m.Megabytes || copies < busyCopies && m.Work > busyWork
 }
 
 // needs lists the models that lack copies, the neediest first.
@@ -159,13 +177,14 @@
 // need is the work for each copy that the model has or gets.
 func (p *plan) need(m ModelView) float64 {
 	copies := p.ready[m.Name] + p.coming[m.Name]
-	if copies == 0 {
-		if m.Waiting {
-			return math.Inf(1)
-		}
-		return math.MaxFloat64/2 + m.Work
+	switch {
+	case copies > 0:
+		return m.Work / float64(copies)
+	case m.Waiting:
+		return math.Inf(1)
 	}
-	return m.Work / float64(copies)
+	// Without callers a first copy takes free memory only.
+	return m.Work
 }
 
 // place loads the model where there is room, or makes room for it.
@@ -182,14 +201,15 @@
 }
 
 func (p *plan) load(e EngineView, m ModelView) {
-	fromStore := !e.Kept[m.Name]
+	fromStore, takes := !e.Kept[m.Name], m.KeptLoadTime
 	if fromStore {
+		takes = m.LoadTime
 		if p.snapshot.StoreLoads == 0 {
 			return
 		}
 		p.snapshot.StoreLoads--
 	}
-	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore})
+	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore, Takes: takes})
 	p.busy[e.ID] = true
 	p.coming[m.Name]++
 }
@@ -221,6 +241,15 @@
 	}), true
 }
 
+// maySpare reports whether a model can lose a copy: one of several above what is
+// wanted, or the only one of an idle model for one that has none or much work.
+func (p *plan) maySpare(model string, work, need float64) bool {
+	if p.ready[model] < 2 {
+		return work < idleWork && need > busyWork
+	}
+	return p.ready[model]+p.coming[model] > p.wanted[model]
+}
+
 // victimFor returns an engine and a model on it that makes room for the needy
 // one: a surplus copy whose loss costs least.
 func (p *plan) victimFor(m ModelView) (EngineView, string, bool) {
@@ -233,10 +262,10 @@
 	e, ok := p.best(m, func(e EngineView) bool {
 		least := math.Inf(1)
 		for model, state := range e.Models {
-			if state != CopyReady || p.ready[model] < 2 || p.ready[model]+p.coming[model] <= p.wanted[model] {
+			if state != CopyReady || !p.maySpare(model, work[model], need) {
 				continue
 			}
-			cost := work[model] / float64(p.ready[model]-1)
+			cost := work[model] / float64(max(p.ready[model]-1, 1))
 			if cost*moveGain < need && (cost < least || cost == least && model < victims[e.ID]) {
 				least = cost
 				victims[e.ID] = model
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -25,10 +25,12 @@
 	// backend server count as lost; one second more allows for late ones.
 	registrationsMissed = 3
 	registrationSlack   = time.Second
-	// relayRetryBurst and relayRetryFloor keep the repeats of all relays together
-	// below the platform's budget: a fifth of the requests and some tens.
-	relayRetryBurst = 4
+	// relayRetryShare is the part of the platform's bounds on retries that all relays
+	// together use; relayRetryFloor is allowed a second without traffic.
+	relayRetryShare = 0.75
 	relayRetryFloor = 0.1
+	// relayRetryStart is the number of retries saved up until the peers are counted.
+	relayRetryStart = 2
 	// relayPrefillRate is the pace of engines in prompt tokens a second that
 	// routing starts from; it learns the ratio to it.
 	relayPrefillRate = 40000
@@ -119,8 +121,8 @@
 		Policy:        aubroute.PolicyExpectedFirstToken,
 		Zone:          r.cfg.Zone,
 		Source:        r.registry,
-		RetryShare:    float64(r.cfg.Routing.RetryShare),
-		RetryBurst:    relayRetryBurst,
+		RetryShare:    relayRetryShare * float64(r.cfg.Routing.RetryShare),
+		RetryBurst:    relayRetryStart,
 		RetryFloor:    relayRetryFloor,
 		BlockTokens:   aubrelay.PrefixBlockTokens,
 		Peers:         r.peers.load,
@@ -167,7 +169,7 @@
 // report returns the function that builds this instance's load reports.
 func (r *relay) report(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
-		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report()}
+		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Suspects: r.registry.Suspects()}
 		for id, load := range r.router.InFlight() {
 			report.Loads = append(report.Loads, &aubwire.BackendLoad{
 				Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
@@ -182,6 +184,7 @@
 
 func (r *relay) takePeers(peers *aubwire.Peers, isFirst bool) {
 	r.peers.set(peers.GetLoads())
+	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	uses := make(map[string]int64, len(peers.GetUses()))
 	for _, use := range peers.GetUses() {
 		uses[use.GetWorkspace()] = use.GetTokens()
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -34,6 +34,11 @@
 	heardAt time.Time
 	// version is the registry's version at the last change.
 	version uint64
+	// suspected is the sequence at which nothing listened at the address; the
+	// backend server counts as lost until it registers anew.
+	suspected    int64
+	isSuspected  bool
+	suspectSince time.Time
 	// local is set when this process received the registration itself.
 	local bool
 }
@@ -145,6 +150,9 @@
 		r.entries[record.GetId()] = held
 	}
 	before := held.record
+	if before.GetStartedMs() != record.GetStartedMs() {
+		held.isSuspected = false
+	}
 	held.record, held.heardAt, held.local = record, now, local
 	r.newest = now
 	r.touch(held)
@@ -277,7 +285,51 @@
 
 // lost reports whether the backend server is silent while others are heard; the
 // caller holds mu.
-func (r *Registry) lost(e *entry) bool { return r.newest.Sub(e.heardAt) > r.timeout }
+func (r *Registry) lost(e *entry) bool {
+	return r.newest.Sub(e.heardAt) > r.timeout || e.isSuspected && e.record.GetSequence() <= e.suspected
+}
+
+// Suspect notes that nothing listens at a backend server's address.
+func (r *Registry) Suspect(id string, startedMs int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.entries[id]
+	if held == nil || held.record.GetStartedMs() != startedMs || r.lost(held) {
+		return
+	}
+	held.suspected, held.isSuspected, held.suspectSince = held.record.GetSequence(), true, r.common.Timer.Now()
+	r.shape++
+	r.common.Log.Warn("Backend server refuses connections; it counts as lost until it registers again.",
+		zap.String("backend_server", id), zap.Int64("started_ms", startedMs), zap.Int64("sequence", held.suspected))
+}
+
+// Suspects lists the backend servers that count as lost since a refused connection.
+func (r *Registry) Suspects() []*aubwire.SuspectBackend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var suspects []*aubwire.SuspectBackend
+	for id, e := range r.entries {
+		if e.isSuspected && e.record.GetSequence() <= e.suspected && r.common.Timer.Now().Sub(e.suspectSince) < r.timeout {
+			suspects = append(suspects, &aubwire.SuspectBackend{Id: id, StartedMs: e.record.GetStartedMs(), Sequence: e.suspected})
+		}
+	}
+	return suspects
+}
+
+// TakeSuspects takes in the suspicions of another process, unless the backend
+// server has registered since.
+func (r *Registry) TakeSuspects(suspects []*aubwire.SuspectBackend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range suspects {
+		held := r.entries[s.GetId()]
+		if held == nil || held.record.GetStartedMs() != s.GetStartedMs() || held.record.GetSequence() > s.GetSequence() || r.lost(held) {
+			continue
+		}
+		held.suspected, held.isSuspected, held.suspectSince = s.GetSequence(), true, r.common.Timer.Now()
+		r.shape++
+	}
+}
 
 func (r *Registry) logChange(before, after *aubwire.BackendRecord) {
 	if before.GetState() == after.GetState() && before.GetStartedMs() == after.GetStartedMs() {
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -179,6 +179,7 @@
 func (w *watcher) take(req *aubwire.RegistryRequest) {
 	if req.GetReport() != nil {
 		w.server.opts.Loads.Take(req.GetReport())
+		w.server.opts.Registry.TakeSuspects(req.GetReport().GetSuspects())
 	}
 	w.server.mu.Lock()
 	defer w.server.mu.Unlock()
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,8 +21,8 @@
 	// PrefixBlockTokens is the number of prompt tokens for which routing remembers
 	// one hash.
 	PrefixBlockTokens = 512
-	// maxRefusals bounds the sends of one request that were turned away unrun.
-	maxRefusals = 4
+	// maxUnrunSends bounds the sends of one request that did not run.
+	maxUnrunSends = 5
 	// defaultPriority is the rank that backend servers assume.
 	defaultPriority = 5
 	// maxPriority is the least urgent rank.
@@ -49,6 +50,8 @@
 type sendResult struct {
 	verdict verdict
 	failure aubroute.Failure
+	// arrived is set once the backend server may have received the request.
+	arrived bool
 	// answer is a backend server's own failure, to be passed on unless a repeat
 	// does better.
 	answer *plainAnswer
@@ -83,10 +86,11 @@
 		return false
 	case last.verdict == verdictFailed && x.runs >= max(x.route.MaxAttempts, 1):
 		return false
-	case x.sends-x.runs >= maxRefusals:
+	case x.sends-x.runs >= maxUnrunSends:
 		return false
 	}
-	return h.parts.Router.AllowRetry()
+	// A connection that was never made reached no backend server.
+	return !last.arrived || h.parts.Router.AllowRetry(x.service)
 }
 
 // giveUp ends a request that is not sent any more. pickErr is set when no
@@ -131,7 +135,7 @@
 }
 
 func (h *Handler) routeRequest(x *exchange) aubroute.Request {
-	request := aubroute.Request{Exclude: x.excluded, PromptTokens: x.call.PromptTokens}
+	request := aubroute.Request{Exclude: x.excluded, PromptTokens: x.call.PromptTokens, Budget: x.service}
 	service, _ := x.site.Service(x.service)
 	if service.Engine == nil || x.call.Model == "" {
 		request.Service = x.service
@@ -184,9 +188,10 @@
 	resp, err := h.transport.RoundTrip(h.newRequest(ctx, x, member.GetAddress(), attempt, &sent))
 	var result sendResult
 	if err != nil {
-		result = failedSend(ctx, sent.Load(), err)
+		result = h.failedSend(ctx, choice, sent.Load(), err)
 	} else {
 		result = h.receive(x, choice, resp, started)
+		result.arrived = true
 		_ = resp.Body.Close()
 	}
 	if result.verdict != verdictNotRun {
@@ -226,11 +231,14 @@
 }
 
 // failedSend says what a send without a response means.
-func failedSend(ctx context.Context, sent bool, err error) sendResult {
-	result := sendResult{verdict: verdictFailed, failure: aubroute.FailureConnection, err: err}
+func (h *Handler) failedSend(ctx context.Context, choice aubroute.Choice, sent bool, err error) sendResult {
+	result := sendResult{verdict: verdictFailed, failure: aubroute.FailureConnection, arrived: sent, err: err}
 	if !sent {
 		result.verdict = verdictNotRun
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		h.parts.Registry.Suspect(choice.Member.Announcement.GetName(), int64(choice.Member.Announcement.GetIncarnation()))
+	}
 	if ctx.Err() != nil {
 		result.failure = aubroute.FailureCanceled
 	}
--- a/internal/aubroute/behaviour_test.go
+++ b/internal/aubroute/behaviour_test.go
@@ -249,7 +249,7 @@
 				}
 				c.Finished(aubroute.Outcome{FirstToken: 10 * time.Millisecond})
 				c.Finished(aubroute.Outcome{})
-				r.AllowRetry()
+				r.AllowRetry("")
 			}
 		})
 	}
--- a/internal/aubroute/budget.go
+++ b/internal/aubroute/budget.go
@@ -55,6 +55,13 @@
 	return true
 }
 
+func (b *RetryBudget) setBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 func (b *RetryBudget) refill(now time.Time) {
 	elapsed := max(now.Sub(b.last), 0)
 	b.last = now
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -17,6 +17,9 @@
 	Adapter string
 	// Service for plain services; empty for engines.
 	Service string
+	// Budget names the retry budget that the request adds to; empty for that of all
+	// engines.
+	Budget string
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int64
 	// Prefixes are rolling hashes of the prompt's blocks, shortest prefix first.
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -79,7 +79,8 @@
 	common aubcommon.Common
 	opts   RouterOpts
 	policy Policy[Query, Candidate]
-	budget *RetryBudget
+	// budgets are by service or model family, see AllowRetry.
+	budgets map[string]*RetryBudget
 	// inTurn makes the members take turns instead of being sampled.
 	inTurn bool
 
@@ -107,7 +108,7 @@
 		common:   common,
 		opts:     opts,
 		policy:   policy,
-		budget:   newRetryBudget(now, opts),
+		budgets:  make(map[string]*RetryBudget),
 		rnd:      opts.Rand,
 		states:   make(map[string]*memberState),
 		prefixes: newPrefixTable(),
@@ -166,8 +167,32 @@
 	return r.choose(now, request, found), nil
 }
 
-// AllowRetry counts one retry against the budget and tells whether it may be made.
-func (r *Router) AllowRetry() bool { return r.budget.Take(r.common.Timer.Now()) }
+// AllowRetry counts one retry against the budget of the service, empty for that
+// of all engines, and tells whether it may be made.
+func (r *Router) AllowRetry(service string) bool {
+	return r.budgetOf(service).Take(r.common.Timer.Now())
+}
+
+// SetRetryBurst changes the number of retries that each budget saves up.
+func (r *Router) SetRetryBurst(burst float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.RetryBurst = burst
+	for _, b := range r.budgets {
+		b.setBurst(burst)
+	}
+}
+
+func (r *Router) budgetOf(service string) *RetryBudget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[service]
+	if b == nil {
+		b = newRetryBudget(r.common.Timer.Now(), r.opts)
+		r.budgets[service] = b
+	}
+	return b
+}
 
 // CacheEvent takes in what a member's engine tells of its prompt cache. After a
 // gap all that was believed of the member is dropped.
@@ -206,6 +231,7 @@
 			tokens:    max(request.PromptTokens-o.candidate.CachedTokens, 0),
 			expected:  Expect(q, o.candidate.withoutSlowness()),
 			prefixes:  request.Prefixes,
+			budget:    request.Budget,
 		},
 	}
 }
@@ -217,7 +243,7 @@
 
 func (r *Router) started(c Choice) {
 	now := r.common.Timer.Now()
-	r.budget.Add(now)
+	r.budgetOf(c.work.budget).Add(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.work.startedAt = now
--- a/internal/aubroute/state.go
+++ b/internal/aubroute/state.go
@@ -20,6 +20,7 @@
 	prefilled bool
 	expected  time.Duration
 	prefixes  []uint64
+	budget    string
 	element   *list.Element
 }
 
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -123,6 +123,7 @@
 type Routing struct {
 	Policy     Choice   `yaml:"policy" allowed:"expected_first_token least_in_flight round_robin" doc:"How the backend server is chosen."`
 	RetryShare Fraction `yaml:"retry_share" doc:"Retries as a share of the requests."`
+	RetrySlack int      `yaml:"retry_slack" doc:"Retries that all instances together may make on top of the share, for each service."`
 	Attempts   int      `yaml:"attempts" doc:"Most sends of one request."`
 }
 
