--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -103,7 +103,9 @@
 		if float64(tokens) > b.level {
 			missing := (float64(tokens) - b.level) / float64(rate)
 			s.common.Metrics.Tagged(map[string]string{"reason": string(ReasonRate)}).Counter("refused").Inc(1)
-			return Reservation{}, refuse(ReasonRate, time.Duration(missing*float64(time.Second)))
+			refused := refuse(ReasonRate, time.Duration(missing*float64(time.Second)))
+			refused.Available = int64(b.level)
+			return Reservation{}, refused
 		}
 		b.level -= float64(tokens)
 	}
--- a/internal/aublimit/error.go
+++ b/internal/aublimit/error.go
@@ -34,6 +34,8 @@
 	// RetryAfter is when coming back makes sense; 0 means never.
 	RetryAfter time.Duration
 	Reason     Reason
+	// Available is the number of tokens that were left, where the policy knows it.
+	Available int64
 }
 
 // Error implements error.
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -73,14 +73,7 @@
 
 // NewDirector returns a director that plans until ctx ends.
 func NewDirector(ctx context.Context, common aubcommon.Common, opts DirectorOpts) *Director {
-	d := &Director{
-		common:  common.WithPart("director"),
-		opts:    opts,
-		wake:    make(chan struct{}, 1),
-		engines: make(map[string]*engineState),
-		meter:   newWorkMeter(),
-		wanted:  make(map[string]time.Time),
-	}
+	d := newDirector(common, opts)
 	ticks := common.Timer.Subscribe(ctx, opts.Interval)
 	go func() {
 		for {
@@ -96,6 +89,18 @@
 	return d
 }
 
+// newDirector returns a director that doesn't plan by itself.
+func newDirector(common aubcommon.Common, opts DirectorOpts) *Director {
+	return &Director{
+		common:  common.WithPart("director"),
+		opts:    opts,
+		wake:    make(chan struct{}, 1),
+		engines: make(map[string]*engineState),
+		meter:   newWorkMeter(),
+		wanted:  make(map[string]time.Time),
+	}
+}
+
 // round observes demand and, while leading, settles and gives orders.
 func (d *Director) round(ctx context.Context) {
 	now := d.common.Timer.Now()
--- /dev/null
+++ b/internal/auborder/director_test.go
@@ -0,0 +1,250 @@
+package auborder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	testService  = "llm"
+	testInterval = 400 * time.Millisecond
+	testModels   = 6
+)
+
+// directorSite is a fleet of engines under two directors that lead in turn.
+type directorSite struct {
+	fleet     *fakeFleet
+	registry  *aubregistry.Registry
+	loads     *aubregistry.Loads
+	leaders   []*fakeLeadership
+	directors []*Director
+	sequence  int64
+	counts    map[string]int64
+}
+
+func newDirectorSite(t *rapid.T, seed uint64, engines int) *directorSite {
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	common := aubcommon.NewCommon(timer)
+	engine := &aubsite.Engine{Slots: 8, Megabytes: 200, AdapterSlots: 4, LoadsPerSecond: 4}
+	sizes := make(map[string]float64)
+	for i := range testModels {
+		name := fmt.Sprintf("m%d", i)
+		sizes[name] = 70
+		engine.Models = append(engine.Models, aubsite.Model{
+			Name: name, Megabytes: 70, LoadTime: 2 * time.Second, DiskLoadTime: time.Second, Adapters: 6, AdapterMegabytes: 0.01,
+		})
+	}
+	site, err := aubsite.New(aubsite.Spec{Number: 1, Services: []aubsite.Service{{Name: testService, Engine: engine}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &directorSite{
+		fleet:    &fakeFleet{timer: timer, rnd: rand.New(rand.NewPCG(seed, 1)), engines: make(map[string]*fakeEngine)},
+		registry: aubregistry.NewRegistry(common, time.Hour),
+		loads:    aubregistry.NewLoads(common),
+		counts:   make(map[string]int64),
+	}
+	for i := range engines {
+		id := fmt.Sprintf("e%d", i)
+		e := newFakeEngine(id, seed+uint64(i), engine.Megabytes, engine.AdapterSlots, sizes)
+		e.models[fmt.Sprintf("m%d", i%testModels)] = make(map[string]bool)
+		s.fleet.engines[id] = e
+	}
+	for i := range 2 {
+		leader := &fakeLeadership{}
+		s.leaders = append(s.leaders, leader)
+		s.directors = append(s.directors, newDirector(common, DirectorOpts{
+			Holder: fmt.Sprintf("c%d", i), Engine: s.fleet, Leadership: leader, Registry: s.registry, Loads: s.loads,
+			Site: func() *aubsite.Site { return site }, Interval: testInterval, Handover: 3 * time.Second,
+			Forward: func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) { return nil, errNoAnswer },
+		}))
+	}
+	s.leaders[0].term = 1
+	return s
+}
+
+// register sends the registrations of all engines.
+func (s *directorSite) register() {
+	s.sequence++
+	for id, e := range s.fleet.engines {
+		s.registry.Register(&aubwire.BackendRecord{
+			Id: id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
+			State: aubwire.BackendState_BACKEND_STATE_READY, Models: e.state().Models,
+		})
+	}
+}
+
+// demand makes calls for the model arrive.
+func (s *directorSite) demand(model string, tokens int64) {
+	s.counts[model] += tokens
+	s.loads.Take(&aubwire.LoadReport{Instance: "r", Incarnation: 1, Models: []*aubwire.ModelUse{
+		{Model: aubregistry.ModelName(testService, model), Requests: s.counts[model], Tokens: s.counts[model]},
+	}})
+}
+
+func (s *directorSite) step(ctx context.Context) {
+	s.fleet.advance(testInterval)
+	if s.fleet.rnd.IntN(3) == 0 {
+		s.register()
+	}
+	for _, d := range s.directors {
+		d.round(ctx)
+	}
+}
+
+// TestMemoryIsNeverOvercommitted gives orders that are lost, late or cut short by
+// a change of the leader, and checks the engines' memory and adapter places.
+func TestMemoryIsNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, rapid.Uint64().Draw(t, "seed"), 4)
+		s.fleet.lateShare = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "late")
+		s.fleet.lostShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "lost")
+		s.register()
+		ctx := context.Background()
+		term := uint64(1)
+		for i := range 150 {
+			if rapid.IntRange(0, 24).Draw(t, "hand over") == 0 {
+				term++
+				s.leaders[term%2].term = 0
+				s.leaders[(term+1)%2].term = term
+			}
+			s.demand(fmt.Sprintf("m%d", (i/20)%testModels), 40000)
+			if rapid.IntRange(0, 2).Draw(t, "ask") == 0 {
+				req := &aubwire.PlaceRequest{
+					Service: testService, Forwarded: true,
+					Model:   fmt.Sprintf("m%d", rapid.IntRange(0, testModels-1).Draw(t, "model")),
+					Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 6).Draw(t, "adapter")),
+				}
+				for _, d := range s.directors {
+					placeNow(ctx, d, req)
+				}
+			}
+			s.step(ctx)
+			for id, e := range s.fleet.engines {
+				if e.overcommitted {
+					t.Fatalf("engine %s holds more than fits: %v, loading %q", id, e.models, e.loading)
+				}
+			}
+		}
+	})
+}
+
+// placeNow asks without waiting for the adapter on the manual clock.
+func placeNow(ctx context.Context, d *Director, req *aubwire.PlaceRequest) {
+	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	_, _ = d.Place(ctx, req)
+}
+
+// TestNewLeaderWaitsForItsPredecessorsLoad covers a load that is in progress, and
+// so in no report's list, when the leadership changes.
+func TestNewLeaderWaitsForItsPredecessorsLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, 1, 1)
+		e := s.fleet.engines["e0"]
+		e.models["m1"] = make(map[string]bool)
+		e.sizes["m2"] = 70
+		e.loading, e.until = "m2", s.fleet.timer.Now().Add(10*time.Second)
+		s.register()
+		for range 12 {
+			s.demand("m3", 40000)
+			s.step(context.Background())
+		}
+		if e.overcommitted || e.sequence != 0 {
+			t.Fatalf("order during a predecessor's load: sequence %d", e.sequence)
+		}
+	})
+}
+
+func TestDemandMovesCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, 1, 6)
+		s.register()
+		for range 40 {
+			s.demand("m3", 40000)
+			s.step(context.Background())
+		}
+		copies := 0
+		for _, e := range s.fleet.engines {
+			if e.models["m3"] != nil {
+				copies++
+			}
+		}
+		if copies < 3 {
+			t.Fatalf("only %d copies of the busy model", copies)
+		}
+	})
+}
+
+func TestPlan(t *testing.T) {
+	engine := func(id string, models ...string) EngineView {
+		e := EngineView{ID: id, Megabytes: 150, FreeMegabytes: 150 - 70*float64(len(models)), Models: map[string]CopyState{}}
+		for _, m := range models {
+			e.Models[m] = CopyReady
+		}
+		return e
+	}
+	model := func(name string, work float64, waiting bool) ModelView {
+		return ModelView{Name: name, Megabytes: 70, Work: work, Waiting: waiting}
+	}
+	for _, test := range []struct {
+		name     string
+		snapshot Snapshot
+		want     []Move
+	}{
+		{
+			name: "a busy model takes free memory",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a"), engine("e2", "b")}, StoreLoads: 1, Orders: 4,
+				Models: []ModelView{model("a", 50000, false), model("b", 0, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true}},
+		},
+		{
+			name: "no load without a place at the weight store",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a"), engine("e2", "b")}, Orders: 4,
+				Models: []ModelView{model("a", 50000, false), model("b", 0, false)},
+			},
+		},
+		{
+			name: "the only copy of a model in use stays",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "c", "d")}, StoreLoads: 1, Orders: 4,
+				Models: []ModelView{model("a", 50000, false), model("b", 9000, false), model("c", 9000, false), model("d", 9000, false)},
+			},
+		},
+		{
+			name: "an idle model makes room for one that callers wait for",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a", "b")}, StoreLoads: 1, Orders: 4,
+				Models: []ModelView{model("a", 50000, false), model("b", 0, false), model("c", 0, true)},
+			},
+			want: []Move{{Action: ActionUnload, Engine: "e1", Model: "b"}},
+		},
+		{
+			name: "a surplus copy makes room",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "a", "c"), engine("e3", "a", "d")}, StoreLoads: 1, Orders: 1,
+				Models: []ModelView{model("a", 0, false), model("b", 50000, false), model("c", 9000, false), model("d", 9000, false)},
+			},
+			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "a"}},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, Plan(test.snapshot), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -78,7 +78,8 @@
 // takeReport takes over a report that is younger than the last order.
 func (e *engineState) takeReport(report Report) {
 	e.sequence = report.Sequence
-	e.known = true
+	// A busy engine may load a model for an earlier leader, which no list names yet.
+	e.known = !report.Busy || e.operation != nil && e.operation.ordered
 	e.uncertain = nil
 	e.merge(report.Models, true)
 	if e.operation != nil && e.operation.ordered && !report.Busy {
--- /dev/null
+++ b/internal/auborder/fake_test.go
@@ -0,0 +1,166 @@
+package auborder
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeEngine carries out orders like a model engine: one at a time, checked
+// against the sequence, with reports that are older than the state.
+type fakeEngine struct {
+	id       string
+	capacity float64
+	sizes    map[string]float64
+	slots    int
+	sequence int64
+	models   map[string]map[string]bool
+	// loading ends at until; unloading frees its model at once.
+	loading string
+	until   time.Time
+	// reported is the state that reports show.
+	reported Report
+	rnd      *rand.Rand
+	// overcommitted is set once an order exceeded the memory or the places.
+	overcommitted bool
+}
+
+func newFakeEngine(id string, seed uint64, capacity float64, slots int, sizes map[string]float64) *fakeEngine {
+	return &fakeEngine{id: id, rnd: rand.New(rand.NewPCG(seed, uint64(len(id)))), capacity: capacity, slots: slots, sizes: sizes, models: make(map[string]map[string]bool)}
+}
+
+func (f *fakeEngine) used() (megabytes float64, adapters int) {
+	for name, held := range f.models {
+		megabytes += f.sizes[name]
+		adapters += len(held)
+	}
+	if f.loading != "" {
+		megabytes += f.sizes[f.loading]
+	}
+	return megabytes, adapters
+}
+
+func (f *fakeEngine) apply(now time.Time, order Order) Outcome {
+	if f.loading != "" || order.Sequence != f.sequence {
+		return OutcomeConflict
+	}
+	held := f.models[order.Model]
+	switch {
+	case order.Adapter != "" && held == nil:
+		return OutcomeRefused
+	case order.Adapter != "" && order.Action == ActionLoad:
+		held[order.Adapter] = true
+	case order.Adapter != "":
+		delete(held, order.Adapter)
+	case order.Action == ActionUnload:
+		delete(f.models, order.Model)
+	case held != nil:
+		return OutcomeHolds
+	default:
+		f.loading, f.until = order.Model, now.Add(2*time.Second)
+	}
+	f.sequence++
+	if megabytes, adapters := f.used(); megabytes > f.capacity || adapters > f.slots {
+		f.overcommitted = true
+	}
+	return OutcomeAccepted
+}
+
+func (f *fakeEngine) advance(now time.Time) {
+	if f.loading != "" && !now.Before(f.until) {
+		f.models[f.loading] = make(map[string]bool)
+		f.loading = ""
+	}
+}
+
+// state describes the engine as it is.
+func (f *fakeEngine) state() Report {
+	report := Report{Sequence: f.sequence, Busy: f.loading != ""}
+	for name, held := range f.models {
+		c := &aubwire.ModelCopy{Name: name}
+		for adapter := range held {
+			c.Adapters = append(c.Adapters, adapter)
+		}
+		report.Models = append(report.Models, c)
+	}
+	return report
+}
+
+// lateOrder is an order that is carried out after its sender gave up.
+type lateOrder struct {
+	engine string
+	order  Order
+	at     time.Time
+}
+
+// fakeFleet is a set of engines whose orders are lost or late.
+type fakeFleet struct {
+	timer   *aubtimer.Manual
+	rnd     *rand.Rand
+	mu      sync.Mutex
+	engines map[string]*fakeEngine
+	late    []lateOrder
+	// lateShare of the orders get no answer and are carried out seconds later;
+	// lostShare get none after they were carried out.
+	lateShare float64
+	lostShare float64
+	loads     int
+}
+
+func (f *fakeFleet) Order(_ context.Context, backend *aubwire.BackendRecord, order Order) (Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timer.Now()
+	e := f.engines[backend.GetId()]
+	if e.rnd.Float64() < f.lateShare {
+		delay := time.Duration(2+e.rnd.IntN(10)) * time.Second
+		f.late = append(f.late, lateOrder{engine: e.id, order: order, at: now.Add(delay)})
+		return OutcomeUnknown, errNoAnswer
+	}
+	outcome := e.apply(now, order)
+	if e.rnd.Float64() < f.lostShare {
+		return OutcomeUnknown, errNoAnswer
+	}
+	return outcome, nil
+}
+
+func (f *fakeFleet) Report(_ context.Context, backend *aubwire.BackendRecord) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[backend.GetId()].reported, nil
+}
+
+// advance lets time pass; reports show the state of before.
+func (f *fakeFleet) advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		e.reported = e.state()
+	}
+	f.timer.Advance(d)
+	now := f.timer.Now()
+	var waiting []lateOrder
+	for _, l := range f.late {
+		if now.Before(l.at) {
+			waiting = append(waiting, l)
+			continue
+		}
+		f.engines[l.engine].apply(now, l.order)
+	}
+	f.late = waiting
+	for _, e := range f.engines {
+		e.advance(now)
+	}
+}
+
+// fakeLeadership leads in the term, or does not while it is 0.
+type fakeLeadership struct{ term uint64 }
+
+func (l *fakeLeadership) Leading() (uint64, bool) { return l.term, l.term != 0 }
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aublimit"
 	"github.com/auburndale/auburndale/internal/aubregistry"
@@ -170,6 +172,11 @@
 	reservation, err := h.parts.Limiter.Reserve(ctx, x.workspace.Name, costOf(x.workspace, x.call))
 	var refused *aublimit.RefusedError
 	if errors.As(err, &refused) {
+		h.common.Log.Info("Request exceeds its workspace's allowance.",
+			zap.String("request_id", x.call.ID), zap.String("workspace", x.workspace.Name),
+			zap.Int64("cost", costOf(x.workspace, x.call)), zap.Int64("available", refused.Available),
+			zap.Int64("rate", x.workspace.Rate), zap.Int64("burst", x.workspace.Burst),
+			zap.Uint64("revision", x.site.Number()), zap.Duration("retry_after", refused.RetryAfter))
 		return reservation, refuse(http.StatusTooManyRequests, CodeRateLimited, refused.RetryAfter)
 	}
 	return reservation, err
