Trust only reports for an engine's memory; log to standard output through a bounded queue

The property test with delayed registrations failed first. Also: an adapter dropped at once counts as an order, which caused most sequence conflicts after evictions.

--- a/internal/aubcli/platform.go
+++ b/internal/aubcli/platform.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublog"
 	"github.com/auburndale/auburndale/internal/aubprocess"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	aubplatform "github.com/auburndale/auburndale/platform"
@@ -39,7 +40,9 @@
 			if err != nil {
 				return err
 			}
-			common, err := s.newCommon(cfg)
+			queue := aublog.NewQueue(s.out)
+			defer queue.Close()
+			common, err := newCommon(queue, cfg)
 			if err != nil {
 				return err
 			}
--- a/internal/aubcli/role.go
+++ b/internal/aubcli/role.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -34,7 +35,9 @@
 			if err != nil {
 				return err
 			}
-			common, err := s.newCommon(cfg)
+			queue := aublog.NewQueue(s.out)
+			defer queue.Close()
+			common, err := newCommon(queue, cfg)
 			if err != nil {
 				return err
 			}
@@ -61,7 +64,7 @@
 				return s.usageError("local takes flags only")
 			}
 			cfg := aubsettings.Settings{Name: "local", Log: aubsettings.Log{Format: aublog.FormatConsole, Level: aubsettings.Choice(*level)}}
-			common, err := s.newCommon(cfg)
+			common, err := newCommon(s.errOut, cfg)
 			if err != nil {
 				return err
 			}
@@ -75,8 +78,9 @@
 	}
 }
 
-func (s streams) newCommon(cfg aubsettings.Settings) (aubcommon.Common, error) {
-	log, err := aublog.New(s.errOut, aublog.Opts{
+// newCommon returns the shared dependencies of a process that logs to w.
+func newCommon(w io.Writer, cfg aubsettings.Settings) (aubcommon.Common, error) {
+	log, err := aublog.New(w, aublog.Opts{
 		Format:   string(cfg.Log.Format),
 		Level:    string(cfg.Log.Level),
 		Instance: cfg.Name,
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -304,6 +304,11 @@
 	case OutcomeAccepted:
 		e.sequence++
 		e.uncertain = nil
+	case OutcomeHolds:
+		// An adapter without requests is dropped at once, which counts as an order.
+		if order.Action == ActionUnload && order.Adapter != "" {
+			e.sequence++
+		}
 	case OutcomeUnknown:
 		e.known = false
 		if order.Action == ActionLoad && order.Adapter == "" {
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -32,8 +32,19 @@
 	directors []*Director
 	sequence  int64
 	counts    map[string]int64
+	// underway are registrations that have not arrived yet.
+	underway []delayedRecord
 }
 
+// delayedRecord is a registration that arrives after some steps.
+type delayedRecord struct {
+	record *aubwire.BackendRecord
+	steps  int
+}
+
+// maxDelay bounds the delay of a registration in steps.
+const maxDelay = 10
+
 func newDirectorSite(t *rapid.T, seed uint64, engines int) *directorSite {
 	timer := aubtimer.NewManual(time.Unix(1000, 0))
 	common := aubcommon.NewCommon(timer)
@@ -75,17 +86,34 @@
 	return s
 }
 
-// register sends the registrations of all engines.
-func (s *directorSite) register() {
+// register sends the registrations of all engines, which arrive after the steps
+// that delay returns.
+func (s *directorSite) register(delay func() int) {
 	s.sequence++
 	for id, e := range s.fleet.engines {
-		s.registry.Register(&aubwire.BackendRecord{
+		s.underway = append(s.underway, delayedRecord{steps: delay(), record: &aubwire.BackendRecord{
 			Id: id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
 			State: aubwire.BackendState_BACKEND_STATE_READY, Models: e.state().Models,
-		})
+		}})
 	}
+	s.deliver()
 }
 
+// deliver lets one step pass for the registrations under way.
+func (s *directorSite) deliver() {
+	var waiting []delayedRecord
+	for _, d := range s.underway {
+		if d.steps > 0 {
+			waiting = append(waiting, delayedRecord{record: d.record, steps: d.steps - 1})
+			continue
+		}
+		s.registry.Register(d.record)
+	}
+	s.underway = waiting
+}
+
+func atOnce() int { return 0 }
+
 // demand makes calls for the model arrive.
 func (s *directorSite) demand(model string, tokens int64) {
 	s.counts[model] += tokens
@@ -97,8 +125,9 @@
 func (s *directorSite) step(ctx context.Context) {
 	s.fleet.advance(testInterval)
 	if s.fleet.rnd.IntN(3) == 0 {
-		s.register()
+		s.register(func() int { return s.fleet.rnd.IntN(maxDelay) })
 	}
+	s.deliver()
 	for _, d := range s.directors {
 		d.round(ctx)
 	}
@@ -111,7 +140,7 @@
 		s := newDirectorSite(t, rapid.Uint64().Draw(t, "seed"), 4)
 		s.fleet.lateShare = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "late")
 		s.fleet.lostShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "lost")
-		s.register()
+		s.register(atOnce)
 		ctx := context.Background()
 		term := uint64(1)
 		for i := range 150 {
@@ -157,7 +186,7 @@
 		e.models["m1"] = make(map[string]bool)
 		e.sizes["m2"] = 70
 		e.loading, e.until = "m2", s.fleet.timer.Now().Add(10*time.Second)
-		s.register()
+		s.register(atOnce)
 		for range 12 {
 			s.demand("m3", 40000)
 			s.step(context.Background())
@@ -171,7 +200,7 @@
 func TestDemandMovesCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDirectorSite(t, 1, 6)
-		s.register()
+		s.register(atOnce)
 		for range 40 {
 			s.demand("m3", 40000)
 			s.step(context.Background())
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -61,15 +61,36 @@
 	return &engineState{startedMs: record.GetStartedMs(), record: record, models: make(map[string]*modelCopy), takenSequence: -1}
 }
 
-// takeRecord takes over a registration. Models that it doesn't name are kept
-// while an order of late may have changed them.
+// takeRecord takes over a registration. It may be seconds old and so decides
+// nothing: one that names other models or adapters asks for a report.
 func (e *engineState) takeRecord(now time.Time, record *aubwire.BackendRecord) {
 	e.record = record
 	if record.GetSequence() <= e.takenSequence {
 		return
 	}
 	e.takenSequence = record.GetSequence()
-	e.merge(record.GetModels(), now.Sub(e.orderedAt) > registrationAge)
+	if e.operation == nil && now.Sub(e.orderedAt) > registrationAge && e.differs(record.GetModels()) {
+		e.known = false
+	}
+}
+
+// differs reports whether the engine is believed to hold other models or adapters.
+func (e *engineState) differs(models []*aubwire.ModelCopy) bool {
+	if len(models) != len(e.models) {
+		return true
+	}
+	for _, m := range models {
+		held := e.models[m.GetName()]
+		if held == nil || len(held.adapters) != len(m.GetAdapters()) {
+			return true
+		}
+		for _, adapter := range m.GetAdapters() {
+			if _, ok := held.adapters[adapter]; !ok {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // registrationAge is the largest usual age of a registration.
@@ -81,14 +102,14 @@
 	// A busy engine may load a model for an earlier leader, which no list names yet.
 	e.known = !report.Busy || e.operation != nil && e.operation.ordered
 	e.uncertain = nil
-	e.merge(report.Models, true)
+	e.replace(report.Models)
 	if e.operation != nil && e.operation.ordered && !report.Busy {
 		e.operation = nil
 	}
 }
 
-// merge adds the models named; with isWhole those that are not named are gone.
-func (e *engineState) merge(models []*aubwire.ModelCopy, isWhole bool) {
+// replace takes over the models named; others are gone unless they are loading.
+func (e *engineState) replace(models []*aubwire.ModelCopy) {
 	named := make(map[string]bool, len(models))
 	for _, m := range models {
 		named[m.GetName()] = true
@@ -105,17 +126,12 @@
 				held.adapters[adapter] = time.Time{}
 			}
 		}
-		if isWhole {
-			for adapter := range held.adapters {
-				if !slices.Contains(m.GetAdapters(), adapter) {
-					delete(held.adapters, adapter)
-				}
+		for adapter := range held.adapters {
+			if !slices.Contains(m.GetAdapters(), adapter) {
+				delete(held.adapters, adapter)
 			}
 		}
 	}
-	if !isWhole {
-		return
-	}
 	for name, held := range e.models {
 		if !named[name] && held.state != CopyLoading {
 			delete(e.models, name)
--- a/internal/auborder/fake_test.go
+++ b/internal/auborder/fake_test.go
@@ -59,6 +59,8 @@
 		held[order.Adapter] = true
 	case order.Adapter != "":
 		delete(held, order.Adapter)
+		f.sequence++
+		return OutcomeHolds
 	case order.Action == ActionUnload:
 		delete(f.models, order.Model)
 	case held != nil:
