--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -39,6 +39,8 @@
 	// backend is the one sent to last.
 	backend    string
 	firstEvent time.Duration
+	// longestPause is the longest time between two events of a stream.
+	longestPause time.Duration
 	excluded   []string
 }
 
@@ -125,6 +127,7 @@
 		zap.Int("sends", x.sends),
 		zap.Bool("may_have_run", x.mayHaveRun),
 		zap.Int64("first_event_ms", x.firstEvent.Milliseconds()),
+		zap.Int64("longest_pause_ms", x.longestPause.Milliseconds()),
 		zap.Int64("elapsed_ms", elapsed.Milliseconds()),
 	}
 	if x.site != nil {
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -26,6 +26,7 @@
 func (h *Handler) passStream(x *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) sendResult {
 	events := newEventReader(resp.Body)
 	control := http.NewResponseController(x.w)
+	var last time.Time
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -41,6 +42,11 @@
 			x.firstEvent = h.common.Timer.Now().Sub(started)
 			choice.FirstToken()
 		}
+		now := h.common.Timer.Now()
+		if !last.IsZero() {
+			x.longestPause = max(x.longestPause, now.Sub(last))
+		}
+		last = now
 		h.beginStream(x, resp)
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := x.w.Write(event.data); err != nil {
