Share in-flight load by datagram, smooth placement demand

Relays tell each other their work in flight within milliseconds (gnet); demand counts only models with steady arrivals.

--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -68,7 +68,7 @@
 	// Self is this replica.
 	Self Peer
 	// Voters lists the replicas that form the cluster, this one included.
-	Voters    []Peer
+	Voters []Peer
 	// JoinOnly keeps this replica from forming a cluster; it waits until one takes
 	// it in.
 	JoinOnly bool
@@ -79,8 +79,8 @@
 	// place by itself; 0 leaves that to an operator.
 	ReplaceAfter time.Duration
 	Disk         Disk
-	Transport Transport
-	Machine   Machine
+	Transport    Transport
+	Machine      Machine
 	// ElectionTimeout is the least silence of a leader that starts an election.
 	// The lease is shorter than it by a quarter, for clocks of unequal rate.
 	ElectionTimeout time.Duration
--- /dev/null
+++ b/internal/aubmembership/load.go
@@ -0,0 +1,229 @@
+package aubmembership
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// loadPause is the least time between two load datagrams to one receiver.
+	loadPause = 10 * time.Millisecond
+	// wholeInterval is the time between two datagrams with all loads, which make
+	// good for lost ones.
+	wholeInterval = time.Second
+	// loadAge is the age from which an instance that is silent has no load.
+	loadAge = 2500 * time.Millisecond
+)
+
+// Load is work in flight on one backend server.
+type Load struct {
+	Requests int
+	// PrefillTokens belong to requests without a first token.
+	PrefillTokens int64
+}
+
+// LoadExchangeOpts are the parts of a load exchange.
+type LoadExchangeOpts struct {
+	// Listen is the UDP address for the peers' datagrams.
+	Listen string
+	Secret []byte
+	// Instance names this process; Incarnation differs between two starts.
+	Instance    string
+	Incarnation uint64
+	// Loads returns the own work in flight by backend server.
+	Loads func() map[string]Load
+}
+
+// LoadExchange tells instances of each other's work in flight within
+// milliseconds. Datagrams carry what changed; one with everything follows each
+// second.
+//
+// Lock order: mu is taken alone.
+type LoadExchange struct {
+	common    aubcommon.Common
+	opts      LoadExchangeOpts
+	transport *transport
+	counters  counters
+	changed   chan struct{}
+
+	mu    sync.Mutex
+	peers []netip.AddrPort
+	heard map[string]*heardLoads
+}
+
+// heardLoads is what one peer told.
+type heardLoads struct {
+	incarnation uint64
+	sequence    uint64
+	at          time.Time
+	loads       map[string]Load
+}
+
+// NewLoadExchange listens and sends until ctx ends. Errors are those of the socket.
+func NewLoadExchange(ctx context.Context, common aubcommon.Common, opts LoadExchangeOpts) (*LoadExchange, error) {
+	common = common.WithPart("load")
+	x := &LoadExchange{
+		common:   common,
+		opts:     opts,
+		counters: newCounters(common.Metrics),
+		changed:  make(chan struct{}, 1),
+		heard:    make(map[string]*heardLoads),
+	}
+	t, err := newTransport(ctx, common.Log, opts.Listen, x.receive)
+	if err != nil {
+		return nil, oops.In("load").Wrapf(err, "listen on %s", opts.Listen)
+	}
+	x.transport = t
+	t.start()
+	ticks := common.Timer.Subscribe(ctx, wholeInterval)
+	go x.run(ctx, ticks)
+	return x, nil
+}
+
+// Changed asks for a datagram: the own work in flight changed.
+func (x *LoadExchange) Changed() {
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
+// SetPeers replaces the receivers; addresses that don't parse are left out.
+func (x *LoadExchange) SetPeers(addresses []string) {
+	peers := make([]netip.AddrPort, 0, len(addresses))
+	for _, address := range addresses {
+		peer, err := netip.ParseAddrPort(address)
+		if err != nil {
+			x.common.Log.Warn("Peer has no usable address.", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		peers = append(peers, peer)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peers = peers
+}
+
+// Load sums the peers' work in flight on a backend server.
+func (x *LoadExchange) Load(backend string) Load {
+	now := x.common.Timer.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var sum Load
+	for _, h := range x.heard {
+		if now.Sub(h.at) > loadAge {
+			continue
+		}
+		load := h.loads[backend]
+		sum.Requests += load.Requests
+		sum.PrefillTokens += load.PrefillTokens
+	}
+	return sum
+}
+
+func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
+	var sequence uint64
+	sent := make(map[string]Load)
+	for {
+		isWhole := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			isWhole = true
+		case <-x.changed:
+			if aubtimer.Wait(ctx, x.common.Timer, loadPause) != nil {
+				return
+			}
+		}
+		loads := x.opts.Loads()
+		delta := deltaOf(sent, loads, isWhole)
+		sent = loads
+		if !isWhole && len(delta.GetLoads()) == 0 {
+			continue
+		}
+		sequence++
+		delta.Instance, delta.Incarnation, delta.Sequence = x.opts.Instance, x.opts.Incarnation, sequence
+		x.send(delta)
+	}
+}
+
+// deltaOf lists the loads that changed, or all of them.
+func deltaOf(before, after map[string]Load, isWhole bool) *aubwire.LoadDelta {
+	delta := &aubwire.LoadDelta{Whole: isWhole}
+	add := func(id string, load Load) {
+		delta.Loads = append(delta.Loads, &aubwire.BackendLoad{
+			Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
+		})
+	}
+	for id, load := range after {
+		if isWhole || before[id] != load {
+			add(id, load)
+		}
+	}
+	for id := range before {
+		if _, ok := after[id]; !ok && !isWhole {
+			add(id, Load{})
+		}
+	}
+	return delta
+}
+
+func (x *LoadExchange) send(delta *aubwire.LoadDelta) {
+	sealed, err := Seal(x.opts.Secret, &aubwire.Datagram{Load: delta})
+	if err != nil {
+		x.counters.oversize.Inc(1)
+		return
+	}
+	x.mu.Lock()
+	peers := x.peers
+	x.mu.Unlock()
+	for _, peer := range peers {
+		if err := x.transport.send(peer, sealed); err != nil {
+			// The next datagram makes good for it.
+			x.common.Log.Debug("Load datagram not sent.", zap.Stringer("peer", peer), zap.Error(err))
+		}
+	}
+}
+
+// receive takes in one datagram on the event loop's goroutine.
+func (x *LoadExchange) receive(from netip.AddrPort, data []byte) {
+	x.counters.received(len(data))
+	d, err := Open(x.opts.Secret, data)
+	if err != nil || d.GetLoad() == nil {
+		x.counters.rejected.Inc(1)
+		x.common.Log.Debug("Load datagram rejected.", zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	x.take(d.GetLoad())
+}
+
+// take applies a delta unless a newer one came before it.
+func (x *LoadExchange) take(delta *aubwire.LoadDelta) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.heard[delta.GetInstance()]
+	if h == nil || h.incarnation != delta.GetIncarnation() {
+		h = &heardLoads{incarnation: delta.GetIncarnation(), loads: make(map[string]Load)}
+		x.heard[delta.GetInstance()] = h
+	}
+	if delta.GetSequence() <= h.sequence {
+		return
+	}
+	h.sequence, h.at = delta.GetSequence(), x.common.Timer.Now()
+	if delta.GetWhole() {
+		clear(h.loads)
+	}
+	for _, load := range delta.GetLoads() {
+		h.loads[load.GetId()] = Load{Requests: int(load.GetInFlight()), PrefillTokens: load.GetPrefillTokens()}
+	}
+}
--- a/internal/auborder/demand.go
+++ b/internal/auborder/demand.go
@@ -8,21 +8,24 @@
 )
 
 // demandHalfLife is how fast the measured work of a model forgets.
-const demandHalfLife = 1500 * time.Millisecond
+const demandHalfLife = 2500 * time.Millisecond
 
 // workMeter measures the arriving work of each model from growing counters.
 type workMeter struct {
-	last   map[aubregistry.ModelKey]aubregistry.ModelCount
-	at     time.Time
-	work   map[string]float64
-	usedAt map[aubregistry.ModelKey]time.Time
+	last map[aubregistry.ModelKey]aubregistry.ModelCount
+	at   time.Time
+	work map[string]float64
+	// requests is the rate of arrivals a second.
+	requests map[string]float64
+	usedAt   map[aubregistry.ModelKey]time.Time
 }
 
 func newWorkMeter() *workMeter {
 	return &workMeter{
-		last:   make(map[aubregistry.ModelKey]aubregistry.ModelCount),
-		work:   make(map[string]float64),
-		usedAt: make(map[aubregistry.ModelKey]time.Time),
+		last:     make(map[aubregistry.ModelKey]aubregistry.ModelCount),
+		work:     make(map[string]float64),
+		requests: make(map[string]float64),
+		usedAt:   make(map[aubregistry.ModelKey]time.Time),
 	}
 }
 
@@ -31,11 +34,14 @@
 	elapsed := now.Sub(m.at).Seconds()
 	isFirst := m.at.IsZero()
 	m.at = now
-	grown := make(map[string]float64)
+	grown := make(map[string]aubregistry.ModelCount)
 	for key, count := range counts {
 		tokens := count.Tokens - m.last[key].Tokens
 		if tokens > 0 {
-			grown[key.Model] += float64(tokens)
+			sum := grown[key.Model]
+			sum.Tokens += tokens
+			sum.Requests += count.Requests - m.last[key].Requests
+			grown[key.Model] = sum
 			m.usedAt[key] = now
 		}
 		m.last[key] = count
@@ -46,8 +52,10 @@
 	keep := math.Exp2(-elapsed / demandHalfLife.Seconds())
 	for model := range m.work {
 		m.work[model] *= keep
+		m.requests[model] *= keep
 	}
-	for model, tokens := range grown {
-		m.work[model] += (1 - keep) * tokens / elapsed
+	for model, sum := range grown {
+		m.work[model] += (1 - keep) * float64(sum.Tokens) / elapsed
+		m.requests[model] += (1 - keep) * float64(sum.Requests) / elapsed
 	}
 }
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -336,7 +336,7 @@
 	for _, m := range service.Engine.Models {
 		name := aubregistry.ModelName(service.Name, m.Name)
 		s.Models = append(s.Models, ModelView{
-			Name: m.Name, Megabytes: m.Megabytes, Work: d.meter.work[name],
+			Name: m.Name, Megabytes: m.Megabytes, Work: d.meter.work[name], Requests: d.meter.requests[name],
 			LoadTime: m.LoadTime, KeptLoadTime: m.DiskLoadTime,
 			Waiting: now.Sub(d.wanted[name]) < wantedMemory,
 		})
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -226,7 +226,7 @@
 		return e
 	}
 	model := func(name string, work float64, waiting bool) ModelView {
-		return ModelView{Name: name, Megabytes: 70, Work: work, Waiting: waiting}
+		return ModelView{Name: name, Megabytes: 70, Work: work, Requests: work / 4000, Waiting: waiting}
 	}
 	for _, test := range []struct {
 		name     string
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -39,6 +39,8 @@
 	Megabytes float64
 	// Work is the arriving work in tokens a second.
 	Work float64
+	// Requests is the rate of arrivals a second.
+	Requests float64
 	// Waiting is set while callers wait for a first copy.
 	Waiting bool
 	// LoadTime is the time of a load from the weight store, KeptLoadTime that from
@@ -72,6 +74,9 @@
 	// moveGain is the ratio by which the work for each copy of a model must exceed
 	// that of the model whose copy makes room.
 	moveGain = 1.5
+	// minRequests is the rate of arrivals a second from which a model gets a second
+	// copy; a few large requests by themselves are no demand.
+	minRequests = 0.8
 	// idleWork is the arriving work in tokens a second below which a model needs no
 	// second copy.
 	idleWork = 300.0
@@ -143,7 +148,7 @@
 		best, most := ModelView{}, idleWork
 		for _, m := range s.Models {
 			perCopy := m.Work / float64(wanted[m.Name])
-			if perCopy > most && wanted[m.Name] < len(s.Engines) && isWorthRoom(m, room, wanted[m.Name]) {
+			if perCopy > most && m.Requests >= minRequests && wanted[m.Name] < len(s.Engines) && isWorthRoom(m, room, wanted[m.Name]) {
 				best, most = m, perCopy
 			}
 		}
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubrelay"
 	"github.com/auburndale/auburndale/internal/aubroute"
@@ -56,7 +57,7 @@
 	limiter  *aublimit.SharedCounters
 	router   *aubroute.Router
 	demand   *aubrelay.Demand
-	peers    *peerLoads
+	loads    *aubmembership.LoadExchange
 	handler  *aubrelay.Handler
 	callers  *http.Server
 }
@@ -111,7 +112,6 @@
 	r.site = aubsite.NewCurrent(r.common, r.adapter.DecodeSite)
 	r.registry = aubregistry.NewRegistry(r.common, silenceOf(r.cfg))
 	r.demand = aubrelay.NewDemand(r.common)
-	r.peers = &peerLoads{}
 	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{
 		Bounds:  r.boundsOf,
 		Overrun: float64(r.cfg.Limits.Overrun),
@@ -125,7 +125,8 @@
 		RetryBurst:    relayRetryStart,
 		RetryFloor:    relayRetryFloor,
 		BlockTokens:   aubrelay.PrefixBlockTokens,
-		Peers:         r.peers.load,
+		Peers:         r.peerLoad,
+		OnChange:      func() { r.loads.Changed() },
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -133,15 +134,26 @@
 		return err
 	}
 	r.router = router
+	incarnation := uint64(r.common.Timer.Now().UnixNano())
+	if r.loads, err = aubmembership.NewLoadExchange(r.ctx, r.common, aubmembership.LoadExchangeOpts{
+		Listen:      r.cfg.Membership.Listen.String(),
+		Secret:      r.secret,
+		Instance:    r.cfg.Name,
+		Incarnation: incarnation,
+		Loads:       r.router.InFlight,
+	}); err != nil {
+		return err
+	}
 	r.client = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
-		Process:    r.cfg.Name,
-		Relay:      true,
-		Seeds:      func() []string { return controlSeeds(r.live.Settings()) },
-		Dial:       r.transport.Dial,
-		Registry:   r.registry,
-		Report:     r.report(uint64(r.common.Timer.Now().UnixNano())),
-		OnRevision: r.site.Offer,
-		OnPeers:    r.takePeers,
+		Process:     r.cfg.Name,
+		Relay:       true,
+		LoadAddress: r.cfg.Membership.Listen.String(),
+		Seeds:       func() []string { return controlSeeds(r.live.Settings()) },
+		Dial:        r.transport.Dial,
+		Registry:    r.registry,
+		Report:      r.report(incarnation),
+		OnRevision:  r.site.Offer,
+		OnPeers:     r.takePeers,
 	})
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.Parts{
 		Protocol: r.adapter.Protocol,
@@ -183,7 +195,7 @@
 }
 
 func (r *relay) takePeers(peers *aubwire.Peers, isFirst bool) {
-	r.peers.set(peers.GetLoads())
+	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	uses := make(map[string]int64, len(peers.GetUses()))
 	for _, use := range peers.GetUses() {
@@ -192,6 +204,8 @@
 	r.limiter.TakePeers(int(peers.GetInstances()), uses, isFirst)
 }
 
+func (r *relay) peerLoad(backend string) aubmembership.Load { return r.loads.Load(backend) }
+
 // awaitReady reports ready once there is a configuration and a backend server.
 func (r *relay) awaitReady() {
 	ticks := r.common.Timer.Subscribe(r.ctx, readyInterval)
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -27,6 +27,8 @@
 	// backend servers.
 	Process string
 	Relay   bool
+	// LoadAddress is where a relay takes load datagrams.
+	LoadAddress string
 	// Self is the own control address, empty for processes that serve none.
 	Self string
 	// Seeds lists the control processes of the settings, as they stand now.
@@ -246,7 +248,7 @@
 
 // request returns the next request; a report goes with those that are due.
 func (c *Client) request(l *link, acked uint64, withReport bool) *aubwire.RegistryRequest {
-	req := &aubwire.RegistryRequest{Process: c.opts.Process, Relay: c.opts.Relay, Acked: acked}
+	req := &aubwire.RegistryRequest{Process: c.opts.Process, Relay: c.opts.Relay, LoadAddress: c.opts.LoadAddress, Acked: acked}
 	if withReport && c.opts.Report != nil {
 		req.Report = c.opts.Report()
 	}
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -109,7 +109,6 @@
 	now := l.common.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sums := make(map[string]*aubwire.BackendLoad)
 	peers := &aubwire.Peers{}
 	var own map[string]int64
 	for name, relay := range l.relays {
@@ -117,23 +116,10 @@
 			own = relay.added
 			continue
 		}
-		if now.Sub(relay.at) > reportAge {
-			continue
-		}
-		peers.Instances++
-		for _, load := range relay.loads {
-			sum := sums[load.GetId()]
-			if sum == nil {
-				sum = &aubwire.BackendLoad{Id: load.GetId()}
-				sums[load.GetId()] = sum
-			}
-			sum.InFlight += load.GetInFlight()
-			sum.PrefillTokens += load.GetPrefillTokens()
+		if now.Sub(relay.at) <= reportAge {
+			peers.Instances++
 		}
 	}
-	for _, sum := range sums {
-		peers.Loads = append(peers.Loads, sum)
-	}
 	for workspace, tokens := range l.uses {
 		peers.Uses = append(peers.Uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens - own[workspace]})
 	}
@@ -153,9 +139,17 @@
 
 // InFlight returns the requests in flight on each backend server.
 func (l *Loads) InFlight() map[string]int {
+	now := l.common.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	inFlight := make(map[string]int)
-	for _, load := range l.Peers("").GetLoads() {
-		inFlight[load.GetId()] = int(load.GetInFlight())
+	for _, relay := range l.relays {
+		if now.Sub(relay.at) > reportAge {
+			continue
+		}
+		for _, load := range relay.loads {
+			inFlight[load.GetId()] += int(load.GetInFlight())
+		}
 	}
 	return inFlight
 }
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	w := &watcher{server: s, stream: stream, process: first.GetProcess(), isRelay: first.GetRelay(), heardAt: s.common.Timer.Now()}
+	w := &watcher{server: s, stream: stream, process: first.GetProcess(), isRelay: first.GetRelay(), loadAddress: first.GetLoadAddress(), heardAt: s.common.Timer.Now()}
 	s.opts.Registry.Merge(first.GetKnown())
 	s.add(w)
 	defer s.remove(w)
@@ -138,6 +139,19 @@
 	}
 }
 
+// loadAddresses lists where the other relays take load datagrams.
+func (s *Server) loadAddresses(own string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for w := range s.watchers {
+		if w.loadAddress != "" && w.loadAddress != own && !slices.Contains(addresses, w.loadAddress) {
+			addresses = append(addresses, w.loadAddress)
+		}
+	}
+	return addresses
+}
+
 func (s *Server) missing(version uint64) (int, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,13 +167,15 @@
 // watcher is one stream of a watching process. The server's mutex guards acked,
 // heardAt and wantsPeers.
 type watcher struct {
-	server     *Server
-	stream     grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]
-	process    string
-	isRelay    bool
-	acked      uint64
-	heardAt    time.Time
-	wantsPeers bool
+	server  *Server
+	stream  grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]
+	process string
+	isRelay bool
+	// loadAddress is where a relay takes load datagrams.
+	loadAddress string
+	acked       uint64
+	heardAt     time.Time
+	wantsPeers  bool
 	// sent is the version and revision that the stream has carried; the sending
 	// goroutine owns both.
 	sent     uint64
@@ -234,6 +250,7 @@
 	w.server.mu.Unlock()
 	if wants {
 		resp.Peers = w.server.opts.Loads.Peers(w.process)
+		resp.Peers.LoadAddresses = w.server.loadAddresses(w.loadAddress)
 	}
 }
 
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -41,7 +41,7 @@
 	firstEvent time.Duration
 	// longestPause is the longest time between two events of a stream.
 	longestPause time.Duration
-	excluded   []string
+	excluded     []string
 }
 
 // refusedError ends a request with a refusal.
--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -185,7 +185,7 @@
 }
 
 // setPeers counts the work in flight of this instance and its peers.
-func (c *Candidate) setPeers(peers PeerLoad, s *memberState) {
+func (c *Candidate) setPeers(peers aubmembership.Load, s *memberState) {
 	requests, tokens := s.unreported(time.Time{})
 	c.InFlight = peers.Requests + requests
 	c.PendingTokens = peers.PrefillTokens + tokens
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -51,7 +51,9 @@
 	RetryFloor float64
 	// Peers returns the work that other instances have in flight on a member. When
 	// it is set, it takes the place of the members' own reports.
-	Peers func(member string) PeerLoad
+	Peers func(member string) aubmembership.Load
+	// OnChange is called when this instance's work in flight changed; nil for none.
+	OnChange func()
 	// PrefillRate stands in for members that report none, tokens a second; 0 means
 	// the default.
 	PrefillRate float64
@@ -62,13 +64,6 @@
 	Rand *rand.Rand
 }
 
-// PeerLoad is work in flight.
-type PeerLoad struct {
-	Requests int
-	// PrefillTokens belong to requests without a first token.
-	PrefillTokens int64
-}
-
 // DefaultBlockTokens is the usual size of a block of an engine's prompt cache.
 const DefaultBlockTokens = 16
 
@@ -248,12 +243,20 @@
 	defer r.mu.Unlock()
 	c.work.startedAt = now
 	c.work.member.start(c.work)
+	r.notifyChange()
+}
+
+func (r *Router) notifyChange() {
+	if r.opts.OnChange != nil {
+		r.opts.OnChange()
+	}
 }
 
 func (r *Router) firstToken(c Choice) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.work.prefilled = true
+	r.notifyChange()
 }
 
 func (r *Router) finished(c Choice, outcome Outcome) {
@@ -264,6 +267,7 @@
 	if !s.finish(c.work) {
 		return
 	}
+	r.notifyChange()
 	before := s.health.Ejections
 	switch {
 	case outcome.Failure == FailureNone:
@@ -365,13 +369,13 @@
 }
 
 // InFlight returns the work that this instance has in flight on each member.
-func (r *Router) InFlight() map[string]PeerLoad {
+func (r *Router) InFlight() map[string]aubmembership.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	loads := make(map[string]PeerLoad)
+	loads := make(map[string]aubmembership.Load)
 	for name, s := range r.states {
 		if requests, tokens := s.unreported(time.Time{}); requests > 0 {
-			loads[name] = PeerLoad{Requests: requests, PrefillTokens: tokens}
+			loads[name] = aubmembership.Load{Requests: requests, PrefillTokens: tokens}
 		}
 	}
 	return loads
