Count adapter places under the engine's lock; pace prompts

TestConcurrentAdapters failed first. Pacing: a prompt that would join others in prefill waits up to an eighth of its objective.

--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -172,7 +173,7 @@
 
 // placeNow asks without waiting for the adapter on the manual clock.
 func placeNow(ctx context.Context, d *Director, req *aubwire.PlaceRequest) {
-	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Millisecond)
 	defer cancel()
 	_, _ = d.Place(ctx, req)
 }
@@ -197,6 +198,38 @@
 	})
 }
 
+// TestConcurrentAdapters asks for more adapters at once than there are places.
+func TestConcurrentAdapters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, rapid.Uint64().Draw(t, "seed"), 2)
+		s.fleet.answerTime = 100 * time.Microsecond
+		s.register(atOnce)
+		for range 10 {
+			s.step(context.Background())
+		}
+		for range 6 {
+			var asked sync.WaitGroup
+			for range 8 {
+				req := &aubwire.PlaceRequest{
+					Service: testService, Forwarded: true,
+					Model:   fmt.Sprintf("m%d", s.fleet.rnd.IntN(2)),
+					Adapter: fmt.Sprintf("a%d", s.fleet.rnd.IntN(20)),
+				}
+				asked.Go(func() { placeNow(context.Background(), s.directors[0], req) })
+			}
+			asked.Wait()
+			for range 4 {
+				s.step(context.Background())
+			}
+			for id, e := range s.fleet.engines {
+				if e.overcommitted {
+					t.Fatalf("engine %s holds more adapters than fit: %v", id, e.models)
+				}
+			}
+		}
+	})
+}
+
 func TestDemandMovesCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDirectorSite(t, 1, 6)
--- a/internal/auborder/fake_test.go
+++ b/internal/auborder/fake_test.go
@@ -113,10 +113,12 @@
 	// lostShare get none after they were carried out.
 	lateShare float64
 	lostShare float64
-	loads     int
+	// answerTime is how long an answer is on its way, on the machine's clock.
+	answerTime time.Duration
 }
 
 func (f *fakeFleet) Order(_ context.Context, backend *aubwire.BackendRecord, order Order) (Outcome, error) {
+	defer time.Sleep(f.answerTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timer.Now()
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -141,9 +141,9 @@
 		}
 	}
 	if best == nil {
-		best = d.evictAdapter(ctx, service, holders)
+		best = d.idlest(service, holders)
 	}
-	if best == nil || !d.loadAdapter(ctx, best, model.Name, adapter) {
+	if best == nil || !d.loadAdapter(ctx, best, service.Engine, model, adapter) {
 		return &aubwire.PlaceResponse{RetryAfterMs: adapterIdle.Milliseconds()}
 	}
 	_ = aubtimer.Wait(ctx, d.common.Timer, adapterLoadTime)
@@ -158,54 +158,80 @@
 	return at, ok
 }
 
-// loadAdapter orders an adapter; it reports whether the engine takes it.
-func (d *Director) loadAdapter(ctx context.Context, e *engineState, model, adapter string) bool {
+// loadAdapter orders an adapter; it reports whether the engine takes it. Places
+// are counted under the engine's mutex, so that calls at once can't share one.
+func (d *Director) loadAdapter(
+	ctx context.Context, e *engineState, engine *aubsite.Engine, model aubsite.Model, adapter string,
+) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held := e.models[model]
-	if held == nil || held.state != CopyReady {
+	held := e.models[model.Name]
+	if held == nil || held.state != CopyReady || e.operation != nil {
 		return false
 	}
-	outcome := d.send(ctx, e, Order{Action: ActionLoad, Model: model, Adapter: adapter})
+	if _, isHeld := held.adapters[adapter]; isHeld {
+		return true
+	}
+	if e.adapterCount() >= engine.AdapterSlots && !d.evictAdapter(ctx, e) {
+		return false
+	}
+	if e.freeMegabytes(engine, modelsOf(engine)) < model.AdapterMegabytes {
+		return false
+	}
+	outcome := d.send(ctx, e, Order{Action: ActionLoad, Model: model.Name, Adapter: adapter})
 	if outcome != OutcomeRefused && outcome != OutcomeConflict {
 		held.adapters[adapter] = d.common.Timer.Now()
 	}
 	return outcome == OutcomeAccepted || outcome == OutcomeHolds
 }
 
-// evictAdapter frees the place of the adapter that is idle for longest.
-func (d *Director) evictAdapter(ctx context.Context, service aubsite.Service, holders []*engineState) *engineState {
-	var oldest *engineState
-	var model, adapter string
-	var oldestAt time.Time
+// idlest returns the engine with the adapter that is idle for longest, nil when
+// all were used of late.
+func (d *Director) idlest(service aubsite.Service, holders []*engineState) *engineState {
+	var idlest *engineState
+	var oldest time.Time
 	for _, e := range holders {
 		e.mu.Lock()
-		for m, held := range e.models {
-			if !e.known || e.operation != nil {
-				break
-			}
-			for name, at := range held.adapters {
-				at = d.usedAt(service.Name, m, name, at)
-				if oldest == nil || at.Before(oldestAt) {
-					oldest, model, adapter, oldestAt = e, m, name, at
-				}
-			}
-		}
+		_, _, at, ok := d.oldestAdapter(e)
+		isFit := ok && e.known && e.operation == nil && e.record.GetService() == service.Name
 		e.mu.Unlock()
+		if isFit && (idlest == nil || at.Before(oldest)) {
+			idlest, oldest = e, at
+		}
 	}
-	if oldest == nil || d.common.Timer.Now().Sub(oldestAt) < adapterIdle {
+	if d.common.Timer.Now().Sub(oldest) < adapterIdle {
 		return nil
 	}
-	oldest.mu.Lock()
-	defer oldest.mu.Unlock()
-	outcome := d.send(ctx, oldest, Order{Action: ActionUnload, Model: model, Adapter: adapter})
-	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
-		return nil
+	return idlest
+}
+
+// oldestAdapter returns the adapter that is idle for longest; the caller holds the
+// engine's mutex.
+func (d *Director) oldestAdapter(e *engineState) (model, adapter string, at time.Time, ok bool) {
+	for m, held := range e.models {
+		for name, loadedAt := range held.adapters {
+			usedAt := d.usedAt(e.record.GetService(), m, name, loadedAt)
+			if !ok || usedAt.Before(at) {
+				model, adapter, at, ok = m, name, usedAt, true
+			}
+		}
+	}
+	return model, adapter, at, ok
+}
+
+// evictAdapter frees the place of the adapter that is idle for longest; the caller
+// holds the engine's mutex.
+func (d *Director) evictAdapter(ctx context.Context, e *engineState) bool {
+	model, adapter, at, ok := d.oldestAdapter(e)
+	if !ok || d.common.Timer.Now().Sub(at) < adapterIdle {
+		return false
 	}
-	if held := oldest.models[model]; held != nil {
-		delete(held.adapters, adapter)
+	outcome := d.send(ctx, e, Order{Action: ActionUnload, Model: model, Adapter: adapter})
+	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
+		return false
 	}
-	return oldest
+	delete(e.models[model].adapters, adapter)
+	return true
 }
 
 // usedAt is when an adapter was last asked for, at least since it was loaded.
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
 const (
@@ -30,6 +31,13 @@
 	// maxPlainAnswer bounds the plain answers that are read whole before they are
 	// passed on, so that one that breaks off can be repeated.
 	maxPlainAnswer = 1 << 20
+	// prefillRun is the prompt tokens that an engine may read without a break: three
+	// pieces of 4096, so that the running answers' pauses stay short.
+	prefillRun = 12288
+	// pacingShare of the objective, as a divisor, bounds the wait for a break, and
+	// pacingInterval is the time between two looks.
+	pacingShare    = 8
+	pacingInterval = 10 * time.Millisecond
 )
 
 var prefixSeed = maphash.MakeSeed()
@@ -117,12 +125,29 @@
 	return &refusedError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoBackend, RetryAfter: retryAfter}, err: cause}
 }
 
-// pick chooses a backend server. A model or adapter that none holds is asked for.
+// pick chooses a backend server. A prompt that would join others in prefill waits
+// a little: engines that read prompts without a break stall their running answers.
 func (h *Handler) pick(ctx context.Context, x *exchange) (aubroute.Choice, error) {
+	request := h.routeRequest(x)
+	latest := h.common.Timer.Now().Add(x.route.Objective / pacingShare)
+	for {
+		choice, err := h.choose(ctx, x, request)
+		isCrowded := err == nil && choice.Waiting > 0 && choice.Waiting+choice.Uncached > prefillRun
+		if !isCrowded || !h.common.Timer.Now().Before(latest) {
+			return choice, err
+		}
+		if err := aubtimer.Wait(ctx, h.common.Timer, pacingInterval); err != nil {
+			return choice, err
+		}
+	}
+}
+
+// choose asks the router. A model or adapter that no backend server holds is
+// asked for.
+func (h *Handler) choose(ctx context.Context, x *exchange, request aubroute.Request) (aubroute.Choice, error) {
 	if err := ctx.Err(); err != nil {
 		return aubroute.Choice{}, err
 	}
-	request := h.routeRequest(x)
 	choice, err := h.parts.Router.Pick(request)
 	var none *aubroute.NoBackendError
 	if !errors.As(err, &none) || request.Service != "" || len(x.excluded) > 0 {
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -81,6 +81,10 @@
 	Member aubmembership.Member
 	// Expected is the first-token time that the policy expects.
 	Expected time.Duration
+	// Waiting is the number of prompt tokens that wait for prefill there, and
+	// Uncached those that the request adds.
+	Waiting  int64
+	Uncached int64
 
 	router *Router
 	work   *work
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -219,6 +219,8 @@
 	return Choice{
 		Member:   o.member,
 		Expected: expected,
+		Waiting:  o.candidate.PendingTokens,
+		Uncached: max(request.PromptTokens-o.candidate.CachedTokens, 0),
 		router:   r,
 		work: &work{
 			member:    o.state,
