--- /dev/null
+++ b/internal/aubregistry/registry_test.go
@@ -0,0 +1,217 @@
+package aubregistry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	ready    = aubwire.BackendState_BACKEND_STATE_READY
+	draining = aubwire.BackendState_BACKEND_STATE_DRAINING
+	gone     = aubwire.BackendState_BACKEND_STATE_GONE
+)
+
+func record(id, address string, started, sequence int64, state aubwire.BackendState) *aubwire.BackendRecord {
+	return &aubwire.BackendRecord{
+		Id: id, Service: "s", Address: address, Zone: "z", StartedMs: started, Sequence: sequence, State: state,
+	}
+}
+
+func newRegistry() (*aubregistry.Registry, *aubtimer.Manual) {
+	timer := aubtimer.NewManual(time.Unix(100, 0))
+	return aubregistry.NewRegistry(aubcommon.NewCommon(timer), 4*time.Second), timer
+}
+
+// usable returns the ids of the members that may get requests.
+func usable(r *aubregistry.Registry) []string {
+	var ids []string
+	for _, m := range r.View().Members() {
+		if !m.Announcement.GetLeaving() {
+			ids = append(ids, m.Announcement.GetName())
+		}
+	}
+	return ids
+}
+
+func TestOnlyTheNewestRegistrationCounts(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		play func(r *aubregistry.Registry)
+		want []string
+	}{
+		{"late registration after a draining notice", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 1, 5, draining))
+			r.Register(record("i1", "a:1", 1, 4, ready))
+		}, nil},
+		{"a state never goes back within an incarnation", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 1, 5, draining))
+			r.Register(record("i1", "a:1", 1, 6, ready))
+		}, nil},
+		{"the same id with a newer incarnation", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 1, 5, draining))
+			r.Register(record("i1", "a:1", 2, 1, ready))
+		}, []string{"i1"}},
+		{"an old incarnation after a newer one", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 2, 1, ready))
+			r.Register(record("i1", "a:1", 1, 9, draining))
+		}, []string{"i1"}},
+		{"departure of an old incarnation", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 2, 1, ready))
+			r.Leave("i1", 1)
+		}, []string{"i1"}},
+		{"departure without a registration", func(r *aubregistry.Registry) { r.Leave("i1", 0) }, nil},
+		{"late registration after a departure", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 1, 1, ready))
+			r.Leave("i1", 0)
+			r.Register(record("i1", "a:1", 1, 2, ready))
+		}, nil},
+		{"another backend server at the address", func(r *aubregistry.Registry) {
+			r.Register(record("i1", "a:1", 1, 9, ready))
+			r.Register(record("i2", "a:1", 2, 1, ready))
+		}, []string{"i2"}},
+		{"late registration of the one before at the address", func(r *aubregistry.Registry) {
+			r.Register(record("i2", "a:1", 2, 1, ready))
+			r.Register(record("i1", "a:1", 1, 9, ready))
+		}, []string{"i2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, _ := newRegistry()
+			test.play(r)
+			qt.Assert(t, usable(r), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestOrderOfArrivalDoesNotMatter delivers the same registrations in two orders,
+// some twice.
+func TestOrderOfArrivalDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *aubwire.BackendRecord {
+			return record("i1", "a:1", rapid.Int64Range(1, 3).Draw(t, "started"), rapid.Int64Range(1, 5).Draw(t, "sequence"), ready)
+		}), 1, 12).Draw(t, "records")
+		shuffled := rapid.Permutation(all).Draw(t, "shuffled")
+		first, _ := newRegistry()
+		second, _ := newRegistry()
+		for i := range all {
+			first.Register(all[i])
+			second.Merge([]*aubwire.BackendRecord{shuffled[i], shuffled[0]})
+		}
+		a, b := first.Records()[0], second.Records()[0]
+		if a.GetStartedMs() != b.GetStartedMs() || a.GetSequence() != b.GetSequence() {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
+
+func TestSilence(t *testing.T) {
+	r, timer := newRegistry()
+	r.Register(record("i1", "a:1", 1, 1, ready))
+	r.Register(record("i2", "a:2", 1, 1, ready))
+	timer.Advance(time.Minute)
+	qt.Assert(t, usable(r), qt.DeepEquals, []string{"i1", "i2"}, qt.Commentf("silence of all is a fault of this process"))
+	r.Register(record("i2", "a:2", 1, 2, ready))
+	timer.Advance(time.Second)
+	qt.Assert(t, usable(r), qt.DeepEquals, []string{"i2"})
+	r.Register(record("i1", "a:1", 1, 2, ready))
+	timer.Advance(time.Second)
+	qt.Assert(t, usable(r), qt.DeepEquals, []string{"i1", "i2"})
+}
+
+func TestRefusedConnectionCountsUntilTheNextRegistration(t *testing.T) {
+	r, timer := newRegistry()
+	other, _ := newRegistry()
+	for _, registry := range []*aubregistry.Registry{r, other} {
+		registry.Register(record("i1", "a:1", 1, 1, ready))
+		registry.Register(record("i2", "a:2", 1, 1, ready))
+	}
+	r.Suspect("i1", 0)
+	qt.Assert(t, usable(r), qt.HasLen, 2, qt.Commentf("another incarnation refused"))
+	r.Suspect("i1", 1)
+	timer.Advance(200 * time.Millisecond)
+	qt.Assert(t, usable(r), qt.DeepEquals, []string{"i2"})
+	other.TakeSuspects(r.Suspects())
+	qt.Assert(t, other.Records(), qt.HasLen, 1)
+	other.Register(record("i1", "a:1", 1, 2, ready))
+	other.TakeSuspects(r.Suspects())
+	qt.Assert(t, other.Records(), qt.HasLen, 2, qt.Commentf("it has registered since"))
+	r.Register(record("i1", "a:1", 2, 1, ready))
+	timer.Advance(200 * time.Millisecond)
+	qt.Assert(t, usable(r), qt.HasLen, 2)
+}
+
+func TestUnloadingModelsAreNotOffered(t *testing.T) {
+	r, timer := newRegistry()
+	with := record("i1", "a:1", 1, 1, ready)
+	with.Models = []*aubwire.ModelCopy{{Name: "m", Adapters: []string{"a1"}}, {Name: "n"}}
+	r.Register(with)
+	r.SetUnloading("i1", []string{"m"}, 1)
+	next := record("i1", "a:1", 1, 2, ready)
+	next.Models = with.Models
+	r.Register(next)
+	timer.Advance(time.Second)
+	states := map[string]aubwire.Residency{}
+	m, _ := r.View().Member("i1")
+	for _, resident := range m.Announcement.GetBackend().GetResident() {
+		states[resident.GetName()] = resident.GetState()
+	}
+	qt.Assert(t, states, qt.DeepEquals, map[string]aubwire.Residency{
+		"s/m":    aubwire.Residency_RESIDENCY_UNLOADING,
+		"s/m/a1": aubwire.Residency_RESIDENCY_UNLOADING,
+		"s/n":    aubwire.Residency_RESIDENCY_READY,
+	})
+}
+
+func TestCopiesBeforeTheNextRegistration(t *testing.T) {
+	r, _ := newRegistry()
+	with := record("i1", "a:1", 1, 1, ready)
+	with.Models = []*aubwire.ModelCopy{{Name: "m"}}
+	r.Register(with)
+	r.AddCopy("i1", "s", "m", "a1")
+	r.AddCopy("i1", "other", "m", "a2")
+	r.AddCopy("i9", "s", "m", "a3")
+	qt.Assert(t, r.Records()[0].GetModels()[0].GetAdapters(), qt.DeepEquals, []string{"a1"})
+	r.DropCopy("i1", "m", "a1")
+	qt.Assert(t, r.Records()[0].GetModels()[0].GetAdapters(), qt.HasLen, 0)
+	r.DropCopy("i1", "m", "")
+	qt.Assert(t, r.Records()[0].GetModels(), qt.HasLen, 0)
+}
+
+func TestLoadsCountEachRelayOnce(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(100, 0))
+	l := aubregistry.NewLoads(aubcommon.NewCommon(timer))
+	report := func(instance string, incarnation uint64, tokens int64) *aubwire.LoadReport {
+		return &aubwire.LoadReport{
+			Instance: instance, Incarnation: incarnation,
+			Uses:   []*aubwire.TokenUse{{Workspace: "w", Tokens: tokens}},
+			Models: []*aubwire.ModelUse{{Model: "m", Requests: tokens / 10, Tokens: tokens}},
+			Loads:  []*aubwire.BackendLoad{{Id: "i1", InFlight: 2}},
+		}
+	}
+	l.Take(report("r1", 1, 1000))
+	l.Take(report("r2", 1, 500))
+	l.Take(report("r1", 1, 1300))
+	l.Take(report("r1", 1, 1300))
+	l.Take(report("r2", 1, 600))
+	uses := func(instance string) int64 { return l.Peers(instance).GetUses()[0].GetTokens() }
+	qt.Assert(t, uses("r1"), qt.Equals, int64(100))
+	qt.Assert(t, uses("r2"), qt.Equals, int64(300))
+	qt.Assert(t, l.Peers("r1").GetInstances(), qt.Equals, int32(1))
+	// A restarted relay counts from another start.
+	l.Take(report("r2", 2, 40))
+	qt.Assert(t, uses("r1"), qt.Equals, int64(100))
+	l.Take(report("r2", 2, 90))
+	qt.Assert(t, uses("r1"), qt.Equals, int64(150))
+	qt.Assert(t, l.Demand()[aubregistry.ModelKey{Model: "m"}], qt.Equals, aubregistry.ModelCount{Requests: 45, Tokens: 450})
+	qt.Assert(t, l.InFlight(), qt.DeepEquals, map[string]int{"i1": 4})
+	timer.Advance(10 * time.Second)
+	qt.Assert(t, l.InFlight(), qt.HasLen, 0)
+	qt.Assert(t, l.Peers("r1").GetInstances(), qt.Equals, int32(0))
+}
--- /dev/null
+++ b/internal/aubregistry/watch_test.go
@@ -0,0 +1,153 @@
+package aubregistry_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
+
+const (
+	patience = 5 * time.Second
+	glance   = 20 * time.Millisecond
+)
+
+// revisions is a configuration that the test sets.
+type revisions struct {
+	current atomic.Pointer[aubwire.SiteRevision]
+}
+
+func (r *revisions) Revision() (*aubwire.SiteRevision, <-chan struct{}) { return r.current.Load(), nil }
+
+type placer struct{}
+
+func (placer) Place(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+	return &aubwire.PlaceResponse{Backend: "i1"}, nil
+}
+
+// controlProcess is one registry behind a server on a pipe.
+type controlProcess struct {
+	registry  *aubregistry.Registry
+	server    *aubregistry.Server
+	loads     *aubregistry.Loads
+	revisions *revisions
+	listener  *bufconn.Listener
+	grpc      *grpc.Server
+}
+
+func newControlProcess(t *testing.T, common aubcommon.Common) *controlProcess {
+	c := &controlProcess{
+		registry: aubregistry.NewRegistry(common, time.Minute), loads: aubregistry.NewLoads(common),
+		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(),
+	}
+	c.revisions.current.Store(&aubwire.SiteRevision{})
+	c.server = aubregistry.NewServer(common, aubregistry.ServerOpts{
+		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{},
+		Confirmed: func() bool { return true }, Addresses: func() []string { return []string{"c1"} },
+	})
+	aubwire.RegisterRegistryServer(c.grpc, c.server)
+	go func() { _ = c.grpc.Serve(c.listener) }()
+	t.Cleanup(c.grpc.Stop)
+	return c
+}
+
+func (c *controlProcess) dial(string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///c1", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return c.listener.DialContext(ctx) }))
+}
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(glance) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%s", what))
+	}
+}
+
+func TestRelaysHaveADepartureInEffectBeforeItIsConfirmed(t *testing.T) {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	control := newControlProcess(t, common)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	registry := aubregistry.NewRegistry(common, time.Minute)
+	var revision, peers atomic.Uint64
+	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
+		Process: "r1", Relay: true, LoadAddress: "10.0.0.1:1", Seeds: func() []string { return []string{"c1"} },
+		Dial: control.dial, Registry: registry,
+		Report:     func() *aubwire.LoadReport { return &aubwire.LoadReport{Instance: "r1", Incarnation: 1} },
+		OnRevision: func(number uint64, _ []byte) { revision.Store(number) },
+		OnPeers:    func(*aubwire.Peers, bool) { peers.Add(1) },
+	})
+	control.registry.Register(record("i1", "a:1", 1, 1, ready))
+	await(t, "the relay hears a registration", func() bool { return len(registry.Records()) == 1 })
+	await(t, "the relay hears of its peers", func() bool { return peers.Load() > 0 && client.Connected() == 1 })
+	control.revisions.current.Store(&aubwire.SiteRevision{Number: 4, Document: []byte("x")})
+	await(t, "the relay hears a configuration", func() bool { return revision.Load() == 4 })
+
+	version := control.registry.Register(record("i1", "a:1", 1, 2, draining))
+	waiting, done := context.WithTimeout(ctx, patience)
+	defer done()
+	qt.Assert(t, control.server.AwaitRelays(waiting, version), qt.IsTrue)
+	qt.Assert(t, usable(registry), qt.HasLen, 0)
+	resp, err := client.Place(ctx, &aubwire.PlaceRequest{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, resp.GetBackend(), qt.Equals, "i1")
+}
+
+func TestDepartureIsNotConfirmedForAStuckRelay(t *testing.T) {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	control := newControlProcess(t, common)
+	conn, err := control.dial("")
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stream, err := aubwire.NewRegistryClient(conn).Watch(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, stream.Send(&aubwire.RegistryRequest{Process: "r1", Relay: true}), qt.IsNil)
+	_, err = stream.Recv()
+	qt.Assert(t, err, qt.IsNil)
+	version := control.registry.Register(record("i1", "a:1", 1, 1, draining))
+	waiting, done := context.WithTimeout(ctx, 10*glance)
+	defer done()
+	qt.Assert(t, control.server.AwaitRelays(waiting, version), qt.IsFalse)
+	qt.Assert(t, stream.Send(&aubwire.RegistryRequest{Process: "r1", Relay: true, Acked: version}), qt.IsNil)
+	later, end := context.WithTimeout(ctx, patience)
+	defer end()
+	qt.Assert(t, control.server.AwaitRelays(later, version), qt.IsTrue)
+}
+
+func TestSilentControlProcessIsLeft(t *testing.T) {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	control := newControlProcess(t, common)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var dials atomic.Int32
+	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
+		Process: "r1", Relay: true, Seeds: func() []string { return []string{"c1"} },
+		Dial: func(address string) (*grpc.ClientConn, error) {
+			dials.Add(1)
+			return control.dial(address)
+		},
+		Registry: aubregistry.NewRegistry(common, time.Minute),
+	})
+	await(t, "the client connects", func() bool { return client.Connected() == 1 })
+	control.grpc.Stop()
+	await(t, "the client tries again", func() bool { return client.Connected() == 0 && dials.Load() > 1 })
+	_, err := client.Place(ctx, &aubwire.PlaceRequest{})
+	qt.Assert(t, err, qt.ErrorMatches, "no control process answers")
+}
--- /dev/null
+++ b/internal/aubrelay/fixture_test.go
@@ -0,0 +1,380 @@
+package aubrelay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubrelay"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// Headers of the tests' own protocol.
+const (
+	headerID        = "Test-Id"
+	headerKey       = "Test-Key"
+	headerSigned    = "Test-Signed"
+	headerNotRun    = "Test-Not-Run"
+	headerBackend   = "Test-Backend"
+	headerLast      = "Test-Last-Event"
+	headerWorkspace = "Test-Workspace"
+	headerCode      = "Test-Code"
+	headerWait      = "Test-Wait"
+)
+
+// protocol is a small protocol for tests.
+type protocol struct{}
+
+func (protocol) DecodeCall(r *http.Request) (aubrelay.Call, error) {
+	call := aubrelay.Call{ID: r.Header.Get(headerID), Key: r.Header.Get(headerKey), LastEvent: aubrelay.NoEvent}
+	if call.ID == "" {
+		return call, errors.New("no id")
+	}
+	if wait, err := time.ParseDuration(r.Header.Get(headerWait)); err == nil {
+		call.Patience = wait
+	}
+	return call, nil
+}
+
+func (protocol) EncodeAttempt(header http.Header, a aubrelay.Attempt) {
+	header.Del(headerKey)
+	header.Set(headerBackend, a.Backend)
+	header.Set(headerWorkspace, a.Workspace)
+	if a.LastEvent != aubrelay.NoEvent {
+		header.Set(headerLast, strconv.FormatInt(a.LastEvent, 10))
+	}
+}
+
+func (protocol) DecodeAnswer(_ int, header http.Header) aubrelay.Answer {
+	return aubrelay.Answer{
+		CallID: header.Get(headerID), Signed: header.Get(headerSigned) != "", NotRun: header.Get(headerNotRun) != "",
+	}
+}
+
+func (protocol) WriteRefusal(w http.ResponseWriter, _ string, refusal aubrelay.Refusal) {
+	w.Header().Set(headerCode, string(refusal.Code))
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", refusal.RetryAfter.String())
+	}
+	w.WriteHeader(refusal.Status)
+}
+
+// behaviour answers one request of a stand-in backend server.
+type behaviour func(b *backend, w http.ResponseWriter, r *http.Request)
+
+// backend is a stand-in backend server. It runs its behaviours in turn, then
+// answers well.
+type backend struct {
+	id     string
+	server *httptest.Server
+
+	mu         sync.Mutex
+	behaviours []behaviour
+	runs       []string
+	seen       []http.Header
+	bodies     []string
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	b.mu.Lock()
+	act := answerWell
+	if len(b.behaviours) > 0 {
+		act, b.behaviours = b.behaviours[0], b.behaviours[1:]
+	}
+	b.seen = append(b.seen, r.Header.Clone())
+	b.bodies = append(b.bodies, r.Method+" "+r.RequestURI+" "+string(body))
+	b.mu.Unlock()
+	act(b, w, r)
+}
+
+// ran notes that the request began to run.
+func (b *backend) ran(r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs = append(b.runs, r.Header.Get(headerID))
+}
+
+func (b *backend) header(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set(headerSigned, b.id)
+}
+
+func answerWell(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	if strings.HasPrefix(r.URL.Path, "/stream") {
+		writeEvents(w, startOf(r), lastEvent+1)
+		return
+	}
+	fmt.Fprintf(w, "answer to %s", r.Header.Get(headerID))
+}
+
+// lastEvent is the last event of every whole stream.
+const lastEvent = 4
+
+func startOf(r *http.Request) int {
+	if last, err := strconv.Atoi(r.Header.Get(headerLast)); err == nil {
+		return last + 1
+	}
+	return 0
+}
+
+func writeEvents(w http.ResponseWriter, from, to int) {
+	for i := from; i < to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func wholeStream() string {
+	var s strings.Builder
+	for i := range lastEvent + 1 {
+		fmt.Fprintf(&s, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return s.String()
+}
+
+func turnAway(_ *backend, w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func loseAnswer(b *backend, _ http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	panic(http.ErrAbortHandler)
+}
+
+func answerAnother(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	w.Header().Set(headerID, "another")
+	fmt.Fprint(w, "answer to another")
+}
+
+func answerUnsigned(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	fmt.Fprint(w, "answer")
+}
+
+func cutBody(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	w.Header().Set("Content-Length", "100")
+	fmt.Fprint(w, "half of an ans")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func garble(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "these bytes are no answer\r\n\r\n")
+}
+
+// answerTwice sends a second answer on the same connection.
+func answerTwice(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := "answer to " + r.Header.Get(headerID)
+	one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: %d\r\n\r\n%s",
+		headerID, r.Header.Get(headerID), headerSigned, len(text), text)
+	fmt.Fprint(conn, one+one)
+	time.Sleep(100 * time.Millisecond)
+}
+
+func cutStream(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	writeEvents(w, startOf(r), 2)
+	fmt.Fprint(w, "id: 2\nda")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func skipEvent(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	writeEvents(w, 0, 2)
+	writeEvents(w, 3, lastEvent+1)
+}
+
+func repeatEvent(b *backend, w http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	b.header(w, r)
+	writeEvents(w, 0, 2)
+	writeEvents(w, 1, lastEvent+1)
+}
+
+func stall(b *backend, _ http.ResponseWriter, r *http.Request) {
+	b.ran(r)
+	<-r.Context().Done()
+}
+
+// relaySite is a relay over stand-in backend servers.
+type relaySite struct {
+	t        *testing.T
+	backends map[string]*backend
+	registry *aubregistry.Registry
+	server   *httptest.Server
+	site     *siteSource
+	handler  *aubrelay.Handler
+}
+
+type siteSource struct {
+	mu   sync.Mutex
+	site *aubsite.Site
+}
+
+func (s *siteSource) Site() *aubsite.Site {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.site
+}
+
+func newSite(t *testing.T) *aubsite.Site {
+	target := []aubsite.Target{{Service: "s", Weight: 1}}
+	route := func(name string, kind aubsite.RouteKind, change func(*aubsite.Route)) aubsite.Route {
+		r := aubsite.Route{
+			Name: name, Host: "127.0.0.1", Prefix: "/" + name + "/", Kind: kind, Timeout: 400 * time.Millisecond,
+			Objective: time.Second, Targets: target, MaxAttempts: 2,
+		}
+		if change != nil {
+			change(&r)
+		}
+		return r
+	}
+	site, err := aubsite.New(aubsite.Spec{
+		Number:   1,
+		Services: []aubsite.Service{{Name: "s"}, {Name: "none"}},
+		Routes: []aubsite.Route{
+			route("read", aubsite.KindIdempotent, nil),
+			route("write", aubsite.KindNonIdempotent, nil),
+			route("stream", aubsite.KindStream, func(r *aubsite.Route) { r.Resumable = true }),
+			route("stream-once", aubsite.KindStream, nil),
+			route("open", aubsite.KindIdempotent, func(r *aubsite.Route) { r.Anonymous = true }),
+			route("nowhere", aubsite.KindIdempotent, func(r *aubsite.Route) { r.Targets = []aubsite.Target{{Service: "none", Weight: 1}} }),
+		},
+		Workspaces: []aubsite.Workspace{
+			{Name: "w", Keys: []string{"key"}},
+			{Name: "small", Keys: []string{"small"}, Rate: 1, Burst: 1},
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return site
+}
+
+func newRelaySite(t *testing.T, names ...string) *relaySite {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	s := &relaySite{
+		t: t, backends: make(map[string]*backend), site: &siteSource{site: newSite(t)},
+		registry: aubregistry.NewRegistry(common, time.Minute),
+	}
+	for i, name := range names {
+		b := &backend{id: name}
+		b.server = httptest.NewServer(b)
+		t.Cleanup(b.server.Close)
+		s.backends[name] = b
+		s.registry.Register(&aubwire.BackendRecord{
+			Id: name, Service: "s", Address: b.server.Listener.Addr().String(), StartedMs: int64(i + 1), Sequence: 1,
+			State: aubwire.BackendState_BACKEND_STATE_READY,
+		})
+	}
+	router, err := aubroute.NewRouter(common, aubroute.RouterOpts{Source: s.registry, RetryShare: 1, RetryBurst: 1000})
+	qt.Assert(t, err, qt.IsNil)
+	var dialer net.Dialer
+	s.handler = aubrelay.NewHandler(common, aubrelay.Parts{
+		Protocol: protocol{}, Site: s.site, Registry: s.registry, Router: router, Demand: aubrelay.NewDemand(common),
+		Limiter: aublimit.NewSharedCounters(common, aublimit.CountersOpts{Bounds: func(string) (int64, int64, bool) { return 1, 1, true }}),
+		Copies: aubrelay.NewCopies(common, s.registry, func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+			return nil, errors.New("no control process")
+		}),
+		Dial: dialer.DialContext,
+	})
+	s.server = httptest.NewServer(s.handler)
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+// behave sets what every backend server does with its next requests.
+func (s *relaySite) behave(acts ...behaviour) {
+	for _, b := range s.backends {
+		b.mu.Lock()
+		b.behaviours = append([]behaviour(nil), acts...)
+		b.mu.Unlock()
+	}
+}
+
+// runs counts the runs of the request on all backend servers.
+func (s *relaySite) runs(id string) int {
+	n := 0
+	for _, b := range s.backends {
+		b.mu.Lock()
+		for _, run := range b.runs {
+			if run == id {
+				n++
+			}
+		}
+		b.mu.Unlock()
+	}
+	return n
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// broken is set when the answer did not end well.
+	broken bool
+}
+
+func (s *relaySite) call(method, path, id string, change func(*http.Request)) answer {
+	s.t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, s.server.URL+path, strings.NewReader("body of "+id))
+	qt.Assert(s.t, err, qt.IsNil)
+	req.Header.Set(headerID, id)
+	req.Header.Set(headerKey, "key")
+	if change != nil {
+		change(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{broken: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), broken: err != nil}
+}
--- /dev/null
+++ b/internal/aubsite/site_test.go
@@ -0,0 +1,151 @@
+package aubsite_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+func route(name, host, prefix string) aubsite.Route {
+	return aubsite.Route{
+		Name: name, Host: host, Prefix: prefix, Kind: aubsite.KindIdempotent, Timeout: time.Second,
+		Targets: []aubsite.Target{{Service: "s", Weight: 1}},
+	}
+}
+
+func spec(routes ...aubsite.Route) aubsite.Spec {
+	return aubsite.Spec{Number: 1, Services: []aubsite.Service{{Name: "s"}}, Routes: routes}
+}
+
+func TestRouteTakesTheLongestPrefix(t *testing.T) {
+	site, err := aubsite.New(spec(route("root", "a", "/"), route("deep", "a", "/x/y/"), route("mid", "a", "/x/"), route("other", "b", "/")))
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct{ host, path, want string }{
+		{"a", "/x/y/z", "deep"},
+		{"a", "/x/y", "mid"},
+		{"a", "/xy", "root"},
+		{"b", "/x/y/z", "other"},
+		{"c", "/", ""},
+	} {
+		r, ok := site.Route(test.host, test.path)
+		qt.Check(t, r.Name, qt.Equals, test.want, qt.Commentf("%s%s", test.host, test.path))
+		qt.Check(t, ok, qt.Equals, test.want != "")
+	}
+}
+
+func TestInvalidConfigurations(t *testing.T) {
+	broken := func(change func(*aubsite.Route)) aubsite.Spec {
+		r := route("r", "a", "/")
+		change(&r)
+		return spec(r)
+	}
+	for _, test := range []struct {
+		name string
+		spec aubsite.Spec
+		want string
+	}{
+		{"unknown service", broken(func(r *aubsite.Route) { r.Targets[0].Service = "t" }), "unknown service t"},
+		{"no timeout", broken(func(r *aubsite.Route) { r.Timeout = 0 }), "no timeout"},
+		{"weights of 0", broken(func(r *aubsite.Route) { r.Targets[0].Weight = 0 }), "add up to 0"},
+		{"negative weight", broken(func(r *aubsite.Route) { r.Targets[0].Weight = -1 }), "negative weight"},
+		{"no target", broken(func(r *aubsite.Route) { r.Targets = nil }), "add up to 0"},
+		{"prefix without slash", broken(func(r *aubsite.Route) { r.Prefix = "/x" }), "end with a slash"},
+		{"same place", spec(route("r", "a", "/"), route("q", "a", "/")), "host and prefix of another route"},
+		{"same service", aubsite.Spec{Number: 1, Services: []aubsite.Service{{Name: "s"}, {Name: "s"}}}, "in use"},
+		{"shared key", aubsite.Spec{Number: 1, Workspaces: []aubsite.Workspace{
+			{Name: "v", Keys: []string{"k"}}, {Name: "w", Keys: []string{"k"}},
+		}}, "shares a key"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := aubsite.New(test.spec)
+			var invalid *aubsite.InvalidError
+			qt.Assert(t, errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, err.Error(), qt.Contains, test.want)
+		})
+	}
+}
+
+func TestHolderOfAKey(t *testing.T) {
+	site, err := aubsite.New(aubsite.Spec{Number: 1, Workspaces: []aubsite.Workspace{
+		{Name: "v", Keys: []string{"k1", "k2"}}, {Name: "w", Keys: []string{"k3"}},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	w, ok := site.Holder("k2")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, w.Name, qt.Equals, "v")
+	_, ok = site.Holder("")
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestHighestRevisionWins applies revisions in any order to two tables, one of
+// which is restored from a snapshot on the way.
+func TestHighestRevisionWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		numbers := rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 20).Draw(t, "numbers")
+		restoreAt := rapid.IntRange(0, len(numbers)-1).Draw(t, "restore at")
+		first, second := aubsite.NewTable(), aubsite.NewTable()
+		highest := uint64(0)
+		content := map[uint64]string{}
+		for i, n := range numbers {
+			document := string(rune('a' + i))
+			body, err := aubsite.EncodeCommand(n, []byte(document))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n > highest {
+				highest = n
+				content[n] = document
+			}
+			first.Apply(aubcontrol.Command{Body: body})
+			second.Apply(aubcontrol.Command{Body: body})
+			if i == restoreAt {
+				data, err := second.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				second = aubsite.NewTable()
+				if err := second.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for _, table := range []*aubsite.Table{first, second} {
+			revision, _ := table.Revision()
+			if revision.GetNumber() != highest || string(revision.GetDocument()) != content[highest] {
+				t.Fatalf("revision %d %q, want %d %q", revision.GetNumber(), revision.GetDocument(), highest, content[highest])
+			}
+		}
+	})
+}
+
+func TestCurrentNeverGoesBack(t *testing.T) {
+	decode := func(document []byte) (*aubsite.Site, error) {
+		if len(document) == 0 {
+			return nil, &aubsite.InvalidError{Reason: "is empty"}
+		}
+		return aubsite.New(aubsite.Spec{Number: uint64(document[0])})
+	}
+	c := aubsite.NewCurrent(aubcommon.NewCommon(aubtimer.NewManual(time.Unix(0, 0))), decode)
+	qt.Assert(t, c.Site(), qt.IsNil)
+	for _, step := range []struct {
+		number   uint64
+		document []byte
+		want     uint64
+	}{
+		{3, []byte{3}, 3},
+		{2, []byte{2}, 3},
+		{5, nil, 3},
+		{4, []byte{4}, 4},
+	} {
+		c.Offer(step.number, step.document)
+		qt.Assert(t, c.Site().Number(), qt.Equals, step.want)
+	}
+}
