--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -67,8 +67,6 @@
 	storeAt time.Time
 	// wanted holds when callers last waited for a model without a copy.
 	wanted map[string]time.Time
-	// revision orders the marks of models that are about to be dropped.
-	revision int64
 }
 
 // NewDirector returns a director that plans until ctx ends.
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	if err := c.servePlatform(); err != nil {
-		return err
+		c.common.Log.Warn("No metrics page.", zap.Error(err))
 	}
 	configs := aubsite.NewConfigurations(c.table, c.replica, c.replica)
 	_, err := c.serveHTTP(httpOpts{
@@ -97,8 +97,9 @@
 	c.table = aubsite.NewTable()
 	c.site = aubsite.NewCurrent(c.common, c.adapter.DecodeSite)
 	self := c.cfg.Internal.Listen.String()
-	var voters []aubcontrol.Peer
-	for _, seed := range controlSeeds(c.cfg) {
+	seeds := controlSeeds(c.cfg)
+	voters := make([]aubcontrol.Peer, 0, len(seeds))
+	for _, seed := range seeds {
 		voters = append(voters, aubcontrol.Peer{Name: seed, Address: seed})
 	}
 	replica, err := aubcontrol.NewReplica(c.ctx, c.common, aubcontrol.ReplicaOpts{
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	if err := r.servePlatform(); err != nil {
-		return err
+		r.common.Log.Warn("No metrics page.", zap.Error(err))
 	}
 	if err := r.serveReady(r.adapter); err != nil {
 		return err
@@ -225,13 +225,13 @@
 // then the running requests.
 func (r *relay) leave() {
 	r.health.ready.Store(false)
-	r.handler.Leave()
-	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.Running()))
-	timeout := r.cfg.Shutdown.Timeout.Value()
+	delay, timeout := r.cfg.Shutdown.Delay.Value(), r.cfg.Shutdown.Timeout.Value()
 	if grace := r.cfg.Shutdown.Grace.Value(); grace > 0 {
-		timeout = min(timeout, grace-r.cfg.Shutdown.Delay.Value()-exitMargin)
+		timeout = min(timeout, grace-delay-exitMargin)
 	}
-	_ = aubtimer.Wait(r.ctx, r.common.Timer, r.cfg.Shutdown.Delay.Value())
+	r.handler.Leave(r.common.Timer.Now().Add(delay + timeout))
+	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.Running()))
+	_ = aubtimer.Wait(r.ctx, r.common.Timer, delay)
 	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, timeout)
 	defer cancel()
 	if err := r.callers.Shutdown(ctx); err != nil {
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -37,6 +37,7 @@
 	headerWorkspace = "Test-Workspace"
 	headerCode      = "Test-Code"
 	headerWait      = "Test-Wait"
+	headerOutput    = "Test-Output-Tokens"
 )
 
 // protocol is a small protocol for tests.
@@ -47,6 +48,9 @@
 	if call.ID == "" {
 		return call, errors.New("no id")
 	}
+	if tokens, err := strconv.ParseInt(r.Header.Get(headerOutput), 10, 64); err == nil {
+		call.OutputTokens = tokens
+	}
 	if wait, err := time.ParseDuration(r.Header.Get(headerWait)); err == nil {
 		call.Patience = wait
 	}
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -28,6 +28,10 @@
 	retrySoon = 500 * time.Millisecond
 	// retryElsewhere is the time to come back when another instance can serve at once.
 	retryElsewhere = 20 * time.Millisecond
+	// slowFirstEvent and slowTokenTime are how long a stream takes on an engine with
+	// a full batch: until its first event, and for each further token.
+	slowFirstEvent = time.Second
+	slowTokenTime  = 20 * time.Millisecond
 )
 
 // Parts are the parts that a request passes through.
@@ -51,7 +55,8 @@
 	transport http.RoundTripper
 	metrics   metrics
 	running   atomic.Int64
-	leaving   atomic.Bool
+	// endsAt is when the process ends; nil while it stays.
+	endsAt atomic.Pointer[time.Time]
 }
 
 // NewHandler returns the callers' handler.
@@ -65,9 +70,19 @@
 	}
 }
 
-// Leave makes the handler turn new streams away: they may last longer than the
+// Leave makes the handler turn new streams away that may last longer than the
 // process does.
-func (h *Handler) Leave() { h.leaving.Store(true) }
+func (h *Handler) Leave(endsAt time.Time) { h.endsAt.Store(&endsAt) }
+
+// outlives reports whether a call may still run when the process ends.
+func (h *Handler) outlives(route aubsite.Route, call Call) bool {
+	endsAt := h.endsAt.Load()
+	if endsAt == nil || route.Kind != aubsite.KindStream {
+		return false
+	}
+	longest := slowFirstEvent + time.Duration(call.OutputTokens)*slowTokenTime
+	return h.common.Timer.Now().Add(longest).After(*endsAt)
+}
 
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int64 { return h.running.Load() }
@@ -118,7 +133,7 @@
 		return refuse(http.StatusNotFound, CodeNoRoute, 0)
 	}
 	x.route = route
-	if h.leaving.Load() && route.Kind == aubsite.KindStream {
+	if h.outlives(route, call) {
 		return refuse(http.StatusServiceUnavailable, CodeLeaving, retryElsewhere)
 	}
 	x.deadline = x.started.Add(patienceOf(call, route))
