--- a/internal/aubconsensus/change.go
+++ b/internal/aubconsensus/change.go
@@ -69,14 +69,18 @@
 	if isListed && n.hasRoom(m.GetName()) {
 		return "", true
 	}
-	return n.openVacancy()
+	// Others join as learners and wait for a place.
+	return "", n.opts.MaxVoters > 0
 }
 
-// openVacancy returns the place that a replica which the settings don't list may
-// take: a new one while there are few voters, else that of a silent voter.
-func (n *Node) openVacancy() (string, bool) {
+// placeFor returns the place that a learner may take as a voter: the name of the
+// voter that it replaces, or a new one.
+func (n *Node) placeFor(learner *aubwire.ConsensusMember) (string, bool) {
 	members := n.log.membership().wire
-	if len(members.GetVoters())+len(members.GetLearners()) < n.opts.MaxVoters {
+	if learner.GetReplaces() != "" || n.opts.MaxVoters == 0 {
+		return learner.GetReplaces(), true
+	}
+	if len(members.GetVoters()) < max(n.opts.MaxVoters, len(n.opts.Voters)) {
 		return "", true
 	}
 	if n.opts.ReplaceAfter == 0 || n.now().Sub(n.lead.since) < n.opts.ReplaceAfter {
@@ -110,8 +114,14 @@
 	if !ok || !n.canChange() || p.match < n.commit || p.match < n.lead.startIndex {
 		return
 	}
-	n.common.Log.Info("Learner becomes a voter.", zap.String("member", learner.GetName()))
-	n.appendMembership(members.withPromotion(learner))
+	replaces, ok := n.placeFor(learner)
+	if !ok {
+		return
+	}
+	n.common.Log.Info("Learner becomes a voter.", zap.String("member", learner.GetName()), zap.String("replaces", replaces))
+	promoted := proto.CloneOf(learner)
+	promoted.Replaces = replaces
+	n.appendMembership(members.withPromotion(promoted))
 }
 
 // finishChange ends the joint phase once it is committed, also one that an earlier
--- a/internal/aubconsensus/join.go
+++ b/internal/aubconsensus/join.go
@@ -60,10 +60,11 @@
 	}
 }
 
-// isLost reports whether this replica has no vote or knows no leader.
+// isLost reports whether this replica is no member or knows no leader.
 func (n *Node) isLost() bool {
 	status := n.Status()
-	return !status.IsVoter || status.Leader.Name == ""
+	isLearner := slices.Contains(status.Learners, n.opts.Self)
+	return !status.IsVoter && !isLearner || status.Leader.Name == ""
 }
 
 func (n *Node) askAll(ctx context.Context) {
--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -72,11 +72,11 @@
 	// JoinOnly keeps this replica from forming a cluster; it waits until one takes
 	// it in.
 	JoinOnly bool
-	// MaxVoters lets replicas that the settings don't list join until there are so
-	// many voters; 0 lets none.
+	// MaxVoters lets replicas that the settings don't list join: as voters while
+	// there are fewer, else as learners. 0 lets none join.
 	MaxVoters int
-	// ReplaceAfter is the silence after which a replica that joins takes a voter's
-	// place by itself; 0 leaves that to an operator.
+	// ReplaceAfter is the silence after which a learner takes a voter's place; 0
+	// leaves that to an operator.
 	ReplaceAfter time.Duration
 	Disk         Disk
 	Transport    Transport
--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -10,19 +11,22 @@
 
 const (
 	// peerSilence is the age of the peers' counters from which an instance counts as
-	// cut off: two reports and the way there and back.
-	peerSilence = 700 * time.Millisecond
+	// cut off: two of the datagrams that come without any change.
+	peerSilence = 1100 * time.Millisecond
 	// startSeconds is the part of the rate, in seconds, that an instance may spend
 	// before it has heard its peers.
 	startSeconds = 0.1
 	// cutOffShare is the part of its equal share that an instance spends while it
 	// hears nobody: the others may not have noticed.
 	cutOffShare = 0.5
+	// unheardShare is the part of the burst that an instance may spend between two
+	// reports of its peers: it may have been cut off since the last.
+	unheardShare = 0.25
 	// toleranceShare is the part of the tolerance that is given out; the rest covers
 	// what peers spend before they are heard.
 	toleranceShare = 0.5
-	// peerRateShare is the weight of the newest report in the peers' rate.
-	peerRateShare = 0.6
+	// peerRateMemory is how fast the measured rate of the peers forgets.
+	peerRateMemory = 250 * time.Millisecond
 )
 
 // CountersOpts configures SharedCounters.
@@ -56,6 +60,9 @@
 	peers   map[string]int64
 	heardAt time.Duration
 	heard   bool
+	// heardSince is when the peers were first heard, and grown what they spent since.
+	heardSince time.Duration
+	grown      map[string]float64
 	// peerRates, in tokens a second, stand in for what peers spend until they are
 	// heard again.
 	peerRates map[string]float64
@@ -71,6 +78,17 @@
 	burst int64
 	// assumed is the peers' spending since they were heard, taken from the level.
 	assumed float64
+	// unheard is what was spent here since the peers were heard.
+	unheard float64
+}
+
+// available is what may be spent now: the level, and not more than the bound
+// between two reports of the peers, which lets one request of any size through.
+func (b *counterBucket) available() float64 {
+	if b.unheard == 0 {
+		return b.level
+	}
+	return min(b.level, unheardShare*float64(b.burst)-b.unheard)
 }
 
 var _ Policy[Reservation] = (*SharedCounters)(nil)
@@ -85,6 +103,7 @@
 		uses:      make(map[string]int64),
 		peers:     make(map[string]int64),
 		peerRates: make(map[string]float64),
+		grown:     make(map[string]float64),
 		instances: 1,
 	}
 }
@@ -100,14 +119,15 @@
 	defer s.mu.Unlock()
 	if rate > 0 {
 		b := s.bucket(workspace, rate, burst)
-		if float64(tokens) > b.level {
-			missing := (float64(tokens) - b.level) / float64(rate)
+		if left := b.available(); float64(tokens) > left {
+			missing := (float64(tokens) - left) / float64(rate)
 			s.common.Metrics.Tagged(map[string]string{"reason": string(ReasonRate)}).Counter("refused").Inc(1)
 			refused := refuse(ReasonRate, time.Duration(missing*float64(time.Second)))
 			refused.Available = int64(b.level)
 			return Reservation{}, refused
 		}
 		b.level -= float64(tokens)
+		b.unheard += float64(tokens)
 	}
 	s.uses[workspace] += tokens
 	return Reservation{settlement: &settlement{settler: s, workspace: workspace, tokens: tokens}}, nil
@@ -147,20 +167,26 @@
 	return uses
 }
 
-// TakePeers takes in the counters of all peers together. isFirst is set when
-// they may count from another start than those before.
-func (s *SharedCounters) TakePeers(instances int, uses map[string]int64, isFirst bool) {
+// SetInstances tells how many instances share the allowances, this one included.
+func (s *SharedCounters) SetInstances(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = max(n, 1)
+}
+
+// TakePeers takes in the counters of all peers together, which only grow.
+func (s *SharedCounters) TakePeers(_ int, uses map[string]int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = instances + 1
 	elapsed := (s.now() - s.heardAt).Seconds()
+	if !s.heard {
+		s.heardSince = s.now()
+	}
 	s.heardAt, s.heard = s.now(), true
 	for workspace, tokens := range uses {
 		grown := float64(max(tokens-s.peers[workspace], 0))
 		s.peers[workspace] = tokens
-		if isFirst {
-			grown = 0
-		}
+		s.grown[workspace] += grown
 		b := s.buckets[workspace]
 		if b == nil {
 			continue
@@ -168,19 +194,23 @@
 		s.refill(workspace, b)
 		// A debt is bounded, so that one late burst doesn't shut the workspace out.
 		b.level = min(max(b.level+b.assumed-grown, -float64(b.burst)), float64(b.burst))
-		b.assumed = 0
+		b.assumed, b.unheard = 0, 0
 		if elapsed > 0 {
-			s.peerRates[workspace] += peerRateShare * (grown/elapsed - s.peerRates[workspace])
+			weight := 1 - math.Exp(-elapsed/peerRateMemory.Seconds())
+			s.peerRates[workspace] += weight * (grown/elapsed - s.peerRates[workspace])
 		}
 	}
 }
 
 // bucket returns the refilled bucket; the caller holds mu.
 func (s *SharedCounters) bucket(workspace string, rate, burst int64) *counterBucket {
-	now := s.now()
 	b := s.buckets[workspace]
 	if b == nil {
-		b = &counterBucket{level: min(startSeconds*float64(rate), float64(burst)), at: now}
+		b = &counterBucket{level: startSeconds * float64(rate), at: s.now()}
+		if s.heard {
+			// It has filled since the peers were first heard.
+			b.level += float64(rate)*(s.now()-s.heardSince).Seconds() - s.grown[workspace]
+		}
 		s.buckets[workspace] = b
 	}
 	b.rate, b.burst = rate, burst
--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,11 +16,12 @@
 )
 
 const (
-	// loadPause is the least time between two load datagrams to one receiver.
-	loadPause = 10 * time.Millisecond
+	// loadPause, for each receiver, is the least time between two load datagrams: an
+	// instance sends at most 200 a second, however many peers it has.
+	loadPause = 5 * time.Millisecond
 	// wholeInterval is the time between two datagrams with all loads, which make
 	// good for lost ones.
-	wholeInterval = time.Second
+	wholeInterval = 500 * time.Millisecond
 	// loadAge is the age from which an instance that is silent has no load.
 	loadAge = 2500 * time.Millisecond
 )
@@ -41,6 +43,11 @@
 	Incarnation uint64
 	// Loads returns the own work in flight by backend server.
 	Loads func() map[string]Load
+	// Uses returns the tokens taken here by workspace since the start; nil for none.
+	Uses func() map[string]int64
+	// OnUses takes in what all peers together took, by workspace, since this process
+	// first heard each of them, and how many are heard.
+	OnUses func(peers int, uses map[string]int64)
 }
 
 // LoadExchange tells instances of each other's work in flight within
@@ -58,6 +65,8 @@
 	mu    sync.Mutex
 	peers []netip.AddrPort
 	heard map[string]*heardLoads
+	// uses sums the growth of the peers' counters.
+	uses map[string]int64
 }
 
 // heardLoads is what one peer told.
@@ -66,6 +75,7 @@
 	sequence    uint64
 	at          time.Time
 	loads       map[string]Load
+	uses        map[string]int64
 }
 
 // NewLoadExchange listens and sends until ctx ends. Errors are those of the socket.
@@ -77,6 +87,7 @@
 		counters: newCounters(common.Metrics),
 		changed:  make(chan struct{}, 1),
 		heard:    make(map[string]*heardLoads),
+		uses:     make(map[string]int64),
 	}
 	t, err := newTransport(ctx, common.Log, opts.Listen, x.receive)
 	if err != nil {
@@ -133,6 +144,7 @@
 func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
 	var sequence uint64
 	sent := make(map[string]Load)
+	sentUses := make(map[string]int64)
 	for {
 		isWhole := false
 		select {
@@ -141,14 +153,19 @@
 		case <-ticks:
 			isWhole = true
 		case <-x.changed:
-			if aubtimer.Wait(ctx, x.common.Timer, loadPause) != nil {
+			if aubtimer.Wait(ctx, x.common.Timer, x.pause()) != nil {
 				return
 			}
 		}
 		loads := x.opts.Loads()
 		delta := deltaOf(sent, loads, isWhole)
 		sent = loads
-		if !isWhole && len(delta.GetLoads()) == 0 {
+		if x.opts.Uses != nil {
+			uses := x.opts.Uses()
+			delta.Uses = usesOf(sentUses, uses, isWhole)
+			sentUses = uses
+		}
+		if !isWhole && len(delta.GetLoads())+len(delta.GetUses()) == 0 {
 			continue
 		}
 		sequence++
@@ -157,6 +174,12 @@
 	}
 }
 
+func (x *LoadExchange) pause() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Duration(max(len(x.peers), 1)) * loadPause
+}
+
 // deltaOf lists the loads that changed, or all of them.
 func deltaOf(before, after map[string]Load, isWhole bool) *aubwire.LoadDelta {
 	delta := &aubwire.LoadDelta{Whole: isWhole}
@@ -178,6 +201,17 @@
 	return delta
 }
 
+// usesOf lists the counters that changed, or all of them.
+func usesOf(before, after map[string]int64, isWhole bool) []*aubwire.TokenUse {
+	var uses []*aubwire.TokenUse
+	for workspace, tokens := range after {
+		if isWhole || before[workspace] != tokens {
+			uses = append(uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens})
+		}
+	}
+	return uses
+}
+
 func (x *LoadExchange) send(delta *aubwire.LoadDelta) {
 	sealed, err := Seal(x.opts.Secret, &aubwire.Datagram{Load: delta})
 	if err != nil {
@@ -205,6 +239,23 @@
 		return
 	}
 	x.take(d.GetLoad())
+	if x.opts.OnUses != nil {
+		x.opts.OnUses(x.peerUses())
+	}
+}
+
+// peerUses returns the number of peers heard of late and what all of them took.
+func (x *LoadExchange) peerUses() (int, map[string]int64) {
+	now := x.common.Timer.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	peers := 0
+	for _, h := range x.heard {
+		if now.Sub(h.at) <= loadAge {
+			peers++
+		}
+	}
+	return peers, maps.Clone(x.uses)
 }
 
 // take applies a delta unless a newer one came before it.
@@ -213,7 +264,7 @@
 	defer x.mu.Unlock()
 	h := x.heard[delta.GetInstance()]
 	if h == nil || h.incarnation != delta.GetIncarnation() {
-		h = &heardLoads{incarnation: delta.GetIncarnation(), loads: make(map[string]Load)}
+		h = newHeardLoads(h, delta)
 		x.heard[delta.GetInstance()] = h
 	}
 	if delta.GetSequence() <= h.sequence {
@@ -226,4 +277,20 @@
 	for _, load := range delta.GetLoads() {
 		h.loads[load.GetId()] = Load{Requests: int(load.GetInFlight()), PrefillTokens: load.GetPrefillTokens()}
 	}
+	for _, use := range delta.GetUses() {
+		x.uses[use.GetWorkspace()] += max(use.GetTokens()-h.uses[use.GetWorkspace()], 0)
+		h.uses[use.GetWorkspace()] = use.GetTokens()
+	}
+}
+
+// newHeardLoads begins the history of a peer's incarnation. What a peer that was
+// never heard before took is not known to be recent; a restarted one counts from 0.
+func newHeardLoads(before *heardLoads, delta *aubwire.LoadDelta) *heardLoads {
+	h := &heardLoads{incarnation: delta.GetIncarnation(), loads: make(map[string]Load), uses: make(map[string]int64)}
+	if before == nil {
+		for _, use := range delta.GetUses() {
+			h.uses[use.GetWorkspace()] = use.GetTokens()
+		}
+	}
+	return h
 }
--- /dev/null
+++ b/internal/aubmembership/load_test.go
@@ -0,0 +1,121 @@
+package aubmembership_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// loadPeer is one instance whose work the test sets.
+type loadPeer struct {
+	exchange *aubmembership.LoadExchange
+
+	mu    sync.Mutex
+	loads map[string]aubmembership.Load
+	uses  map[string]int64
+	heard map[string]int64
+}
+
+func newLoadPeer(ctx context.Context, t *testing.T, name, listen string, incarnation uint64) *loadPeer {
+	p := &loadPeer{loads: map[string]aubmembership.Load{}, uses: map[string]int64{}}
+	x, err := aubmembership.NewLoadExchange(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubmembership.LoadExchangeOpts{
+		Listen: listen, Secret: []byte("s"), Instance: name, Incarnation: incarnation,
+		Loads: func() map[string]aubmembership.Load {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			loads := map[string]aubmembership.Load{}
+			for id, load := range p.loads {
+				loads[id] = load
+			}
+			return loads
+		},
+		Uses: func() map[string]int64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			uses := map[string]int64{}
+			for workspace, tokens := range p.uses {
+				uses[workspace] = tokens
+			}
+			return uses
+		},
+		OnUses: func(_ int, uses map[string]int64) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.heard = uses
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	p.exchange = x
+	return p
+}
+
+func (p *loadPeer) set(id string, load aubmembership.Load, workspace string, tokens int64) {
+	p.mu.Lock()
+	if load == (aubmembership.Load{}) {
+		delete(p.loads, id)
+	} else {
+		p.loads[id] = load
+	}
+	p.uses[workspace] = tokens
+	p.mu.Unlock()
+	p.exchange.Changed()
+}
+
+func (p *loadPeer) heardOf(workspace string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard[workspace]
+}
+
+func awaitLoad(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%s", what))
+	}
+}
+
+func TestLoadReachesPeers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	addresses := []string{"127.0.0.1:41731", "127.0.0.1:41732"}
+	a := newLoadPeer(ctx, t, "a", addresses[0], 1)
+	b := newLoadPeer(ctx, t, "b", addresses[1], 1)
+	a.exchange.SetPeers(addresses[1:])
+	b.exchange.SetPeers([]string{addresses[0], "no address"})
+
+	a.set("i1", aubmembership.Load{Requests: 2, PrefillTokens: 900}, "w", 100)
+	awaitLoad(t, "b hears the load", func() bool {
+		return b.exchange.Load("i1") == aubmembership.Load{Requests: 2, PrefillTokens: 900}
+	})
+	qt.Assert(t, b.heardOf("w"), qt.Equals, int64(0), qt.Commentf("what came before the first word is not recent"))
+	a.set("i1", aubmembership.Load{}, "w", 250)
+	awaitLoad(t, "b hears that the work ended", func() bool { return b.exchange.Load("i1") == aubmembership.Load{} })
+	awaitLoad(t, "b hears what was taken", func() bool { return b.heardOf("w") == 150 })
+	qt.Assert(t, a.exchange.Load("i1"), qt.Equals, aubmembership.Load{}, qt.Commentf("own work is not a peer's"))
+}
+
+func TestRestartedPeerCountsFromItsStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b := newLoadPeer(ctx, t, "b", "127.0.0.1:41734", 1)
+	first, end := context.WithCancel(ctx)
+	a := newLoadPeer(first, t, "a", "127.0.0.1:41733", 1)
+	a.exchange.SetPeers([]string{"127.0.0.1:41734"})
+	a.set("i1", aubmembership.Load{Requests: 5}, "w", 1000)
+	awaitLoad(t, "b hears the first run", func() bool { return b.exchange.Load("i1").Requests == 5 })
+	end()
+	time.Sleep(50 * time.Millisecond)
+	again := newLoadPeer(ctx, t, "a", "127.0.0.1:41735", 2)
+	again.exchange.SetPeers([]string{"127.0.0.1:41734"})
+	again.set("i2", aubmembership.Load{Requests: 1}, "w", 40)
+	awaitLoad(t, "b hears the second run", func() bool { return b.exchange.Load("i2").Requests == 1 })
+	qt.Assert(t, b.exchange.Load("i1"), qt.Equals, aubmembership.Load{})
+	qt.Assert(t, b.heardOf("w"), qt.Equals, int64(40))
+}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -58,7 +58,7 @@
 func (c *controller) run(ctx context.Context) error {
 	c.common.Log.Info("Control process starts.", zap.String("zone", c.cfg.Zone), zap.Bool("may_form", c.cfg.Control.Form))
 	if c.cfg.Control.DataDir == "" {
-		return &SettingError{Path: "control.data_dir", Reason: "a control process carries a replica and needs a data folder"}
+		return c.runRedirects(ctx)
 	}
 	if err := c.startReplica(); err != nil {
 		return err
--- /dev/null
+++ b/internal/aubprocess/redirect.go
@@ -0,0 +1,51 @@
+package aubprocess
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubregistry"
+)
+
+// runRedirects serves an instance without a disk: it sends operators and backend
+// servers on to a control process that carries a replica.
+func (c *controller) runRedirects(ctx context.Context) error {
+	c.common.Log.Warn("No data folder; every call is sent on to a control process with one.")
+	c.registry = aubregistry.NewRegistry(c.common, silenceOf(c.cfg))
+	c.client = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
+		Process:  c.cfg.Name,
+		Self:     c.cfg.Internal.Listen.String(),
+		Seeds:    func() []string { return controlSeeds(c.live.Settings()) },
+		Dial:     c.transport.Dial,
+		Registry: c.registry,
+	})
+	_, err := c.serveHTTP(httpOpts{
+		setting: "registry.listen", listen: c.cfg.Registry.Listen,
+		handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.redirect(w, r) }),
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return nil
+}
+
+// redirect names a control process that answers; the port is the same everywhere.
+func (c *controller) redirect(w http.ResponseWriter, r *http.Request) {
+	addresses := c.client.Addresses()
+	_, port, err := net.SplitHostPort(c.cfg.Registry.Listen.String())
+	if len(addresses) == 0 || err != nil {
+		c.common.Log.Warn("No control process to send a call on to.", zap.String("path", r.URL.Path), zap.Error(err))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	// The settings were checked: internal addresses split.
+	host, _, _ := net.SplitHostPort(addresses[0])
+	http.Redirect(w, r, "http://"+net.JoinHostPort(host, port)+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+}
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -141,6 +141,8 @@
 		Instance:    r.cfg.Name,
 		Incarnation: incarnation,
 		Loads:       r.router.InFlight,
+		Uses:        r.limiter.Uses,
+		OnUses:      r.limiter.TakePeers,
 	}); err != nil {
 		return err
 	}
@@ -187,21 +189,14 @@
 				Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
 			})
 		}
-		for workspace, tokens := range r.limiter.Uses() {
-			report.Uses = append(report.Uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens})
-		}
 		return report
 	}
 }
 
-func (r *relay) takePeers(peers *aubwire.Peers, isFirst bool) {
+func (r *relay) takePeers(peers *aubwire.Peers) {
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
-	uses := make(map[string]int64, len(peers.GetUses()))
-	for _, use := range peers.GetUses() {
-		uses[use.GetWorkspace()] = use.GetTokens()
-	}
-	r.limiter.TakePeers(int(peers.GetInstances()), uses, isFirst)
+	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
 }
 
 func (r *relay) peerLoad(backend string) aubmembership.Load { return r.loads.Load(backend) }
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -39,9 +39,8 @@
 	Report func() *aubwire.LoadReport
 	// OnRevision takes in the newest configuration.
 	OnRevision func(number uint64, document []byte)
-	// OnPeers takes in the load of the other relays; isFirst is set on the first
-	// message of a stream, whose counters may have another start.
-	OnPeers func(peers *aubwire.Peers, isFirst bool)
+	// OnPeers takes in who the other relays are.
+	OnPeers func(peers *aubwire.Peers)
 }
 
 // Client keeps a stream to every control process.
@@ -207,7 +206,7 @@
 ) error {
 	ticks := c.common.Timer.Subscribe(ctx, reportInterval)
 	heard := c.common.Timer.Now()
-	acked, isFirst := uint64(0), true
+	acked := uint64(0)
 	offer(requests, c.request(l, acked, true))
 	for {
 		select {
@@ -216,8 +215,7 @@
 			if c.setConnected(l, conn) {
 				c.common.Log.Info("Control process reached.", zap.String("address", l.address))
 			}
-			c.take(resp, isFirst)
-			isFirst = isFirst && resp.GetPeers() == nil
+			c.take(resp)
 			if resp.GetUpdate() > acked {
 				acked = resp.GetUpdate()
 				offer(requests, c.request(l, acked, false))
@@ -235,13 +233,13 @@
 	}
 }
 
-func (c *Client) take(resp *aubwire.RegistryResponse, isFirst bool) {
+func (c *Client) take(resp *aubwire.RegistryResponse) {
 	c.opts.Registry.Merge(resp.GetRecords())
 	if revision := resp.GetRevision(); revision != nil && c.opts.OnRevision != nil {
 		c.opts.OnRevision(revision.GetNumber(), revision.GetDocument())
 	}
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
-		c.opts.OnPeers(peers, isFirst)
+		c.opts.OnPeers(peers)
 	}
 	c.meet(resp.GetControlAddresses())
 }
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -29,10 +29,7 @@
 	at          time.Time
 	incarnation uint64
 	loads       []*aubwire.BackendLoad
-	uses        map[string]int64
 	models      map[ModelKey]ModelCount
-	// added is the relay's own part of the totals.
-	added map[string]int64
 }
 
 // Loads sums the load reports of all relays.
@@ -43,7 +40,6 @@
 
 	mu      sync.Mutex
 	relays  map[string]*reported
-	uses    map[string]int64
 	demands map[ModelKey]ModelCount
 }
 
@@ -52,7 +48,6 @@
 	return &Loads{
 		common:  common,
 		relays:  make(map[string]*reported),
-		uses:    make(map[string]int64),
 		demands: make(map[ModelKey]ModelCount),
 	}
 }
@@ -66,24 +61,15 @@
 	held := l.relays[report.GetInstance()]
 	isFirst := held == nil || held.incarnation != report.GetIncarnation()
 	if held == nil {
-		held = &reported{added: make(map[string]int64)}
+		held = &reported{}
 		l.relays[report.GetInstance()] = held
 	}
 	if isFirst {
 		held.incarnation = report.GetIncarnation()
-		held.uses = make(map[string]int64)
 		held.models = make(map[ModelKey]ModelCount)
 	}
 	held.at = now
 	held.loads = report.GetLoads()
-	for _, use := range report.GetUses() {
-		if !isFirst {
-			grown := max(use.GetTokens()-held.uses[use.GetWorkspace()], 0)
-			l.uses[use.GetWorkspace()] += grown
-			held.added[use.GetWorkspace()] += grown
-		}
-		held.uses[use.GetWorkspace()] = use.GetTokens()
-	}
 	for _, m := range report.GetModels() {
 		l.takeModel(held, m, isFirst)
 	}
@@ -104,26 +90,18 @@
 	}
 }
 
-// Peers sums what all relays but the named one report.
-func (l *Loads) Peers(instance string) *aubwire.Peers {
+// Peers counts the relays but the named one.
+func (l *Loads) Peers(instance string) int {
 	now := l.common.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	peers := &aubwire.Peers{}
-	var own map[string]int64
+	n := 0
 	for name, relay := range l.relays {
-		if name == instance {
-			own = relay.added
-			continue
+		if name != instance && now.Sub(relay.at) <= reportAge {
+			n++
 		}
-		if now.Sub(relay.at) <= reportAge {
-			peers.Instances++
-		}
-	}
-	for workspace, tokens := range l.uses {
-		peers.Uses = append(peers.Uses, &aubwire.TokenUse{Workspace: workspace, Tokens: tokens - own[workspace]})
 	}
-	return peers
+	return n
 }
 
 // Demand returns the counts of all models and adapters. They only grow.
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -249,8 +249,10 @@
 	wants := w.wantsPeers
 	w.server.mu.Unlock()
 	if wants {
-		resp.Peers = w.server.opts.Loads.Peers(w.process)
-		resp.Peers.LoadAddresses = w.server.loadAddresses(w.loadAddress)
+		resp.Peers = &aubwire.Peers{
+			Instances:     int32(w.server.opts.Loads.Peers(w.process)),
+			LoadAddresses: w.server.loadAddresses(w.loadAddress),
+		}
 	}
 }
 
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -150,7 +150,16 @@
 	}
 	choice, err := h.parts.Router.Pick(request)
 	var none *aubroute.NoBackendError
-	if !errors.As(err, &none) || request.Service != "" || len(x.excluded) > 0 {
+	if !errors.As(err, &none) {
+		return choice, err
+	}
+	if len(x.excluded) > 0 {
+		// The only holder may answer the second time: a lost answer is not a lost
+		// backend server.
+		request.Exclude = nil
+		return h.parts.Router.Pick(request)
+	}
+	if request.Service != "" {
 		return choice, err
 	}
 	if err := h.parts.Copies.Await(ctx, x.service, x.call.Model, x.call.Adapter); err != nil {
