--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -61,6 +61,7 @@
 	transport *transport
 	counters  counters
 	changed   chan struct{}
+	done      chan struct{}
 
 	mu    sync.Mutex
 	peers []netip.AddrPort
@@ -86,6 +87,7 @@
 		opts:     opts,
 		counters: newCounters(common.Metrics),
 		changed:  make(chan struct{}, 1),
+		done:     make(chan struct{}),
 		heard:    make(map[string]*heardLoads),
 		uses:     make(map[string]int64),
 	}
@@ -96,10 +98,17 @@
 	x.transport = t
 	t.start()
 	ticks := common.Timer.Subscribe(ctx, wholeInterval)
-	go x.run(ctx, ticks)
+	go func() {
+		defer close(x.done)
+		x.run(ctx, ticks)
+		t.wait()
+	}()
 	return x, nil
 }
 
+// Done is closed once the exchange has ended with its context.
+func (x *LoadExchange) Done() <-chan struct{} { return x.done }
+
 // Changed asks for a datagram: the own work in flight changed.
 func (x *LoadExchange) Changed() {
 	select {
--- a/internal/aubmembership/load_test.go
+++ b/internal/aubmembership/load_test.go
@@ -56,6 +56,14 @@
 	return p
 }
 
+// endAll ends the peers of a context and waits for them.
+func endAll(cancel context.CancelFunc, peers ...*loadPeer) {
+	cancel()
+	for _, p := range peers {
+		<-p.exchange.Done()
+	}
+}
+
 func (p *loadPeer) set(id string, load aubmembership.Load, workspace string, tokens int64) {
 	p.mu.Lock()
 	if load == (aubmembership.Load{}) {
@@ -83,10 +91,10 @@
 
 func TestLoadReachesPeers(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	addresses := []string{"127.0.0.1:41731", "127.0.0.1:41732"}
 	a := newLoadPeer(ctx, t, "a", addresses[0], 1)
 	b := newLoadPeer(ctx, t, "b", addresses[1], 1)
+	defer endAll(cancel, a, b)
 	a.exchange.SetPeers(addresses[1:])
 	b.exchange.SetPeers([]string{addresses[0], "no address"})
 
@@ -103,16 +111,15 @@
 
 func TestRestartedPeerCountsFromItsStart(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	b := newLoadPeer(ctx, t, "b", "127.0.0.1:41734", 1)
 	first, end := context.WithCancel(ctx)
 	a := newLoadPeer(first, t, "a", "127.0.0.1:41733", 1)
 	a.exchange.SetPeers([]string{"127.0.0.1:41734"})
 	a.set("i1", aubmembership.Load{Requests: 5}, "w", 1000)
 	awaitLoad(t, "b hears the first run", func() bool { return b.exchange.Load("i1").Requests == 5 })
-	end()
-	time.Sleep(50 * time.Millisecond)
+	endAll(end, a)
 	again := newLoadPeer(ctx, t, "a", "127.0.0.1:41735", 2)
+	defer endAll(cancel, again, b)
 	again.exchange.SetPeers([]string{"127.0.0.1:41734"})
 	again.set("i2", aubmembership.Load{Requests: 1}, "w", 40)
 	awaitLoad(t, "b hears the second run", func() bool { return b.exchange.Load("i2").Requests == 1 })
