--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -17,7 +17,7 @@
 	// very many load at once.
 	adapterLoadTime = 12 * time.Millisecond
 	// adapterIdle is how long an adapter must have been idle to make room.
-	adapterIdle = time.Second
+	adapterIdle = 250 * time.Millisecond
 	// handoverRetry is when to come back while a new leader gives no orders yet.
 	handoverRetry = time.Second
 	// noticeTime is the time until relays hear that a model is ready.
