Bound loads in progress by what the weight store begins in one load's time

Cause: nine loads at once on Pampa took 5 s where 4.2 s are stated. The bound now comes from the rate and the mean load time (4 and 7 on the two sites).

--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -26,6 +26,9 @@
 	// operationLimit is the time after which an order in progress is looked into
 	// without regard to its outcome.
 	operationLimit = 20 * time.Second
+	// ordersForLoad is the number of orders in progress for each load: an unload often
+	// comes before it, and loads of kept weights need no place at the store.
+	ordersForLoad = 3
 	// wantedMemory is how long a question for a copy counts as waiting callers.
 	wantedMemory = 5 * time.Second
 )
@@ -258,7 +261,7 @@
 		d.store--
 		d.mu.Unlock()
 	}
-	e.operation = &operation{action: ActionLoad, model: move.Model, at: now, takes: move.Takes}
+	e.operation = &operation{action: ActionLoad, model: move.Model, at: now, takes: move.Takes, fromStore: move.FromStore}
 	d.order(ctx, e, Order{Action: ActionLoad, Model: move.Model})
 }
 
@@ -330,7 +333,8 @@
 	loads := d.opts.Loads.InFlight()
 	d.mu.Lock()
 	d.refillStore(now, service.Engine.LoadsPerSecond)
-	s := Snapshot{StoreLoads: int(d.store), Orders: ordersAtOnce(service.Engine)}
+	atOnce := loadsAtOnce(service.Engine)
+	s := Snapshot{StoreLoads: int(d.store), StoreAtOnce: atOnce, Orders: ordersForLoad * atOnce}
 	for _, m := range service.Engine.Models {
 		name := aubregistry.ModelName(service.Name, m.Name)
 		s.Models = append(s.Models, ModelView{
@@ -360,14 +364,15 @@
 	d.storeAt = now
 }
 
-// ordersAtOnce bounds the orders in progress: what the weight store begins while
-// one load lasts.
-func ordersAtOnce(engine *aubsite.Engine) int {
-	longest := time.Second
+// loadsAtOnce is the number of loads that the weight store begins while one lasts.
+// With more in progress each takes longer.
+func loadsAtOnce(engine *aubsite.Engine) int {
+	var sum time.Duration
 	for _, m := range engine.Models {
-		longest = max(longest, m.LoadTime)
+		sum += m.LoadTime
 	}
-	return max(int(math.Ceil(engine.LoadsPerSecond*longest.Seconds())), 2)
+	mean := sum.Seconds() / float64(max(len(engine.Models), 1))
+	return max(int(math.Round(engine.LoadsPerSecond*mean)), 1)
 }
 
 func modelsOf(engine *aubsite.Engine) map[string]aubsite.Model {
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -269,11 +269,18 @@
 		{
 			name: "a busy model takes free memory",
 			snapshot: Snapshot{
-				Engines: []EngineView{engine("e1", "a"), engine("e2", "b")}, StoreLoads: 1, Orders: 4,
+				Engines: []EngineView{engine("e1", "a"), engine("e2", "b")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
 				Models: []ModelView{model("a", 50000, false), model("b", 0, false)},
 			},
 			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true}},
 		},
+		{
+			name: "no load while the weight store is at its full speed",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1", "a"), engine("e2", "b"), {ID: "e3", Megabytes: 150, Busy: true, FromStore: true}},
+				Models:  []ModelView{model("a", 50000, false), model("b", 0, false)}, StoreLoads: 1, StoreAtOnce: 1, Orders: 4,
+			},
+		},
 		{
 			name: "no load without a place at the weight store",
 			snapshot: Snapshot{
@@ -284,14 +291,14 @@
 		{
 			name: "the only copy of a model in use stays",
 			snapshot: Snapshot{
-				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "c", "d")}, StoreLoads: 1, Orders: 4,
+				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "c", "d")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
 				Models: []ModelView{model("a", 50000, false), model("b", 9000, false), model("c", 9000, false), model("d", 9000, false)},
 			},
 		},
 		{
 			name: "an idle model makes room for one that callers wait for",
 			snapshot: Snapshot{
-				Engines: []EngineView{engine("e1", "a", "b")}, StoreLoads: 1, Orders: 4,
+				Engines: []EngineView{engine("e1", "a", "b")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
 				Models: []ModelView{model("a", 50000, false), model("b", 0, false), model("c", 0, true)},
 			},
 			want: []Move{{Action: ActionUnload, Engine: "e1", Model: "b"}},
@@ -299,7 +306,7 @@
 		{
 			name: "a surplus copy makes room",
 			snapshot: Snapshot{
-				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "a", "c"), engine("e3", "a", "d")}, StoreLoads: 1, Orders: 1,
+				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "a", "c"), engine("e3", "a", "d")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 1,
 				Models: []ModelView{model("a", 0, false), model("b", 50000, false), model("c", 9000, false), model("d", 9000, false)},
 			},
 			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "a"}},
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -51,6 +51,8 @@
 	at     time.Time
 	// takes is how long a load is expected to take.
 	takes time.Duration
+	// fromStore is set for loads from the weight store.
+	fromStore bool
 	// marked is when relays were told to stop sending; the unload follows later.
 	marked bool
 	// ordered is set once the engine accepted it.
@@ -169,6 +171,7 @@
 		Models:        make(map[string]CopyState, len(e.models)),
 		Kept:          make(map[string]bool),
 		Busy:          e.operation != nil || !e.known,
+		FromStore:     e.operation != nil && e.operation.fromStore,
 	}
 	for name, held := range e.models {
 		v.Models[name] = held.state
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -29,6 +29,8 @@
 	Kept map[string]bool
 	// Busy engines take no order now.
 	Busy bool
+	// FromStore is set while a load from the weight store is in progress.
+	FromStore bool
 	// Load is the number of requests in flight.
 	Load int
 }
@@ -53,8 +55,10 @@
 type Snapshot struct {
 	Engines []EngineView
 	Models  []ModelView
-	// StoreLoads is the number of loads from the weight store that may begin now.
-	StoreLoads int
+	// StoreLoads is the number of loads from the weight store that may begin now,
+	// and StoreAtOnce that of those in progress at its full speed.
+	StoreLoads  int
+	StoreAtOnce int
 	// Orders bounds the loads and unloads in progress, those of Busy engines included.
 	Orders int
 }
@@ -113,6 +117,9 @@
 			p.busy[e.ID] = true
 			room--
 		}
+		if e.FromStore {
+			p.snapshot.StoreAtOnce--
+		}
 		for model, state := range e.Models {
 			switch state {
 			case CopyReady:
@@ -209,10 +216,11 @@
 	fromStore, takes := !e.Kept[m.Name], m.KeptLoadTime
 	if fromStore {
 		takes = m.LoadTime
-		if p.snapshot.StoreLoads == 0 {
+		if p.snapshot.StoreLoads <= 0 || p.snapshot.StoreAtOnce <= 0 {
 			return
 		}
 		p.snapshot.StoreLoads--
+		p.snapshot.StoreAtOnce--
 	}
 	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore, Takes: takes})
 	p.busy[e.ID] = true
--- a/internal/aubrelay/copies.go
+++ b/internal/aubrelay/copies.go
@@ -65,7 +65,10 @@
 func (c *Copies) take(name, service, model, adapter string, value any) error {
 	resp, ok := value.(*aubwire.PlaceResponse)
 	if !ok || resp.GetBackend() == "" {
-		retryAfter := max(time.Duration(resp.GetRetryAfterMs())*time.Millisecond, retrySoon)
+		retryAfter := time.Duration(resp.GetRetryAfterMs()) * time.Millisecond
+		if retryAfter <= 0 {
+			return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
+		}
 		return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retryAfter}
 	}
 	c.registry.AddCopy(resp.GetBackend(), service, model, adapter)
