--- a/internal/aubcli/role.go
+++ b/internal/aubcli/role.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -15,9 +18,17 @@
 )
 
 // runRole runs one role until ctx asks for a graceful shutdown.
-type runRole func(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error
+type runRole func(ctx context.Context, common aubcommon.Common, live *aubsettings.Live) error
+
+// withFirst adapts a role that reads its settings at the start only.
+func withFirst(run func(ctx context.Context, common aubcommon.Common, cfg aubsettings.Settings) error) runRole {
+	return func(ctx context.Context, common aubcommon.Common, live *aubsettings.Live) error {
+		return run(ctx, common, live.Settings())
+	}
+}
 
 // newRoleCommand returns the command of a role that is configured by a file.
+// SIGHUP makes it read the file again.
 func newRoleCommand(s streams, name, help string, run runRole) *ffcli.Command {
 	fs := s.newFlagSet("auburndale " + name)
 	file := fs.String("settings", "", "settings file in YAML")
@@ -31,6 +42,9 @@
 			if *file == "" || len(args) > 0 {
 				return s.usageError("%s needs -settings and nothing besides", name)
 			}
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
 			cfg, err := aubsettings.Load(*file)
 			if err != nil {
 				return err
@@ -41,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			return run(ctx, common, cfg)
+			return run(ctx, common, aubsettings.NewLive(ctx, common, *file, cfg, reload))
 		},
 	}
 }
--- a/internal/aubentry/deliver.go
+++ b/internal/aubentry/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubexecution"
+	"github.com/auburndale/auburndale/internal/aubheader"
 	"github.com/auburndale/auburndale/internal/aubroute"
 )
 
@@ -175,7 +176,7 @@
 		}
 		to[name] = values
 	}
-	removeHopHeaders(to)
+	aubheader.RemoveHop(to)
 }
 
 func copyTrailers(to, from http.Header) {
--- a/internal/aubentry/service_call.go
+++ b/internal/aubentry/service_call.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubauth"
+	"github.com/auburndale/auburndale/internal/aubheader"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
-// hopHeaders concern one connection only and are never passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // callService runs a call of a plain service.
 func (h *Handler) callService(ctx context.Context, x *exchange) error {
 	if hasDotSegment(x.r.URL.Path) {
@@ -68,7 +62,7 @@
 	header := x.r.Header.Clone()
 	// The key is noted before any header goes, hop-by-hop ones included.
 	stripper := aubauth.NewStripper(header, &u)
-	removeHopHeaders(header)
+	aubheader.RemoveHop(header)
 	stripper.StripHeader(header)
 	stripper.StripURL(&u)
 	header.Set(headerRequestID, x.id)
@@ -96,19 +90,6 @@
 	}
 }
 
-// removeHopHeaders deletes the headers of the caller's connection, those that it
-// names itself included.
-func removeHopHeaders(header http.Header) {
-	for _, list := range header.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 // refuseKey refuses a request that shows its key where it can't be taken out:
 // in the path, the body or the idempotency key. No backend server may see it.
 func refuseKey(x *exchange, body []byte) *refusal {
--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -160,11 +161,7 @@
 func (s *SharedCounters) Uses() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	uses := make(map[string]int64, len(s.uses))
-	for workspace, tokens := range s.uses {
-		uses[workspace] = tokens
-	}
-	return uses
+	return maps.Clone(s.uses)
 }
 
 // SetInstances tells how many instances share the allowances, this one included.
--- /dev/null
+++ b/internal/auborder/snapshot.go
@@ -0,0 +1,66 @@
+package auborder
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubsite"
+)
+
+// snapshot gathers what the planner needs.
+func (d *Director) snapshot(now time.Time, service aubsite.Service, engines map[string]*engineState) Snapshot {
+	models := modelsOf(service.Engine)
+	loads := d.opts.Loads.InFlight()
+	d.mu.Lock()
+	d.refillStore(now, service.Engine.LoadsPerSecond)
+	atOnce := loadsAtOnce(service.Engine)
+	s := Snapshot{StoreLoads: int(d.store), StoreAtOnce: atOnce, Orders: ordersForLoad * atOnce}
+	for _, m := range service.Engine.Models {
+		name := aubregistry.ModelName(service.Name, m.Name)
+		s.Models = append(s.Models, ModelView{
+			Name: m.Name, Megabytes: m.Megabytes, Work: d.meter.work[name], Requests: d.meter.requests[name],
+			LoadTime: m.LoadTime, KeptLoadTime: m.DiskLoadTime,
+			Waiting: now.Sub(d.wanted[name]) < wantedMemory,
+		})
+	}
+	d.mu.Unlock()
+	for id, e := range engines {
+		e.mu.Lock()
+		s.Engines = append(s.Engines, e.view(service.Engine, models, loads[id]))
+		e.mu.Unlock()
+	}
+	slices.SortFunc(s.Engines, func(a, b EngineView) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// refillStore lets further loads begin; the caller holds mu.
+func (d *Director) refillStore(now time.Time, perSecond float64) {
+	d.store = min(d.store+perSecond*now.Sub(d.storeAt).Seconds(), storeBurst)
+	d.storeAt = now
+}
+
+// loadsAtOnce is the number of loads that the weight store begins while one lasts.
+// With more in progress each takes longer.
+func loadsAtOnce(engine *aubsite.Engine) int {
+	var sum time.Duration
+	for _, m := range engine.Models {
+		sum += m.LoadTime
+	}
+	mean := sum.Seconds() / float64(max(len(engine.Models), 1))
+	return max(int(math.Round(engine.LoadsPerSecond*mean)), 1)
+}
+
+func modelsOf(engine *aubsite.Engine) map[string]aubsite.Model {
+	models := make(map[string]aubsite.Model, len(engine.Models))
+	for _, m := range engine.Models {
+		models[m.Name] = m
+	}
+	return models
+}
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -1,6 +1,7 @@
 package aubregistry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -108,11 +109,7 @@
 func (l *Loads) Demand() map[ModelKey]ModelCount {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := make(map[ModelKey]ModelCount, len(l.demands))
-	for key, count := range l.demands {
-		counts[key] = count
-	}
-	return counts
+	return maps.Clone(l.demands)
 }
 
 // InFlight returns the requests in flight on each backend server.
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -86,7 +86,6 @@
 		return err
 	}
 	w := &watcher{server: s, stream: stream, process: first.GetProcess(), isRelay: first.GetRelay(), loadAddress: first.GetLoadAddress(), heardAt: s.common.Timer.Now()}
-	s.opts.Registry.Merge(first.GetKnown())
 	s.add(w)
 	defer s.remove(w)
 	w.take(first)
--- /dev/null
+++ b/internal/aubrelay/choose.go
@@ -0,0 +1,87 @@
+package aubrelay
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+
+	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// pick chooses a backend server. A prompt that would join others in prefill waits
+// a little: engines that read prompts without a break stall their running answers.
+func (h *Handler) pick(ctx context.Context, x *exchange) (aubroute.Choice, error) {
+	request := h.routeRequest(x)
+	latest := h.common.Timer.Now().Add(x.route.Objective / pacingShare)
+	for {
+		choice, err := h.choose(ctx, x, request)
+		isCrowded := err == nil && choice.Waiting > 0 && choice.Waiting+choice.Uncached > prefillRun
+		if !isCrowded || !h.common.Timer.Now().Before(latest) {
+			return choice, err
+		}
+		if err := aubtimer.Wait(ctx, h.common.Timer, pacingInterval); err != nil {
+			return choice, err
+		}
+	}
+}
+
+// choose asks the router. A model or adapter that no backend server holds is
+// asked for.
+func (h *Handler) choose(ctx context.Context, x *exchange, request aubroute.Request) (aubroute.Choice, error) {
+	if err := ctx.Err(); err != nil {
+		return aubroute.Choice{}, err
+	}
+	choice, err := h.parts.Router.Pick(request)
+	var none *aubroute.NoBackendError
+	if !errors.As(err, &none) {
+		return choice, err
+	}
+	if len(x.excluded) > 0 {
+		// The only holder may answer the second time: a lost answer is not a lost
+		// backend server.
+		request.Exclude = nil
+		return h.parts.Router.Pick(request)
+	}
+	if request.Service != "" {
+		return choice, err
+	}
+	if err := h.parts.Copies.Await(ctx, x.service, x.call.Model, x.call.Adapter); err != nil {
+		return choice, err
+	}
+	return h.parts.Router.Pick(request)
+}
+
+func (h *Handler) routeRequest(x *exchange) aubroute.Request {
+	request := aubroute.Request{Exclude: x.excluded, PromptTokens: x.call.PromptTokens, Budget: x.service}
+	service, _ := x.site.Service(x.service)
+	if service.Engine == nil || x.call.Model == "" {
+		request.Service = x.service
+		return request
+	}
+	request.Model = aubregistry.ModelName(x.service, x.call.Model)
+	if x.call.Adapter != "" {
+		request.Adapter = aubregistry.AdapterName(x.service, x.call.Model, x.call.Adapter)
+	}
+	request.Prefixes = prefixesOf(x.call)
+	h.parts.Demand.Add(request.Model, x.call)
+	return request
+}
+
+// prefixesOf hashes the prompt block by block. Kept prefixes belong to one model
+// and adapter.
+func prefixesOf(call Call) []uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(prefixSeed)
+	_, _ = hash.WriteString(call.Model + "/" + call.Adapter)
+	var prefixes []uint64
+	for _, part := range call.Prompt {
+		_, _ = hash.WriteString(part.ID)
+		for range max(part.Tokens/PrefixBlockTokens, 1) {
+			_ = hash.WriteByte(0)
+			prefixes = append(prefixes, hash.Sum64())
+		}
+	}
+	return prefixes
+}
--- /dev/null
+++ b/internal/aubrelay/plain.go
@@ -0,0 +1,66 @@
+package aubrelay
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubheader"
+	"github.com/auburndale/auburndale/internal/aubroute"
+)
+
+// passPlain reads an answer whole and passes it on, or keeps a failure for the
+// case that no repeat does better.
+func (h *Handler) passPlain(x *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) sendResult {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer))
+	if err != nil {
+		return sendResult{verdict: verdictFailed, failure: aubroute.FailureConnection, err: err}
+	}
+	x.firstEvent = h.common.Timer.Now().Sub(started)
+	choice.FirstToken()
+	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header, body: body, rest: resp.Body, isWhole: len(body) < maxPlainAnswer}
+	if resp.StatusCode >= http.StatusInternalServerError && answer.isWhole && !x.written {
+		return sendResult{verdict: verdictFailed, failure: aubroute.FailureBackend, answer: answer, err: &statusError{status: resp.StatusCode}}
+	}
+	if x.written {
+		// A stream that goes on can't take another status.
+		return sendResult{verdict: verdictFailed, failure: aubroute.FailureBackend, err: &statusError{status: resp.StatusCode}}
+	}
+	return sendResult{verdict: verdictDone, err: h.passOn(x, answer)}
+}
+
+// plainAnswer is a backend server's answer, read up to a bound.
+type plainAnswer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	isWhole bool
+	// rest follows the body when it is not whole.
+	rest io.Reader
+}
+
+// passOn writes a backend server's answer to the caller.
+func (h *Handler) passOn(x *exchange, answer *plainAnswer) error {
+	copyHeader(x.w.Header(), answer.header)
+	x.status = answer.status
+	x.written = true
+	x.w.WriteHeader(answer.status)
+	if _, err := x.w.Write(answer.body); err != nil {
+		return &goneError{err: err}
+	}
+	if answer.isWhole {
+		return nil
+	}
+	if _, err := io.Copy(x.w, answer.rest); err != nil {
+		return &brokenError{err: err}
+	}
+	return nil
+}
+
+func copyHeader(to, from http.Header) {
+	header := from.Clone()
+	aubheader.RemoveHop(header)
+	for name, values := range header {
+		to[name] = values
+	}
+}
--- a/internal/aubrelay/transport.go
+++ b/internal/aubrelay/transport.go
@@ -7,9 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburndale/auburndale/internal/aubheader"
 )
 
 const (
@@ -35,25 +36,6 @@
 	}
 }
 
-// hopHeaders concern one connection only and are never passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// removeHopHeaders deletes the headers of one connection, those that the
-// connection header names included.
-func removeHopHeaders(header http.Header) {
-	for _, list := range header.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 // onceBody is a body that the transport can't rewind: it must not send a request
 // again by itself.
 type onceBody struct{ io.Reader }
@@ -80,7 +62,7 @@
 	u := *x.r.URL
 	u.Scheme, u.Host = "http", address
 	header := x.r.Header.Clone()
-	removeHopHeaders(header)
+	aubheader.RemoveHop(header)
 	h.parts.Protocol.EncodeAttempt(header, a)
 	if header.Get("User-Agent") == "" {
 		// An empty value keeps the transport from adding its own.
