--- a/internal/aubrelay/choose.go
+++ b/internal/aubrelay/choose.go
@@ -53,6 +53,14 @@
 	return h.parts.Router.Pick(request)
 }
 
+// noteDemand counts a request for a model once, however often it is sent.
+func (h *Handler) noteDemand(x *exchange) {
+	service, _ := x.site.Service(x.service)
+	if service.Engine != nil && x.call.Model != "" {
+		h.parts.Demand.Add(aubregistry.ModelName(x.service, x.call.Model), x.call)
+	}
+}
+
 func (h *Handler) routeRequest(x *exchange) aubroute.Request {
 	request := aubroute.Request{Exclude: x.excluded, PromptTokens: x.call.PromptTokens, Budget: x.service}
 	service, _ := x.site.Service(x.service)
@@ -65,7 +73,6 @@
 		request.Adapter = aubregistry.AdapterName(x.service, x.call.Model, x.call.Adapter)
 	}
 	request.Prefixes = prefixesOf(x.call)
-	h.parts.Demand.Add(request.Model, x.call)
 	return request
 }
 
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -61,6 +61,7 @@
 // relay sends the request until it has an answer or may not be sent again.
 func (h *Handler) relay(ctx context.Context, x *exchange) error {
 	x.service = serviceOf(x.route)
+	h.noteDemand(x)
 	var last sendResult
 	for {
 		choice, err := h.pick(ctx, x)
