--- /dev/null
+++ b/internal/aubsettings/live_test.go
@@ -0,0 +1,50 @@
+package aubsettings_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubsettings"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+func TestLiveSettings(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	file := filepath.Join(t.TempDir(), "s.yaml")
+	write := func(text string, at time.Time) {
+		qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+		qt.Assert(t, os.Chtimes(file, at, at), qt.IsNil)
+	}
+	start := time.Unix(1000, 0)
+	write("name: a\nzone: z\n", start)
+	cfg, err := aubsettings.Load(file)
+	qt.Assert(t, err, qt.IsNil)
+	timer := aubtimer.NewManual(start)
+	reload := make(chan os.Signal)
+	live := aubsettings.NewLive(ctx, aubcommon.NewCommon(timer), file, cfg, reload)
+	awaitZone := func(zone string) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); live.Settings().Zone != zone; time.Sleep(5 * time.Millisecond) {
+			qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("zone stays %s", live.Settings().Zone))
+		}
+	}
+	write("name: a\nzone: y\n", start.Add(time.Second))
+	reload <- syscall.SIGHUP
+	awaitZone("y")
+	write("name: a\nzone: x\n", start.Add(2*time.Second))
+	timer.Advance(3 * time.Second)
+	awaitZone("x")
+	// A file with faults leaves the old settings in force.
+	write("colour: blue\n", start.Add(3*time.Second))
+	reload <- syscall.SIGHUP
+	reload <- syscall.SIGHUP
+	qt.Assert(t, live.Settings().Zone, qt.Equals, "x")
+}
