Take greetings in although a peer is silent

Ruled out: the full disk, whose exits had ended 13 s before. TestReplicaJoinsBesideASilentPeer failed first (1.8 s of 1.5 s).

--- a/internal/aubconsensus/join.go
+++ b/internal/aubconsensus/join.go
@@ -69,7 +69,7 @@
 
 func (n *Node) askAll(ctx context.Context) {
 	status := n.Status()
-	ctx, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
+	asking, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	peers := n.helloTargets(status)
@@ -77,13 +77,14 @@
 	for i, p := range peers {
 		wg.Go(func() {
 			req := &aubwire.HelloRequest{Member: n.self, ClusterId: status.ClusterID}
-			resp, err := n.opts.Transport.Hello(ctx, p.Address, req)
+			resp, err := n.opts.Transport.Hello(asking, p.Address, req)
 			if err == nil {
 				answers[i] = helloAnswer{peer: p, resp: resp}
 			}
 		})
 	}
 	wg.Wait()
+	// A silent peer uses up the time for the answers, not for taking them in.
 	_ = n.call(ctx, func() { n.takeAnswers(answers) })
 }
 
--- a/internal/aubconsensus/observer_test.go
+++ b/internal/aubconsensus/observer_test.go
@@ -1,11 +1,14 @@
 package aubconsensus_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/auburndale/auburndale/internal/aubconsensus"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 // newOpenCluster starts three replicas that form a cluster, and more that join.
@@ -87,3 +90,46 @@
 	c.hasEverywhere("k", "kept,after,")
 	qt.Assert(t, c.voters()[gone], qt.IsFalse)
 }
+
+// silentHello is a transport on which one address never answers a greeting.
+type silentHello struct {
+	aubconsensus.Transport
+
+	silent string
+}
+
+func (s silentHello) Hello(ctx context.Context, address string, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	if address == s.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return s.Transport.Hello(ctx, address, req)
+}
+
+// TestReplicaJoinsBesideASilentPeer covers a peer of the settings that is dark: the
+// answers of the others count all the same.
+func TestReplicaJoinsBesideASilentPeer(t *testing.T) {
+	t.Parallel()
+	c := newOpenCluster(t, 3)
+	c.append("k", "kept")
+	gone := "a"
+	if c.leader() == gone {
+		gone = "b"
+	}
+	c.kill(gone)
+	open := c.change
+	c.change = func(opts *aubconsensus.Opts) {
+		open(opts)
+		opts.Transport = silentHello{Transport: opts.Transport, silent: gone}
+	}
+	started := time.Now()
+	c.peers = append(c.peers, aubconsensus.Peer{Name: "d", Address: "d"})
+	c.platters["d"] = newPlatter(false)
+	c.start("d")
+	c.eventually("the new replica holds what was committed", func() bool {
+		p, ok := c.process("d")
+		return ok && p.machine.get("k") == "kept,"
+	})
+	took := time.Since(started)
+	qt.Assert(t, took < 10*electionTimeout, qt.IsTrue, qt.Commentf("joined after %v", took))
+}
