--- a/internal/aubconsensus/join.go
+++ b/internal/aubconsensus/join.go
@@ -60,32 +60,56 @@
 	}
 }
 
-// isLost reports whether this replica is no member or knows no leader.
+// isLost reports whether this replica is no member or hears no leader. A replica
+// that was removed is not told so; it only hears nothing any more.
 func (n *Node) isLost() bool {
-	status := n.Status()
+	n.mu.Lock()
+	status, heardAt := n.published.status, n.published.heardAt
+	n.mu.Unlock()
 	isLearner := slices.Contains(status.Learners, n.opts.Self)
-	return !status.IsVoter && !isLearner || status.Leader.Name == ""
+	isSilent := !status.LeaderHere && n.now().Sub(heardAt) > 2*n.opts.ElectionTimeout
+	return !status.IsVoter && !isLearner || status.Leader.Name == "" || isSilent
 }
 
 func (n *Node) askAll(ctx context.Context) {
 	status := n.Status()
 	asking, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
 	peers := n.helloTargets(status)
+	answers := n.ask(asking, peers, status)
+	answers = append(answers, n.ask(asking, leadersOf(answers, peers), status)...)
+	// A silent peer uses up the time for the answers, not for taking them in.
+	_ = n.call(ctx, func() { n.takeAnswers(answers) })
+}
+
+// ask greets the peers at once.
+func (n *Node) ask(ctx context.Context, peers []Peer, status Status) []helloAnswer {
+	var wg sync.WaitGroup
 	answers := make([]helloAnswer, len(peers))
 	for i, p := range peers {
 		wg.Go(func() {
 			req := &aubwire.HelloRequest{Member: n.self, ClusterId: status.ClusterID}
-			resp, err := n.opts.Transport.Hello(asking, p.Address, req)
+			resp, err := n.opts.Transport.Hello(ctx, p.Address, req)
 			if err == nil {
 				answers[i] = helloAnswer{peer: p, resp: resp}
 			}
 		})
 	}
 	wg.Wait()
-	// A silent peer uses up the time for the answers, not for taking them in.
-	_ = n.call(ctx, func() { n.takeAnswers(answers) })
+	return answers
+}
+
+// leadersOf returns the leaders that the answers name and that were not asked:
+// only the leader takes a replica in.
+func leadersOf(answers []helloAnswer, asked []Peer) []Peer {
+	var leaders []Peer
+	for _, a := range answers {
+		leader := Peer{Name: a.resp.GetLeader().GetName(), Address: a.resp.GetLeader().GetAddress()}
+		if leader.Address != "" && !slices.Contains(asked, leader) && !slices.Contains(leaders, leader) {
+			leaders = append(leaders, leader)
+		}
+	}
+	return leaders
 }
 
 // helloTargets returns the peers of the settings and of the known membership.
--- a/internal/aubconsensus/status.go
+++ b/internal/aubconsensus/status.go
@@ -11,6 +11,8 @@
 	status     Status
 	leading    bool
 	leaseUntil time.Time
+	// heardAt is when a leader was last heard.
+	heardAt time.Time
 }
 
 // Status is what a node knows of itself and its cluster.
@@ -49,6 +51,7 @@
 		IsJoint:    members.isJoint(),
 		InChange:   members.isJoint() || n.log.membershipIndex() > n.commit,
 	}}
+	p.heardAt = n.heardAt
 	if n.lead != nil && n.lead.ready && n.lead.transfer == nil {
 		p.leading = true
 		p.leaseUntil = n.leaseUntil()
