Remove a peer count and a counter that nothing reads

LoadExchange counted the peers heard of late with every datagram and SharedCounters.TakePeers ignored the number; Registry.View counted hidden records and dropped the count. The comment on LoadExchange named a second where the interval is wholeInterval.

--- a/internal/aublimit/counters.go
+++ b/internal/aublimit/counters.go
@@ -172,7 +172,7 @@
 }
 
 // TakePeers takes in the counters of all peers together, which only grow.
-func (s *SharedCounters) TakePeers(_ int, uses map[string]int64) {
+func (s *SharedCounters) TakePeers(uses map[string]int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	elapsed := (s.now() - s.heardAt).Seconds()
--- a/internal/aublimit/counters_test.go
+++ b/internal/aublimit/counters_test.go
@@ -57,7 +57,7 @@
 				sum += report["w"]
 			}
 		}
-		instance.TakePeers(len(s.instances)-1, map[string]int64{"w": sum})
+		instance.TakePeers(map[string]int64{"w": sum})
 	}
 	for i, instance := range s.instances {
 		if isCut && i == 0 {
@@ -83,7 +83,7 @@
 			s := newCounterSite(1)
 			const steps = 8
 			for i := range steps {
-				s.instances[0].TakePeers(1, map[string]int64{"w": test.peers * int64(i) / steps})
+				s.instances[0].TakePeers(map[string]int64{"w": test.peers * int64(i) / steps})
 				s.timer.Advance(2 * time.Second / steps)
 			}
 			_, err := s.instances[0].Reserve(context.Background(), "w", counterBurst/2)
--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -46,13 +46,13 @@
 	// Uses returns the tokens taken here by workspace since the start; nil for none.
 	Uses func() map[string]int64
 	// OnUses takes in what all peers together took, by workspace, since this process
-	// first heard each of them, and how many are heard.
-	OnUses func(peers int, uses map[string]int64)
+	// first heard each of them.
+	OnUses func(uses map[string]int64)
 }
 
 // LoadExchange tells instances of each other's work in flight within
 // milliseconds. Datagrams carry what changed; one with everything follows each
-// second.
+// wholeInterval.
 //
 // Lock order: mu is taken alone.
 type LoadExchange struct {
@@ -253,18 +253,11 @@
 	}
 }
 
-// peerUses returns the number of peers heard of late and what all of them took.
-func (x *LoadExchange) peerUses() (int, map[string]int64) {
-	now := x.common.Timer.Now()
+// peerUses returns what all peers took, by workspace.
+func (x *LoadExchange) peerUses() map[string]int64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	peers := 0
-	for _, h := range x.heard {
-		if now.Sub(h.at) <= loadAge {
-			peers++
-		}
-	}
-	return peers, maps.Clone(x.uses)
+	return maps.Clone(x.uses)
 }
 
 // take applies a delta unless a newer one came before it.
--- a/internal/aubmembership/load_test.go
+++ b/internal/aubmembership/load_test.go
@@ -45,7 +45,7 @@
 			}
 			return uses
 		},
-		OnUses: func(_ int, uses map[string]int64) {
+		OnUses: func(uses map[string]int64) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.heard = uses
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -267,10 +267,8 @@
 		return r.view
 	}
 	members := make([]aubmembership.Member, 0, len(r.entries))
-	hidden := uint64(0)
 	for _, e := range r.entries {
 		if e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || r.lost(e) {
-			hidden++
 			continue
 		}
 		members = append(members, aubmembership.Member{Announcement: announcementOf(e.record), HeardAt: e.heardAt})
