Give orders side by side, repeat them at once, plan by the time until ready

The log showed why: a round waited for every report and order in turn, so that each unanswered order (500 ms) held up all others; an order that was lost was found out only by the next report; the end of an unload or load was seen 0.5 s to 1 s late; a model was loaded from the store in 4.2 s although an engine kept it on disk; idle models were loaded and dropped in turn while a busy one waited; each plan unloaded one more engine for the same need.

Change: one task for each engine; state and calls have locks of their own; an order without an answer is sent again with the same expected sequence, which the engine takes once at most; reports are polled while an order is under way, and one that lacks the last order is passed over; the planner compares the time until ready, counts unloads under way for a model, and loads idle models last. An adapter that requests still use is no longer taken for dropped.

Ruled out: the ceiling of loads (65 of some 147 allowed).

--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -15,12 +15,15 @@
 )
 
 const (
-	// orderTimeout bounds one order or report.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout bounds one try of an order, or one report, and orderTries the tries.
+	orderTimeout = 250 * time.Millisecond
+	orderTries   = 3
 	// storeBurst bounds the loads from the weight store that begin together.
 	storeBurst = 3.0
 	// markTime is how long relays get to stop sending before a model is dropped.
-	markTime = 300 * time.Millisecond
+	markTime = 100 * time.Millisecond
+	// attendInterval is the time between two looks at the operations in progress.
+	attendInterval = 50 * time.Millisecond
 	// operationLimit is the time after which an order in progress is looked into
 	// without regard to its outcome.
 	operationLimit = 20 * time.Second
@@ -51,12 +54,13 @@
 
 // Director gives the orders while its process leads.
 //
-// Lock order: the mutex of one engine, then mu. Only the former is held while an
-// order is under way.
+// Lock order: the mutexes of one engine, then mu.
 type Director struct {
 	common aubcommon.Common
 	opts   DirectorOpts
 	wake   chan struct{}
+	// tasks are the orders and reports under way.
+	tasks sync.WaitGroup
 
 	mu        sync.Mutex
 	engines   map[string]*engineState
@@ -73,16 +77,20 @@
 // NewDirector returns a director that plans until ctx ends.
 func NewDirector(ctx context.Context, common aubcommon.Common, opts DirectorOpts) *Director {
 	d := newDirector(common, opts)
-	ticks := common.Timer.Subscribe(ctx, opts.Interval)
+	rounds := common.Timer.Subscribe(ctx, opts.Interval)
+	looks := common.Timer.Subscribe(ctx, attendInterval)
 	go func() {
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-ticks:
+			case <-looks:
+				d.attendAll(ctx)
+			case <-rounds:
+				d.round(ctx)
 			case <-d.wake:
+				d.round(ctx)
 			}
-			d.round(ctx)
 		}
 	}()
 	return d
@@ -134,22 +142,32 @@
 	return now.Sub(d.leadSince) >= d.opts.Handover
 }
 
-// direct plans for the engines of one service and gives the orders.
+// direct plans for the engines of one service and begins the moves.
 func (d *Director) direct(ctx context.Context, now time.Time, service aubsite.Service) {
 	engines := d.sync(now, service)
-	var settled sync.WaitGroup
 	for _, e := range engines {
-		settled.Go(func() { d.settle(ctx, e) })
+		d.attend(ctx, e)
 	}
-	settled.Wait()
-	snapshot := d.snapshot(now, service, engines)
-	for _, move := range Plan(snapshot) {
+	for _, move := range Plan(d.snapshot(now, service, engines)) {
 		if e := engines[move.Engine]; e != nil {
 			d.begin(ctx, e, move)
 		}
 	}
 }
 
+// attendAll does what the engines with operations in progress need next.
+func (d *Director) attendAll(ctx context.Context) {
+	d.mu.Lock()
+	isActing := d.lead(d.common.Timer.Now())
+	d.mu.Unlock()
+	if !isActing {
+		return
+	}
+	for _, e := range d.all() {
+		d.attend(ctx, e)
+	}
+}
+
 // sync follows the registry and returns the engines of the service that can
 // take orders.
 func (d *Director) sync(now time.Time, service aubsite.Service) map[string]*engineState {
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -131,6 +131,7 @@
 	s.deliver()
 	for _, d := range s.directors {
 		d.round(ctx)
+		d.tasks.Wait()
 	}
 }
 
@@ -230,6 +231,61 @@
 	})
 }
 
+// TestSilentEngineDelaysNoOther covers an engine that leaves its order unanswered.
+func TestSilentEngineDelaysNoOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, 1, 6)
+		s.register(atOnce)
+		for range 10 {
+			s.step(context.Background())
+		}
+		s.fleet.silent = "e0"
+		ctx, cancel := context.WithCancel(context.Background())
+		began := time.Now()
+		for range 8 {
+			s.demand("m3", 40000)
+			s.demand("m4", 40000)
+			s.fleet.advance(testInterval)
+			s.directors[0].round(ctx)
+			time.Sleep(time.Millisecond)
+		}
+		given, took := s.fleet.orders(), time.Since(began)
+		cancel()
+		s.directors[0].tasks.Wait()
+		if given < 2 || took > orderTimeout {
+			t.Fatalf("%d orders were given in %s while one engine was silent", given, took)
+		}
+	})
+}
+
+// TestUnansweredOrderIsRepeated covers an order that is lost and one that is late.
+func TestUnansweredOrderIsRepeated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, 1, 1)
+		e := s.fleet.engines["e0"]
+		s.register(atOnce)
+		for range 20 {
+			s.demand("m3", 0)
+			s.step(context.Background())
+		}
+		s.fleet.loseNext = true
+		before := e.sequence
+		s.demand("m3", 40000)
+		s.step(context.Background())
+		s.demand("m3", 40000)
+		s.step(context.Background())
+		if e.sequence != before+1 {
+			t.Fatalf("sequence %d after an order that was lost once, want %d", e.sequence, before+1)
+		}
+		for range 20 {
+			s.step(context.Background())
+		}
+		if e.models["m3"] == nil || e.overcommitted {
+			t.Fatalf("engine holds %v", e.models)
+		}
+	})
+}
+
 func TestDemandMovesCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDirectorSite(t, 1, 6)
@@ -258,8 +314,15 @@
 		}
 		return e
 	}
+	keeping := func(e EngineView, model string) EngineView {
+		e.Kept = map[string]bool{model: true}
+		return e
+	}
 	model := func(name string, work float64, waiting bool) ModelView {
-		return ModelView{Name: name, Megabytes: 70, Work: work, Requests: work / 4000, Waiting: waiting}
+		return ModelView{
+			Name: name, Megabytes: 70, Work: work, Requests: work / 4000, Waiting: waiting,
+			LoadTime: 4 * time.Second, KeptLoadTime: time.Second,
+		}
 	}
 	for _, test := range []struct {
 		name     string
@@ -272,7 +335,7 @@
 				Engines: []EngineView{engine("e1", "a"), engine("e2", "b")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
 				Models: []ModelView{model("a", 50000, false), model("b", 0, false)},
 			},
-			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true}},
+			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true, Takes: 4 * time.Second}},
 		},
 		{
 			name: "no load while the weight store is at its full speed",
@@ -301,7 +364,7 @@
 				Engines: []EngineView{engine("e1", "a", "b")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
 				Models: []ModelView{model("a", 50000, false), model("b", 0, false), model("c", 0, true)},
 			},
-			want: []Move{{Action: ActionUnload, Engine: "e1", Model: "b"}},
+			want: []Move{{Action: ActionUnload, Engine: "e1", Model: "b", RoomFor: "c"}},
 		},
 		{
 			name: "a surplus copy makes room",
@@ -309,7 +372,32 @@
 				Engines: []EngineView{engine("e1", "a", "b"), engine("e2", "a", "c"), engine("e3", "a", "d")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 1,
 				Models: []ModelView{model("a", 0, false), model("b", 50000, false), model("c", 9000, false), model("d", 9000, false)},
 			},
-			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "a"}},
+			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "a", RoomFor: "b"}},
+		},
+		{
+			name: "weights that a full engine keeps are ready sooner than those of the store",
+			snapshot: Snapshot{
+				Engines: []EngineView{engine("e1"), keeping(engine("e2", "b", "c"), "a")}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
+				Models: []ModelView{model("a", 50000, true), model("b", 0, false), model("c", 9000, false)},
+			},
+			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "b", RoomFor: "a"}},
+		},
+		{
+			name: "one unload for each copy that is wanted",
+			snapshot: Snapshot{
+				Engines: []EngineView{
+					{ID: "e1", Megabytes: 150, FreeMegabytes: 10, Busy: true, RoomFor: "a", Models: map[string]CopyState{"b": CopyUnloading, "c": CopyReady}},
+					engine("e2", "d", "e"),
+				}, StoreLoads: 1, StoreAtOnce: 2, Orders: 4,
+				Models: []ModelView{model("a", 0, true), model("c", 9000, false), model("d", 0, false), model("e", 9000, false)},
+			},
+		},
+		{
+			name: "an idle model takes no memory that a busy one waits for",
+			snapshot: Snapshot{
+				Engines: []EngineView{keeping(engine("e1", "b"), "c")}, Orders: 4,
+				Models: []ModelView{model("a", 50000, true), model("b", 9000, false), model("c", 0, false)},
+			},
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -9,8 +9,16 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// reportLag is the largest age of the state in an engine's report.
-const reportLag = 500 * time.Millisecond
+const (
+	// reportLag is the largest age of the state in an engine's report.
+	reportLag = 500 * time.Millisecond
+	// staleLimit is the time since an order after which every report shows its effect.
+	staleLimit = 3 * reportLag
+	// pollInterval is the time between two reports of an engine that carries out an
+	// order, and pollLead how long before the expected end of a load they begin.
+	pollInterval = 150 * time.Millisecond
+	pollLead     = 300 * time.Millisecond
+)
 
 // modelCopy is one model on an engine.
 type modelCopy struct {
@@ -21,12 +29,15 @@
 
 // engineState is what the leader knows of one engine incarnation.
 //
-// Lock order: mu is taken alone, and held while an order is sent, so that orders
-// to one engine never overtake each other.
+// Lock order: orders, then mu, then the director's mu. orders is held while an order
+// or a report is under way, so that orders to one engine never overtake each other;
+// mu is never held across a call.
 type engineState struct {
 	// startedMs identifies the incarnation.
 	startedMs int64
 
+	orders sync.Mutex
+
 	mu     sync.Mutex
 	record *aubwire.BackendRecord
 	// known is false until a report gave the sequence, and after an order whose
@@ -36,10 +47,12 @@
 	models   map[string]*modelCopy
 	// operation is the model order in progress, nil for none.
 	operation *operation
-	// uncertain names models that an unanswered order may still load. They count as
-	// held until a later order was accepted.
-	uncertain []string
-	orderedAt time.Time
+	// unanswered is the model order whose outcome is unknown, nil for none. The engine
+	// may still carry it out until it has accepted another one.
+	unanswered *operation
+	orderedAt  time.Time
+	// isAttended is set while an order or a report is under way.
+	isAttended bool
 	// takenSequence is the record's sequence that was taken over last.
 	takenSequence int64
 }
@@ -53,16 +66,45 @@
 	takes time.Duration
 	// fromStore is set for loads from the weight store.
 	fromStore bool
-	// marked is when relays were told to stop sending; the unload follows later.
-	marked bool
-	// ordered is set once the engine accepted it.
-	ordered bool
+	// roomFor names the model that an unload makes room for.
+	roomFor string
+	// ordered is set once the engine accepted it, polledAt when it was last asked
+	// whether it is done.
+	ordered  bool
+	polledAt time.Time
 }
 
+// step is what an engine needs next.
+type step int
+
+const (
+	stepNone step = iota
+	stepOrder
+	stepReport
+)
+
 func newEngineState(record *aubwire.BackendRecord) *engineState {
 	return &engineState{startedMs: record.GetStartedMs(), record: record, models: make(map[string]*modelCopy), takenSequence: -1}
 }
 
+// nextStep tells what the engine needs now; the caller holds mu.
+func (e *engineState) nextStep(now time.Time) step {
+	op := e.operation
+	switch {
+	case e.isAttended:
+		return stepNone
+	case op == nil && !e.known && now.Sub(e.orderedAt) >= reportLag:
+		return stepReport
+	case op == nil:
+		return stepNone
+	case !op.ordered && (op.action == ActionLoad || now.Sub(op.at) >= markTime):
+		return stepOrder
+	case op.ordered && now.Sub(op.polledAt) >= pollInterval && now.Sub(e.orderedAt) >= op.takes-pollLead:
+		return stepReport
+	}
+	return stepNone
+}
+
 // takeRecord takes over a registration. It may be seconds old and so decides
 // nothing: one that names other models or adapters asks for a report.
 func (e *engineState) takeRecord(now time.Time, record *aubwire.BackendRecord) {
@@ -98,18 +140,34 @@
 // registrationAge is the largest usual age of a registration.
 const registrationAge = 3 * time.Second
 
-// takeReport takes over a report that is younger than the last order.
-func (e *engineState) takeReport(report Report) {
+// takeReport takes over a report. One that lacks the last order accepted shows the
+// state before it and is passed over, unless it came too late for that.
+func (e *engineState) takeReport(now time.Time, report Report) {
+	if e.known && report.Sequence < e.sequence && now.Sub(e.orderedAt) < staleLimit {
+		return
+	}
+	if op := e.unanswered; op != nil && e.operation == nil && report.Busy && report.Sequence == e.sequence+1 {
+		// The engine carries out the order that it did not answer.
+		op.ordered = true
+		e.operation = op
+		if op.action == ActionLoad {
+			e.models[op.model] = newModelCopy(CopyLoading)
+		}
+	}
+	e.unanswered = nil
 	e.sequence = report.Sequence
 	// A busy engine may load a model for an earlier leader, which no list names yet.
 	e.known = !report.Busy || e.operation != nil && e.operation.ordered
-	e.uncertain = nil
 	e.replace(report.Models)
 	if e.operation != nil && e.operation.ordered && !report.Busy {
 		e.operation = nil
 	}
 }
 
+func newModelCopy(state CopyState) *modelCopy {
+	return &modelCopy{state: state, adapters: make(map[string]time.Time)}
+}
+
 // replace takes over the models named; others are gone unless they are loading.
 func (e *engineState) replace(models []*aubwire.ModelCopy) {
 	named := make(map[string]bool, len(models))
@@ -117,7 +175,7 @@
 		named[m.GetName()] = true
 		held := e.models[m.GetName()]
 		if held == nil {
-			held = &modelCopy{state: CopyReady, adapters: make(map[string]time.Time)}
+			held = newModelCopy(CopyReady)
 			e.models[m.GetName()] = held
 		}
 		if held.state == CopyLoading {
@@ -147,14 +205,20 @@
 	for name, held := range e.models {
 		free -= models[name].Megabytes + float64(len(held.adapters))*models[name].AdapterMegabytes
 	}
-	for _, name := range e.uncertain {
-		if e.models[name] == nil {
-			free -= models[name].Megabytes
-		}
+	if name := e.unansweredLoad(); name != "" {
+		free -= models[name].Megabytes
 	}
 	return free
 }
 
+// unansweredLoad names the model that an unanswered order may load beside those held.
+func (e *engineState) unansweredLoad() string {
+	if e.unanswered == nil || e.unanswered.action != ActionLoad || e.models[e.unanswered.model] != nil {
+		return ""
+	}
+	return e.unanswered.model
+}
+
 // adapterCount is the number of adapter places taken.
 func (e *engineState) adapterCount() int {
 	n := 0
@@ -171,11 +235,16 @@
 		Models:        make(map[string]CopyState, len(e.models)),
 		Kept:          make(map[string]bool),
 		Busy:          e.operation != nil || !e.known,
-		FromStore:     e.operation != nil && e.operation.fromStore,
+	}
+	if e.operation != nil {
+		v.FromStore, v.RoomFor = e.operation.fromStore, e.operation.roomFor
 	}
 	for name, held := range e.models {
 		v.Models[name] = held.state
 	}
+	if name := e.unansweredLoad(); name != "" {
+		v.Models[name] = CopyLoading
+	}
 	for _, name := range slices.Concat(e.record.GetInMemory(), e.record.GetOnDisk()) {
 		v.Kept[name] = true
 	}
--- a/internal/auborder/fake_test.go
+++ b/internal/auborder/fake_test.go
@@ -113,17 +113,35 @@
 	// lostShare get none after they were carried out.
 	lateShare float64
 	lostShare float64
+	// loseNext makes the next order late without an answer.
+	loseNext bool
+	// silent names an engine that answers no order.
+	silent string
+	given  int
 	// answerTime is how long an answer is on its way, on the machine's clock.
 	answerTime time.Duration
 }
 
-func (f *fakeFleet) Order(_ context.Context, backend *aubwire.BackendRecord, order Order) (Outcome, error) {
+func (f *fakeFleet) orders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.given
+}
+
+func (f *fakeFleet) Order(ctx context.Context, backend *aubwire.BackendRecord, order Order) (Outcome, error) {
+	if backend.GetId() == f.silent {
+		<-ctx.Done()
+		return OutcomeUnknown, ctx.Err()
+	}
 	defer time.Sleep(f.answerTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timer.Now()
 	e := f.engines[backend.GetId()]
-	if e.rnd.Float64() < f.lateShare {
+	f.given++
+	isLate := f.loseNext || e.rnd.Float64() < f.lateShare
+	f.loseNext = false
+	if isLate {
 		delay := time.Duration(2+e.rnd.IntN(10)) * time.Second
 		f.late = append(f.late, lateOrder{engine: e.id, order: order, at: now.Add(delay)})
 		return OutcomeUnknown, errNoAnswer
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -71,10 +71,7 @@
 	d.mu.Lock()
 	d.wanted[aubregistry.ModelName(service.Name, model.Name)] = now
 	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+	d.planSoon()
 	return &aubwire.PlaceResponse{RetryAfterMs: d.readyIn(now, model).Milliseconds()}
 }
 
@@ -158,31 +155,62 @@
 	return at, ok
 }
 
-// loadAdapter orders an adapter; it reports whether the engine takes it. Places
-// are counted under the engine's mutex, so that calls at once can't share one.
+// loadAdapter orders an adapter; it reports whether the engine takes it. Orders to
+// one engine follow each other, so that calls at once can't share a place.
 func (d *Director) loadAdapter(
 	ctx context.Context, e *engineState, engine *aubsite.Engine, model aubsite.Model, adapter string,
 ) bool {
+	e.orders.Lock()
+	defer e.orders.Unlock()
+	switch d.adapterNeed(e, engine, model, adapter) {
+	case adapterHeld:
+		return true
+	case adapterRefused:
+		return false
+	case adapterFull:
+		if !d.evictAdapter(ctx, e) {
+			return false
+		}
+	case adapterFits:
+	}
+	outcome := d.send(ctx, e, Order{Action: ActionLoad, Model: model.Name, Adapter: adapter})
+	if outcome != OutcomeRefused && outcome != OutcomeConflict {
+		e.mu.Lock()
+		if held := e.models[model.Name]; held != nil {
+			held.adapters[adapter] = d.common.Timer.Now()
+		}
+		e.mu.Unlock()
+	}
+	return outcome == OutcomeAccepted || outcome == OutcomeHolds
+}
+
+// adapterNeed is what an engine needs to take an adapter.
+type adapterNeed int
+
+const (
+	adapterFits adapterNeed = iota
+	adapterFull
+	adapterHeld
+	adapterRefused
+)
+
+func (d *Director) adapterNeed(e *engineState, engine *aubsite.Engine, model aubsite.Model, adapter string) adapterNeed {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	held := e.models[model.Name]
 	if held == nil || held.state != CopyReady || e.operation != nil {
-		return false
+		return adapterRefused
 	}
 	if _, isHeld := held.adapters[adapter]; isHeld {
-		return true
-	}
-	if e.adapterCount() >= engine.AdapterSlots && !d.evictAdapter(ctx, e) {
-		return false
+		return adapterHeld
 	}
 	if e.freeMegabytes(engine, modelsOf(engine)) < model.AdapterMegabytes {
-		return false
+		return adapterRefused
 	}
-	outcome := d.send(ctx, e, Order{Action: ActionLoad, Model: model.Name, Adapter: adapter})
-	if outcome != OutcomeRefused && outcome != OutcomeConflict {
-		held.adapters[adapter] = d.common.Timer.Now()
+	if e.adapterCount() >= engine.AdapterSlots {
+		return adapterFull
 	}
-	return outcome == OutcomeAccepted || outcome == OutcomeHolds
+	return adapterFits
 }
 
 // idlest returns the engine with the adapter that is idle for longest, nil when
@@ -220,18 +248,29 @@
 }
 
 // evictAdapter frees the place of the adapter that is idle for longest; the caller
-// holds the engine's mutex.
+// holds the engine's orders mutex.
 func (d *Director) evictAdapter(ctx context.Context, e *engineState) bool {
+	e.mu.Lock()
 	model, adapter, at, ok := d.oldestAdapter(e)
+	e.mu.Unlock()
 	if !ok || d.common.Timer.Now().Sub(at) < adapterIdle {
 		return false
 	}
 	outcome := d.send(ctx, e, Order{Action: ActionUnload, Model: model, Adapter: adapter})
-	if outcome != OutcomeAccepted && outcome != OutcomeHolds {
-		return false
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch outcome {
+	case OutcomeHolds:
+		if held := e.models[model]; held != nil {
+			delete(held.adapters, adapter)
+		}
+		return true
+	case OutcomeAccepted:
+		// Requests still use it: the engine drops it later, which a report shows.
+		e.known = false
+	case OutcomeUnknown, OutcomeConflict, OutcomeRefused:
 	}
-	delete(e.models[model].adapters, adapter)
-	return true
+	return false
 }
 
 // usedAt is when an adapter was last asked for, at least since it was loaded.
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -31,6 +31,8 @@
 	Busy bool
 	// FromStore is set while a load from the weight store is in progress.
 	FromStore bool
+	// RoomFor names the model that an unload in progress makes room for.
+	RoomFor string
 	// Load is the number of requests in flight.
 	Load int
 }
@@ -72,6 +74,8 @@
 	FromStore bool
 	// Takes is how long a load is expected to take.
 	Takes time.Duration
+	// RoomFor names the model that an unload makes room for.
+	RoomFor string
 }
 
 const (
@@ -90,6 +94,8 @@
 	// busyCopies also where the memory can't hold every model.
 	busyWork   = 20000.0
 	busyCopies = 3
+	// unloadTime is how long an unload takes, its running requests included.
+	unloadTime = time.Second
 )
 
 // plan is a plan in the making.
@@ -100,10 +106,12 @@
 	wanted   map[string]int
 	busy     map[string]bool
 	moves    []Move
+	// isShort is set once a model in use lacks a copy that could not be loaded yet.
+	isShort bool
 }
 
-// Plan decides which models to load and unload next. Every model keeps a ready
-// copy; the places left go to the models with the most work for each copy.
+// Plan decides which models to load and unload next. Models in use come first, by
+// the work for each copy; the others are loaded into memory that no model in use needs.
 func Plan(s Snapshot) []Move {
 	p := &plan{
 		snapshot: s,
@@ -120,6 +128,9 @@
 		if e.FromStore {
 			p.snapshot.StoreAtOnce--
 		}
+		if e.RoomFor != "" {
+			p.coming[e.RoomFor]++
+		}
 		for model, state := range e.Models {
 			switch state {
 			case CopyReady:
@@ -131,7 +142,7 @@
 	}
 	p.wanted = wantedCopies(s)
 	for _, m := range p.needs() {
-		if len(p.moves) >= room {
+		if len(p.moves) >= room || p.isShort && !m.isInUse() {
 			break
 		}
 		p.place(m)
@@ -139,22 +150,33 @@
 	return p.moves
 }
 
+// isInUse reports whether callers ask for the model.
+func (m ModelView) isInUse() bool { return m.Waiting || m.Work >= idleWork }
+
 // wantedCopies shares the memory of all engines among the models: one copy each,
-// and the rest to those with the most work for each copy.
+// and the rest to those with the most work for each copy. Where one copy of each
+// does not fit, models that are not in use need none.
 func wantedCopies(s Snapshot) map[string]int {
 	wanted := make(map[string]int, len(s.Models))
-	room := 0.0
+	room, all := 0.0, 0.0
 	for _, e := range s.Engines {
 		room += usableShare * e.Megabytes
 	}
 	for _, m := range s.Models {
-		wanted[m.Name] = 1
-		room -= m.Megabytes
+		all += m.Megabytes
+	}
+	for _, m := range s.Models {
+		if m.isInUse() || all <= room {
+			wanted[m.Name] = 1
+		}
+	}
+	for _, m := range s.Models {
+		room -= float64(wanted[m.Name]) * m.Megabytes
 	}
 	for {
 		best, most := ModelView{}, idleWork
 		for _, m := range s.Models {
-			perCopy := m.Work / float64(wanted[m.Name])
+			perCopy := m.Work / float64(max(wanted[m.Name], 1))
 			if perCopy > most && m.Requests >= minRequests && wanted[m.Name] < len(s.Engines) && isWorthRoom(m, room, wanted[m.Name]) {
 				best, most = m, perCopy
 			}
@@ -178,7 +200,7 @@
 func (p *plan) needs() []ModelView {
 	var needs []ModelView
 	for _, m := range p.snapshot.Models {
-		if p.ready[m.Name]+p.coming[m.Name] < p.wanted[m.Name] {
+		if p.ready[m.Name]+p.coming[m.Name] < max(p.wanted[m.Name], 1) {
 			needs = append(needs, m)
 		}
 	}
@@ -199,30 +221,49 @@
 	return m.Work
 }
 
-// place loads the model where there is room, or makes room for it.
+// place loads the model where it is ready soonest: where there is room, or where
+// another model makes room for it.
 func (p *plan) place(m ModelView) {
-	if e, ok := p.roomFor(m); ok {
-		p.load(e, m)
-		return
+	free, hasRoom := p.roomFor(m)
+	mayLoad := hasRoom && p.mayLoad(free, m)
+	full, victim, hasVictim := p.victimFor(m)
+	isQuicker := hasVictim && full.Kept[m.Name] && (!mayLoad || unloadTime+loadTime(full, m) < loadTime(free, m))
+	switch {
+	case isQuicker || hasVictim && !hasRoom:
+		p.unload(full, victim, m)
+	case mayLoad:
+		p.load(free, m)
 	}
-	if e, victim, ok := p.victimFor(m); ok {
-		p.moves = append(p.moves, Move{Action: ActionUnload, Engine: e.ID, Model: victim})
-		p.busy[e.ID] = true
-		p.ready[victim]--
+	p.isShort = p.isShort || m.isInUse() && p.ready[m.Name]+p.coming[m.Name] < p.wanted[m.Name]
+}
+
+// loadTime is how long the engine takes to load the model.
+func loadTime(e EngineView, m ModelView) time.Duration {
+	if e.Kept[m.Name] {
+		return m.KeptLoadTime
 	}
+	return m.LoadTime
+}
+
+// mayLoad reports whether the weight store has a place for the load, if it needs one.
+func (p *plan) mayLoad(e EngineView, m ModelView) bool {
+	return e.Kept[m.Name] || p.snapshot.StoreLoads > 0 && p.snapshot.StoreAtOnce > 0
+}
+
+func (p *plan) unload(e EngineView, victim string, m ModelView) {
+	p.moves = append(p.moves, Move{Action: ActionUnload, Engine: e.ID, Model: victim, RoomFor: m.Name})
+	p.busy[e.ID] = true
+	p.ready[victim]--
+	p.coming[m.Name]++
 }
 
 func (p *plan) load(e EngineView, m ModelView) {
-	fromStore, takes := !e.Kept[m.Name], m.KeptLoadTime
+	fromStore := !e.Kept[m.Name]
 	if fromStore {
-		takes = m.LoadTime
-		if p.snapshot.StoreLoads <= 0 || p.snapshot.StoreAtOnce <= 0 {
-			return
-		}
 		p.snapshot.StoreLoads--
 		p.snapshot.StoreAtOnce--
 	}
-	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore, Takes: takes})
+	p.moves = append(p.moves, Move{Action: ActionLoad, Engine: e.ID, Model: m.Name, FromStore: fromStore, Takes: loadTime(e, m)})
 	p.busy[e.ID] = true
 	p.coming[m.Name]++
 }
@@ -254,18 +295,30 @@
 	}), true
 }
 
-// maySpare reports whether a model can lose a copy: one of several above what is
-// wanted, or the only one of an idle model for one that has none or much work.
+// maySpare reports whether a model can lose a copy: one above what is wanted, or the
+// only one of an idle model for one that has none or much work.
 func (p *plan) maySpare(model string, work, need float64) bool {
-	if p.ready[model] < 2 {
+	if p.wanted[model] > 0 && p.ready[model] < 2 {
 		return work < idleWork && need > busyWork
 	}
 	return p.ready[model]+p.coming[model] > p.wanted[model]
 }
 
+// spareCost is what the loss of one copy costs, in work for each copy that is left.
+func (p *plan) spareCost(model string, work float64) float64 {
+	if p.ready[model] < 2 {
+		// Surplus copies go before the last one.
+		return max(work, idleWork)
+	}
+	return work / float64(p.ready[model]-1)
+}
+
 // victimFor returns an engine and a model on it that makes room for the needy
-// one: a surplus copy whose loss costs least.
+// one: a copy whose loss costs least.
 func (p *plan) victimFor(m ModelView) (EngineView, string, bool) {
+	if !m.isInUse() {
+		return EngineView{}, "", false
+	}
 	work := make(map[string]float64, len(p.snapshot.Models))
 	for _, other := range p.snapshot.Models {
 		work[other.Name] = other.Work
@@ -278,7 +331,7 @@
 			if state != CopyReady || !p.maySpare(model, work[model], need) {
 				continue
 			}
-			cost := work[model] / float64(max(p.ready[model]-1, 1))
+			cost := p.spareCost(model, work[model])
 			if cost*moveGain < need && (cost < least || cost == least && model < victims[e.ID]) {
 				least = cost
 				victims[e.ID] = model
