Give shared prompt parts a home, bound the load on it more tightly

Change: rendezvous hashing over the copies names one home for a shared part, the same at every relay; a copy above 1.25 times the mean of requests in flight (2.0 before) comes last.

--- a/internal/aubrelay/choose.go
+++ b/internal/aubrelay/choose.go
@@ -5,6 +5,8 @@
 	"errors"
 	"hash/maphash"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubtimer"
@@ -73,9 +75,25 @@
 		request.Adapter = aubregistry.AdapterName(x.service, x.call.Model, x.call.Adapter)
 	}
 	request.Prefixes = prefixesOf(x.call)
+	request.Shared, request.SharedTokens = sharedOf(x.call)
 	return request
 }
 
+// sharedOf identifies the prompt without its last part, which is the request's or
+// its session's own.
+func sharedOf(call Call) (id uint64, tokens int64) {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(call.Model + "/" + call.Adapter)
+	for i, part := range call.Prompt {
+		if i == len(call.Prompt)-1 {
+			break
+		}
+		_, _ = hash.WriteString("/" + part.ID)
+		tokens += part.Tokens
+	}
+	return hash.Sum64(), tokens
+}
+
 // prefixesOf hashes the prompt block by block. Kept prefixes belong to one model
 // and adapter.
 func prefixesOf(call Call) []uint64 {
--- a/internal/aubroute/expected.go
+++ b/internal/aubroute/expected.go
@@ -11,7 +11,7 @@
 	perRequestDelay = 500 * time.Microsecond
 	// boundedLoad and loadSlack are how far above the candidates' mean a member's
 	// requests in flight may be; cached prefixes attract no more beyond.
-	boundedLoad = 2.0
+	boundedLoad = 1.25
 	loadSlack   = 2
 	// overLimitSeconds is added to the time expected above the load bound.
 	overLimitSeconds = 3600
--- a/internal/aubroute/gather.go
+++ b/internal/aubroute/gather.go
@@ -26,12 +26,14 @@
 	fit []option
 	// out are members that are ejected or get only a share of their work.
 	out []option
+	// home is the member that keeps the request's shared prompt part, empty for none.
+	home string
 }
 
 // gather returns a bounded sample of members that can take the request. Members
 // that are ejected are left out unless there is no other.
 func (r *Router) gather(now time.Time, view aubmembership.View, request Request, h *holders) []option {
-	var g gathering
+	g := gathering{home: homeOf(h, request)}
 	if r.inTurn {
 		r.considerInTurn(&g, now, view, request, h)
 		return g.options()
@@ -39,6 +41,9 @@
 	r.consider(&g, now, view, request, h.near, sampleNear)
 	r.consider(&g, now, view, request, h.far, sampleFar)
 	r.consider(&g, now, view, request, r.affine(request, h), maxPrefixHolders)
+	if g.home != "" {
+		r.consider(&g, now, view, request, []string{g.home}, 1)
+	}
 	return g.options()
 }
 
@@ -74,6 +79,9 @@
 	if !ok || slices.ContainsFunc(g.fit, o.same) {
 		return
 	}
+	if name == g.home {
+		o.candidate.CachedTokens = max(o.candidate.CachedTokens, request.SharedTokens)
+	}
 	if r.rnd.Float64() < o.state.health.Share(now) {
 		g.fit = append(g.fit, o)
 		return
--- a/internal/aubroute/prefix.go
+++ b/internal/aubroute/prefix.go
@@ -1,6 +1,7 @@
 package aubroute
 
 import (
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -101,3 +102,27 @@
 	}
 	return nil
 }
+
+// homeOf returns the holder that all instances prefer for a shared prompt part, by
+// rendezvous hashing: copies then keep different prompts, and a copy that comes or
+// goes moves only its own.
+func homeOf(h *holders, request Request) string {
+	home, highest := "", uint64(0)
+	if request.SharedTokens == 0 {
+		return home
+	}
+	for i := range h.len() {
+		name := h.at(i)
+		if score := rendezvous(request.Shared, name); home == "" || score > highest {
+			home, highest = name, score
+		}
+	}
+	return home
+}
+
+func rendezvous(shared uint64, name string) uint64 {
+	d := xxhash.NewWithSeed(shared)
+	// Writing to a hash never fails.
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -24,6 +24,10 @@
 	PromptTokens int64
 	// Prefixes are rolling hashes of the prompt's blocks, shortest prefix first.
 	Prefixes []uint64
+	// Shared identifies the part of the prompt that other requests begin with too, the
+	// same in every process; SharedTokens is its length, 0 for none.
+	Shared       uint64
+	SharedTokens int64
 	// Exclude names members that must not be chosen, such as those that failed
 	// this request before.
 	Exclude []string
