Remove fields that nothing reads, join twins in the registry and the copies

Left over from the last read-through: fields of the configuration that nothing reads, two ways to suspect a backend server, two ways to tell present ones, four copies of one error, a constructor that wrapped another. Behaviour stays as it is.

--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -49,7 +49,7 @@
 func newDirectorSite(t *rapid.T, seed uint64, engines int) *directorSite {
 	timer := aubtimer.NewManual(time.Unix(1000, 0))
 	common := aubcommon.NewCommon(timer)
-	engine := &aubsite.Engine{Slots: 8, Megabytes: 200, AdapterSlots: 4, LoadsPerSecond: 4}
+	engine := &aubsite.Engine{Megabytes: 200, AdapterSlots: 4, LoadsPerSecond: 4}
 	sizes := make(map[string]float64)
 	for i := range testModels {
 		name := fmt.Sprintf("m%d", i)
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -125,7 +125,7 @@
 		RetryBurst:    relayRetryStart,
 		RetryFloor:    relayRetryFloor,
 		BlockTokens:   aubrelay.PrefixBlockTokens,
-		Peers:         r.peerLoad,
+		Peers:         func(backend string) aubmembership.Load { return r.loads.Load(backend) },
 		OnChange:      func() { r.loads.Changed() },
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
@@ -199,8 +199,6 @@
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
 }
 
-func (r *relay) peerLoad(backend string) aubmembership.Load { return r.loads.Load(backend) }
-
 // awaitReady reports ready once there is a configuration and a backend server.
 func (r *relay) awaitReady() {
 	ticks := r.common.Timer.Subscribe(r.ctx, readyInterval)
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -112,13 +112,13 @@
 }
 
 // SetUnloading marks the models of a backend server that are about to be
-// dropped, and returns the version that includes it.
-func (r *Registry) SetUnloading(id string, models []string, revision int64) uint64 {
+// dropped.
+func (r *Registry) SetUnloading(id string, models []string, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := r.entries[id]
 	if held == nil || slices.Equal(held.record.GetUnloading(), models) {
-		return r.version
+		return
 	}
 	next := cloneRecord(held.record)
 	next.Unloading, next.UnloadingRevision = models, revision
@@ -126,7 +126,6 @@
 	held.local = true
 	r.touch(held)
 	r.shape++
-	return r.version
 }
 
 // apply merges one record; the caller holds mu.
@@ -251,7 +250,7 @@
 	defer r.mu.Unlock()
 	var records []*aubwire.BackendRecord
 	for _, e := range r.entries {
-		if e.record.GetState() != aubwire.BackendState_BACKEND_STATE_GONE && !r.lost(e) {
+		if r.isPresent(e) {
 			records = append(records, e.record)
 		}
 	}
@@ -268,7 +267,7 @@
 	}
 	members := make([]aubmembership.Member, 0, len(r.entries))
 	for _, e := range r.entries {
-		if e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || r.lost(e) {
+		if !r.isPresent(e) {
 			continue
 		}
 		members = append(members, aubmembership.Member{Announcement: announcementOf(e.record), HeardAt: e.heardAt})
@@ -281,6 +280,19 @@
 	return r.view
 }
 
+// isPresent reports whether the backend server neither left nor is lost; the caller
+// holds mu.
+func (r *Registry) isPresent(e *entry) bool {
+	return e.record.GetState() != aubwire.BackendState_BACKEND_STATE_GONE && !r.lost(e)
+}
+
+// suspect counts the backend server as lost until it registers anew; the caller
+// holds mu.
+func (r *Registry) suspect(e *entry, sequence int64) {
+	e.suspected, e.isSuspected, e.suspectSince = sequence, true, r.common.Timer.Now()
+	r.shape++
+}
+
 // lost reports whether the backend server is silent while others are heard; the
 // caller holds mu.
 func (r *Registry) lost(e *entry) bool {
@@ -295,8 +307,7 @@
 	if held == nil || held.record.GetStartedMs() != startedMs || r.lost(held) {
 		return
 	}
-	held.suspected, held.isSuspected, held.suspectSince = held.record.GetSequence(), true, r.common.Timer.Now()
-	r.shape++
+	r.suspect(held, held.record.GetSequence())
 	r.common.Log.Warn("Backend server refuses connections; it counts as lost until it registers again.",
 		zap.String("backend_server", id), zap.Int64("started_ms", startedMs), zap.Int64("sequence", held.suspected))
 }
@@ -324,8 +335,7 @@
 		if held == nil || held.record.GetStartedMs() != s.GetStartedMs() || held.record.GetSequence() > s.GetSequence() || r.lost(held) {
 			continue
 		}
-		held.suspected, held.isSuspected, held.suspectSince = s.GetSequence(), true, r.common.Timer.Now()
-		r.shape++
+		r.suspect(held, s.GetSequence())
 	}
 }
 
--- a/internal/aubrelay/copies.go
+++ b/internal/aubrelay/copies.go
@@ -42,15 +42,26 @@
 	})
 	select {
 	case r := <-result:
-		if r.Err != nil {
-			return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
+		resp, _ := r.Val.(*aubwire.PlaceResponse)
+		if r.Err == nil && resp.GetBackend() != "" {
+			c.registry.AddCopy(resp.GetBackend(), service, model, adapter)
+			return nil
 		}
-		return c.take(name, service, model, adapter, r.Val)
+		return noCopy(name, resp)
 	case <-ctx.Done():
-		return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
+		return noCopy(name, nil)
 	}
 }
 
+// noCopy says when to come back; a nil response gives no time.
+func noCopy(name string, resp *aubwire.PlaceResponse) error {
+	retryAfter := time.Duration(resp.GetRetryAfterMs()) * time.Millisecond
+	if retryAfter <= 0 {
+		retryAfter = retrySoon
+	}
+	return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retryAfter}
+}
+
 func (c *Copies) ask(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 	// The question serves all that wait for it, also when the first one leaves.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeTimeout)
@@ -61,16 +72,3 @@
 		zap.String("backend_server", resp.GetBackend()), zap.Int64("retry_after_ms", resp.GetRetryAfterMs()), zap.Error(err))
 	return resp, err
 }
-
-func (c *Copies) take(name, service, model, adapter string, value any) error {
-	resp, ok := value.(*aubwire.PlaceResponse)
-	if !ok || resp.GetBackend() == "" {
-		retryAfter := time.Duration(resp.GetRetryAfterMs()) * time.Millisecond
-		if retryAfter <= 0 {
-			return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retrySoon}
-		}
-		return &aubroute.NoBackendError{Name: name, Known: true, RetryAfter: retryAfter}
-	}
-	c.registry.AddCopy(resp.GetBackend(), service, model, adapter)
-	return nil
-}
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -38,11 +38,11 @@
 		if err != nil {
 			return sendResult{verdict: verdictFailed, failure: aubroute.FailureConnection, err: err}
 		}
+		now := h.common.Timer.Now()
 		if x.firstEvent == 0 {
-			x.firstEvent = h.common.Timer.Now().Sub(started)
+			x.firstEvent = now.Sub(started)
 			choice.FirstToken()
 		}
-		now := h.common.Timer.Now()
 		if !last.IsZero() {
 			x.longestPause = max(x.longestPause, now.Sub(last))
 		}
--- a/internal/aubroute/budget.go
+++ b/internal/aubroute/budget.go
@@ -26,12 +26,9 @@
 	last   time.Time
 }
 
-// NewRetryBudget returns a full budget with the share of retries to requests.
-func NewRetryBudget(now time.Time, share float64) *RetryBudget {
-	return newRetryBudget(now, RouterOpts{RetryShare: share, RetryBurst: defaultRetryBurst, RetryFloor: defaultRetryFloor})
-}
-
-func newRetryBudget(now time.Time, opts RouterOpts) *RetryBudget {
+// NewRetryBudget returns a full budget with the options' share of retries to requests,
+// burst and floor.
+func NewRetryBudget(now time.Time, opts RouterOpts) *RetryBudget {
 	return &RetryBudget{share: opts.RetryShare, burst: opts.RetryBurst, floor: opts.RetryFloor, tokens: opts.RetryBurst, last: now}
 }
 
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -183,7 +183,7 @@
 	defer r.mu.Unlock()
 	b := r.budgets[service]
 	if b == nil {
-		b = newRetryBudget(r.common.Timer.Now(), r.opts)
+		b = NewRetryBudget(r.common.Timer.Now(), r.opts)
 		r.budgets[service] = b
 	}
 	return b
--- a/internal/aubsite/spec.go
+++ b/internal/aubsite/spec.go
@@ -45,8 +45,6 @@
 	MaxAttempts int
 	// Anonymous routes need no key.
 	Anonymous bool
-	// Sticky requests share prompt prefixes.
-	Sticky bool
 	// Resumable streams may go on at another backend server after an event.
 	Resumable bool
 }
@@ -61,11 +59,10 @@
 	Name string
 	// Megabytes of accelerator memory that one copy takes.
 	Megabytes float64
-	// LoadTime is the time of a load from the weight store, DiskLoadTime and
-	// MemoryLoadTime those from copies on the backend server.
-	LoadTime       time.Duration
-	DiskLoadTime   time.Duration
-	MemoryLoadTime time.Duration
+	// LoadTime is the time of a load from the weight store, DiskLoadTime that from a
+	// copy on the backend server's disk.
+	LoadTime     time.Duration
+	DiskLoadTime time.Duration
 	// Adapters is the number of adapters, named a1, a2 and so on.
 	Adapters         int
 	AdapterMegabytes float64
@@ -73,10 +70,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the largest batch.
-	Slots int
-	// CacheTokens is the memory of running requests and kept prefixes.
-	CacheTokens int64
 	// Megabytes of accelerator memory for weights and adapters.
 	Megabytes    float64
 	AdapterSlots int
