Wait for an adapter place that is soon free; come back later to an instance that starts

Change: a question is repeated each 50 ms for an eighth of the objective, the bound that pacing has; 1 s for an instance that starts.

--- a/internal/aubrelay/choose.go
+++ b/internal/aubrelay/choose.go
@@ -16,7 +16,7 @@
 // a little: engines that read prompts without a break stall their running answers.
 func (h *Handler) pick(ctx context.Context, x *exchange) (aubroute.Choice, error) {
 	request := h.routeRequest(x)
-	latest := h.common.Timer.Now().Add(x.route.Objective / pacingShare)
+	latest := h.common.Timer.Now().Add(x.route.Objective / waitShare)
 	for {
 		choice, err := h.choose(ctx, x, request)
 		isCrowded := err == nil && choice.Waiting > 0 && choice.Waiting+choice.Uncached > prefillRun
@@ -49,12 +49,29 @@
 	if request.Service != "" {
 		return choice, err
 	}
-	if err := h.parts.Copies.Await(ctx, x.service, x.call.Model, x.call.Adapter); err != nil {
+	if err := h.awaitCopy(ctx, x); err != nil {
 		return choice, err
 	}
 	return h.parts.Router.Pick(request)
 }
 
+// awaitCopy asks for a copy of the request's model or adapter, and again for a part
+// of the objective while a place for an adapter is about to be free.
+func (h *Handler) awaitCopy(ctx context.Context, x *exchange) error {
+	latest := h.common.Timer.Now().Add(x.route.Objective/waitShare - askInterval)
+	for {
+		err := h.parts.Copies.Await(ctx, x.service, x.call.Model, x.call.Adapter)
+		var none *aubroute.NoBackendError
+		isSoon := errors.As(err, &none) && none.RetryAfter <= soonFree
+		if !isSoon || h.common.Timer.Now().After(latest) {
+			return err
+		}
+		if err := aubtimer.Wait(ctx, h.common.Timer, askInterval); err != nil {
+			return err
+		}
+	}
+}
+
 // noteDemand counts a request for a model once, however often it is sent.
 func (h *Handler) noteDemand(x *exchange) {
 	service, _ := x.site.Service(x.service)
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -26,6 +26,9 @@
 	maxBody = 4 << 20
 	// retrySoon is the time to come back after a refusal that the next second may lift.
 	retrySoon = 500 * time.Millisecond
+	// retryStarted is the time to come back while this instance waits for its first
+	// configuration: a little more than all control processes need for a start.
+	retryStarted = time.Second
 	// retryElsewhere is the time to come back when another instance can serve at once.
 	retryElsewhere = 20 * time.Millisecond
 	// slowFirstEvent and slowTokenTime are how long a stream takes on an engine with
@@ -100,7 +103,7 @@
 func (h *Handler) serve(x *exchange) error {
 	x.site = h.parts.Site.Site()
 	if x.site == nil {
-		return refuse(http.StatusServiceUnavailable, CodeNoConfiguration, retrySoon)
+		return refuse(http.StatusServiceUnavailable, CodeNoConfiguration, retryStarted)
 	}
 	if err := h.admit(x); err != nil {
 		return err
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -26,10 +26,15 @@
 	// prefillRun is the prompt tokens that an engine may read without a break: three
 	// pieces of 4096, so that the running answers' pauses stay short.
 	prefillRun = 12288
-	// pacingShare of the objective, as a divisor, bounds the wait for a break, and
-	// pacingInterval is the time between two looks.
-	pacingShare    = 8
+	// waitShare of the objective, as a divisor, bounds the wait for a break in prefill
+	// or for a place; the platform charges for longer ones.
+	waitShare = 8
+	// pacingInterval is the time between two looks for a break.
 	pacingInterval = 10 * time.Millisecond
+	// soonFree is the time to come back up to which a place is waited for, and
+	// askInterval the time between two questions for it.
+	soonFree    = 250 * time.Millisecond
+	askInterval = 50 * time.Millisecond
 )
 
 var prefixSeed = maphash.MakeSeed()
