Count a new peer's use from its first whole datagram on

The first datagram that it heard of a peer named only what had changed; the peer's other counters, which stand at what it took since its own start, then counted as taken now.

Change: until a peer's first whole datagram, a counter heard for the first time is its baseline. TestCountersOfANewPeerBeginAtItsFirstWholeDatagram failed with 40,000 tokens before.

--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -77,6 +77,8 @@
 	at          time.Time
 	loads       map[string]Load
 	uses        map[string]int64
+	// isComplete is set once uses holds every counter of the peer.
+	isComplete bool
 }
 
 // NewLoadExchange listens and sends until ctx ends. Errors are those of the socket.
@@ -280,19 +282,27 @@
 		h.loads[load.GetId()] = Load{Requests: int(load.GetInFlight()), PrefillTokens: load.GetPrefillTokens()}
 	}
 	for _, use := range delta.GetUses() {
-		x.uses[use.GetWorkspace()] += max(use.GetTokens()-h.uses[use.GetWorkspace()], 0)
-		h.uses[use.GetWorkspace()] = use.GetTokens()
+		x.uses[use.GetWorkspace()] += h.takeUse(use)
 	}
+	h.isComplete = h.isComplete || delta.GetWhole()
 }
 
-// newHeardLoads begins the history of a peer's incarnation. What a peer that was
-// never heard before took is not known to be recent; a restarted one counts from 0.
+// newHeardLoads begins the history of a peer's incarnation. A restarted peer counts
+// from 0.
 func newHeardLoads(before *heardLoads, delta *aubwire.LoadDelta) *heardLoads {
-	h := &heardLoads{incarnation: delta.GetIncarnation(), loads: make(map[string]Load), uses: make(map[string]int64)}
-	if before == nil {
-		for _, use := range delta.GetUses() {
-			h.uses[use.GetWorkspace()] = use.GetTokens()
-		}
+	return &heardLoads{
+		incarnation: delta.GetIncarnation(), loads: make(map[string]Load), uses: make(map[string]int64),
+		isComplete: before != nil,
+	}
+}
+
+// takeUse returns the growth of a counter. What a peer that was never heard before
+// took until its first whole datagram is not known to be recent.
+func (h *heardLoads) takeUse(use *aubwire.TokenUse) int64 {
+	before, isKnown := h.uses[use.GetWorkspace()]
+	h.uses[use.GetWorkspace()] = use.GetTokens()
+	if !isKnown && !h.isComplete {
+		return 0
 	}
-	return h
+	return max(use.GetTokens()-before, 0)
 }
--- a/internal/aubmembership/load_test.go
+++ b/internal/aubmembership/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 // loadPeer is one instance whose work the test sets.
@@ -126,3 +128,33 @@
 	qt.Assert(t, b.exchange.Load("i1"), qt.Equals, aubmembership.Load{})
 	qt.Assert(t, b.heardOf("w"), qt.Equals, int64(40))
 }
+
+// TestCountersOfANewPeerBeginAtItsFirstWholeDatagram covers a peer whose first
+// datagram names only what changed.
+func TestCountersOfANewPeerBeginAtItsFirstWholeDatagram(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := newLoadPeer(ctx, t, "b", "127.0.0.1:41736", 1)
+	defer endAll(cancel, b)
+	conn, err := new(net.Dialer).DialContext(ctx, "udp", "127.0.0.1:41736")
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	send := func(sequence uint64, isWhole bool, uses ...*aubwire.TokenUse) {
+		sealed, err := aubmembership.Seal([]byte("s"), &aubwire.Datagram{Load: &aubwire.LoadDelta{
+			Instance: "a", Incarnation: 1, Sequence: sequence, Whole: isWhole, Uses: uses,
+			Loads: []*aubwire.BackendLoad{{Id: "i1", InFlight: int32(sequence)}},
+		}})
+		qt.Assert(t, err, qt.IsNil)
+		_, err = conn.Write(sealed)
+		qt.Assert(t, err, qt.IsNil)
+		awaitLoad(t, "b hears the datagram", func() bool { return b.exchange.Load("i1").Requests == int(sequence) })
+	}
+	use := func(workspace string, tokens int64) *aubwire.TokenUse {
+		return &aubwire.TokenUse{Workspace: workspace, Tokens: tokens}
+	}
+	send(1, false, use("other", 5))
+	send(2, true, use("w", 40000), use("other", 5))
+	awaitLoad(t, "b takes the counters in", func() bool { return b.heardOf("other") == 0 })
+	qt.Assert(t, b.heardOf("w"), qt.Equals, int64(0))
+	send(3, false, use("w", 40100), use("late", 30))
+	awaitLoad(t, "b hears what was taken since", func() bool { return b.heardOf("w") == 100 && b.heardOf("late") == 30 })
+}
