--- a/internal/aubcli/snapshot.go
+++ b/internal/aubcli/snapshot.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	opts := aubcontrol.RestoreOpts{
-		Member: cfg.Name, Address: cfg.Internal.Listen.String(), DataDir: cfg.Control.DataDir, AcceptLoss: true,
+		Member: cfg.Name, Address: cfg.Internal.Address(), DataDir: cfg.Control.DataDir, AcceptLoss: true,
 	}
 	if from != "" {
 		if opts.Snapshot, err = os.ReadFile(from); err != nil {
--- a/internal/aubprocess/agent.go
+++ b/internal/aubprocess/agent.go
@@ -54,7 +54,7 @@
 			Name:          p.cfg.Name,
 			Role:          aubwire.Role_ROLE_AGENT,
 			Zone:          p.cfg.Zone,
-			Address:       p.cfg.Internal.Listen.String(),
+			Address:       p.cfg.Internal.Address(),
 			Incarnation:   agent.Incarnation(),
 			Leaving:       agent.Leaving(),
 			ConfigVersion: follower.Config().Version(),
@@ -82,7 +82,7 @@
 	return aubagent.NewAgent(p.ctx, p.common, aubagent.AgentOpts{
 		Name:        p.cfg.Name,
 		Zone:        p.cfg.Zone,
-		Address:     p.cfg.Internal.Listen.String(),
+		Address:     p.cfg.Internal.Address(),
 		EngineURL:   p.cfg.Agent.EngineURL,
 		ServiceURL:  p.cfg.Agent.ServiceURL,
 		Services:    p.cfg.Agent.Services,
--- a/internal/aubprocess/control.go
+++ b/internal/aubprocess/control.go
@@ -49,7 +49,7 @@
 	}})
 	replica, err := aubcontrol.NewReplica(p.ctx, p.common, aubcontrol.ReplicaOpts{
 		Member:          p.cfg.Name,
-		Address:         p.cfg.Internal.Listen.String(),
+		Address:         p.cfg.Internal.Address(),
 		Voters:          voters(p.cfg.Control.Voters),
 		DataDir:         p.cfg.Control.DataDir,
 		Tables:          []aubcontrol.Table{&refreshingTable{ConfigTable: c.config, limits: c.limits}, c.limits, c.claims, c.poison, c.placement},
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -96,7 +96,7 @@
 func (c *controller) startReplica() error {
 	c.table = aubsite.NewTable()
 	c.site = aubsite.NewCurrent(c.common, c.adapter.DecodeSite)
-	self := c.cfg.Internal.Listen.String()
+	self := c.cfg.Internal.Address()
 	seeds := controlSeeds(c.cfg)
 	voters := make([]aubcontrol.Peer, 0, len(seeds))
 	for _, seed := range seeds {
@@ -149,7 +149,7 @@
 	aubwire.RegisterRegistryServer(c.process.server, c.server)
 	c.client = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
 		Process:  c.cfg.Name,
-		Self:     c.cfg.Internal.Listen.String(),
+		Self:     c.cfg.Internal.Address(),
 		Seeds:    c.addresses,
 		Dial:     c.transport.Dial,
 		Registry: c.registry,
@@ -200,7 +200,7 @@
 // forwardPlace passes a question for a copy on to the leader.
 func (c *controller) forwardPlace(ctx context.Context, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 	leader := c.replica.Status().Leader
-	if leader == "" || leader == c.cfg.Internal.Listen.String() {
+	if leader == "" || leader == c.cfg.Internal.Address() {
 		return nil, &aubregistry.NoControlError{}
 	}
 	return c.client.PlaceAt(ctx, leader, req)
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -214,7 +214,7 @@
 		Name:          e.cfg.Name,
 		Role:          aubwire.Role_ROLE_ENTRY,
 		Zone:          e.cfg.Zone,
-		Address:       e.cfg.Internal.Listen.String(),
+		Address:       e.cfg.Internal.Address(),
 		Incarnation:   e.incarnation,
 		Leaving:       e.leaving.Load(),
 		ConfigVersion: e.control.source.Config().Version(),
--- a/internal/aubprocess/redirect.go
+++ b/internal/aubprocess/redirect.go
@@ -17,7 +17,7 @@
 	c.registry = aubregistry.NewRegistry(c.common, silenceOf(c.cfg))
 	c.client = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
 		Process:  c.cfg.Name,
-		Self:     c.cfg.Internal.Listen.String(),
+		Self:     c.cfg.Internal.Address(),
 		Seeds:    func() []string { return controlSeeds(c.live.Settings()) },
 		Dial:     c.transport.Dial,
 		Registry: c.registry,
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -41,8 +41,17 @@
 
 // Internal is the settings of the listener for the site's own processes.
 type Internal struct {
-	Listen Address `yaml:"listen" doc:"IP number and port that the process listens on and announces."`
-	TLS    TLS     `yaml:"tls" doc:"Certificates between the site's processes."`
+	Listen    Address `yaml:"listen" doc:"IP number and port that the process listens on."`
+	Advertise Address `yaml:"advertise" doc:"IP number and port under which other processes reach it; empty for those of listen."`
+	TLS       TLS     `yaml:"tls" doc:"Certificates between the site's processes."`
+}
+
+// Address returns the address under which other processes reach the listener.
+func (i Internal) Address() string {
+	if i.Advertise != "" {
+		return i.Advertise.String()
+	}
+	return i.Listen.String()
 }
 
 // Membership is the settings of the datagrams.
@@ -121,10 +130,11 @@
 
 // Routing is the settings of the choice of the backend server.
 type Routing struct {
-	Policy     Choice   `yaml:"policy" allowed:"expected_first_token least_in_flight round_robin" doc:"How the backend server is chosen."`
-	RetryShare Fraction `yaml:"retry_share" doc:"Retries as a share of the requests."`
-	RetrySlack int      `yaml:"retry_slack" doc:"Retries that all instances together may make on top of the share, for each service."`
-	Attempts   int      `yaml:"attempts" doc:"Most sends of one request."`
+	Policy      Choice   `yaml:"policy" allowed:"expected_first_token least_in_flight round_robin" doc:"How the backend server is chosen."`
+	RetryShare  Fraction `yaml:"retry_share" doc:"Retries as a share of the requests."`
+	RetryWindow Duration `yaml:"retry_window" doc:"Time over which requests and their retries are counted; 0s means 10s."`
+	RetrySlack  int      `yaml:"retry_slack" doc:"Retries that all instances together may make on top of the share, for each service."`
+	Attempts    int      `yaml:"attempts" doc:"Most sends of one request."`
 }
 
 // Placement is the settings of placement.
