Count retries against the requests of a window

Change: requests and retries are counted over the platform's window; what the share allows is available at once. A property test bounds every window.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -30,7 +30,7 @@
 	// together use; relayRetryFloor is allowed a second without traffic.
 	relayRetryShare = 0.75
 	relayRetryFloor = 0.1
-	// relayRetryStart is the number of retries saved up until the peers are counted.
+	// relayRetryStart is the number of retries above the share until the peers are counted.
 	relayRetryStart = 2
 	// relayPrefillRate is the pace of engines in prompt tokens a second that
 	// routing starts from; it learns the ratio to it.
@@ -122,6 +122,7 @@
 		Zone:          r.cfg.Zone,
 		Source:        r.registry,
 		RetryShare:    relayRetryShare * float64(r.cfg.Routing.RetryShare),
+		RetryWindow:   r.cfg.Routing.RetryWindow.Value(),
 		RetryBurst:    relayRetryStart,
 		RetryFloor:    relayRetryFloor,
 		BlockTokens:   aubrelay.PrefixBlockTokens,
--- a/internal/aubroute/behaviour_test.go
+++ b/internal/aubroute/behaviour_test.go
@@ -179,7 +179,9 @@
 
 func TestRetryBudgetIsAShareOfTraffic(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := aubroute.NewRetryBudget(now, aubroute.RouterOpts{RetryShare: 0.1, RetryBurst: 20, RetryFloor: 1})
+	b := aubroute.NewRetryBudget(now, aubroute.RouterOpts{
+		RetryShare: 0.1, RetryWindow: aubroute.DefaultRetryWindow, RetryBurst: 20, RetryFloor: 1,
+	})
 	for b.Take(now) {
 		continue
 	}
--- /dev/null
+++ b/internal/aubroute/budget_test.go
@@ -0,0 +1,68 @@
+package aubroute_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/auburndale/auburndale/internal/aubroute"
+)
+
+var budgetOpts = aubroute.RouterOpts{RetryShare: 0.15, RetryWindow: 10 * time.Second, RetryBurst: 3, RetryFloor: 0.1}
+
+// TestUnusedRetriesServeManyFailuresAtOnce covers a backend server that crashes under
+// many requests after a calm time.
+func TestUnusedRetriesServeManyFailuresAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := aubroute.NewRetryBudget(now, budgetOpts)
+	for range 100 {
+		now = now.Add(80 * time.Millisecond)
+		b.Add(now)
+	}
+	allowed := 0
+	for b.Take(now) {
+		allowed++
+	}
+	qt.Assert(t, allowed, qt.Equals, 18)
+	now = now.Add(11 * time.Second)
+	b.Add(now)
+	qt.Assert(t, b.Take(now), qt.IsTrue, qt.Commentf("retries of an earlier window count"))
+}
+
+// TestRetriesOfAWindowStayInTheirShare plays random traffic and counts each window.
+func TestRetriesOfAWindowStayInTheirShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		b := aubroute.NewRetryBudget(now, budgetOpts)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			b.Add(now)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(t, "failures") {
+				if b.Take(now) {
+					retries = append(retries, now)
+				}
+			}
+			// The slots cover the window but for one of them.
+			since := now.Add(-budgetOpts.RetryWindow * 19 / 20)
+			allowed := budgetOpts.RetryShare*float64(countSince(requests, now.Add(-budgetOpts.RetryWindow))) +
+				budgetOpts.RetryBurst + budgetOpts.RetryFloor*budgetOpts.RetryWindow.Seconds() + 1
+			if n := countSince(retries, since); float64(n) > allowed {
+				t.Fatalf("%d retries, allowed %.1f", n, allowed)
+			}
+		}
+	})
+}
+
+func countSince(times []time.Time, since time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(since) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -45,8 +45,11 @@
 	// BlockTokens is the number of prompt tokens that each hash in
 	// Request.Prefixes stands for; 0 means DefaultBlockTokens.
 	BlockTokens int64
-	// RetryBurst is the number of retries saved up, and RetryFloor those allowed a
-	// second without traffic; 0 means the defaults.
+	// RetryWindow is the time over which requests and retries are counted; 0 means
+	// DefaultRetryWindow.
+	RetryWindow time.Duration
+	// RetryBurst is the number of retries allowed above the share, and RetryFloor those
+	// allowed a second without traffic; 0 means the defaults.
 	RetryBurst float64
 	RetryFloor float64
 	// Peers returns the work that other instances have in flight on a member. When
@@ -122,6 +125,9 @@
 	if o.RetryShare == 0 {
 		o.RetryShare = DefaultRetryShare
 	}
+	if o.RetryWindow == 0 {
+		o.RetryWindow = DefaultRetryWindow
+	}
 	if o.RetryBurst == 0 {
 		o.RetryBurst = defaultRetryBurst
 	}
@@ -168,7 +174,7 @@
 	return r.budgetOf(service).Take(r.common.Timer.Now())
 }
 
-// SetRetryBurst changes the number of retries that each budget saves up.
+// SetRetryBurst changes the number of retries that each budget allows above its share.
 func (r *Router) SetRetryBurst(burst float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
