--- a/internal/aubroute/budget_test.go
+++ b/internal/aubroute/budget_test.go
@@ -36,8 +36,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		b := aubroute.NewRetryBudget(now, budgetOpts)
-		var requests, retries []time.Time
-		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+		steps := rapid.IntRange(1, 400).Draw(t, "steps")
+		requests, retries := make([]time.Time, 0, steps), make([]time.Time, 0, steps)
+		for range steps {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
 			b.Add(now)
 			requests = append(requests, now)
--- a/internal/aubroute/home_test.go
+++ b/internal/aubroute/home_test.go
@@ -42,7 +42,7 @@
 			h := &holders{near: []string{"a", "b", "c"}}
 			request := Request{Shared: 7, SharedTokens: 6300, PromptTokens: 9190}
 			home := homeOf(h, request)
-			var candidates []Candidate
+			candidates := make([]Candidate, 0, h.len())
 			index := -1
 			for i := range h.len() {
 				c := Candidate{PrefillRate: 40000}
