Log the size, the source and the decoding time of received configurations

The logs could not tell a full link from a busy processor or a lagging control process. Each receipt now names the control process and the bytes, each activation the bytes and the time to decode; counters sum the bytes sent and received.

--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -226,7 +226,7 @@
 			if c.setConnected(link, conn) {
 				c.common.Log.Info("Control process reached.", zap.String("address", link.address))
 			}
-			c.handleResponse(resp)
+			c.handleResponse(link, resp)
 			if resp.GetUpdate() > ackedVersion {
 				ackedVersion = resp.GetUpdate()
 				enqueueLatest(requests, c.newRequest(link, ackedVersion, false))
@@ -245,9 +245,12 @@
 }
 
 // handleResponse applies the content of one response.
-func (c *Client) handleResponse(resp *aubwire.RegistryResponse) {
+func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
 	c.opts.Registry.Merge(resp.GetRecords())
 	if revision := resp.GetRevision(); revision != nil && c.opts.OnRevision != nil {
+		c.common.Metrics.Counter("revision_bytes_received").Inc(int64(len(revision.GetDocument())))
+		c.common.Log.Info("Configuration received.", zap.String("address", link.address),
+			zap.Uint64("revision", revision.GetNumber()), zap.Int("bytes", len(revision.GetDocument())))
 		c.opts.OnRevision(revision.GetNumber(), revision.GetDocument())
 	}
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -237,6 +237,7 @@
 			if err := w.stream.Send(resp); err != nil {
 				return err
 			}
+			w.server.common.Metrics.Counter("revision_bytes_sent").Inc(int64(len(resp.GetRevision().GetDocument())))
 			w.sentVersion = version
 			w.sentRevision = max(w.sentRevision, resp.GetRevision().GetNumber())
 		}
--- a/internal/aubsite/active_site.go
+++ b/internal/aubsite/active_site.go
@@ -41,7 +41,9 @@
 	if number <= a.number() {
 		return
 	}
+	startedAt := a.common.Timer.Now()
 	site, err := a.decode(document)
+	decodeTime := a.common.Timer.Now().Sub(startedAt)
 	if err != nil {
 		a.common.Log.Error("Committed configuration can't be decoded; the previous one stays active.",
 			zap.Uint64("revision", number), zap.Error(err))
@@ -54,7 +56,8 @@
 	}
 	a.site = site
 	a.common.Metrics.Gauge("revision").Update(float64(number))
-	a.common.Log.Info("Configuration is in force.", zap.Uint64("revision", number))
+	a.common.Log.Info("Configuration is in force.", zap.Uint64("revision", number),
+		zap.Int("bytes", len(document)), zap.Int64("decode_ms", decodeTime.Milliseconds()))
 }
 
 // number returns the number of the active revision, 0 before the first.
