Fetch a configuration once, from one control process, in parts

Cause: every control process sent every revision whole on every relay's registry stream. With eight of them a document of 0.4 MB is 3.2 MB, 2.6 s of a 10 Mbit/s link. A stream counts as silent without a whole message for 1.5 s, so all eight were closed and began again from the first byte: the relay received without end and never had a document. Reports, departures and registrations waited behind it on the same streams.

Fix: streams carry only the number of the newest revision. A relay fetches the document of the newest number from one control process, of its own zone if that announces it within 200 ms, in parts of 32 KiB. A transfer counts as silent only if no part arrives for 1.5 s, is never given up for a newer revision, and goes to another control process after a failure. So the bytes of a change no longer grow with the number of control processes, and a transfer on a slow link always ends.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -146,6 +146,7 @@
 		Loads:     c.loads,
 		Revisions: c.siteTable,
 		Placer:    c.director,
+		Zone:      c.cfg.Zone,
 		Confirmed: c.confirmed.Load,
 		Addresses: c.controlAddresses,
 	})
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -154,6 +154,7 @@
 		Process:     r.cfg.Name,
 		Relay:       true,
 		LoadAddress: r.cfg.Membership.Listen.String(),
+		Zone:        r.cfg.Zone,
 		Seeds:       func() []string { return controlSeeds(r.watcher.Settings()) },
 		Dial:        r.transport.Dial,
 		Registry:    r.registry,
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -30,6 +30,9 @@
 	Relay   bool
 	// LoadAddress is the address at which a relay receives load datagrams.
 	LoadAddress string
+	// Zone is the availability zone of this process; a configuration is preferably fetched
+	// from a control process in it.
+	Zone string
 	// SelfAddress is this process's control address; empty if it serves none.
 	SelfAddress string
 	// Seeds returns the control addresses of the current settings.
@@ -59,6 +62,8 @@
 	// primary is the address of the control process from which the client requests the
 	// peers; empty without a connection.
 	primary string
+	// announced is closed when a control process announces another revision.
+	announced chan struct{}
 }
 
 // controlLink is the connection to one control process. The client's mutex guards it.
@@ -69,11 +74,22 @@
 	// listedAt is when the settings or a control process last listed the address.
 	listedAt  time.Time
 	connected bool
+	// zone and newestRevision are what the control process last sent. failedFetchAt is
+	// when a fetch from it last failed.
+	zone           string
+	newestRevision uint64
+	failedFetchAt  time.Time
 }
 
 // NewClient returns a client that keeps its streams open until ctx ends.
 func NewClient(ctx context.Context, common aubcommon.Common, opts ClientOpts) *Client {
-	c := &Client{common: common.WithPart("registry"), opts: opts, ctx: ctx, links: make(map[string]*controlLink)}
+	c := &Client{
+		common:    common.WithPart("registry"),
+		opts:      opts,
+		ctx:       ctx,
+		links:     make(map[string]*controlLink),
+		announced: make(chan struct{}),
+	}
 	ticks := common.Timer.Subscribe(ctx, time.Second)
 	c.ensureLinks(opts.Seeds())
 	go func() {
@@ -87,6 +103,9 @@
 			}
 		}
 	}()
+	if opts.OnRevision != nil {
+		newRevisionFetcher(ctx, c)
+	}
 	return c
 }
 
@@ -183,6 +202,9 @@
 	defer c.mu.Unlock()
 	hasChanged := link.connected != (conn != nil)
 	link.conn, link.connected = conn, conn != nil
+	if !link.connected {
+		link.newestRevision = 0
+	}
 	if !link.connected && c.primary == link.address {
 		c.primary = ""
 	}
@@ -247,18 +269,28 @@
 // handleResponse applies the content of one response.
 func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
 	c.opts.Registry.Merge(resp.GetRecords())
-	if revision := resp.GetRevision(); revision != nil && c.opts.OnRevision != nil {
-		c.common.Metrics.Counter("revision_bytes_received").Inc(int64(len(revision.GetDocument())))
-		c.common.Log.Info("Configuration received.", zap.String("address", link.address),
-			zap.Uint64("revision", revision.GetNumber()), zap.Int("bytes", len(revision.GetDocument())))
-		c.opts.OnRevision(revision.GetNumber(), revision.GetDocument())
-	}
+	c.setAnnounced(link, resp)
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
 		c.opts.OnPeers(peers)
 	}
 	c.ensureLinks(resp.GetControlAddresses())
 }
 
+// setAnnounced stores the zone and the newest revision of a control process.
+func (c *Client) setAnnounced(link *controlLink, resp *aubwire.RegistryResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if resp.GetZone() != "" {
+		link.zone = resp.GetZone()
+	}
+	if resp.GetNewestRevision() == link.newestRevision {
+		return
+	}
+	link.newestRevision = resp.GetNewestRevision()
+	close(c.announced)
+	c.announced = make(chan struct{})
+}
+
 // newRequest returns the next request, with a load report if withReport is set.
 func (c *Client) newRequest(link *controlLink, ackedVersion uint64, withReport bool) *aubwire.RegistryRequest {
 	req := &aubwire.RegistryRequest{Process: c.opts.Process, Relay: c.opts.Relay, LoadAddress: c.opts.LoadAddress, Acked: ackedVersion}
@@ -346,13 +378,20 @@
 func (c *Client) PlaceAt(ctx context.Context, address string, req *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 	c.mu.Lock()
 	link := c.links[address]
-	var conn *grpc.ClientConn
-	if link != nil && link.connected {
-		conn = link.conn
-	}
 	c.mu.Unlock()
+	conn := c.connOf(link)
 	if conn == nil {
 		return nil, &NoControlError{}
 	}
 	return aubwire.NewRegistryClient(conn).Place(ctx, req)
 }
+
+// connOf returns the connection of a link, nil if there is none.
+func (c *Client) connOf(link *controlLink) *grpc.ClientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if link == nil || !link.connected {
+		return nil
+	}
+	return link.conn
+}
--- a/internal/aubregistry/error.go
+++ b/internal/aubregistry/error.go
@@ -1,5 +1,7 @@
 package aubregistry
 
+import "fmt"
+
 // SilentError means that a control process sent nothing for streamTimeout on an open
 // connection.
 type SilentError struct{ Address string }
@@ -13,3 +15,16 @@
 
 // Error implements error.
 func (e *NoControlError) Error() string { return "no control process answers" }
+
+// IncompleteRevisionError means that the transfer of a configuration ended early.
+type IncompleteRevisionError struct {
+	Number uint64
+	// Received and Total are sizes in bytes.
+	Received int64
+	Total    int64
+}
+
+// Error implements error.
+func (e *IncompleteRevisionError) Error() string {
+	return fmt.Sprintf("received %d of %d bytes of configuration %d", e.Received, e.Total, e.Number)
+}
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -44,8 +44,10 @@
 	Loads     *LoadAggregator
 	Revisions RevisionSource
 	Placer    Placer
+	// Zone is the availability zone of this control process.
+	Zone string
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
-	// the process. No revision is sent before.
+	// the process. No revision is announced or sent before.
 	Confirmed func() bool
 	// Addresses returns the addresses of all known control processes.
 	Addresses func() []string
@@ -186,10 +188,10 @@
 	// lastReceivedAt is when the last request was received.
 	lastReceivedAt time.Time
 	wantsPeers     bool
-	// sentVersion and sentRevision are the newest version and revision sent on the
-	// stream. Only the sending goroutine uses them.
-	sentVersion  uint64
-	sentRevision uint64
+	// sentVersion and announcedRevision are the newest version and revision number sent
+	// on the stream. Only the sending goroutine uses them.
+	sentVersion       uint64
+	announcedRevision uint64
 }
 
 // receive handles requests until the stream fails.
@@ -225,21 +227,16 @@
 	isTickDue := true
 	for {
 		records, version, changed := w.server.opts.Registry.ChangedSince(w.sentVersion)
-		revision, revisionChanged := w.server.opts.Revisions.Revision()
-		resp := &aubwire.RegistryResponse{Update: version, Records: records}
-		if revision.GetNumber() > w.sentRevision && w.server.opts.Confirmed() {
-			resp.Revision = revision
-		}
+		newest, revisionChanged := w.server.newestRevision()
+		resp := &aubwire.RegistryResponse{Update: version, Records: records, NewestRevision: newest}
 		if isTickDue {
 			w.addPeriodic(resp)
 		}
-		if isTickDue || len(records) > 0 || resp.Revision != nil {
+		if isTickDue || len(records) > 0 || newest != w.announcedRevision {
 			if err := w.stream.Send(resp); err != nil {
 				return err
 			}
-			w.server.common.Metrics.Counter("revision_bytes_sent").Inc(int64(len(resp.GetRevision().GetDocument())))
-			w.sentVersion = version
-			w.sentRevision = max(w.sentRevision, resp.GetRevision().GetNumber())
+			w.sentVersion, w.announcedRevision = version, newest
 		}
 		isTickDue = false
 		select {
@@ -256,8 +253,10 @@
 	}
 }
 
-// addPeriodic adds the control addresses and, if requested, the peers to a response.
+// addPeriodic adds the control addresses, the zone and, if requested, the peers to a
+// response.
 func (w *watcher) addPeriodic(resp *aubwire.RegistryResponse) {
+	resp.Zone = w.server.opts.Zone
 	resp.ControlAddresses = w.server.opts.Addresses()
 	w.server.mu.Lock()
 	wantsPeers := w.wantsPeers
--- a/internal/aubregistry/slow_link_test.go
+++ b/internal/aubregistry/slow_link_test.go
@@ -25,6 +25,7 @@
 	slowLinkBytesPerSecond = 1_250_000
 	slowLinkBurstBytes     = 16 << 10
 	largeDocumentBytes     = 400_000
+	controlCount           = 8
 	// activationTimeout is the platform's bound from the commit of a revision to its
 	// activation.
 	activationTimeout = 2500 * time.Millisecond
@@ -69,8 +70,8 @@
 func TestLargeRevisionsReachARelayBehindASlowLink(t *testing.T) {
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	controls := map[string]*controlProcess{}
-	var addresses []string
-	for i := range 8 {
+	addresses := make([]string, 0, controlCount)
+	for i := range controlCount {
 		address := fmt.Sprintf("c%d", i+1)
 		controls[address] = newControlProcess(t, common)
 		addresses = append(addresses, address)
