Answer 503 while a newer configuration may exist where 401 or 404 would be final

What callers saw: 404 for a route and 401 for a key that had been acknowledged; callers don't retry either.

Cause: a relay denied what its active revision does not allow although it could not know that the revision was the newest: control processes had committed a newer one, or none had been heard from.

TestOutdatedRelayDeniesNothingFinally gives 404 and 401 with the old handling, 503 with this one.

Fix: a relay keeps the highest announced number and when a control process last announced one. It denies finally only by a revision that is the newest and confirmed within 1.5 s, and otherwise refuses with Retry-After, so that the caller returns once the fetch has ended or goes to another relay. Requests that the active revision allows are served as before.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -159,6 +159,7 @@
 		Dial:        r.transport.Dial,
 		Registry:    r.registry,
 		Report:      r.loadReporter(incarnation),
+		OnAnnounce:  r.site.Announce,
 		OnRevision:  r.site.ActivateIfNewer,
 		OnPeers:     r.updatePeers,
 	})
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -41,6 +41,9 @@
 	Registry *Registry
 	// Report returns the load of this process; nil sends no reports.
 	Report func() *aubwire.LoadReport
+	// OnAnnounce receives the number of the newest committed configuration with every
+	// response of a control process that knows one; nil ignores it.
+	OnAnnounce func(newest uint64)
 	// OnRevision receives configurations; nil ignores them.
 	OnRevision func(number uint64, document []byte)
 	// OnPeers receives the number and the load addresses of the other relays; nil
@@ -276,8 +279,12 @@
 	c.ensureLinks(resp.GetControlAddresses())
 }
 
-// setAnnounced stores the zone and the newest revision of a control process.
+// setAnnounced stores and passes on the newest revision of a control process, and stores
+// its zone.
 func (c *Client) setAnnounced(link *controlLink, resp *aubwire.RegistryResponse) {
+	if resp.GetNewestRevision() > 0 && c.opts.OnAnnounce != nil {
+		c.opts.OnAnnounce(resp.GetNewestRevision())
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if resp.GetZone() != "" {
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -268,6 +268,14 @@
 type siteSource struct {
 	mu   sync.Mutex
 	site *aubsite.Site
+	// newest is the number of the newest announced configuration.
+	newest uint64
+}
+
+func (s *siteSource) IsNewest(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return number >= s.newest
 }
 
 func (s *siteSource) Site() *aubsite.Site {
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -30,6 +30,9 @@
 	// startupRetryAfter applies while this instance waits for its first configuration.
 	// It is slightly more than the time that all control processes need to start.
 	startupRetryAfter = time.Second
+	// outdatedRetryAfter applies while a newer configuration is on its way to this
+	// instance, which takes a fraction of a second.
+	outdatedRetryAfter = 200 * time.Millisecond
 	// drainRetryAfter applies while this instance shuts down and another instance can
 	// serve the request immediately.
 	drainRetryAfter = 20 * time.Millisecond
@@ -136,7 +139,7 @@
 	}
 	route, ok := ex.site.Route(hostOf(ex.request), ex.request.URL.Path)
 	if !ok {
-		return newRefusal(http.StatusNotFound, CodeNoRoute, 0)
+		return h.deny(ex, http.StatusNotFound, CodeNoRoute)
 	}
 	ex.route = route
 	if h.mayOutlastProcess(route, call) {
@@ -149,12 +152,22 @@
 	}
 	workspace, ok := ex.site.WorkspaceByKey(call.Key)
 	if !ok && !route.Anonymous {
-		return newRefusal(http.StatusUnauthorized, CodeInvalidKey, 0)
+		return h.deny(ex, http.StatusUnauthorized, CodeInvalidKey)
 	}
 	ex.workspace = workspace
 	return nil
 }
 
+// deny refuses a request that the active configuration does not allow. Unless that is
+// known to be the newest one, the refusal is temporary, because callers don't retry a
+// final one.
+func (h *Handler) deny(ex *exchange, status int, code RefusalCode) error {
+	if h.opts.Site.IsNewest(ex.site.Number()) {
+		return newRefusal(status, code, 0)
+	}
+	return newRefusal(http.StatusServiceUnavailable, CodeOutdatedConfiguration, outdatedRetryAfter)
+}
+
 // timeoutOf returns the caller's timeout, limited by the route's.
 func timeoutOf(call Call, route aubsite.Route) time.Duration {
 	timeout := call.Timeout
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -73,17 +73,18 @@
 
 // Refusal codes.
 const (
-	CodeNoConfiguration RefusalCode = "no_configuration"
-	CodeInvalidRequest  RefusalCode = "invalid_request"
-	CodeNoRoute         RefusalCode = "not_found"
-	CodeInvalidKey      RefusalCode = "invalid_key"
-	CodeBodyTooLarge    RefusalCode = "body_too_large"
-	CodeRateLimited     RefusalCode = "rate_limited"
-	CodeNoBackend       RefusalCode = "no_backend_server"
-	CodeOverloaded      RefusalCode = "overloaded"
-	CodeShuttingDown    RefusalCode = "shutting_down"
-	CodeBackendFailed   RefusalCode = "backend_failed"
-	CodeTimeout         RefusalCode = "timeout"
+	CodeNoConfiguration       RefusalCode = "no_configuration"
+	CodeOutdatedConfiguration RefusalCode = "outdated_configuration"
+	CodeInvalidRequest        RefusalCode = "invalid_request"
+	CodeNoRoute               RefusalCode = "not_found"
+	CodeInvalidKey            RefusalCode = "invalid_key"
+	CodeBodyTooLarge          RefusalCode = "body_too_large"
+	CodeRateLimited           RefusalCode = "rate_limited"
+	CodeNoBackend             RefusalCode = "no_backend_server"
+	CodeOverloaded            RefusalCode = "overloaded"
+	CodeShuttingDown          RefusalCode = "shutting_down"
+	CodeBackendFailed         RefusalCode = "backend_failed"
+	CodeTimeout               RefusalCode = "timeout"
 )
 
 // Refusal is the relay's own error response to a request.
@@ -109,7 +110,11 @@
 	WriteRefusal(w http.ResponseWriter, callID string, refusal Refusal)
 }
 
-// SiteSource provides the active configuration; nil before the first one is received.
+// SiteSource provides the active configuration.
 type SiteSource interface {
+	// Site returns the active configuration; nil before the first one is received.
 	Site() *aubsite.Site
+	// IsNewest reports whether no newer configuration than the numbered one can be
+	// committed, as far as control processes have announced lately.
+	IsNewest(number uint64) bool
 }
--- a/internal/aubrelay/relay_test.go
+++ b/internal/aubrelay/relay_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// TestOutdatedRelayDeniesNothingFinally guards against a 401 or 404 for a key or route of a
+// configuration that has not reached the relay yet.
+func TestOutdatedRelayDeniesNothingFinally(t *testing.T) {
+	for _, test := range []struct {
+		name, path, key string
+		status          int
+		code            string
+	}{
+		{"unknown route", "/else/", "key", 503, "outdated_configuration"},
+		{"unknown key", "/read/x", "other", 503, "outdated_configuration"},
+		{"known route and key", "/read/x", "key", 200, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fixture := newRelayFixture(t, "b1")
+			fixture.site.mu.Lock()
+			fixture.site.newest = fixture.site.site.Number() + 1
+			fixture.site.mu.Unlock()
+			result := fixture.call(http.MethodPost, test.path, "1", func(r *http.Request) { r.Header.Set(headerKey, test.key) })
+			qt.Assert(t, result.status, qt.Equals, test.status)
+			qt.Assert(t, result.header.Get(headerCode), qt.Equals, test.code)
+			qt.Assert(t, result.header.Get("Retry-After") != "", qt.Equals, test.status == http.StatusServiceUnavailable)
+		})
+	}
+}
+
 type readCloser struct{ *strings.Reader }
 
 func (readCloser) Close() error { return nil }
--- a/internal/aubsite/active_site.go
+++ b/internal/aubsite/active_site.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,6 +12,10 @@
 // Decode decodes and checks the document of a revision. Errors are *InvalidError.
 type Decode func(document []byte) (*Site, error)
 
+// announcementLifetime is the age above which the last announcement of a control process
+// no longer shows that the active revision is the newest.
+const announcementLifetime = 1500 * time.Millisecond
+
 // ActiveSite holds the active configuration of a process. Its revision number never
 // decreases while the process runs.
 //
@@ -21,6 +26,10 @@
 
 	mu   sync.RWMutex
 	site *Site
+	// newest is the highest revision number that a control process announced; announcedAt
+	// is when one last announced its newest revision.
+	newest      uint64
+	announcedAt time.Time
 }
 
 // NewActiveSite returns an ActiveSite without a configuration.
@@ -35,6 +44,27 @@
 	return a.site
 }
 
+// Announce records the number of the newest committed revision as a control process
+// knows it.
+func (a *ActiveSite) Announce(newest uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.announcedAt = a.common.Timer.Now()
+	if newest <= a.newest {
+		return
+	}
+	a.newest = newest
+	a.common.Metrics.Gauge("announced_revision").Update(float64(newest))
+}
+
+// IsNewest reports whether the revision is the newest that control processes announced,
+// the last of them within announcementLifetime. Otherwise a newer one may be committed.
+func (a *ActiveSite) IsNewest(number uint64) bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return number >= a.newest && a.common.Timer.Now().Sub(a.announcedAt) <= announcementLifetime
+}
+
 // ActivateIfNewer activates a revision if its number is above that of the active one
 // and its document can be decoded.
 func (a *ActiveSite) ActivateIfNewer(number uint64, document []byte) {
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -151,3 +151,18 @@
 		qt.Assert(t, active.Site().Number(), qt.Equals, step.want)
 	}
 }
+
+func TestNewestRevisionIsKnownOnlyWithRecentAnnouncement(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	active := aubsite.NewActiveSite(aubcommon.NewCommon(timer), nil)
+	qt.Assert(t, active.IsNewest(5), qt.IsFalse)
+	active.Announce(5)
+	qt.Assert(t, active.IsNewest(5), qt.IsTrue)
+	qt.Assert(t, active.IsNewest(4), qt.IsFalse)
+	active.Announce(4)
+	qt.Assert(t, active.IsNewest(4), qt.IsFalse, qt.Commentf("a lagging control process does not lower the newest number"))
+	timer.Advance(time.Second)
+	qt.Assert(t, active.IsNewest(5), qt.IsTrue)
+	timer.Advance(time.Second)
+	qt.Assert(t, active.IsNewest(5), qt.IsFalse, qt.Commentf("no control process has announced for 2 s"))
+}
