Index routes by prefix instead of comparing each with all others of its host

What operators and callers would see: a revision of many routes takes long to be accepted and to be in force, the more so on instances with little processor time.

Cause: the check for a doubled host and prefix went through all routes of the host, and a request did so to find its route.

Fix: the routes of a host are a map by prefix; a request looks up the prefixes of its path from the longest.

--- a/internal/aubsite/site.go
+++ b/internal/aubsite/site.go
@@ -1,7 +1,6 @@
 package aubsite
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"slices"
 	"strings"
@@ -10,8 +9,8 @@
 // Site is a checked revision with lookup indexes. It is immutable.
 type Site struct {
 	spec Spec
-	// routesByHost holds the routes of each host, longest prefix first.
-	routesByHost  map[string][]Route
+	// routesByHost holds the routes of each host by prefix.
+	routesByHost  map[string]map[string]Route
 	serviceByName map[string]Service
 	// workspaceByKey and workspaceByName hold indexes of spec.Workspaces. Keys are
 	// looked up by digest, so that the time of a lookup reveals nothing about a key.
@@ -23,7 +22,7 @@
 func New(spec Spec) (*Site, error) {
 	s := &Site{
 		spec:            spec,
-		routesByHost:    make(map[string][]Route),
+		routesByHost:    make(map[string]map[string]Route),
 		serviceByName:   make(map[string]Service, len(spec.Services)),
 		workspaceByKey:  make(map[[sha256.Size]byte]int),
 		workspaceByName: make(map[string]int, len(spec.Workspaces)),
@@ -44,9 +43,6 @@
 			return nil, err
 		}
 	}
-	for _, routes := range s.routesByHost {
-		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
 	return s, nil
 }
 
@@ -71,10 +67,15 @@
 	if totalWeight == 0 {
 		return &InvalidError{Object: object, Reason: "has weights that add up to 0"}
 	}
-	if slices.ContainsFunc(s.routesByHost[route.Host], func(r Route) bool { return r.Prefix == route.Prefix }) {
+	routes := s.routesByHost[route.Host]
+	if routes == nil {
+		routes = make(map[string]Route)
+		s.routesByHost[route.Host] = routes
+	}
+	if _, ok := routes[route.Prefix]; ok {
 		return &InvalidError{Object: object, Reason: "has the host and prefix of another route"}
 	}
-	s.routesByHost[route.Host] = append(s.routesByHost[route.Host], route)
+	routes[route.Prefix] = route
 	return nil
 }
 
@@ -98,8 +99,9 @@
 
 // Route returns the route of the host with the longest prefix that matches the path.
 func (s *Site) Route(host, path string) (Route, bool) {
-	for _, r := range s.routesByHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+	routes := s.routesByHost[host]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := routes[path[:end+1]]; ok {
 			return r, true
 		}
 	}
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -41,6 +42,29 @@
 	}
 }
 
+// TestCheckOfManyRoutesIsNotQuadratic guards against a check that compares each route with
+// all others of its host.
+func TestCheckOfManyRoutesIsNotQuadratic(t *testing.T) {
+	const (
+		routeCount = 60_000
+		// activationTimeout is the platform's bound from the commit of a revision to its
+		// activation.
+		activationTimeout = 2500 * time.Millisecond
+	)
+	routes := make([]aubsite.Route, 0, routeCount)
+	for i := range routeCount {
+		name := strconv.Itoa(i)
+		routes = append(routes, route(name, "a", "/"+name+"/"))
+	}
+	startedAt := time.Now()
+	site, err := aubsite.New(spec(routes...))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, time.Since(startedAt) < activationTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(startedAt)))
+	r, ok := site.Route("a", "/59999/x")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, r.Name, qt.Equals, "59999")
+}
+
 func TestInvalidConfigurations(t *testing.T) {
 	withRoute := func(change func(*aubsite.Route)) aubsite.Spec {
 		r := route("r", "a", "/")
