Compress configurations in the log and on the way to relays

What operators would see: changes of a large configuration in a series are acknowledged late, and each costs its whole size at every replica's link, disk and memory.

TestConfigurationOfManyRoutesIsStoredCompact failed before by its bound of an eighth.

Fix: zstd at its fastest level, once, at the control process that takes the change; entries in the old form are still read.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -166,7 +166,7 @@
 	for {
 		revision, changed := c.siteTable.Revision()
 		if revision.GetNumber() > 0 {
-			c.site.ActivateIfNewer(revision.GetNumber(), revision.GetDocument())
+			c.site.ActivateIfNewer(revision)
 		}
 		select {
 		case <-changed:
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -45,7 +45,7 @@
 	// response of a control process that knows one; nil ignores it.
 	OnAnnounce func(newest uint64)
 	// OnRevision receives configurations; nil ignores them.
-	OnRevision func(number uint64, document []byte)
+	OnRevision func(revision *aubwire.SiteRevision)
 	// OnPeers receives the number and the load addresses of the other relays; nil
 	// requests none.
 	OnPeers func(peers *aubwire.Peers)
--- a/internal/aubregistry/revision.go
+++ b/internal/aubregistry/revision.go
@@ -49,7 +49,9 @@
 	}
 	document := revision.GetDocument()
 	for data := range slices.Chunk(document, revisionChunkBytes) {
-		chunk := &aubwire.RevisionChunk{Number: revision.GetNumber(), Total: int64(len(document)), Data: data}
+		chunk := &aubwire.RevisionChunk{
+			Number: revision.GetNumber(), Total: int64(len(document)), Data: data, Encoding: revision.GetEncoding(),
+		}
 		if err := stream.Send(chunk); err != nil {
 			return err
 		}
@@ -159,7 +161,8 @@
 // fetchFrom fetches the newest revision of one control process and passes it on.
 func (f *revisionFetcher) fetchFrom(ctx context.Context, link *controlLink) {
 	startedAt := f.common.Timer.Now()
-	number, document, err := f.receive(ctx, link)
+	revision, err := f.receive(ctx, link)
+	number, document := revision.GetNumber(), revision.GetDocument()
 	elapsed := f.common.Timer.Now().Sub(startedAt)
 	f.common.Metrics.Counter("revision_bytes_received").Inc(int64(len(document)))
 	if err != nil {
@@ -173,7 +176,7 @@
 		zap.Int("bytes", len(document)), zap.Int64("elapsed_ms", elapsed.Milliseconds()),
 		zap.Int64("since_announced_ms", f.common.Timer.Now().Sub(f.outdatedSince).Milliseconds()))
 	f.held, f.outdatedSince = number, time.Time{}
-	f.client.opts.OnRevision(number, document)
+	f.client.opts.OnRevision(revision)
 }
 
 // setFailed makes other control processes preferred for fetchRetryDelay.
@@ -185,16 +188,17 @@
 
 // receive receives one revision. Errors are *NoControlError, *SilentError,
 // *IncompleteRevisionError or those of gRPC; the document then holds what was received.
-func (f *revisionFetcher) receive(ctx context.Context, link *controlLink) (uint64, []byte, error) {
+func (f *revisionFetcher) receive(ctx context.Context, link *controlLink) (*aubwire.SiteRevision, error) {
+	revision := &aubwire.SiteRevision{}
 	conn := f.client.connOf(link)
 	if conn == nil {
-		return 0, nil, &NoControlError{}
+		return revision, &NoControlError{}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stream, err := aubwire.NewRegistryClient(conn).FetchRevision(ctx, &aubwire.FetchRevisionRequest{Held: f.held})
 	if err != nil {
-		return 0, nil, err
+		return revision, err
 	}
 	var lastReceivedNs atomic.Int64
 	lastReceivedNs.Store(f.common.Timer.Now().UnixNano())
@@ -211,21 +215,21 @@
 			}
 		}
 	}()
-	var number uint64
 	var total int64
-	var document []byte
 	for {
 		chunk, err := stream.Recv()
+		received := int64(len(revision.GetDocument()))
 		switch {
-		case errors.Is(err, io.EOF) && number > f.held && int64(len(document)) == total:
-			return number, document, nil
+		case errors.Is(err, io.EOF) && revision.GetNumber() > f.held && received == total:
+			return revision, nil
 		case errors.Is(err, io.EOF):
-			return number, document, &IncompleteRevisionError{Number: number, Received: int64(len(document)), Total: total}
+			return revision, &IncompleteRevisionError{Number: revision.GetNumber(), Received: received, Total: total}
 		case err != nil:
-			return number, document, errors.Join(err, context.Cause(ctx))
+			return revision, errors.Join(err, context.Cause(ctx))
 		}
 		lastReceivedNs.Store(f.common.Timer.Now().UnixNano())
-		number, total = chunk.GetNumber(), chunk.GetTotal()
-		document = append(document, chunk.GetData()...)
+		total = chunk.GetTotal()
+		revision.Number, revision.Encoding = chunk.GetNumber(), chunk.GetEncoding()
+		revision.Document = append(revision.Document, chunk.GetData()...)
 	}
 }
--- a/internal/aubregistry/revision_test.go
+++ b/internal/aubregistry/revision_test.go
@@ -119,8 +119,8 @@
 			client := aubregistry.NewClient(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubregistry.ClientOpts{
 				Process: "r1", Relay: true, Zone: "z2", Seeds: func() []string { return addresses },
 				Dial: newSlowLink().dial(processes), Registry: aubregistry.NewRegistry(aubcommon.NewCommon(aubtimer.NewReal()), time.Minute),
-				OnRevision: func(_ uint64, received []byte) {
-					text := string(received)
+				OnRevision: func(revision *aubwire.SiteRevision) {
+					text := string(revision.GetDocument())
 					document.Store(&text)
 					activations.Add(1)
 				},
--- a/internal/aubregistry/slow_link_test.go
+++ b/internal/aubregistry/slow_link_test.go
@@ -82,7 +82,7 @@
 	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
 		Process: "r1", Relay: true, Seeds: func() []string { return addresses },
 		Dial: newSlowLink().dial(controls), Registry: aubregistry.NewRegistry(common, time.Minute),
-		OnRevision: func(number uint64, _ []byte) { received.Store(number) },
+		OnRevision: func(revision *aubwire.SiteRevision) { received.Store(revision.GetNumber()) },
 	})
 	await(t, "the relay connects to all control processes", func() bool { return client.ConnectedCount() == len(addresses) })
 
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -91,7 +91,7 @@
 		Process: "r1", Relay: true, LoadAddress: "10.0.0.1:1", Seeds: func() []string { return []string{"c1"} },
 		Dial: control.dial, Registry: registry,
 		Report:     func() *aubwire.LoadReport { return &aubwire.LoadReport{Instance: "r1", Incarnation: 1} },
-		OnRevision: func(number uint64, _ []byte) { revision.Store(number) },
+		OnRevision: func(r *aubwire.SiteRevision) { revision.Store(r.GetNumber()) },
 		OnPeers:    func(*aubwire.Peers) { peers.Add(1) },
 	})
 	control.registry.Register(record("i1", "a:1", 1, 1, ready))
--- a/internal/aubsite/active_site.go
+++ b/internal/aubsite/active_site.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 // Decode decodes and checks the document of a revision. Errors are *InvalidError.
@@ -67,12 +68,17 @@
 
 // ActivateIfNewer activates a revision if its number is above that of the active one
 // and its document can be decoded.
-func (a *ActiveSite) ActivateIfNewer(number uint64, document []byte) {
+func (a *ActiveSite) ActivateIfNewer(revision *aubwire.SiteRevision) {
+	number := revision.GetNumber()
 	if number <= a.number() {
 		return
 	}
 	startedAt := a.common.Timer.Now()
-	site, err := a.decode(document)
+	document, err := Document(revision)
+	var site *Site
+	if err == nil {
+		site, err = a.decode(document)
+	}
 	decodeTime := a.common.Timer.Now().Sub(startedAt)
 	if err != nil {
 		a.common.Log.Error("Committed configuration can't be decoded; the previous one stays active.",
--- a/internal/aubsite/commit.go
+++ b/internal/aubsite/commit.go
@@ -32,11 +32,11 @@
 }
 
 // Newest returns the newest committed document after a linearizable read; it is empty
-// before the first commit. Errors are those of aubcontrol.Reader.
+// before the first commit. Errors are *DocumentError or those of aubcontrol.Reader.
 func (c *Configurations) Newest(ctx context.Context) ([]byte, error) {
 	if _, err := c.reader.Confirm(ctx); err != nil {
 		return nil, err
 	}
 	revision, _ := c.table.Revision()
-	return revision.GetDocument(), nil
+	return Document(revision)
 }
--- a/internal/aubsite/error.go
+++ b/internal/aubsite/error.go
@@ -1,5 +1,7 @@
 package aubsite
 
+import "fmt"
+
 // InvalidError is returned for a configuration that can't be activated.
 type InvalidError struct {
 	// Object names the invalid object, such as a route; it is empty when the whole
@@ -34,3 +36,17 @@
 
 // Unwrap returns the cause.
 func (e *SnapshotError) Unwrap() error { return e.Err }
+
+// DocumentError is returned for a document that can't be compressed or decompressed.
+type DocumentError struct {
+	Number uint64
+	Err    error
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	return fmt.Sprintf("document of revision %d is not readable: %s", e.Number, e.Err.Error())
+}
+
+// Unwrap returns the cause.
+func (e *DocumentError) Unwrap() error { return e.Err }
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -1,7 +1,10 @@
 package aubsite_test
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/auburndale/auburndale/internal/aubcontrol"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 func route(name, host, prefix string) aubsite.Route {
@@ -143,8 +147,9 @@
 		}
 		for _, table := range []*aubsite.Table{uninterrupted, restored} {
 			revision, _ := table.Revision()
-			if revision.GetNumber() != highest || string(revision.GetDocument()) != content[highest] {
-				t.Fatalf("revision %d %q, want %d %q", revision.GetNumber(), revision.GetDocument(), highest, content[highest])
+			document, err := aubsite.Document(revision)
+			if err != nil || revision.GetNumber() != highest || string(document) != content[highest] {
+				t.Fatalf("revision %d %q (%v), want %d %q", revision.GetNumber(), document, err, highest, content[highest])
 			}
 		}
 	})
@@ -171,7 +176,7 @@
 		{5, nil, 3},
 		{4, []byte{4}, 4},
 	} {
-		active.ActivateIfNewer(step.number, step.document)
+		active.ActivateIfNewer(&aubwire.SiteRevision{Number: step.number, Document: step.document})
 		qt.Assert(t, active.Site().Number(), qt.Equals, step.want)
 	}
 }
@@ -190,3 +195,38 @@
 	timer.Advance(time.Second)
 	qt.Assert(t, active.IsNewest(5), qt.IsFalse, qt.Commentf("no control process has announced for 2 s"))
 }
+
+// TestConfigurationOfManyRoutesIsStoredCompact guards against a log entry and a transfer as
+// large as the document.
+func TestConfigurationOfManyRoutesIsStoredCompact(t *testing.T) {
+	document := manyRoutesDocument(1500)
+	body, err := aubsite.EncodeCommand(4, document)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(body) < len(document)/8, qt.IsTrue, qt.Commentf("%d of %d bytes", len(body), len(document)))
+	table := aubsite.NewTable()
+	table.Apply(aubcontrol.Command{Body: body})
+	revision, _ := table.Revision()
+	stored, err := aubsite.Document(revision)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, bytes.Equal(stored, document), qt.IsTrue)
+}
+
+func TestDamagedDocumentIsNotRead(t *testing.T) {
+	revision, err := aubsite.NewRevision(4, manyRoutesDocument(100))
+	qt.Assert(t, err, qt.IsNil)
+	revision.Document[len(revision.Document)/2] ^= 0xff
+	_, err = aubsite.Document(revision)
+	var documentErr *aubsite.DocumentError
+	qt.Assert(t, errors.As(err, &documentErr), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// manyRoutesDocument returns a document with routes whose names and prefixes are random.
+func manyRoutesDocument(count int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	var document bytes.Buffer
+	for range count {
+		fmt.Fprintf(&document, `{"id":"r-%07x","site":"a.example","prefix":"/%08x/","kind":"stream",`+
+			`"timeout":12000,"objective":5000,"rank":1,"target":"s","attempts":1,"public":false},`, random.Uint32(), random.Uint32())
+	}
+	return document.Bytes()
+}
--- a/internal/aubsite/table.go
+++ b/internal/aubsite/table.go
@@ -37,7 +37,11 @@
 
 // EncodeCommand encodes the command that proposes a revision.
 func EncodeCommand(number uint64, document []byte) ([]byte, error) {
-	return proto.Marshal(&aubwire.SiteRevision{Number: number, Document: document})
+	revision, err := NewRevision(number, document)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(revision)
 }
 
 // Name implements aubcontrol.Table.
