Send a large configuration state in parts

What operators would see: an agent behind a slow link, or one of many that start together, never gets its first configuration.

Evidence: TestLargeStateArrivesOverASlowLink (some 300 kB at 20 kB/s) never ended within 200 s of its clock before, and takes one stream now. Not seen on a deployment.

Fix: messages above 32 KiB are sent in parts; each part that arrives or was taken by flow control counts as activity. Parts that don't continue each other are discarded, and the digest still decides on the content.

--- a/internal/aubdistribution/fixture_test.go
+++ b/internal/aubdistribution/fixture_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
@@ -68,6 +69,9 @@
 	// sendFilter returns the messages to send instead of a given one. If it is nil,
 	// messages are sent unchanged.
 	sendFilter func(*aubwire.WatchResponse) []*aubwire.WatchResponse
+	// linkBytesPerSecond is the bandwidth to each follower; 0 means unlimited.
+	linkBytesPerSecond int
+	timer              *aubtimer.Manual
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -94,6 +98,7 @@
 		table:    aubstate.NewConfigTable(s.common),
 		reader:   reader,
 		listener: bufconn.Listen(1 << 16),
+		timer:    s.timer,
 	}
 	source := aubdistribution.NewLocalSource(s.ctx, s.common, aubdistribution.LocalSourceOpts{Table: r.table, Reader: r.reader})
 	r.server = aubdistribution.NewServer(s.common, r.table, source)
@@ -223,8 +228,15 @@
 	if s.replica.sendFilter != nil {
 		messages = s.replica.sendFilter(m)
 	}
+	bandwidth := s.replica.linkBytesPerSecond
 	s.replica.mu.Unlock()
 	for _, m := range messages {
+		if bandwidth > 0 {
+			transferTime := time.Duration(proto.Size(m)) * time.Second / time.Duration(bandwidth)
+			if err := aubtimer.Wait(s.Context(), s.replica.timer, transferTime); err != nil {
+				return err
+			}
+		}
 		if err := s.BidiStreamingServer.Send(m); err != nil {
 			return err
 		}
--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -149,6 +150,25 @@
 	s.waitUntil("the version that the lagging replica caught up to", hasVersion(f, 8))
 }
 
+// TestLargeStateArrivesOverASlowLink guards against a state that is sent from the start again
+// and again, because its transfer takes longer than the timeout of a silent stream.
+func TestLargeStateArrivesOverASlowLink(t *testing.T) {
+	const workspaceCount, bytesPerSecond = 10_000, 20_000
+	s := newTestSite(t)
+	server := s.addReplica("server")
+	ticket := aubapi.Ticket{Number: 1}
+	for i := range workspaceCount {
+		ticket.Workspaces = append(ticket.Workspaces, aubapi.Workspace{Name: "workspace-" + strconv.Itoa(i), Rate: 1, Burst: 1})
+	}
+	server.apply(t, ticket)
+	server.mu.Lock()
+	server.linkBytesPerSecond = bytesPerSecond
+	server.mu.Unlock()
+	f := s.follow(s.ctx, "", "server")
+	s.waitUntil("the large state", hasVersion(f, 1))
+	qt.Assert(t, s.dials.Load(), qt.Equals, int32(1))
+}
+
 func TestFollowerSwitchesFromUnconfirmedReplica(t *testing.T) {
 	s := newTestSite(t)
 	unconfirmed, confirmed := s.addUnconfirmedReplica("unconfirmed"), s.addReplica("confirmed")
--- a/internal/aubdistribution/server.go
+++ b/internal/aubdistribution/server.go
@@ -68,8 +68,8 @@
 	go forwardMessages(ctx, stream.Recv, requests)
 	activity := make(chan struct{}, 1)
 	watcherDone := make(chan error, 1)
-	w := &watcher{server: s, stream: stream}
-	go func() { watcherDone <- w.run(ctx, requests, activity) }()
+	w := &watcher{server: s, stream: stream, activity: activity}
+	go func() { watcherDone <- w.run(ctx, requests) }()
 	return s.enforceTimeout(ctx, activity, watcherDone)
 }
 
--- a/internal/aubdistribution/session.go
+++ b/internal/aubdistribution/session.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
@@ -36,6 +37,8 @@
 	// configuration is accepted or the next heartbeat is due. It prevents further
 	// requests meanwhile.
 	repairRequested bool
+	// partial holds the received parts of one message.
+	partial []byte
 }
 
 // sentHeartbeat is a heartbeat sent by the follower.
@@ -93,10 +96,39 @@
 			return nil
 		}
 		return s.confirm(m.Heartbeat)
+	case *aubwire.WatchResponse_Part:
+		if complete := s.join(m.Part); complete != nil {
+			return s.handle(requests, complete)
+		}
 	}
 	return nil
 }
 
+// join adds a part and returns the message once it is complete, else nil. A part that
+// does not continue the previous ones discards them; the next heartbeat then shows that
+// changes are missing.
+func (s *session) join(part *aubwire.WatchPart) *aubwire.WatchResponse {
+	if part.GetOffset() == 0 {
+		s.partial = nil
+	}
+	if part.GetOffset() != int64(len(s.partial)) {
+		s.partial = nil
+		return nil
+	}
+	s.partial = append(s.partial, part.GetData()...)
+	if int64(len(s.partial)) < part.GetTotal() {
+		return nil
+	}
+	message := &aubwire.WatchResponse{}
+	err := proto.Unmarshal(s.partial, message)
+	s.partial = nil
+	if err != nil {
+		s.common.Log.Warn("Received configuration can't be decoded.", zap.String("address", s.address), zap.Error(err))
+		return nil
+	}
+	return message
+}
+
 // execute performs the action that follows from a message.
 func (s *session) execute(requests chan<- *aubwire.WatchRequest, next aubquery.Config, action mergeAction) {
 	switch action {
--- a/internal/aubdistribution/watcher.go
+++ b/internal/aubdistribution/watcher.go
@@ -4,17 +4,25 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+// maxPartBytes limits one message of a stream. Even on a slow link it takes far less than
+// receiveTimeout, so that a slow transfer does not look silent.
+const maxPartBytes = 32 << 10
+
 // watcher sends updates and heartbeats to one follower.
 type watcher struct {
 	server *Server
 	stream grpc.BidiStreamingServer[aubwire.WatchRequest, aubwire.WatchResponse]
+	// activity is notified of each request and of each sent part.
+	activity chan<- struct{}
 	// started is true after the first request.
 	started bool
 	// sentVersion is the version that the follower has after it received all messages
@@ -24,11 +32,8 @@
 	fullSentAt time.Time
 }
 
-// run serves the stream until it ends or ctx is done. It notifies activity of each
-// request.
-func (w *watcher) run(
-	ctx context.Context, requests <-chan receiveResult[*aubwire.WatchRequest], activity chan<- struct{},
-) error {
+// run serves the stream until it ends or ctx is done.
+func (w *watcher) run(ctx context.Context, requests <-chan receiveResult[*aubwire.WatchRequest]) error {
 	for {
 		select {
 		case r := <-requests:
@@ -38,7 +43,7 @@
 			if r.err != nil {
 				return r.err
 			}
-			notify(activity)
+			notify(w.activity)
 			if err := w.respond(r.message); err != nil {
 				return err
 			}
@@ -93,7 +98,7 @@
 	message, version := w.server.updates.fullState()
 	w.server.common.Metrics.Counter("full_states").Inc(1)
 	w.sentVersion = max(w.sentVersion, version)
-	return w.stream.Send(message)
+	return w.send(message)
 }
 
 // sendUpdate sends the versions that the follower lacks.
@@ -103,7 +108,31 @@
 		return nil
 	}
 	w.sentVersion = version
-	return w.stream.Send(message)
+	return w.send(message)
+}
+
+// send sends a message, in parts if it is larger than maxPartBytes. Flow control lets a part
+// be sent only while the follower receives.
+func (w *watcher) send(message *aubwire.WatchResponse) error {
+	if proto.Size(message) <= maxPartBytes {
+		return w.stream.Send(message)
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		return err
+	}
+	offset := int64(0)
+	for part := range slices.Chunk(data, maxPartBytes) {
+		err := w.stream.Send(&aubwire.WatchResponse{Message: &aubwire.WatchResponse_Part{
+			Part: &aubwire.WatchPart{Offset: offset, Total: int64(len(data)), Data: part},
+		}})
+		if err != nil {
+			return err
+		}
+		offset += int64(len(part))
+		notify(w.activity)
+	}
+	return nil
 }
 
 // notify sends to a channel unless its buffer is full.
