Bound the messages between replicas so that slow links deliver them

What operators would see: a control process that was away returns behind a slow link and never catches up, or a large change is never committed there.

Not seen on a deployment, whose control processes have 100 Mbit/s.

--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -23,11 +23,13 @@
 
 	// maxBatchInputs limits the queued inputs that one sync covers.
 	maxBatchInputs = 256
-	maxAppendBytes = 1 << 20
+	// maxAppendBytes limits the entries of one message unless a single one is larger. A
+	// slow link delivers it, or a snapshot chunk, well within one delivery timeout.
+	maxAppendBytes = 64 << 10
 	// maxInFlight limits the entries sent to a member without a response, and the
 	// messages in the inbox.
 	maxInFlight        = 4096
-	snapshotChunkBytes = 512 << 10
+	snapshotChunkBytes = 64 << 10
 	helloInterval      = 250 * time.Millisecond
 	ticksPerHeartbeat  = 3
 )
--- a/internal/aubconsensus/transport.go
+++ b/internal/aubconsensus/transport.go
@@ -15,8 +15,12 @@
 
 const (
 	linkQueueMessages = 1024
-	// maxDeliverBytes plus one more message stay below gRPC's limit of 4 MB.
-	maxDeliverBytes    = 1 << 20
+	// maxDeliverBytes limits the queued messages of one delivery unless a single one is
+	// larger.
+	maxDeliverBytes = 64 << 10
+	// minDeliverRate is the bandwidth, in bytes per second, that a link is expected to
+	// have; the timeout of a delivery grows by its size at this rate.
+	minDeliverRate     = 512 << 10
 	maxDeliverMessages = 64
 	redialBackoff      = 50 * time.Millisecond
 )
@@ -39,7 +43,7 @@
 var _ Transport = (*RemoteTransport)(nil)
 
 // NewRemoteTransport returns a transport that runs until ctx ends. The timeout
-// limits one delivery.
+// limits one delivery, beyond its transfer at minDeliverRate.
 func NewRemoteTransport(ctx context.Context, common aubcommon.Common, dial func(address string) (*grpc.ClientConn, error), timeout time.Duration) *RemoteTransport {
 	return &RemoteTransport{
 		common:  common.WithPart("transport"),
@@ -110,27 +114,28 @@
 
 // collectBatch adds the queued messages to the first one, up to the limits of
 // one delivery.
-func (l *link) collectBatch(first *aubwire.ConsensusMessage) []*aubwire.ConsensusMessage {
-	messages := []*aubwire.ConsensusMessage{first}
+func (l *link) collectBatch(first *aubwire.ConsensusMessage) *aubwire.DeliverRequest {
+	batch := &aubwire.DeliverRequest{Messages: []*aubwire.ConsensusMessage{first}}
 	size := proto.Size(first)
-	for size < maxDeliverBytes && len(messages) < maxDeliverMessages {
+	for size < maxDeliverBytes && len(batch.GetMessages()) < maxDeliverMessages {
 		select {
 		case m := <-l.queue:
-			messages = append(messages, m)
+			batch.Messages = append(batch.Messages, m)
 			size += proto.Size(m)
 		default:
-			return messages
+			return batch
 		}
 	}
-	return messages
+	return batch
 }
 
-func (l *link) deliver(messages []*aubwire.ConsensusMessage) {
-	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.timeout)
+func (l *link) deliver(batch *aubwire.DeliverRequest) {
+	transferTime := time.Duration(proto.Size(batch)) * time.Second / minDeliverRate
+	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.timeout+transferTime)
 	defer cancel()
 	err := l.connect()
 	if err == nil {
-		_, err = aubwire.NewConsensusClient(l.conn).Deliver(ctx, &aubwire.DeliverRequest{Messages: messages})
+		_, err = aubwire.NewConsensusClient(l.conn).Deliver(ctx, batch)
 	}
 	if err == nil {
 		return
--- a/internal/aubregistry/revision_test.go
+++ b/internal/aubregistry/revision_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubstandin"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -118,7 +119,7 @@
 			var activations atomic.Int32
 			client := aubregistry.NewClient(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubregistry.ClientOpts{
 				Process: "r1", Relay: true, Zone: "z2", Seeds: func() []string { return addresses },
-				Dial: newSlowLink().dial(processes), Registry: aubregistry.NewRegistry(aubcommon.NewCommon(aubtimer.NewReal()), time.Minute),
+				Dial: dialOver(aubstandin.NewLink(slowLinkBytesPerSecond), processes), Registry: aubregistry.NewRegistry(aubcommon.NewCommon(aubtimer.NewReal()), time.Minute),
 				OnRevision: func(revision *aubwire.SiteRevision) {
 					text := string(revision.GetDocument())
 					document.Store(&text)
