Refuse requests at a relay whose configuration is outdated beyond the bound

Cause: the platform states a time within which an acknowledged change is in force, but no relay kept it: one that knew of a newer revision and could not get it served on by the old one without limit.

Evidence: TestRelayRefusesRequestsAfterTheActivationTimeout answers 200 and runs the request without the new check.

Fix: a relay that has known of a newer revision for four fifths of registry.activation_timeout refuses requests with 503 and Retry-After, so that callers go to a relay that has it. The time counts from the first missed revision; a series of changes doesn't restart it. A revision that can't be decoded doesn't count: the previous one stays in force, as before. A relay that hears of no newer revision, because it is cut off, serves on.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -41,6 +41,9 @@
 	// backend server is ejected. It is high because queueing also increases the measured
 	// time, and only a stuck backend server must be ejected.
 	relayEjectSlowness = 40
+	// activationShare is the fraction of the activation timeout after which a relay with an
+	// outdated configuration refuses requests; the rest covers the announcement.
+	activationShare = 0.8
 	// readyPollInterval is the time between two checks whether a relay can serve.
 	readyPollInterval = 50 * time.Millisecond
 	// exitMargin is the time reserved for the exit of the process before the platform
@@ -164,14 +167,15 @@
 		OnPeers:     r.updatePeers,
 	})
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
-		Protocol:      r.adapter.Protocol,
-		Site:          r.site,
-		Limiter:       r.limiter,
-		Router:        r.router,
-		Registry:      r.registry,
-		Demand:        r.demand,
-		CopyRequester: aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
-		Dial:          DialBackend,
+		Protocol:          r.adapter.Protocol,
+		Site:              r.site,
+		ActivationTimeout: time.Duration(activationShare * float64(r.cfg.Registry.ActivationTimeout.Value())),
+		Limiter:           r.limiter,
+		Router:            r.router,
+		Registry:          r.registry,
+		Demand:            r.demand,
+		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
+		Dial:              DialBackend,
 	})
 	return nil
 }
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -270,6 +270,17 @@
 	site *aubsite.Site
 	// newest is the number of the newest announced configuration.
 	newest uint64
+	// outdatedFor is how long ago it was announced.
+	outdatedFor time.Duration
+}
+
+func (s *siteSource) OutdatedFor(number uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number >= s.newest {
+		return 0
+	}
+	return s.outdatedFor
 }
 
 func (s *siteSource) IsNewest(number uint64) bool {
@@ -339,7 +350,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	var dialer net.Dialer
 	fixture.handler = aubrelay.NewHandler(common, aubrelay.HandlerOpts{
-		Protocol: testProtocol{}, Site: fixture.site, Registry: fixture.registry, Router: router, Demand: aubrelay.NewDemandCounter(common),
+		Protocol: testProtocol{}, Site: fixture.site, ActivationTimeout: activationTimeout, Registry: fixture.registry, Router: router, Demand: aubrelay.NewDemandCounter(common),
 		Limiter: aublimit.NewSharedCounters(common, aublimit.CountersOpts{Limits: func(string) (int64, int64, bool) { return 1, 1, true }}),
 		CopyRequester: aubrelay.NewCopyRequester(common, fixture.registry, func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 			return nil, errors.New("no control process")
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -46,10 +46,13 @@
 type HandlerOpts struct {
 	Protocol Protocol
 	Site     SiteSource
-	Limiter  aublimit.Policy[aublimit.Reservation]
-	Router   *aubroute.Router
-	Registry *aubregistry.Registry
-	Demand   *DemandCounter
+	// ActivationTimeout is how long after its announcement a configuration must be active;
+	// 0 means any time. The handler refuses all requests after that.
+	ActivationTimeout time.Duration
+	Limiter           aublimit.Policy[aublimit.Reservation]
+	Router            *aubroute.Router
+	Registry          *aubregistry.Registry
+	Demand            *DemandCounter
 	// CopyRequester requests a copy of a model or adapter that no backend server holds.
 	CopyRequester *CopyRequester
 	// Dial opens connections to backend servers.
@@ -111,6 +114,9 @@
 	if ex.site == nil {
 		return newRefusal(http.StatusServiceUnavailable, CodeNoConfiguration, startupRetryAfter)
 	}
+	if timeout := h.opts.ActivationTimeout; timeout > 0 && h.opts.Site.OutdatedFor(ex.site.Number()) > timeout {
+		return newRefusal(http.StatusServiceUnavailable, CodeOutdatedConfiguration, outdatedRetryAfter)
+	}
 	if err := h.admit(ex); err != nil {
 		return err
 	}
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -117,4 +117,7 @@
 	// IsNewest reports whether no newer configuration than the numbered one can be
 	// committed, as far as control processes have announced lately.
 	IsNewest(number uint64) bool
+	// OutdatedFor returns how long ago the first configuration above the numbered one was
+	// announced, 0 if none was.
+	OutdatedFor(number uint64) time.Duration
 }
--- a/internal/aubrelay/relay_test.go
+++ b/internal/aubrelay/relay_test.go
@@ -186,6 +186,37 @@
 	}
 }
 
+// activationTimeout is the relay's ActivationTimeout in these tests.
+const activationTimeout = time.Second
+
+// TestRelayRefusesRequestsAfterTheActivationTimeout guards against a request that runs by a
+// configuration whose successor had to be in force.
+func TestRelayRefusesRequestsAfterTheActivationTimeout(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		outdatedFor time.Duration
+		status      int
+		code        string
+	}{
+		{"newest configuration", 0, 200, ""},
+		{"outdated within the timeout", activationTimeout / 2, 200, ""},
+		{"outdated beyond the timeout", 2 * activationTimeout, 503, "outdated_configuration"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fixture := newRelayFixture(t, "b1")
+			fixture.site.mu.Lock()
+			if test.outdatedFor > 0 {
+				fixture.site.newest, fixture.site.outdatedFor = fixture.site.site.Number()+1, test.outdatedFor
+			}
+			fixture.site.mu.Unlock()
+			result := fixture.call(http.MethodPost, "/read/x", "1", nil)
+			qt.Assert(t, result.status, qt.Equals, test.status)
+			qt.Assert(t, result.header.Get(headerCode), qt.Equals, test.code)
+			qt.Assert(t, fixture.countRuns("1") == 0, qt.Equals, test.status == http.StatusServiceUnavailable)
+		})
+	}
+}
+
 type readCloser struct{ *strings.Reader }
 
 func (readCloser) Close() error { return nil }
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -106,6 +106,7 @@
 type Registry struct {
 	Listen            Address  `yaml:"listen" doc:"IP address and port for registrations and complete configurations."`
 	HeartbeatInterval Duration `yaml:"heartbeat" doc:"Time between two registrations of a backend server."`
+	ActivationTimeout Duration `yaml:"activation_timeout" doc:"Time from the commit of a complete configuration in which every relay must have it in force. A relay that knows of a newer one for four fifths of it refuses all requests; empty means that it serves on."`
 }
 
 // Platform holds the settings of the listeners for health checks and metrics.
--- a/internal/aubsite/active_site.go
+++ b/internal/aubsite/active_site.go
@@ -1,6 +1,7 @@
 package aubsite
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,14 @@
 	// is when one last announced its newest revision.
 	newest      uint64
 	announcedAt time.Time
+	// pending holds the announced revisions above the active one, oldest first.
+	pending []announcement
+}
+
+// announcement is when a revision was first announced.
+type announcement struct {
+	number uint64
+	at     time.Time
 }
 
 // NewActiveSite returns an ActiveSite without a configuration.
@@ -55,6 +64,9 @@
 		return
 	}
 	a.newest = newest
+	if a.site == nil || a.site.Number() < newest {
+		a.pending = append(a.pending, announcement{number: newest, at: a.announcedAt})
+	}
 	a.common.Metrics.Gauge("announced_revision").Update(float64(newest))
 }
 
@@ -66,6 +78,24 @@
 	return number >= a.newest && a.common.Timer.Now().Sub(a.announcedAt) <= announcementLifetime
 }
 
+// OutdatedFor returns how long ago the first revision above the given one was announced,
+// 0 if none was.
+func (a *ActiveSite) OutdatedFor(number uint64) time.Duration {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for _, p := range a.pending {
+		if p.number > number {
+			return a.common.Timer.Now().Sub(p.at)
+		}
+	}
+	return 0
+}
+
+// dropPending removes the announcements up to the number; the caller holds mu.
+func (a *ActiveSite) dropPending(number uint64) {
+	a.pending = slices.DeleteFunc(a.pending, func(p announcement) bool { return p.number <= number })
+}
+
 // ActivateIfNewer activates a revision if its number is above that of the active one
 // and its document can be decoded.
 func (a *ActiveSite) ActivateIfNewer(revision *aubwire.SiteRevision) {
@@ -83,6 +113,9 @@
 	if err != nil {
 		a.common.Log.Error("Committed configuration can't be decoded; the previous one stays active.",
 			zap.Uint64("revision", number), zap.Error(err))
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.dropPending(number)
 		return
 	}
 	a.mu.Lock()
@@ -91,6 +124,7 @@
 		return
 	}
 	a.site = site
+	a.dropPending(number)
 	a.common.Metrics.Gauge("revision").Update(float64(number))
 	a.common.Log.Info("Configuration is in force.", zap.Uint64("revision", number),
 		zap.Int("bytes", len(document)), zap.Int64("decode_ms", decodeTime.Milliseconds()))
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -196,6 +196,34 @@
 	qt.Assert(t, active.IsNewest(5), qt.IsFalse, qt.Commentf("no control process has announced for 2 s"))
 }
 
+// TestOutdatedTimeCountsFromTheFirstMissedRevision announces revisions in a series, which
+// must not restart the time, and one that can't be decoded, which must not count.
+func TestOutdatedTimeCountsFromTheFirstMissedRevision(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	decode := func(document []byte) (*aubsite.Site, error) {
+		if len(document) == 0 {
+			return nil, &aubsite.InvalidError{Reason: "is empty"}
+		}
+		return aubsite.New(aubsite.Spec{Number: uint64(document[0])})
+	}
+	active := aubsite.NewActiveSite(aubcommon.NewCommon(timer), decode)
+	activate := func(number uint64, document []byte) {
+		active.ActivateIfNewer(&aubwire.SiteRevision{Number: number, Document: document})
+	}
+	active.Announce(1)
+	activate(1, []byte{1})
+	qt.Assert(t, active.OutdatedFor(1), qt.Equals, time.Duration(0))
+	for number := uint64(2); number <= 4; number++ {
+		active.Announce(number)
+		timer.Advance(time.Second)
+	}
+	qt.Assert(t, active.OutdatedFor(1), qt.Equals, 3*time.Second)
+	activate(3, []byte{3})
+	qt.Assert(t, active.OutdatedFor(3), qt.Equals, time.Second)
+	activate(4, nil)
+	qt.Assert(t, active.OutdatedFor(3), qt.Equals, time.Duration(0))
+}
+
 // TestConfigurationOfManyRoutesIsStoredCompact guards against a log entry and a transfer as
 // large as the document.
 func TestConfigurationOfManyRoutesIsStoredCompact(t *testing.T) {
