Start the timer of a delayed order before its pending time is noted

What was seen: TestTwoDelayedOrders waited 20 s for due orders beside busy processes. Callers and operators saw nothing: the fault is in the stand-in engine.

Cause: the stand-in read the time, noted when the order is pending, and then started the timer. A manual clock that was advanced in between made the timer due after the noted time; the fixture advances no further before the order is executed, so both waited.

Evidence: TestDelayedOrderIsExecutedByItsPendingTime moves the clock between the two and fails on the old order of calls in every run.

--- a/internal/aubstandin/order.go
+++ b/internal/aubstandin/order.go
@@ -49,8 +49,9 @@
 func (e *Engine) executeLater(order aubengine.Order, execute orderFunc) {
 	bootCtx, _ := e.currentBoot()
 	delay := e.faults.get().orderDelay()
-	removePending := e.recorder.addPendingOrder(e.common.Timer.Now().Add(delay))
+	// The timer starts first, so that the order is not executed after its pending time.
 	delayElapsed := e.common.Timer.After(bootCtx, delay)
+	removePending := e.recorder.addPendingOrder(e.common.Timer.Now().Add(delay))
 	go func() {
 		defer removePending()
 		select {
