Release a refused claim whose earlier try may still be committed

What callers saw: a call whose holder had said that it did not run was refused as in progress, and after 15 minutes as one that may have run, though nobody ran it. It ran never twice.

Cause: a Begin is tried again after an uncertain answer. When the last try was refused because another attempt held the key, the client returned that refusal and forgot the earlier try. Committed after the holder's release, that try took the claim, and nobody released it. The table and the specification are right; the client was wrong.

Evidence: TestLateTryOfARefusedBeginHoldsNoClaim repeats it in every run.

Fix: if a try is uncertain and the last one was refused for a reason that may pass, Begin releases the attempt in the background and answers NotClaimedError, after which the caller may try again. A release that is committed before the late try keeps it from taking effect.

--- a/internal/aubclaim/claims.go
+++ b/internal/aubclaim/claims.go
@@ -94,49 +94,56 @@
 	}
 	ticket := Ticket{ID: claim.ID, Owner: c.owner, Attempt: uuid.NewString()}
 	startedAt := c.common.Timer.Now()
-	r, committed, err := c.commitBegin(ctx, beginCommand(ticket, claim))
+	r, uncertainTries, err := c.commitBegin(ctx, beginCommand(ticket, claim))
+	if err == nil && uncertainTries > 0 && isTemporary(r.GetResult()) {
+		err = &UncertainTryError{Result: r.GetResult().String()}
+	}
 	if err == nil {
 		var result Result
 		if result, err = newResult(ticket, startedAt.Add(claim.Timeout), r); err == nil {
 			return result, nil
 		}
 	}
-	if committed != neverCommitted {
-		// The claim may be committed for this attempt, which will not use it.
+	if r != nil || uncertainTries > 0 {
+		// The claim may be committed, now or later, for this attempt, which will not use it.
 		c.enqueue(releaseCommand(ticket))
 	}
 	return nil, &NotClaimedError{RetryAfter: c.retryAfter(err), Err: err}
 }
 
-// commitment states whether a proposed command can have been committed.
-type commitment int
-
-const (
-	neverCommitted commitment = iota
-	possiblyCommitted
-)
+// isTemporary reports whether a Begin that is committed later than one with this result
+// may get the claim.
+func isTemporary(r aubwire.ClaimResult) bool {
+	switch r {
+	case aubwire.ClaimResult_CLAIM_RESULT_IN_PROGRESS, aubwire.ClaimResult_CLAIM_RESULT_CONFLICT, aubwire.ClaimResult_CLAIM_RESULT_FULL:
+		return true
+	default:
+		return false
+	}
+}
 
 // commitBegin proposes the command until its result is known, a try is certainly
 // not committed or the begin timeout has passed. Repeating the command is safe: the
-// table replies Begun again to the attempt that holds the claim.
-func (c *Claims) commitBegin(ctx context.Context, cmd *aubwire.ClaimCommand) (*aubwire.ClaimReply, commitment, error) {
-	committed := neverCommitted
+// table replies Begun again to the attempt that holds the claim. It also returns the
+// number of tries of which it is not known whether they are committed.
+func (c *Claims) commitBegin(ctx context.Context, cmd *aubwire.ClaimCommand) (*aubwire.ClaimReply, int, error) {
+	uncertainTries := 0
 	deadline := c.common.Timer.Now().Add(c.opts.BeginTimeout)
 	for {
 		r, err := c.apply(ctx, cmd)
 		if err == nil {
-			return r, possiblyCommitted, nil
+			return r, uncertainTries, nil
 		}
 		var notCommitted *aubcontrol.NotCommittedError
 		if errors.As(err, &notCommitted) {
-			return nil, committed, err
+			return nil, uncertainTries, err
 		}
-		committed = possiblyCommitted
+		uncertainTries++
 		if !c.common.Timer.Now().Before(deadline) {
-			return nil, committed, err
+			return nil, uncertainTries, err
 		}
 		if aubtimer.Wait(ctx, c.common.Timer, c.opts.RetryInterval) != nil {
-			return nil, committed, err
+			return nil, uncertainTries, err
 		}
 	}
 }
--- a/internal/aubclaim/claims_test.go
+++ b/internal/aubclaim/claims_test.go
@@ -240,3 +240,31 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLateTryOfARefusedBeginHoldsNoClaim guards against a key that stays in progress
+// although nobody runs its call: the first try of a Begin is committed only after a
+// second one was refused and the claim that it met was released.
+func TestLateTryOfARefusedBeginHoldsNoClaim(t *testing.T) {
+	ctx := context.Background()
+	log := newFakeLog(tableOpts())
+	holder, repeater := newClaims(t, log, "a", 1), newClaims(t, log, "b", 1)
+	call := claim("w", "k", "swap")
+	ticket := mustBegin(t, holder, call)
+	for log.committed() < 3 {
+		// Each process first retires its earlier incarnations.
+		time.Sleep(time.Millisecond)
+	}
+	log.setDeliveries(deliveryDelayed)
+	result, _ := repeater.Begin(ctx, call)
+	_, isBegun := result.(aubclaim.Begun)
+	qt.Assert(t, isBegun, qt.IsFalse)
+	qt.Assert(t, holder.Release(ctx, ticket), qt.IsNil)
+	log.commitDelayed()
+	for range 100 {
+		if _, ok := begin(t, holder, call).(aubclaim.Begun); ok {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the late try holds the claim")
+}
--- a/internal/aubclaim/error.go
+++ b/internal/aubclaim/error.go
@@ -21,6 +21,18 @@
 // Unwrap returns the cause.
 func (e *NotClaimedError) Unwrap() error { return e.Err }
 
+// UncertainTryError reports that the last try of a Begin was refused while an earlier one may
+// still be committed and get the claim.
+type UncertainTryError struct {
+	// Result is the reply to the last try.
+	Result string
+}
+
+// Error implements error.
+func (e *UncertainTryError) Error() string {
+	return fmt.Sprintf("refused with %s, but an earlier try may still be committed", e.Result)
+}
+
 // NotOwnerError reports that the attempt holds no claim, or one that can't be changed
 // in this way.
 type NotOwnerError struct {
--- a/internal/aubclaim/fake_test.go
+++ b/internal/aubclaim/fake_test.go
@@ -43,6 +43,14 @@
 
 func newFakeLog(opts aubclaim.TableOpts, deliveries ...delivery) *fakeLog {
 	l := &fakeLog{table: aubclaim.NewTable(opts)}
+	l.setDeliveries(deliveries...)
+	return l
+}
+
+// setDeliveries sets how the next commands are handled; all later ones are committed.
+func (l *fakeLog) setDeliveries(deliveries ...delivery) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.nextDelivery = func() delivery {
 		if len(deliveries) == 0 {
 			return deliveryCommitted
@@ -51,7 +59,6 @@
 		deliveries = deliveries[1:]
 		return d
 	}
-	return l
 }
 
 func (l *fakeLog) Apply(_ context.Context, _ string, body []byte) (aubcontrol.Result, error) {
@@ -82,6 +89,13 @@
 	return aubcontrol.Result{Index: l.index, Body: out}
 }
 
+// committed returns the number of committed commands.
+func (l *fakeLog) committed() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.index
+}
+
 // commitDelayed commits the commands of deliveryDelayed.
 func (l *fakeLog) commitDelayed() {
 	l.mu.Lock()
--- a/internal/aubclaim/history_test.go
+++ b/internal/aubclaim/history_test.go
@@ -145,15 +145,20 @@
 	ops []porcupine.Operation
 	// executions counts, by key, the calls that were sent and not released as not run.
 	executions map[string]int
-	startedAt  time.Time
+	// now returns the time of an event; it increases.
+	now func() int64
+}
+
+func newRecorder(now func() int64) *recorder {
+	return &recorder{executions: make(map[string]int), now: now}
 }
 
 // record runs the operation and adds it to the history. A Begin that fails is
 // followed by a release in the background, which is added too.
 func (r *recorder) record(client int, in op, call func() response) response {
-	start := time.Since(r.startedAt).Nanoseconds()
+	start := r.now()
 	out := call()
-	end := time.Since(r.startedAt).Nanoseconds()
+	end := r.now()
 	if out.kind == "uncertain" {
 		// The operation may take effect at any later time.
 		end = math.MaxInt64
@@ -271,7 +276,8 @@
 			deliveryNotCommitted, deliveryReplyLost, deliveryDelayed, deliveryDuplicated, deliveryLost,
 		}
 		log.nextDelivery = func() delivery { return weightedDeliveries[deliveryRNG.IntN(len(weightedDeliveries))] }
-		rec := &recorder{executions: make(map[string]int), startedAt: time.Now()}
+		startedAt := time.Now()
+		rec := newRecorder(func() int64 { return time.Since(startedAt).Nanoseconds() })
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		for id := range clients {
