Defer an election while a pre-vote is granted to another candidate

Cause: a member granted a pre-vote and still began its own election when its timeout ended. While a vote with its two syncs takes about as long as the timeout, both become candidates of the same term, vote for themselves and refuse each other, and the next round is the same. A vote that came after the candidate had begun to ask for the next term was thrown away.

Fix: a member that grants a pre-vote gives up its own and waits one election timeout, no longer, so that a candidate which gets no answers blocks nobody; of two that ask each other one yields. A vote counts for its whole term. Neither changes who may be voted for.

--- a/internal/aubconsensus/election.go
+++ b/internal/aubconsensus/election.go
@@ -35,6 +35,7 @@
 	}
 	n.role = follower
 	n.leaderID = leaderID
+	n.votes = nil
 	n.resetElectionDeadline()
 	if n.leadership == nil {
 		return
@@ -67,9 +68,9 @@
 func (n *Node) startPreVote() {
 	n.role = preCandidate
 	n.leaderID = ""
-	n.votes = map[string]bool{n.self.GetDiskId(): true}
+	n.preVotes = map[string]bool{n.self.GetDiskId(): true}
 	n.resetElectionDeadline()
-	if n.log.membership().hasQuorum(n.hasVote) {
+	if n.log.membership().hasQuorum(n.hasPreVote) {
 		n.startElection(false)
 		return
 	}
@@ -113,7 +114,10 @@
 		return
 	}
 	if req.GetPre() {
-		granted := m.GetTerm() > n.term && n.isUpToDate(req)
+		granted := m.GetTerm() > n.term && n.isUpToDate(req) && (n.role != preCandidate || n.yieldsTo(m.GetFrom(), req))
+		if granted {
+			n.deferElection()
+		}
 		n.respondVote(m, true, granted, m.GetTerm())
 		return
 	}
@@ -129,6 +133,25 @@
 	n.respondVote(m, false, granted, n.term)
 }
 
+// yieldsTo reports whether this member gives up its own pre-vote for that of the candidate,
+// whose log is at least as up to date: if it is longer or, so that only one of two gives
+// up, if the candidate's disk id is lower.
+func (n *Node) yieldsTo(candidate string, req *aubwire.VoteRequest) bool {
+	isLonger := req.GetLastTerm() != n.log.lastTerm() || req.GetLastIndex() > n.log.lastIndex()
+	return isLonger || candidate < n.self.GetDiskId()
+}
+
+// deferElection leaves the candidate to which a pre-vote was granted one election timeout
+// to win. It is not longer, so that one which gets no answers blocks nobody.
+func (n *Node) deferElection() {
+	if n.role == preCandidate {
+		n.role = follower
+	}
+	if earliest := n.now().Add(n.opts.ElectionTimeout); n.electionDeadline.Before(earliest) {
+		n.electionDeadline = earliest
+	}
+}
+
 func (n *Node) respondVote(m *aubwire.ConsensusMessage, pre, granted bool, term uint64) {
 	n.respond(m, &aubwire.ConsensusMessage{Term: term, Body: &aubwire.ConsensusMessage_VoteResponse{
 		VoteResponse: &aubwire.VoteResponse{Pre: pre, Granted: granted},
@@ -157,22 +180,24 @@
 	if !resp.GetGranted() {
 		return
 	}
-	isPreVote := n.role == preCandidate && resp.GetPre() && m.GetTerm() == n.term+1
-	isVote := n.role == candidate && !resp.GetPre() && m.GetTerm() == n.term
-	if !isPreVote && !isVote {
-		return
-	}
-	n.votes[m.GetFrom()] = true
-	if !n.log.membership().hasQuorum(n.hasVote) {
-		return
-	}
-	if isPreVote {
-		n.startElection(false)
-		return
+	switch {
+	case resp.GetPre() && n.role == preCandidate && m.GetTerm() == n.term+1:
+		n.preVotes[m.GetFrom()] = true
+		if n.log.membership().hasQuorum(n.hasPreVote) {
+			n.startElection(false)
+		}
+	case !resp.GetPre() && n.votes != nil && m.GetTerm() == n.term && n.leadership == nil:
+		// A vote holds for the whole term, also after the candidate has begun to ask for
+		// the next one.
+		n.votes[m.GetFrom()] = true
+		if n.log.membership().hasQuorum(n.hasVote) {
+			n.becomeLeader()
+		}
 	}
-	n.becomeLeader()
 }
 
+func (n *Node) hasPreVote(id string) bool { return n.preVotes[id] }
+
 func (n *Node) hasVote(id string) bool { return n.votes[id] }
 
 // stepTransfer starts an election without a pre-vote, because the leader
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -56,8 +56,10 @@
 	// election timeout after it this member grants no vote, because the leader's
 	// lease depends on that.
 	leaderContactAt time.Time
-	// votes holds the disk ids that granted a vote or pre-vote in the current
-	// election.
+	// preVotes holds the disk ids that granted the current pre-vote.
+	preVotes map[string]bool
+	// votes holds the disk ids that granted a vote in the term; it is nil unless this
+	// member stood in it and knows no leader of it.
 	votes map[string]bool
 	// leadership is nil while this node is not the leader.
 	leadership       *leadership
