Limit events of many short lines too

What operators would see: a relay's memory grows with one stream whose backend server sends lines without ever ending an event.

Cause: the limit on an event was checked only when a line was longer than the read buffer.

Evidence: TestEventOfManyLinesIsLimited read an event of 2 MiB before; it gets the error of the 1 MiB limit now.

Fix: the size is checked after each read.

--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxEventBytes limits an event with a line that is longer than the read buffer.
+	// maxEventBytes limits an event.
 	maxEventBytes = 1 << 20
 	// streamBufferBytes is the size of a stream's read buffer.
 	streamBufferBytes = 4 << 10
@@ -106,18 +106,18 @@
 }
 
 // next returns the next complete event. Errors are io.EOF if the stream ends after an
-// event, io.ErrUnexpectedEOF if it ends within one, *eventSizeError if a line longer than
-// the read buffer takes the event above maxEventBytes, and those of the connection.
+// event, io.ErrUnexpectedEOF if it ends within one, *eventSizeError for an event above
+// maxEventBytes, and those of the connection.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes:
-			continue
-		case errors.Is(err, bufio.ErrBufferFull):
+		case len(ev.data) > maxEventBytes:
 			return event{}, &eventSizeError{bytes: maxEventBytes}
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.Is(err, io.EOF) && len(ev.data) > 0:
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
