Recognise the end of an event by whole lines

What callers saw: nothing until a stream breaks; then a resumed stream could repeat a part of an event.

Cause: a line that fills the read buffer of 4 KiB is read without its line break, and the break that follows alone was taken for the blank line that ends an event. The relay then passed on a part as a whole event, of which the id counted as delivered.

Evidence: TestLineOfBufferSizeEndsNoEvent got an event of 4103 of 4114 bytes before.

Fix: the reader looks at the line in the event's data, not at what one read returned.

--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -110,9 +110,10 @@
 // maxEventBytes, and those of the connection.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	lineStart := 0
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		ev.data = append(ev.data, line...)
+		part, err := e.reader.ReadSlice('\n')
+		ev.data = append(ev.data, part...)
 		switch {
 		case len(ev.data) > maxEventBytes:
 			return event{}, &eventSizeError{bytes: maxEventBytes}
@@ -123,6 +124,8 @@
 		case err != nil:
 			return event{}, err
 		}
+		line := ev.data[lineStart:]
+		lineStart = len(ev.data)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return ev, nil
 		}
--- a/internal/aubrelay/stream_test.go
+++ b/internal/aubrelay/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 
 	"strings"
 	"testing"
@@ -16,3 +17,17 @@
 	var tooLarge *eventSizeError
 	qt.Assert(t, errors.As(err, &tooLarge), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// TestLineOfBufferSizeEndsNoEvent guards against an event that is taken for complete because
+// one of its lines fills the read buffer and its line break is read alone.
+func TestLineOfBufferSizeEndsNoEvent(t *testing.T) {
+	line := "data: " + strings.Repeat("x", streamBufferBytes-len("data: ")) + "\n"
+	text := "id: 4\n" + line + "data: end\n\n"
+	events := newEventReader(strings.NewReader(text))
+	ev, err := events.next()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(ev.data) == text, qt.IsTrue, qt.Commentf("%d of %d bytes", len(ev.data), len(text)))
+	qt.Assert(t, ev.id, qt.Equals, int64(4))
+	_, err = events.next()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
