Allow the log queue to be closed twice

What operators would see: a process that fails while it stops ends with a panic instead of its error.

Cause: Close closed its channel each time.

Evidence: TestQueueCanBeClosedTwice panicked before (close of closed channel).

Fix: the channel is closed once.

--- a/internal/aublog/queue.go
+++ b/internal/aublog/queue.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,6 +24,8 @@
 	dropped atomic.Int64
 	closing chan struct{}
 	done    chan struct{}
+	// closeOnce guards closing.
+	closeOnce sync.Once
 }
 
 // NewQueue returns a queue that writes to w until it is closed.
@@ -68,9 +71,10 @@
 // Dropped returns the number of dropped lines that are not reported yet.
 func (q *Queue) Dropped() int64 { return q.dropped.Load() }
 
-// Close writes the waiting lines for at most flushTimeout. Later lines are lost.
+// Close writes the waiting lines for at most flushTimeout. Later lines are lost. It may be
+// called again.
 func (q *Queue) Close() {
-	close(q.closing)
+	q.closeOnce.Do(func() { close(q.closing) })
 	select {
 	case <-q.done:
 	case <-time.After(flushTimeout):
--- a/internal/aublog/queue_test.go
+++ b/internal/aublog/queue_test.go
@@ -52,3 +52,13 @@
 	q.Close()
 	qt.Assert(t, buf.String(), qt.Equals, "0\n1\n2\n3\n4\n")
 }
+
+func TestQueueCanBeClosedTwice(t *testing.T) {
+	var buf bytes.Buffer
+	q := aublog.NewQueue(&buf)
+	_, err := q.Write([]byte("line\n"))
+	qt.Assert(t, err, qt.IsNil)
+	q.Close()
+	q.Close()
+	qt.Assert(t, buf.String(), qt.Equals, "line\n")
+}
