Leave a missing cause out of two errors

What operators saw: "limits not synced: limiter stopped …: <nil>" and the like in logs.

Cause: the errors always printed the cause, which some don't have.

Fix: the cause is added only if there is one.

--- a/internal/aubclaim/error.go
+++ b/internal/aubclaim/error.go
@@ -67,7 +67,11 @@
 
 // Error implements error.
 func (e *ReplyError) Error() string {
-	return fmt.Sprintf("invalid exchange with the table of claims: %s: %v", e.Detail, e.Err)
+	text := "invalid exchange with the table of claims: " + e.Detail
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
 }
 
 // Unwrap returns the cause.
--- a/internal/aublimit/error.go
+++ b/internal/aublimit/error.go
@@ -62,7 +62,13 @@
 }
 
 // Error implements error.
-func (e *SyncError) Error() string { return fmt.Sprintf("limits not synced: %s: %v", e.Detail, e.Err) }
+func (e *SyncError) Error() string {
+	text := "limits not synced: " + e.Detail
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
 
 // Unwrap returns the cause.
 func (e *SyncError) Unwrap() error { return e.Err }
--- a/internal/aubrelay/stream_test.go
+++ b/internal/aubrelay/stream_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-
 	"strings"
 	"testing"
 
