Reload certificates when the key or the authority changes

What operators would see: a new authority file is not used, and a withdrawn one stays trusted, until the certificate changes too or the process restarts.

Cause: only the modification time of the certificate file was looked at.

Evidence: TestCertificatesReloadWhenAnyFileChanges kept the old pool before.

Fix: the newest modification time of the three files decides, read before they are loaded.

--- a/internal/aubtransport/tls.go
+++ b/internal/aubtransport/tls.go
@@ -31,6 +31,25 @@
 	CAFile   string
 }
 
+// modifiedAt returns the time at which one of the files was last changed. The error is
+// *CertError.
+func (o CertOpts) modifiedAt() (time.Time, error) {
+	var newest time.Time
+	for _, file := range []string{o.CertFile, o.KeyFile, o.CAFile} {
+		if file == "" {
+			continue
+		}
+		info, err := os.Stat(file)
+		if err != nil {
+			return time.Time{}, &CertError{File: file, Err: err}
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
+
 // CertError reports a certificate file that can't be used and the cause.
 type CertError struct {
 	File string
@@ -44,7 +63,7 @@
 func (e *CertError) Unwrap() error { return e.Err }
 
 // Certificates holds a certificate with its key and the CA pool, and reloads them
-// when the certificate file changes.
+// when one of the files changes.
 type Certificates struct {
 	common aubcommon.Common
 	opts   CertOpts
@@ -108,8 +127,8 @@
 }
 
 // currentCert returns the certificate and the CA pool. At most once every
-// recheckInterval it first reloads them if the certificate file changed; if that
-// fails, the previous ones stay active.
+// recheckInterval it first reloads them if one of the files changed; if that fails, the
+// previous ones stay active.
 func (c *Certificates) currentCert() (*tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,11 +140,11 @@
 	return c.cert, c.caPool
 }
 
-// reloadIfModified loads the files again if the modification time of the certificate
-// file is later than at the last load.
+// reloadIfModified loads the files again if the modification time of one of them is later
+// than at the last load.
 func (c *Certificates) reloadIfModified() {
-	info, err := os.Stat(c.opts.CertFile)
-	if err != nil || !info.ModTime().After(c.modifiedAt) {
+	modifiedAt, err := c.opts.modifiedAt()
+	if err != nil || !modifiedAt.After(c.modifiedAt) {
 		return
 	}
 	if err := c.load(); err != nil {
@@ -138,6 +157,11 @@
 // load reads and checks the files. On an error the certificate and the CA pool stay
 // as they are.
 func (c *Certificates) load() error {
+	// The time is read first, so that a file that changes meanwhile is loaded again.
+	modifiedAt, err := c.opts.modifiedAt()
+	if err != nil {
+		return err
+	}
 	cert, err := tls.LoadX509KeyPair(c.opts.CertFile, c.opts.KeyFile)
 	if err != nil {
 		return &CertError{File: c.opts.CertFile, Err: err}
@@ -149,11 +173,7 @@
 	if err != nil {
 		return err
 	}
-	info, err := os.Stat(c.opts.CertFile)
-	if err != nil {
-		return &CertError{File: c.opts.CertFile, Err: err}
-	}
-	c.cert, c.caPool, c.modifiedAt = &cert, pool, info.ModTime()
+	c.cert, c.caPool, c.modifiedAt = &cert, pool, modifiedAt
 	return nil
 }
 
--- a/internal/aubtransport/tls_test.go
+++ b/internal/aubtransport/tls_test.go
@@ -180,6 +180,24 @@
 	qt.Check(t, serialOf(t, certs), qt.Equals, int64(3), qt.Commentf("a broken file must leave the previous certificate active"))
 }
 
+// TestCertificatesReloadWhenAnyFileChanges guards against a withdrawn authority that stays
+// trusted because only its file was replaced.
+func TestCertificatesReloadWhenAnyFileChanges(t *testing.T) {
+	a := newAuthority(t)
+	opts := a.issue("entry-a", 2, time.Now().Add(time.Hour))
+	timer := aubtimer.NewManual(time.Now())
+	certs, err := aubtransport.NewCertificates(aubcommon.NewCommon(timer), opts)
+	qt.Assert(t, err, qt.IsNil)
+	before := certs.ClientConfig().RootCAs
+	next, err := os.ReadFile(newAuthority(t).caFile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, os.WriteFile(opts.CAFile, next, 0o600), qt.IsNil)
+	later := time.Now().Add(time.Minute)
+	qt.Assert(t, os.Chtimes(opts.CAFile, later, later), qt.IsNil)
+	timer.Advance(10 * time.Second)
+	qt.Assert(t, certs.ClientConfig().RootCAs.Equal(before), qt.IsFalse)
+}
+
 func serialOf(t *testing.T, c *aubtransport.Certificates) int64 {
 	cert, err := c.ServerConfig().GetCertificate(&tls.ClientHelloInfo{})
 	qt.Assert(t, err, qt.IsNil)
