Keep no connection to a backend server after its client has ended

What was seen: an idle connection of net/http left at the end of the tests of aubagent, once.

Cause: the client closes its idle connections when its context ends, but a call made after that, such as the abort of an answer at shutdown, lets net/http keep the connection again.

That the leak seen once came so is likely, not shown: it named no test.

Fix: when the body of a response is closed and the client has ended, the idle connections are closed once more.

--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -36,6 +36,7 @@
 
 // Client is an HTTP client of one backend server.
 type Client struct {
+	ctx     context.Context
 	timer   aubtimer.Service
 	url     string
 	timeout time.Duration
@@ -46,13 +47,14 @@
 	singleUse *http.Transport
 }
 
-// NewClient returns a client of one backend server. Its idle connections are
-// closed when ctx ends.
+// NewClient returns a client of one backend server. After ctx has ended it keeps no
+// connection between calls.
 func NewClient(ctx context.Context, common aubcommon.Common, opts ClientOpts) *Client {
 	if opts.Timeout == 0 {
 		opts.Timeout = defaultQueryTimeout
 	}
 	c := &Client{
+		ctx:       ctx,
 		timer:     common.Timer,
 		url:       opts.URL,
 		timeout:   opts.Timeout,
@@ -97,6 +99,7 @@
 	}
 	resp, err := c.transport(call).RoundTrip(req)
 	if err == nil {
+		resp.Body = &responseBody{ReadCloser: resp.Body, client: c}
 		return resp, nil
 	}
 	if !gotConn.Load() {
@@ -105,6 +108,23 @@
 	return nil, &UncertainError{Err: err}
 }
 
+// responseBody closes the connection that its end has made idle if the client has ended
+// meanwhile.
+type responseBody struct {
+	io.ReadCloser
+
+	client *Client
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
+	err := b.ReadCloser.Close()
+	if b.client.ctx.Err() != nil {
+		b.client.pooled.CloseIdleConnections()
+	}
+	return err
+}
+
 func (c *Client) transport(call Call) *http.Transport {
 	if call.NoRetry {
 		return c.singleUse
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -96,3 +97,31 @@
 		})
 	}
 }
+
+// TestCallAfterTheEndLeavesNoIdleConnection guards against a connection that stays open
+// because the last call of a client was made after its context had ended.
+func TestCallAfterTheEndLeavesNoIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	server.Start()
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	client := aubengine.NewClient(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubengine.ClientOpts{URL: server.URL})
+	cancel()
+	// The client closes its idle connections in a goroutine of its own.
+	time.Sleep(20 * time.Millisecond)
+	_, err := client.State(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
