Count a stream of a withdrawn key as run

What operators saw: a workspace paid nothing for a stream that ran until its key was withdrawn, and the log said that it had not run; its backend server was counted as failing and could be left out by the router.

Cause: the check of the key during a stream returned the refusal of a new request, which means not run, and the router took every error that it doesn't know for one of the backend server.

Evidence: TestStreamOfWithdrawnKeyCountsAsRun got a fault of the backend server, not run, and a charge of 0 before.

Fix: such a stream ends with an error of its own, which counts as run and, for the router, like a caller that left.

--- a/internal/aubentry/deliver.go
+++ b/internal/aubentry/deliver.go
@@ -141,7 +141,7 @@
 		return nil
 	}
 	if err := h.deps.Auth.Recheck(ex.identity); err != nil {
-		return mapAuthError(err)
+		return streamEndError(err)
 	}
 	return nil
 }
--- a/internal/aubentry/error_mapping.go
+++ b/internal/aubentry/error_mapping.go
@@ -32,6 +32,24 @@
 	}
 }
 
+// streamEndError converts the error of a key check during a stream, which has run by then.
+func streamEndError(err error) error {
+	var refused *refusal
+	if err = mapAuthError(err); errors.As(err, &refused) {
+		return &keyExpiredError{err: refused.WithExecution(aubapi.ExecutionRan)}
+	}
+	return err
+}
+
+// keyExpiredError ends a stream whose key is no longer valid.
+type keyExpiredError struct{ err error }
+
+// Error implements error.
+func (e *keyExpiredError) Error() string { return "key expired during the stream: " + e.err.Error() }
+
+// Unwrap returns the refusal.
+func (e *keyExpiredError) Unwrap() error { return e.err }
+
 func mapLimitError(err error) error {
 	var refused *aublimit.RefusedError
 	if !errors.As(err, &refused) {
@@ -100,9 +118,10 @@
 // server.
 func routeFailure(err error) aubroute.Failure {
 	var disconnected *callerDisconnectedError
+	var expired *keyExpiredError
 	var failed *aubexecution.FailedError
 	switch {
-	case errors.As(err, &disconnected) || errors.Is(err, context.Canceled):
+	case errors.As(err, &disconnected) || errors.As(err, &expired) || errors.Is(err, context.Canceled):
 		return aubroute.FailureCanceled
 	case errors.Is(err, context.DeadlineExceeded):
 		return aubroute.FailureTimeout
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -56,7 +56,8 @@
 	// FailureRefused means that the member refused the request before running it; not
 	// a fault of the member.
 	FailureRefused
-	// FailureCanceled means that the caller disconnected; not a fault of the member.
+	// FailureCanceled means that the caller disconnected or its key expired; not a fault of
+	// the member.
 	FailureCanceled
 	// FailureConnection means that the connection failed or could not be made.
 	FailureConnection
