Give each plain service a retry budget of its own at the entry

What callers saw: while engines fail, calls to a healthy plain service that may be repeated get the first failure of a backend server instead of a second try.

Cause: all retries of an entry came out of one budget, to which only the requests of engines and services together added.

Evidence: TestServicesHaveRetryBudgetsOfTheirOwn refused the retry before.

Fix: the service's name selects the budget, as it does in relays.

--- a/internal/aubentry/attempt.go
+++ b/internal/aubentry/attempt.go
@@ -52,7 +52,7 @@
 	if o.execution == aubapi.ExecutionNotRun {
 		return true
 	}
-	return c.idempotent && h.deps.Router.AllowRetry("")
+	return c.idempotent && h.deps.Router.AllowRetry(c.service)
 }
 
 // admit waits for a slot in the queue of the call's group.
@@ -82,6 +82,7 @@
 		PromptTokens: c.promptTokens,
 		PrefixHashes: c.prefixHashes,
 		Exclude:      exclude,
+		RetryBudget:  c.service,
 	}
 	choice, err := h.deps.Router.Pick(request)
 	if err == nil || len(exclude) > 0 || c.service != "" {
