--- a/internal/aubclaim/claims_test.go
+++ b/internal/aubclaim/claims_test.go
@@ -241,9 +241,7 @@
 	}
 }
 
-// TestLateTryOfARefusedBeginHoldsNoClaim guards against a key that stays in progress
-// although nobody runs its call: the first try of a Begin is committed only after a
-// second one was refused and the claim that it met was released.
+// TestLateTryOfARefusedBeginHoldsNoClaim guards against a key that stays in progress although nobody runs its call.
 func TestLateTryOfARefusedBeginHoldsNoClaim(t *testing.T) {
 	ctx := context.Background()
 	log := newFakeLog(tableOpts())
--- a/internal/aubclaim/schedule_test.go
+++ b/internal/aubclaim/schedule_test.go
@@ -295,8 +295,7 @@
 	return text.String() + strings.Join(s.trace, "\n")
 }
 
-// TestScheduledRepeatsRunOnce is TestConcurrentRepeatsRunOnce with every delivery drawn, so
-// that a failure can be repeated and shrinks to a short history.
+// TestScheduledRepeatsRunOnce is TestConcurrentRepeatsRunOnce with every delivery drawn, so that a failure shrinks.
 func TestScheduledRepeatsRunOnce(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	previous := checks.Value.String()
--- a/internal/aubconsensus/election_model_test.go
+++ b/internal/aubconsensus/election_model_test.go
@@ -96,9 +96,7 @@
 	return hasLeader && len(leaders) == 1 && !leaders[""]
 }
 
-// TestMajorityElectsALeaderWithinTenTimeouts guards against running voters without a leader.
-// The bound holds while a vote, its two syncs included, takes less than the election
-// timeout; above that the figures are logged only.
+// TestMajorityElectsALeaderWithinTenTimeouts logs, without a bound, the times for votes above the election timeout.
 func TestMajorityElectsALeaderWithinTenTimeouts(t *testing.T) {
 	const (
 		seeds       = 100
--- a/internal/aubconsensus/slow_link_test.go
+++ b/internal/aubconsensus/slow_link_test.go
@@ -24,8 +24,7 @@
 // timeout of one delivery, beside other traffic.
 const maxSlowLinkMessage = 128 << 10
 
-// TestFollowerBehindASlowLinkCatchesUp guards against missed entries, or a snapshot, that
-// are sent again and again in messages too large for the link.
+// TestFollowerBehindASlowLinkCatchesUp guards against messages too large for the link that are sent again and again.
 func TestFollowerBehindASlowLinkCatchesUp(t *testing.T) {
 	for _, test := range []struct {
 		name            string
@@ -70,8 +69,7 @@
 	return &aubwire.DeliverResponse{}, nil
 }
 
-// TestLargeMessageIsDeliveredOverASlowLink guards against an entry whose transfer takes longer
-// than the timeout of a delivery, so that it never arrives.
+// TestLargeMessageIsDeliveredOverASlowLink guards against a transfer that is longer than the timeout of a delivery.
 func TestLargeMessageIsDeliveredOverASlowLink(t *testing.T) {
 	const (
 		bytesPerSecond  = 1_250_000
--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -150,8 +150,7 @@
 	s.waitUntil("the version that the lagging replica caught up to", hasVersion(f, 8))
 }
 
-// TestLargeStateArrivesOverASlowLink guards against a state that is sent from the start again
-// and again, because its transfer takes longer than the timeout of a silent stream.
+// TestLargeStateArrivesOverASlowLink guards against a transfer that is longer than the timeout of a silent stream.
 func TestLargeStateArrivesOverASlowLink(t *testing.T) {
 	const workspaceCount, bytesPerSecond = 10_000, 20_000
 	s := newTestSite(t)
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -98,8 +98,7 @@
 	}
 }
 
-// TestCallAfterTheEndLeavesNoIdleConnection guards against a connection that stays open
-// because the last call of a client was made after its context had ended.
+// TestCallAfterTheEndLeavesNoIdleConnection guards against a connection kept by a call after the context of the client.
 func TestCallAfterTheEndLeavesNoIdleConnection(t *testing.T) {
 	closed := make(chan struct{}, 1)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/aubentry/retry_test.go
+++ b/internal/aubentry/retry_test.go
@@ -19,8 +19,7 @@
 
 func (emptyMembership) View() aubmembership.View { return aubmembership.NewView(time.Unix(0, 0)) }
 
-// TestServicesHaveRetryBudgetsOfTheirOwn guards against failing engines that use up the retries
-// of plain services.
+// TestServicesHaveRetryBudgetsOfTheirOwn guards against failing engines that use up the retries of services.
 func TestServicesHaveRetryBudgetsOfTheirOwn(t *testing.T) {
 	common := aubcommon.NewCommon(aubtimer.NewManual(time.Unix(1000, 0)))
 	router, err := aubroute.NewRouter(common, aubroute.RouterOpts{Source: emptyMembership{}, RetryShare: 0.1, RetryBurst: 1})
--- a/internal/aubentry/withdrawn_key_test.go
+++ b/internal/aubentry/withdrawn_key_test.go
@@ -11,8 +11,7 @@
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
-// TestStreamOfWithdrawnKeyCountsAsRun guards against a stream that ran until its key was
-// withdrawn and is then charged nothing and counted as a fault of its backend server.
+// TestStreamOfWithdrawnKeyCountsAsRun guards against a stream charged nothing and blamed on its backend server.
 func TestStreamOfWithdrawnKeyCountsAsRun(t *testing.T) {
 	for _, cause := range []error{&aubauth.UnauthenticatedError{Reason: aubauth.ReasonUnknown}, &aubauth.StaleConfigError{}} {
 		err := streamEndError(cause)
--- a/internal/aubregistry/slow_link_test.go
+++ b/internal/aubregistry/slow_link_test.go
@@ -41,8 +41,7 @@
 	}
 }
 
-// TestLargeRevisionsReachARelayBehindASlowLink guards against a relay that never receives
-// the configuration because every control process sends it a copy.
+// TestLargeRevisionsReachARelayBehindASlowLink guards against copies from all control processes that fill the link.
 func TestLargeRevisionsReachARelayBehindASlowLink(t *testing.T) {
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	controls := map[string]*controlProcess{}
--- a/internal/aubrelay/relay_test.go
+++ b/internal/aubrelay/relay_test.go
@@ -161,8 +161,7 @@
 	}
 }
 
-// TestOutdatedRelayDeniesNothingFinally guards against a 401 or 404 for a key or route of a
-// configuration that has not reached the relay yet.
+// TestOutdatedRelayDeniesNothingFinally guards against a 401 or 404 by a configuration that may be outdated.
 func TestOutdatedRelayDeniesNothingFinally(t *testing.T) {
 	for _, test := range []struct {
 		name, path, key string
@@ -189,8 +188,7 @@
 // activationTimeout is the relay's ActivationTimeout in these tests.
 const activationTimeout = time.Second
 
-// TestRelayRefusesRequestsAfterTheActivationTimeout guards against a request that runs by a
-// configuration whose successor had to be in force.
+// TestRelayRefusesRequestsAfterTheActivationTimeout guards against requests run by an outdated configuration.
 func TestRelayRefusesRequestsAfterTheActivationTimeout(t *testing.T) {
 	for _, test := range []struct {
 		name        string
--- a/internal/aubrelay/stream_test.go
+++ b/internal/aubrelay/stream_test.go
@@ -17,8 +17,7 @@
 	qt.Assert(t, errors.As(err, &tooLarge), qt.IsTrue, qt.Commentf("%v", err))
 }
 
-// TestLineOfBufferSizeEndsNoEvent guards against an event that is taken for complete because
-// one of its lines fills the read buffer and its line break is read alone.
+// TestLineOfBufferSizeEndsNoEvent guards against a line break read alone that is taken for the end of an event.
 func TestLineOfBufferSizeEndsNoEvent(t *testing.T) {
 	line := "data: " + strings.Repeat("x", streamBufferBytes-len("data: ")) + "\n"
 	text := "id: 4\n" + line + "data: end\n\n"
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -46,8 +46,7 @@
 	}
 }
 
-// TestCheckOfManyRoutesIsNotQuadratic guards against a check that compares each route with
-// all others of its host.
+// TestCheckOfManyRoutesIsNotQuadratic guards against comparing each route with all others of its host.
 func TestCheckOfManyRoutesIsNotQuadratic(t *testing.T) {
 	const (
 		routeCount = 60_000
@@ -196,8 +195,7 @@
 	qt.Assert(t, active.IsNewest(5), qt.IsFalse, qt.Commentf("no control process has announced for 2 s"))
 }
 
-// TestOutdatedTimeCountsFromTheFirstMissedRevision announces revisions in a series, which
-// must not restart the time, and one that can't be decoded, which must not count.
+// TestOutdatedTimeCountsFromTheFirstMissedRevision guards against a series of revisions that restarts the time.
 func TestOutdatedTimeCountsFromTheFirstMissedRevision(t *testing.T) {
 	timer := aubtimer.NewManual(time.Unix(0, 0))
 	decode := func(document []byte) (*aubsite.Site, error) {
@@ -224,8 +222,7 @@
 	qt.Assert(t, active.OutdatedFor(3), qt.Equals, time.Duration(0))
 }
 
-// TestConfigurationOfManyRoutesIsStoredCompact guards against a log entry and a transfer as
-// large as the document.
+// TestConfigurationOfManyRoutesIsStoredCompact guards against a log entry and a transfer as large as the document.
 func TestConfigurationOfManyRoutesIsStoredCompact(t *testing.T) {
 	document := manyRoutesDocument(1500)
 	body, err := aubsite.EncodeCommand(4, document)
--- a/internal/aubstandin/order_test.go
+++ b/internal/aubstandin/order_test.go
@@ -32,8 +32,7 @@
 	return now
 }
 
-// TestDelayedOrderIsExecutedByItsPendingTime guards against a delayed order that is still
-// outstanding at the time that the stand-in gives for it.
+// TestDelayedOrderIsExecutedByItsPendingTime guards against an order that is still outstanding at its pending time.
 func TestDelayedOrderIsExecutedByItsPendingTime(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/aubtransport/tls_test.go
+++ b/internal/aubtransport/tls_test.go
@@ -180,8 +180,7 @@
 	qt.Check(t, serialOf(t, certs), qt.Equals, int64(3), qt.Commentf("a broken file must leave the previous certificate active"))
 }
 
-// TestCertificatesReloadWhenAnyFileChanges guards against a withdrawn authority that stays
-// trusted because only its file was replaced.
+// TestCertificatesReloadWhenAnyFileChanges guards against a replaced authority that stays trusted.
 func TestCertificatesReloadWhenAnyFileChanges(t *testing.T) {
 	a := newAuthority(t)
 	opts := a.issue("entry-a", 2, time.Now().Add(time.Hour))
