--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -18,6 +18,7 @@
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -180,6 +181,7 @@
 		Demand:            r.demand,
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
+		Throttle:          aubthrottle.NewThrottle(r.common),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 )
 
 // sendAttempt sends the request to one backend server and writes its response to the
@@ -21,6 +22,7 @@
 	announcement := choice.Member.Announcement
 	ex.backendID = announcement.GetName()
 	ex.attempts++
+	h.opts.Throttle.RecordSend(ex.call.ID, throttledBackend(choice))
 	choice.Started()
 	started := h.common.Timer.Now()
 	// Canceling the context closes the connection, which stops the work of the backend
@@ -125,6 +127,7 @@
 // writes it to the caller.
 func (h *Handler) handleResponse(ex *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) attemptResult {
 	decoded := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header)
+	h.observeRateLimit(ex, choice, decoded)
 	switch {
 	case decoded.NotRun:
 		h.dropMissingCopy(ex, decoded)
@@ -139,6 +142,22 @@
 	return h.relayPlain(ex, choice, resp, started)
 }
 
+// observeRateLimit passes on the limit that a response states. Only a response that is
+// certainly the backend server's own ends a limit.
+func (h *Handler) observeRateLimit(ex *exchange, choice aubroute.Choice, decoded BackendResponse) {
+	_, isLimited := decoded.RateLimit.Get()
+	isOwn := decoded.Signed && decoded.CallID == ex.call.ID
+	if !decoded.Misdirected && (isLimited || isOwn) {
+		h.opts.Throttle.Observe(ex.call.ID, throttledBackend(choice), decoded.RateLimit)
+	}
+}
+
+// throttledBackend returns the incarnation that the choice names.
+func throttledBackend(choice aubroute.Choice) aubthrottle.Backend {
+	announcement := choice.Member.Announcement
+	return aubthrottle.Backend{Name: announcement.GetName(), Incarnation: announcement.GetIncarnation()}
+}
+
 // dropMissingCopy removes the request's model or adapter from the backend server's
 // record if the backend server refused the request as misdirected.
 func (h *Handler) dropMissingCopy(ex *exchange, decoded BackendResponse) {
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -26,6 +26,7 @@
 	"github.com/auburndale/auburndale/internal/aubrelay"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -384,7 +385,8 @@
 		CopyRequester: aubrelay.NewCopyRequester(common, fixture.registry, func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 			return nil, errors.New("no control process")
 		}),
-		Guard: guard,
+		Guard:    guard,
+		Throttle: aubthrottle.NewThrottle(common),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -18,6 +18,7 @@
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 )
 
 const (
@@ -58,6 +59,8 @@
 	CopyRequester *CopyRequester
 	// Guard refuses requests that may crash backend servers.
 	Guard *aubpoison.Guard
+	// Throttle receives the rate limits of backend servers.
+	Throttle *aubthrottle.Throttle
 	// Crashes receives the lost connections to backend servers.
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubsite"
 )
@@ -82,6 +83,9 @@
 	// Misdirected is set if the request reached another backend server than the expected
 	// one, or one without the model or adapter.
 	Misdirected bool
+	// RateLimit is the number of requests per second that the backend server takes from all
+	// callers together; none if it states no limit.
+	RateLimit auboption.Option[float64]
 }
 
 // RefusalCode names the cause of a refusal.
