Keep the rate limit of a backend server at all relays together

What callers saw: none; a backend server in need got 12 to 15 requests in 4 s where it had named 1.1 a second (bound 12), as if it had named nothing.

Cause: the limit was read nowhere. Class: a resource that all instances share is used by each alone.

aubthrottle.Throttle is a bucket of the whole limit at each relay, from which it subtracts what the others report to have sent. A relay fills it only with the part of itself and of the relays it hears, so that groups that are cut off from each other keep the limit together. New relays get the limits from a control process and begin with nothing.

--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// fullLoadInterval is the time between two full load reports, which correct the
 	// state after lost datagrams.
 	fullLoadInterval = 500 * time.Millisecond
+	// maxDatagramLimits is the number of rate limits that fit into one datagram.
+	maxDatagramLimits = 16
 	// maxLoadAge is the age after which the last reported load of a peer is ignored.
 	maxLoadAge = 2500 * time.Millisecond
 )
@@ -51,6 +54,11 @@
 	// OnPeerTokensUsed is called with the tokens used by all peers together, by workspace,
 	// counted since this process first received a report from each of them.
 	OnPeerTokensUsed func(tokensUsed map[string]int64)
+	// Limits returns the rate limits to report: all, or those that changed since the last
+	// call. Nil reports none.
+	Limits func(isFull bool) []*aubwire.BackendLimit
+	// OnPeerLimits is called with the limits that a peer reports.
+	OnPeerLimits func(peer string, incarnation uint64, limits []*aubwire.BackendLimit)
 }
 
 // LoadExchange reports work in flight and token usage between instances within
@@ -162,6 +170,20 @@
 	return sum
 }
 
+// CountHeardPeers returns the number of peers whose last report is not older than maxAge.
+func (x *LoadExchange) CountHeardPeers(maxAge time.Duration) int {
+	now := x.common.Timer.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	heard := 0
+	for _, peer := range x.peers {
+		if now.Sub(peer.receivedAt) <= maxAge {
+			heard++
+		}
+	}
+	return heard
+}
+
 // run sends changed loads and counters when notified, and full reports on ticks.
 func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
 	var sequence uint64
@@ -179,6 +201,7 @@
 				return
 			}
 		}
+		x.sendLimits(isFull)
 		loads := x.opts.Loads()
 		delta := deltaOf(sent, loads, isFull)
 		sent = loads
@@ -192,7 +215,7 @@
 		}
 		sequence++
 		delta.Instance, delta.Incarnation, delta.Sequence = x.opts.Instance, x.opts.Incarnation, sequence
-		x.send(delta)
+		x.send(&aubwire.Datagram{Load: delta})
 	}
 }
 
@@ -236,8 +259,19 @@
 	return uses
 }
 
-func (x *LoadExchange) send(delta *aubwire.LoadDelta) {
-	encoded, err := EncodeDatagram(x.opts.Secret, &aubwire.Datagram{Load: delta})
+// sendLimits sends the rate limits in as many datagrams as they need.
+func (x *LoadExchange) sendLimits(isFull bool) {
+	if x.opts.Limits == nil {
+		return
+	}
+	for limits := range slices.Chunk(x.opts.Limits(isFull), maxDatagramLimits) {
+		x.send(&aubwire.Datagram{Limits: &aubwire.LimitDelta{Instance: x.opts.Instance, Incarnation: x.opts.Incarnation, Limits: limits}})
+	}
+}
+
+// send sends a datagram to all peers.
+func (x *LoadExchange) send(datagram *aubwire.Datagram) {
+	encoded, err := EncodeDatagram(x.opts.Secret, datagram)
 	if err != nil {
 		x.counters.oversize.Inc(1)
 		return
@@ -257,6 +291,10 @@
 func (x *LoadExchange) receive(from netip.AddrPort, data []byte) {
 	x.counters.received(len(data))
 	d, err := DecodeDatagram(x.opts.Secret, data)
+	if err == nil && d.GetLimits() != nil && x.opts.OnPeerLimits != nil {
+		x.opts.OnPeerLimits(d.GetLimits().GetInstance(), d.GetLimits().GetIncarnation(), d.GetLimits().GetLimits())
+		return
+	}
 	if err != nil || d.GetLoad() == nil {
 		x.counters.rejected.Inc(1)
 		x.common.Log.Debug("Load datagram rejected.", zap.Stringer("from", from), zap.Error(err))
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -64,6 +64,7 @@
 	registryClient *aubregistry.Client
 	limiter        *aublimit.SharedCounters
 	router         *aubroute.Router
+	throttle       *aubthrottle.Throttle
 	demand         *aubrelay.DemandCounter
 	loads          *aubmembership.LoadExchange
 	handler        *aubrelay.Handler
@@ -125,17 +126,24 @@
 		Overrun: float64(r.cfg.Limits.Overrun),
 		Slack:   int64(r.cfg.Limits.Slack),
 	})
+	r.throttle = aubthrottle.New(r.common, aubthrottle.Opts{
+		HeardPeers: func() int { return r.loads.CountHeardPeers(aubthrottle.PeerTimeout) },
+		OnChange:   func() { r.loads.NotifyLoadChanged() },
+	})
 	router, err := aubroute.NewRouter(r.common, aubroute.RouterOpts{
-		Policy:        aubroute.PolicyExpectedFirstToken,
-		Zone:          r.cfg.Zone,
-		Source:        r.registry,
-		RetryShare:    relayRetryShare * float64(r.cfg.Routing.RetryShare),
-		RetryWindow:   r.cfg.Routing.RetryWindow.Value(),
-		RetryBurst:    relayInitialRetryBurst,
-		RetryFloor:    relayRetryFloor,
-		BlockTokens:   aubrelay.PrefixBlockTokens,
-		PeerLoad:      func(backend string) aubmembership.Load { return r.loads.PeerLoad(backend) },
-		OnLoadChange:  func() { r.loads.NotifyLoadChanged() },
+		Policy:       aubroute.PolicyExpectedFirstToken,
+		Zone:         r.cfg.Zone,
+		Source:       r.registry,
+		RetryShare:   relayRetryShare * float64(r.cfg.Routing.RetryShare),
+		RetryWindow:  r.cfg.Routing.RetryWindow.Value(),
+		RetryBurst:   relayInitialRetryBurst,
+		RetryFloor:   relayRetryFloor,
+		BlockTokens:  aubrelay.PrefixBlockTokens,
+		PeerLoad:     func(backend string) aubmembership.Load { return r.loads.PeerLoad(backend) },
+		OnLoadChange: func() { r.loads.NotifyLoadChanged() },
+		Throttle: func(backend string, incarnation uint64) time.Duration {
+			return r.throttle.Wait(aubthrottle.Backend{Name: backend, Incarnation: incarnation})
+		},
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -152,6 +160,8 @@
 		Loads:            r.router.InFlight,
 		TokensUsed:       r.limiter.SpentTokens,
 		OnPeerTokensUsed: r.limiter.UpdatePeers,
+		Limits:           r.throttle.Report,
+		OnPeerLimits:     r.throttle.Merge,
 	}); err != nil {
 		return err
 	}
@@ -169,6 +179,7 @@
 		OnRevision:  r.site.ActivateIfNewer,
 		OnPeers:     r.updatePeers,
 		OnPoison:    poison.Merge,
+		OnLimits:    r.throttle.MergeStatements,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
@@ -181,7 +192,7 @@
 		Demand:            r.demand,
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
-		Throttle:          aubthrottle.NewThrottle(r.common),
+		Throttle:          r.throttle,
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
@@ -203,7 +214,7 @@
 // loadReporter returns a function that builds the load reports of this instance.
 func (r *relay) loadReporter(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
-		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Suspects: r.registry.Suspects()}
+		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Suspects: r.registry.Suspects(), Limits: r.throttle.Snapshot()}
 		for id, load := range r.router.InFlight() {
 			report.Loads = append(report.Loads, &aubwire.BackendLoad{
 				Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
@@ -219,6 +230,7 @@
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
+	r.throttle.SetInstances(int(peers.GetInstances()) + 1)
 }
 
 // awaitReady reports ready once the relay has a configuration and a backend server.
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -51,6 +51,8 @@
 	OnPeers func(peers *aubwire.Peers)
 	// OnPoison receives changes of the poison table; nil ignores them.
 	OnPoison func(statuses []*aubwire.PoisonStatus)
+	// OnLimits receives the rate limits that a control process knows; nil ignores them.
+	OnLimits func(source string, limits []*aubwire.BackendLimit)
 }
 
 // Client keeps a stream open to every control process and merges the received records
@@ -283,10 +285,14 @@
 
 // handleResponse applies the content of one response.
 func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
-	// A relay serves once it knows a backend server; by then it must know what is blocked.
+	// A relay serves once it knows a backend server; by then it must know what is blocked
+	// and limited.
 	if c.opts.OnPoison != nil {
 		c.opts.OnPoison(resp.GetPoison())
 	}
+	if len(resp.GetLimits()) > 0 && c.opts.OnLimits != nil {
+		c.opts.OnLimits(link.address, resp.GetLimits())
+	}
 	c.opts.Registry.Merge(resp.GetRecords())
 	c.setAnnounced(link, resp)
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -30,6 +32,7 @@
 	receivedAt  time.Time
 	incarnation uint64
 	loads       []*aubwire.BackendLoad
+	limits      []*aubwire.BackendLimit
 	// models holds the relay's newest counters, from which the next increments are
 	// computed.
 	models map[ModelKey]ModelCount
@@ -72,7 +75,7 @@
 		stored.models = make(map[ModelKey]ModelCount)
 	}
 	stored.receivedAt = now
-	stored.loads = report.GetLoads()
+	stored.loads, stored.limits = report.GetLoads(), report.GetLimits()
 	for _, m := range report.GetModels() {
 		l.addModel(stored, m, isFirst)
 	}
@@ -94,6 +97,23 @@
 	}
 }
 
+// Limits returns the rate limits of backend servers that relays have reported, with their
+// ages now.
+func (l *LoadAggregator) Limits() []*aubwire.BackendLimit {
+	now := l.common.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var limits []*aubwire.BackendLimit
+	for _, relay := range l.relays {
+		for _, reported := range relay.limits {
+			limit := proto.CloneOf(reported)
+			limit.StatedAgoMs += now.Sub(relay.receivedAt).Milliseconds()
+			limits = append(limits, limit)
+		}
+	}
+	return limits
+}
+
 // PeerCount returns the number of relays with a recent report other than the named one.
 func (l *LoadAggregator) PeerCount(instance string) int {
 	now := l.common.Timer.Now()
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -210,6 +210,8 @@
 	sentVersion       uint64
 	announcedRevision uint64
 	sentPoison        uint64
+	// hasSentLimits is set once the known rate limits were sent.
+	hasSentLimits bool
 }
 
 // receive handles requests until the stream fails.
@@ -251,6 +253,10 @@
 		if isTickDue {
 			w.addPeriodic(resp)
 		}
+		if w.isRelay && !w.hasSentLimits {
+			resp.Limits = w.server.opts.Loads.Limits()
+			w.hasSentLimits = true
+		}
 		if isTickDue || len(records) > 0 || newest != w.announcedRevision || len(statuses) > 0 {
 			if err := w.stream.Send(resp); err != nil {
 				return err
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -22,7 +22,6 @@
 	announcement := choice.Member.Announcement
 	ex.backendID = announcement.GetName()
 	ex.attempts++
-	h.opts.Throttle.RecordSend(ex.call.ID, throttledBackend(choice))
 	choice.Started()
 	started := h.common.Timer.Now()
 	// Canceling the context closes the connection, which stops the work of the backend
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -21,6 +21,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
 	"github.com/auburndale/auburndale/internal/aublimit"
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubrelay"
@@ -43,6 +44,7 @@
 	headerCode      = "Test-Code"
 	headerWait      = "Test-Wait"
 	headerOutput    = "Test-Output-Tokens"
+	headerRateLimit = "Test-Rate-Limit"
 )
 
 // testProtocol is a minimal aubrelay.Protocol.
@@ -72,9 +74,13 @@
 }
 
 func (testProtocol) DecodeResponse(_ int, header http.Header) aubrelay.BackendResponse {
-	return aubrelay.BackendResponse{
+	resp := aubrelay.BackendResponse{
 		CallID: header.Get(headerID), Signed: header.Get(headerSigned) != "", NotRun: header.Get(headerNotRun) != "",
 	}
+	if limit, err := strconv.ParseFloat(header.Get(headerRateLimit), 64); err == nil {
+		resp.RateLimit = auboption.Some(limit)
+	}
+	return resp
 }
 
 func (testProtocol) WriteRefusal(w http.ResponseWriter, _ string, refusal aubrelay.Refusal) {
@@ -375,7 +381,13 @@
 			State: aubwire.BackendState_BACKEND_STATE_READY,
 		})
 	}
-	router, err := aubroute.NewRouter(common, aubroute.RouterOpts{Source: fixture.registry, RetryShare: 1, RetryBurst: 1000})
+	throttle := aubthrottle.New(common, aubthrottle.Opts{})
+	router, err := aubroute.NewRouter(common, aubroute.RouterOpts{
+		Source: fixture.registry, RetryShare: 1, RetryBurst: 1000,
+		Throttle: func(member string, incarnation uint64) time.Duration {
+			return throttle.Wait(aubthrottle.Backend{Name: member, Incarnation: incarnation})
+		},
+	})
 	qt.Assert(t, err, qt.IsNil)
 	fixture.poison = aubpoison.NewTable()
 	guard := aubpoison.NewGuard(t.Context(), common, fixture.poison, newApplyFunc(fixture.poison))
@@ -386,7 +398,7 @@
 			return nil, errors.New("no control process")
 		}),
 		Guard:    guard,
-		Throttle: aubthrottle.NewThrottle(common),
+		Throttle: throttle,
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -59,7 +59,7 @@
 	CopyRequester *CopyRequester
 	// Guard refuses requests that may crash backend servers.
 	Guard *aubpoison.Guard
-	// Throttle receives the rate limits of backend servers.
+	// Throttle keeps the rate limits that backend servers state.
 	Throttle *aubthrottle.Throttle
 	// Crashes receives the lost connections to backend servers.
 	Crashes *CrashDetector
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -106,6 +106,7 @@
 	CodeBackendFailed         RefusalCode = "backend_failed"
 	CodeTimeout               RefusalCode = "timeout"
 	CodeBlocked               RefusalCode = "request_blocked"
+	CodeBackendLimited        RefusalCode = "backend_server_limited"
 )
 
 // Refusal is the relay's own error response to a request.
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 )
 
 const (
@@ -87,6 +88,10 @@
 		if err != nil {
 			return h.giveUp(ctx, ex, lastResult, err)
 		}
+		if !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
+			// Another request has used up the rate limit since the choice.
+			continue
+		}
 		lastResult = h.sendAttempt(ctx, ex, choice)
 		if lastResult.outcome == outcomeFinal {
 			return lastResult.err
@@ -158,5 +163,9 @@
 	if errors.As(pickErr, &noBackend) && noBackend.RetryAfter > 0 {
 		retryAfter = noBackend.RetryAfter
 	}
+	if noBackend != nil && noBackend.Limited != "" {
+		retryAfter = h.opts.Throttle.AdviseRetry(aubthrottle.Backend{Name: noBackend.Limited, Incarnation: noBackend.LimitedIncarnation})
+		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeBackendLimited, RetryAfter: retryAfter}, err: cause}
+	}
 	return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeNoBackend, RetryAfter: retryAfter}, err: cause}
 }
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -48,7 +48,7 @@
 		request.Exclude = nil
 		return h.opts.Router.Pick(request)
 	}
-	if request.Service != "" {
+	if request.Service != "" || noBackend.Limited != "" {
 		return choice, err
 	}
 	if err := h.awaitCopy(ctx, ex); err != nil {
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -29,17 +29,27 @@
 	// excluded are the members left out because they are ejected or recover from an
 	// ejection.
 	excluded []memberCandidate
+	// limited is the member whose rate limit allows the next request first, among those left
+	// out because of theirs; its wait is 0 if there is none.
+	limited limitedMember
 	// owner is the owner of the request's shared prefix, empty for none.
 	owner string
 }
 
+// limitedMember is a member whose rate limit allows no request before the wait has passed.
+type limitedMember struct {
+	name        string
+	incarnation uint64
+	wait        time.Duration
+}
+
 // collect returns a sample of bounded size of the members that can take the request.
 // Ejected members are left out unless there is no other.
-func (r *Router) collect(now time.Time, view aubmembership.View, request Request, targetHolders *holders) []memberCandidate {
+func (r *Router) collect(now time.Time, view aubmembership.View, request Request, targetHolders *holders) candidateSet {
 	set := candidateSet{owner: ownerOf(targetHolders, request)}
 	if r.isRoundRobin {
 		r.addRoundRobin(&set, now, view, request, targetHolders)
-		return set.candidates()
+		return set
 	}
 	r.addSample(&set, now, view, request, targetHolders.local, maxLocalSample)
 	r.addSample(&set, now, view, request, targetHolders.remote, maxRemoteSample)
@@ -47,7 +57,7 @@
 	if set.owner != "" {
 		r.addSample(&set, now, view, request, []string{set.owner}, 1)
 	}
-	return set.candidates()
+	return set
 }
 
 // addSample adds up to limit eligible members of the names, in random order.
@@ -84,6 +94,10 @@
 	if !ok || slices.ContainsFunc(set.eligible, c.isSameMember) {
 		return
 	}
+	if wait := r.limitWait(now, c.member); wait > 0 {
+		set.addLimited(limitedMember{name: name, incarnation: c.member.Announcement.GetIncarnation(), wait: wait})
+		return
+	}
 	if name == set.owner {
 		c.candidate.CachedTokens = max(c.candidate.CachedTokens, request.SharedTokens)
 	}
@@ -94,6 +108,21 @@
 	set.excluded = append(set.excluded, c)
 }
 
+// limitWait returns the time until the rate limit of the member allows another request.
+func (r *Router) limitWait(now time.Time, member aubmembership.Member) time.Duration {
+	wait := time.Duration(member.Announcement.GetBackend().GetLimitWaitMs())*time.Millisecond - now.Sub(member.ReceivedAt)
+	if r.opts.Throttle != nil {
+		wait = max(wait, r.opts.Throttle(member.Announcement.GetName(), member.Announcement.GetIncarnation()))
+	}
+	return max(wait, 0)
+}
+
+func (s *candidateSet) addLimited(member limitedMember) {
+	if s.limited.wait == 0 || member.wait < s.limited.wait {
+		s.limited = member
+	}
+}
+
 // candidates returns the eligible members, or else the excluded one whose ejection ends
 // first.
 func (s *candidateSet) candidates() []memberCandidate {
--- a/internal/aubroute/error.go
+++ b/internal/aubroute/error.go
@@ -15,6 +15,19 @@
 	Known bool
 	// RetryAfter is the time after which a retry can succeed; 0 if not Known.
 	RetryAfter time.Duration
+	// Limited is the member whose rate limit allows the next request first, empty if the
+	// request was not turned away because of rate limits. LimitedIncarnation is its
+	// incarnation.
+	Limited            string
+	LimitedIncarnation uint64
+}
+
+// withLimited returns the error with the member whose rate limit turned the request away.
+func (e NoBackendError) withLimited(member limitedMember) *NoBackendError {
+	if member.wait > 0 {
+		e.Limited, e.LimitedIncarnation, e.RetryAfter = member.name, member.incarnation, member.wait
+	}
+	return &e
 }
 
 // Error implements error.
@@ -22,6 +35,9 @@
 	if !e.Known {
 		return fmt.Sprintf("no backend server for %s: not known", e.Name)
 	}
+	if e.Limited != "" {
+		return fmt.Sprintf("rate limit of %s is reached for %s: retry after %s", e.Limited, e.Name, e.RetryAfter)
+	}
 	return fmt.Sprintf("no backend server for %s: retry after %s", e.Name, e.RetryAfter)
 }
 
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -62,6 +62,9 @@
 	// OnLoadChange is called with the router's lock held when this instance's requests
 	// in flight changed; nil for none.
 	OnLoadChange func()
+	// Throttle returns the time until the rate limit of a member incarnation allows another
+	// request; 0 for now. Nil limits none.
+	Throttle func(member string, incarnation uint64) time.Duration
 	// PrefillRate is assumed for members that report none, in tokens a second; 0
 	// means the default.
 	PrefillRate float64
@@ -170,9 +173,10 @@
 	if targetHolders == nil || targetHolders.len() == 0 {
 		return Choice{}, r.noBackend(t, targetHolders)
 	}
-	sampled := r.collect(now, view, request, targetHolders)
+	set := r.collect(now, view, request, targetHolders)
+	sampled := set.candidates()
 	if len(sampled) == 0 {
-		return Choice{}, r.noBackend(t, targetHolders)
+		return Choice{}, r.noBackend(t, targetHolders).withLimited(set.limited)
 	}
 	return r.choose(now, request, sampled), nil
 }
@@ -332,7 +336,7 @@
 
 // noBackend returns the error for a target without a usable member; targetHolders may
 // be nil.
-func (r *Router) noBackend(t target, targetHolders *holders) error {
+func (r *Router) noBackend(t target, targetHolders *holders) *NoBackendError {
 	e := &NoBackendError{Name: t.name, Known: r.exists(t, targetHolders)}
 	switch {
 	case !e.Known:
