Keep the rate limit of a backend server at its agent

What callers saw: entries sent a limited backend server as many calls as any other, since its agent read no limit. The agent, which alone sends to its backend server, now asks the same aubthrottle.Throttle before it hands a request over, refuses what is above as not run and announces when it admits the next one, so that entries go elsewhere or refuse at once.

--- a/internal/aubagent/agent.go
+++ b/internal/aubagent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -31,6 +32,7 @@
 	controller *engineController
 	attempts   *attemptRegistry
 	crashes    *crashTracker
+	throttle   *aubthrottle.Throttle
 	// slots has one slot for each running request, MaxRunning in total. A
 	// request that must run alone takes all of them.
 	slots   *semaphore.Weighted
@@ -69,6 +71,7 @@
 		controller: controller,
 		attempts:   attempts,
 		crashes:    crashes,
+		throttle:   aubthrottle.New(common, aubthrottle.Opts{}),
 		slots:      semaphore.NewWeighted(int64(opts.MaxRunning)),
 		sessions:   make(map[*session]struct{}),
 	}
@@ -108,6 +111,8 @@
 		Running:  a.running.Load(),
 		Suspects: suspects,
 		Poisoned: poisoned,
+
+		LimitWaitMs: a.throttle.Wait(a.throttledBackend()).Milliseconds(),
 	}
 	if a.opts.engine() {
 		a.controller.fillReport(report)
@@ -115,6 +120,12 @@
 	return report
 }
 
+// throttledBackend identifies the backend server in the throttle. Its limit holds over a
+// restart until an answer says otherwise.
+func (a *Agent) throttledBackend() aubthrottle.Backend {
+	return aubthrottle.Backend{Name: a.opts.Name}
+}
+
 // Order implements the agent's gRPC service. It executes a load or unload order.
 func (a *Agent) Order(ctx context.Context, req *aubwire.OrderRequest) (*aubwire.OrderResponse, error) {
 	if !a.opts.engine() {
--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -115,6 +115,7 @@
 	if err := g.checkRequestID(resp); err != nil {
 		return err
 	}
+	g.observeRateLimit(resp)
 	if resp.StatusCode != http.StatusOK {
 		return g.forwardError(resp)
 	}
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubthrottle"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -86,16 +87,20 @@
 			return nil, exec.cancellationFailure()
 		}
 	}
-	releaseSlots := func() { a.slots.Release(slots) }
-	if !a.opts.engine() {
-		return releaseSlots, nil
+	release = func() { a.slots.Release(slots) }
+	if a.opts.engine() {
+		releaseModel, ok := a.controller.acquire(exec.start.GetModel())
+		if !ok {
+			release()
+			return nil, notRun(aubwire.FailureReason_FAILURE_REASON_NOT_RESIDENT, "model is not resident", retryDelay)
+		}
+		release = func() { releaseModel(); a.slots.Release(slots) }
 	}
-	releaseModel, ok := a.controller.acquire(exec.start.GetModel())
-	if !ok {
-		releaseSlots()
-		return nil, notRun(aubwire.FailureReason_FAILURE_REASON_NOT_RESIDENT, "model is not resident", retryDelay)
+	if !a.throttle.Take(exec.key.requestID, a.throttledBackend()) {
+		release()
+		return nil, notRun(aubwire.FailureReason_FAILURE_REASON_OVERLOADED, "rate limit of the backend server is reached", a.throttle.AdviseRetry(a.throttledBackend()))
 	}
-	return func() { releaseModel(); releaseSlots() }, nil
+	return release, nil
 }
 
 // refusal returns why the request must not run; nil if it may.
@@ -160,6 +165,15 @@
 	return nil
 }
 
+// observeRateLimit passes on the limit that a response states. Only a success ends a limit.
+func (b backendCall) observeRateLimit(resp *http.Response) {
+	limit := aubthrottle.ParseLimit(resp.Header.Get(aubengine.HeaderRateLimit))
+	_, isLimited := limit.Get()
+	if isLimited || resp.StatusCode < http.StatusMultipleChoices {
+		b.agent.throttle.Observe(b.exec.key.requestID, b.agent.throttledBackend(), limit)
+	}
+}
+
 func (b backendCall) sendHead(resp *http.Response) error {
 	return b.exec.frames.add(b.exec.ctx, &aubwire.ExecuteFrame{Frame: &aubwire.ExecuteFrame_Head{
 		Head: &aubwire.FrameHead{Status: int32(resp.StatusCode), Headers: encodeHeaders(resp.Header)},
--- a/internal/aubengine/api.go
+++ b/internal/aubengine/api.go
@@ -21,6 +21,9 @@
 	// HeaderPriority is the scheduling priority as a decimal number; higher
 	// priorities run first.
 	HeaderPriority = "X-Priority"
+	// HeaderRateLimit in a response is the number of requests per second that the backend
+	// server takes from all callers together.
+	HeaderRateLimit = "X-Rate-Limit"
 )
 
 // ItemState is the state of a model or adapter in the engine.
--- a/internal/aubentry/attempt.go
+++ b/internal/aubentry/attempt.go
@@ -89,7 +89,7 @@
 		RetryBudget:  c.service,
 	}
 	choice, err := h.deps.Router.Pick(request)
-	if err == nil || len(exclude) > 0 || c.service != "" {
+	if err == nil || len(exclude) > 0 || c.service != "" || isRateLimited(err) {
 		return choice, mapRouteError(err)
 	}
 	return h.awaitBackend(ctx, c, request, ex.arrivedAt.Add(h.bounds.QueueTimeout))
@@ -107,7 +107,7 @@
 		if err == nil {
 			return choice, nil
 		}
-		if !h.common.Timer.Now().Before(deadline) {
+		if isRateLimited(err) || !h.common.Timer.Now().Before(deadline) {
 			return aubroute.Choice{}, mapRouteError(err)
 		}
 		select {
--- a/internal/aubentry/error_mapping.go
+++ b/internal/aubentry/error_mapping.go
@@ -80,6 +80,12 @@
 	return err
 }
 
+// isRateLimited reports whether no backend server was chosen because of their rate limits.
+func isRateLimited(err error) bool {
+	var noBackend *aubroute.NoBackendError
+	return errors.As(err, &noBackend) && noBackend.Limited != ""
+}
+
 // mapExecutionError returns the refusal for a failed execution, with the state of the
 // execution if it is known.
 func mapExecutionError(ctx context.Context, err error) *refusal {
--- a/internal/aubstandin/fault.go
+++ b/internal/aubstandin/fault.go
@@ -1,8 +1,12 @@
 package aubstandin
 
 import (
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/auburndale/auburndale/internal/aubengine"
 )
 
 // Faults are the injected faults. Each count is decremented by one occurrence;
@@ -39,6 +43,9 @@
 	SwapAnswers int `json:"cross_answers,omitempty"`
 	// CacheEventGap drops every n-th cache event; 0 drops none.
 	CacheEventGap uint64 `json:"cache_event_gap,omitempty"`
+	// RateLimit is the rate limit that responses state, in requests per second; 0 states
+	// none.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 	// ForgetAnswers makes every answer unknown to resume and status requests.
 	ForgetAnswers bool `json:"forget_answers,omitempty"`
 }
@@ -61,6 +68,13 @@
 	return s.faults
 }
 
+// setRateLimit adds the rate limit to the header of a response.
+func (s *faultSet) setRateLimit(header http.Header) {
+	if limit := s.get().RateLimit; limit > 0 {
+		header.Set(aubengine.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+}
+
 // consume decrements the count that counter selects and reports whether it was above 0.
 func (s *faultSet) consume(counter func(*Faults) *int) bool {
 	s.mu.Lock()
--- a/internal/aubstandin/service.go
+++ b/internal/aubstandin/service.go
@@ -139,6 +139,7 @@
 		id = "another-" + id
 	}
 	w.Header().Set(aubengine.HeaderRequestID, id)
+	s.faults.setRateLimit(w.Header())
 	if !isConfirmation {
 		echoHeaders(w, r)
 	}
--- a/internal/aubstandin/transmit.go
+++ b/internal/aubstandin/transmit.go
@@ -20,6 +20,7 @@
 		return
 	}
 	w.Header().Set(aubengine.HeaderRequestID, a.requestID)
+	e.faults.setRateLimit(w.Header())
 	if !a.stream {
 		e.transmitComplete(w, r, a, faults)
 		return
