--- a/internal/aubregistry/record.go
+++ b/internal/aubregistry/record.go
@@ -39,7 +39,7 @@
 		Incarnation: uint64(record.GetStartedMs()),
 		Sequence:    uint64(record.GetSequence()),
 		Leaving:     record.GetState() != aubwire.BackendState_BACKEND_STATE_READY,
-		Backend:     &aubwire.BackendReport{Services: []string{record.GetService()}},
+		Backend:     &aubwire.BackendReport{Services: []string{record.GetService()}, Software: record.GetSoftware()},
 	}
 	for _, m := range record.GetModels() {
 		state := aubwire.Residency_RESIDENCY_READY
@@ -61,7 +61,7 @@
 // sameTopology reports whether two records are equal in all fields that routing needs.
 func sameTopology(a, b *aubwire.BackendRecord) bool {
 	return a != nil && a.GetState() == b.GetState() && a.GetStartedMs() == b.GetStartedMs() &&
-		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() &&
+		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() && a.GetSoftware() == b.GetSoftware() &&
 		slices.Equal(a.GetUnloading(), b.GetUnloading()) &&
 		slices.EqualFunc(a.GetModels(), b.GetModels(), func(x, y *aubwire.ModelCopy) bool { return proto.Equal(x, y) })
 }
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -398,6 +398,7 @@
 		zap.String("backend_server", current.GetId()),
 		zap.String("service", current.GetService()),
 		zap.String("address", current.GetAddress()),
+		zap.String("software", current.GetSoftware()),
 		zap.Int64("started_ms", current.GetStartedMs()),
 		zap.Int64("sequence", current.GetSequence()),
 		zap.Stringer("state", current.GetState()))
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -20,7 +20,7 @@
 // caller.
 func (h *Handler) sendAttempt(ctx context.Context, ex *exchange, choice aubroute.Choice) attemptResult {
 	announcement := choice.Member.Announcement
-	ex.backendID = announcement.GetName()
+	ex.backendID, ex.software = announcement.GetName(), announcement.GetBackend().GetSoftware()
 	ex.attempts++
 	choice.Started()
 	started := h.common.Timer.Now()
@@ -87,6 +87,7 @@
 		zap.String("request_id", ex.call.ID),
 		zap.String("fingerprint", ex.fingerprint),
 		zap.String("backend_server", ex.backendID),
+		zap.String("software", ex.software),
 		zap.String("address", choice.Member.Announcement.GetAddress()),
 		zap.Uint64("backend_started_ms", choice.Member.Announcement.GetIncarnation()),
 		zap.Int64("record_age_ms", now.Sub(choice.Member.ReceivedAt).Milliseconds()),
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -42,8 +42,9 @@
 	// attempts counts the attempts, possibleRuns those in which the request may have run.
 	attempts     int
 	possibleRuns int
-	// backendID is the backend server of the last attempt.
+	// backendID is the backend server of the last attempt, software its software version.
 	backendID string
+	software  string
 	// firstEventTime is the time from the start of an attempt to its first stream event
 	// or its complete plain response; 0 before.
 	firstEventTime time.Duration
@@ -137,6 +138,9 @@
 		zap.String("outcome", outcome),
 		zap.Int("status", ex.status),
 		zap.String("backend_server", ex.backendID),
+		zap.String("software", ex.software),
+		zap.String("resumes", ex.call.Resumes),
+		zap.Int64("resumes_after", ex.call.LastEventID),
 		zap.Int("sends", ex.attempts),
 		zap.Bool("may_have_run", ex.mayHaveRun),
 		zap.Int64("first_event_ms", ex.firstEventTime.Milliseconds()),
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -38,6 +38,9 @@
 	Prompt []PromptPart
 	// LastEventID is the last stream event that the caller received; NoEventID for none.
 	LastEventID int64
+	// Resumes is the ID of the call that brought the first event of the stream that this call
+	// resumes; empty if it resumes none or does not name it.
+	Resumes string
 }
 
 // maxPartFingerprints limits the prompt parts of one request that have fingerprints.
