Don't resume an answer at an engine that has restarted

What callers would see: events of two software versions in one answer, if an engine restarts with another version and has kept its answers. It now compares the boot ID first.

Evidence: TestAnswerIsNotResumedAtARestartedEngine failed before (the answer was completed) and passes. A boot ID that the agent knows late only prevents a resume.

--- a/internal/aubagent/execution.go
+++ b/internal/aubagent/execution.go
@@ -15,6 +15,7 @@
 	errCanceled  = errors.New("caller canceled")
 	errAbandoned = errors.New("no connection of the caller any more")
 	errStalled   = errors.New("backend connection is silent")
+	errRestarted = errors.New("engine has restarted")
 )
 
 // executionKey identifies one attempt of one request.
--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -90,7 +90,7 @@
 	switch {
 	case err == nil, g.exec.ctx.Err() != nil:
 		return false
-	case errors.Is(err, aubengine.ErrAnswerMismatch), errors.Is(err, aubengine.ErrEventTooLong):
+	case errors.Is(err, aubengine.ErrAnswerMismatch), errors.Is(err, aubengine.ErrEventTooLong), errors.Is(err, errRestarted):
 		return false
 	case errors.As(err, &refused):
 		return false
@@ -130,8 +130,16 @@
 	return g.agent.client.Do(ctx, g.httpCall())
 }
 
-// resume requests the events that follow those already read.
+// resume requests the events that follow those already read, unless the engine has
+// restarted: it may run other software now.
 func (g *generation) resume(ctx context.Context) (*http.Response, error) {
+	state, err := g.agent.client.State(ctx)
+	if err != nil {
+		return nil, &aubengine.UncertainError{Err: err}
+	}
+	if g.bootID != "" && state.Boot != g.bootID {
+		return nil, errRestarted
+	}
 	resp, err := g.agent.client.ResumeAnswer(ctx, g.answerID(), int(g.eventsRead.Load()))
 	var notSent *aubengine.NotSentError
 	if errors.As(err, &notSent) {
--- a/internal/aubagent/response_fault_test.go
+++ b/internal/aubagent/response_fault_test.go
@@ -110,6 +110,21 @@
 	}
 }
 
+// TestAnswerIsNotResumedAtARestartedEngine breaks an answer off as the engine restarts with
+// its answers. Its software may have changed.
+func TestAnswerIsNotResumedAtARestartedEngine(t *testing.T) {
+	t.Parallel()
+	f := newChatFixture(t)
+	f.engine.SetFaults(aubstandin.Faults{CutAnswers: 1, CutAfterEvents: 2, RenewBootOnCut: true})
+	_, body, err := f.call(chatRequest("restarted", "m", "restarted", true))
+	var failed *aubexecution.FailedError
+	qt.Assert(t, errors.As(err, &failed), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, failed.Execution, qt.Equals, aubapi.ExecutionMayHaveRun)
+	text, done := streamText(t, body)
+	qt.Assert(t, done, qt.IsFalse)
+	qt.Assert(t, strings.HasPrefix(expectedText("restarted"), text), qt.IsTrue)
+}
+
 // checkIncomplete checks that a streamed response failed as incomplete and that body
 // holds a prefix of the expected text.
 func checkIncomplete(t testing.TB, body string, err error, content string) {
--- a/internal/aubstandin/engine.go
+++ b/internal/aubstandin/engine.go
@@ -161,6 +161,13 @@
 	e.startBoot()
 }
 
+// renewBoot changes the boot ID without an end of the boot.
+func (e *Engine) renewBoot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.boot = uuid.NewString()
+}
+
 // SetFaults replaces all faults.
 func (e *Engine) SetFaults(f Faults) { e.faults.set(f) }
 
--- a/internal/aubstandin/fault.go
+++ b/internal/aubstandin/fault.go
@@ -30,8 +30,11 @@
 	PoisonPrompt string `json:"poison_prompt,omitempty"`
 	// CutAnswers counts answers whose connection is aborted after CutAfterEvents
 	// events, or in the middle of a body that is no stream.
-	CutAnswers     int `json:"cut_answers,omitempty"`
-	CutAfterEvents int `json:"cut_after_events,omitempty"`
+	CutAnswers int `json:"cut_answers,omitempty"`
+	// RenewBootOnCut gives the engine a new boot ID with each cut answer, as if it had
+	// restarted and kept its answers.
+	RenewBootOnCut bool `json:"renew_boot_on_cut,omitempty"`
+	CutAfterEvents int  `json:"cut_after_events,omitempty"`
 	// SilentAnswers counts answers that send no more data after SilentAfterEvents
 	// events and keep their connection open.
 	SilentAnswers     int `json:"silent_answers,omitempty"`
--- a/internal/aubstandin/transmit.go
+++ b/internal/aubstandin/transmit.go
@@ -102,6 +102,9 @@
 	controller := http.NewResponseController(w)
 	if sent == faults.cutAfterEvents {
 		_ = controller.Flush()
+		if e.faults.get().RenewBootOnCut {
+			e.renewBoot()
+		}
 		abortConnection(w)
 	}
 	if sent == faults.silentAfterEvents {
