Let a stream go on only at the software version that began it

Cause: registrations' versions and the header that names the request that began a stream were read nowhere; the relay's own retries and streams that callers take up went to any holder of the model. Class: state of an exchange (here: what it has begun with) dies with the process or the request that held it, and the next one takes any choice for as good.

The version of the first event binds a stream. Relays tell all control processes where their streams began, within 20 ms; a relay at which a caller takes one up asks its own record, them, and, if all answered, whether the registry has seen only one version. What can't be told is refused as not run.

--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -39,7 +39,7 @@
 	d.mu.Unlock()
 	if !isLeading && !req.GetForwarded() {
 		return d.opts.Forward(ctx, &aubwire.PlaceRequest{
-			Service: req.GetService(), Model: req.GetModel(), Adapter: req.GetAdapter(), Forwarded: true,
+			Service: req.GetService(), Model: req.GetModel(), Adapter: req.GetAdapter(), Software: req.Software, Forwarded: true,
 		})
 	}
 	site := d.opts.Site()
@@ -60,6 +60,9 @@
 		return &aubwire.PlaceResponse{}
 	}
 	holders := d.holders(service, model.Name)
+	if req.Software != nil {
+		holders = slices.DeleteFunc(holders, func(e *engineState) bool { return e.record.GetSoftware() != req.GetSoftware() })
+	}
 	switch {
 	case len(holders) == 0:
 		return d.requestCopy(now, service, model)
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -13,6 +13,7 @@
 	"github.com/auburndale/auburndale/internal/auborder"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubtimer"
@@ -151,6 +152,7 @@
 		Placer:      c.director,
 		Poison:      c.poison,
 		ApplyPoison: aubpoison.NewApplyFunc(c.replica),
+		Streams:     aubresume.NewTable(c.common.Timer),
 		Zone:        c.cfg.Zone,
 		Confirmed:   c.confirmed.Load,
 		Addresses:   c.controlAddresses,
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -15,6 +15,7 @@
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubrelay"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
@@ -166,6 +167,7 @@
 		return err
 	}
 	poison := aubpoison.NewView(r.common.Timer)
+	streams := aubresume.NewRecorder(r.common.Timer)
 	r.registryClient = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
 		Process:     r.cfg.Name,
 		Relay:       true,
@@ -180,6 +182,7 @@
 		OnPeers:     r.updatePeers,
 		OnPoison:    poison.Merge,
 		OnLimits:    r.throttle.MergeStatements,
+		Streams:     streams,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
@@ -193,6 +196,7 @@
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
 		Throttle:          r.throttle,
+		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoleSoftware),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -17,6 +18,10 @@
 const (
 	// reconnectDelay is the time from the end of a stream to the next connection attempt.
 	reconnectDelay = 300 * time.Millisecond
+	// streamReportDelay is the time for which origins of streams are collected before they
+	// are reported, maxReportedStreams limits those in one request.
+	streamReportDelay  = 20 * time.Millisecond
+	maxReportedStreams = 256
 	// unlistedTimeout is how long the client tries to reach a control process that
 	// neither the settings nor another control process lists.
 	unlistedTimeout = 10 * time.Second
@@ -53,6 +58,8 @@
 	OnPoison func(statuses []*aubwire.PoisonStatus)
 	// OnLimits receives the rate limits that a control process knows; nil ignores them.
 	OnLimits func(source string, limits []*aubwire.BackendLimit)
+	// Streams holds the origins to report; nil reports none.
+	Streams *aubresume.Recorder
 }
 
 // Client keeps a stream open to every control process and merges the received records
@@ -258,6 +265,8 @@
 	lastReceivedAt := c.common.Timer.Now()
 	ackedVersion := uint64(0)
 	enqueueLatest(requests, c.newRequest(link, ackedVersion, true))
+	streams := newStreamReport(c.opts.Streams)
+	streamsDue := c.common.Timer.After(ctx, streamReportDelay)
 	for {
 		select {
 		case resp := <-responses:
@@ -275,6 +284,15 @@
 				return &SilentError{Address: link.address}
 			}
 			enqueueLatest(requests, c.newRequest(link, ackedVersion, true))
+		case <-streams.changed:
+			streams.changed = nil
+			streamsDue = c.common.Timer.After(ctx, streamReportDelay)
+		case <-streamsDue:
+			if origins := streams.next(); len(origins) > 0 {
+				req := c.newRequest(link, ackedVersion, false)
+				req.Streams = origins
+				enqueueLatest(requests, req)
+			}
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
@@ -294,6 +312,7 @@
 		c.opts.OnLimits(link.address, resp.GetLimits())
 	}
 	c.opts.Registry.Merge(resp.GetRecords())
+	c.opts.Registry.MergeSoftware(resp.GetSoftware())
 	c.setAnnounced(link, resp)
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
 		c.opts.OnPeers(peers)
@@ -368,7 +387,8 @@
 }
 
 // enqueueLatest queues a request and replaces one that is still queued. The new one keeps
-// the higher acknowledged version and, if it has no report, the replaced one's.
+// the higher acknowledged version, the streams of both and, if it has no report, the
+// replaced one's.
 func enqueueLatest(requests chan *aubwire.RegistryRequest, req *aubwire.RegistryRequest) {
 	for {
 		select {
@@ -382,6 +402,7 @@
 			if req.Report == nil {
 				req.Report = replaced.Report
 			}
+			req.Streams = append(replaced.GetStreams(), req.GetStreams()...)
 		default:
 		}
 	}
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -59,6 +59,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// softwareSeen holds the time of the last registration with each software version.
+	softwareSeen map[softwareKey]time.Time
 	// version increases with every change of a record that watchers receive.
 	version uint64
 	// topologyVersion increases with every change that routing depends on.
@@ -85,7 +87,9 @@
 		common:  common.WithPart("registry"),
 		timeout: timeout,
 		entries: make(map[string]*entry),
-		changed: make(chan struct{}),
+
+		softwareSeen: make(map[softwareKey]time.Time),
+		changed:      make(chan struct{}),
 	}
 }
 
@@ -144,6 +148,7 @@
 func (r *Registry) apply(record *aubwire.BackendRecord, isLocal bool) {
 	stored := r.entries[record.GetId()]
 	now := r.common.Timer.Now()
+	r.noteSoftware(softwareKey{service: record.GetService(), software: record.GetSoftware()}, now)
 	if stored != nil && !supersedes(record, stored.record) {
 		r.mergeUnloading(stored, record)
 		if isLocal && record.GetStartedMs() == stored.record.GetStartedMs() && record.GetSequence() == stored.record.GetSequence() {
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubpoison"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -55,6 +56,8 @@
 	Poison    PoisonTable
 	// ApplyPoison commits a command to the table.
 	ApplyPoison aubpoison.ApplyFunc
+	// Streams holds the origins of streams that relays report.
+	Streams *aubresume.Table
 	// Zone is the availability zone of this control process.
 	Zone string
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
@@ -101,6 +104,11 @@
 	return s.opts.ApplyPoison(ctx, command)
 }
 
+// FindStream implements aubwire.RegistryServer.
+func (s *Server) FindStream(_ context.Context, req *aubwire.FindStreamRequest) (*aubwire.FindStreamResponse, error) {
+	return &aubwire.FindStreamResponse{Origin: s.opts.Streams.Find(req.GetId())}, nil
+}
+
 // Watch implements aubwire.RegistryServer.
 func (s *Server) Watch(stream grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]) error {
 	ctx, cancel := context.WithCancel(stream.Context())
@@ -231,6 +239,7 @@
 		w.server.opts.Loads.AddReport(req.GetReport())
 		w.server.opts.Registry.MergeSuspects(req.GetReport().GetSuspects())
 	}
+	w.server.opts.Streams.Add(req.GetStreams())
 	w.server.mu.Lock()
 	defer w.server.mu.Unlock()
 	w.lastReceivedAt = w.server.common.Timer.Now()
@@ -257,6 +266,9 @@
 			resp.Limits = w.server.opts.Loads.Limits()
 			w.hasSentLimits = true
 		}
+		if w.sentVersion == 0 {
+			resp.Software = w.server.opts.Registry.SoftwareSeen()
+		}
 		if isTickDue || len(records) > 0 || newest != w.announcedRevision || len(statuses) > 0 {
 			if err := w.stream.Send(resp); err != nil {
 				return err
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -58,6 +59,7 @@
 	}
 	c.revisions.current.Store(&aubwire.SiteRevision{})
 	c.server = aubregistry.NewServer(common, aubregistry.ServerOpts{
+		Streams:  aubresume.NewTable(common.Timer),
 		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{},
 		Confirmed: func() bool { return true }, Addresses: func() []string { return []string{"c1"} },
 	})
--- a/internal/aubrelay/copy_requester.go
+++ b/internal/aubrelay/copy_requester.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -35,13 +36,17 @@
 	return &CopyRequester{common: common.WithPart("copies"), registry: registry, place: place}
 }
 
-// Await requests a copy and returns nil if a backend server then holds the model or
-// adapter. Otherwise the error is *aubroute.NoBackendError with the time to retry.
-func (c *CopyRequester) Await(ctx context.Context, service, model, adapter string) error {
+// Await requests a copy, at a backend server of the software version if there is one, and
+// returns nil if a backend server then holds the model or adapter. Otherwise the error is *aubroute.NoBackendError with the time to retry.
+func (c *CopyRequester) Await(ctx context.Context, service, model, adapter string, software auboption.Option[string]) error {
 	name := aubregistry.AdapterName(service, model, adapter)
-	result := c.inFlight.DoChan(name, func() (any, error) {
-		return c.requestCopy(ctx, &aubwire.PlaceRequest{Service: service, Model: model, Adapter: adapter})
-	})
+	req := &aubwire.PlaceRequest{Service: service, Model: model, Adapter: adapter}
+	key := name
+	if version, isBound := software.Get(); isBound {
+		req.Software = &version
+		key += "@" + version
+	}
+	result := c.inFlight.DoChan(key, func() (any, error) { return c.requestCopy(ctx, req) })
 	select {
 	case placed := <-result:
 		resp, _ := placed.Val.(*aubwire.PlaceResponse)
@@ -72,7 +77,7 @@
 	defer cancel()
 	resp, err := c.place(ctx, req)
 	c.common.Log.Info("Copy asked for.",
-		zap.String("service", req.GetService()), zap.String("model", req.GetModel()), zap.String("adapter", req.GetAdapter()),
+		zap.String("service", req.GetService()), zap.String("model", req.GetModel()), zap.String("adapter", req.GetAdapter()), zap.Stringp("software", req.Software),
 		zap.String("backend_server", resp.GetBackend()), zap.Int64("retry_after_ms", resp.GetRetryAfterMs()), zap.Error(err))
 	return resp, err
 }
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubsite"
 )
 
@@ -45,6 +46,9 @@
 	// backendID is the backend server of the last attempt, software its software version.
 	backendID string
 	software  string
+	// requiredSoftware is the software version that the stream has begun at; none while it
+	// has no events.
+	requiredSoftware auboption.Option[string]
 	// firstEventTime is the time from the start of an attempt to its first stream event
 	// or its complete plain response; 0 before.
 	firstEventTime time.Duration
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +27,7 @@
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubrelay"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubthrottle"
@@ -45,6 +48,7 @@
 	headerWait      = "Test-Wait"
 	headerOutput    = "Test-Output-Tokens"
 	headerRateLimit = "Test-Rate-Limit"
+	headerResumes   = "Test-Resumes"
 )
 
 // testProtocol is a minimal aubrelay.Protocol.
@@ -58,6 +62,9 @@
 	if tokens, err := strconv.ParseInt(r.Header.Get(headerOutput), 10, 64); err == nil {
 		call.OutputTokens = tokens
 	}
+	if last, err := strconv.ParseInt(r.Header.Get(headerLastEvent), 10, 64); err == nil {
+		call.LastEventID, call.Resumes = last, r.Header.Get(headerResumes)
+	}
 	if wait, err := time.ParseDuration(r.Header.Get(headerWait)); err == nil {
 		call.Timeout = wait
 	}
@@ -68,6 +75,7 @@
 	header.Del(headerKey)
 	header.Set(headerBackend, attempt.Backend)
 	header.Set(headerWorkspace, attempt.Workspace)
+	header.Del(headerLastEvent)
 	if attempt.LastEventID != aubrelay.NoEventID {
 		header.Set(headerLastEvent, strconv.FormatInt(attempt.LastEventID, 10))
 	}
@@ -274,6 +282,10 @@
 	site     *siteSource
 	handler  *aubrelay.Handler
 	poison   *aubpoison.Table
+	// streams holds the origins that control processes know, coverage is how many of them
+	// answer.
+	streams  map[string]*aubwire.StreamOrigin
+	coverage aubresume.Coverage
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 }
@@ -364,21 +376,31 @@
 	return site
 }
 
-// newRelayFixture starts a relay and the named backend servers.
+// newRelayFixture starts a relay and the named backend servers, which state no software
+// version.
 func newRelayFixture(t *testing.T, names ...string) *relayFixture {
+	versions := make(map[string]string)
+	for _, name := range names {
+		versions[name] = ""
+	}
+	return newRelayFixtureWithSoftware(t, versions)
+}
+
+// newRelayFixtureWithSoftware starts a relay and backend servers with the software versions.
+func newRelayFixtureWithSoftware(t *testing.T, versions map[string]string) *relayFixture {
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	fixture := &relayFixture{
 		t: t, backends: make(map[string]*backend), site: &siteSource{site: newSite(t)},
 		registry: aubregistry.NewRegistry(common, time.Minute),
 	}
-	for i, name := range names {
+	for i, name := range slices.Sorted(maps.Keys(versions)) {
 		b := &backend{id: name}
 		b.server = httptest.NewServer(b)
 		t.Cleanup(b.server.Close)
 		fixture.backends[name] = b
 		fixture.registry.Register(&aubwire.BackendRecord{
 			Id: name, Service: "s", Address: b.server.Listener.Addr().String(), StartedMs: int64(i + 1), Sequence: 1,
-			State: aubwire.BackendState_BACKEND_STATE_READY,
+			State: aubwire.BackendState_BACKEND_STATE_READY, Software: versions[name],
 		})
 	}
 	throttle := aubthrottle.New(common, aubthrottle.Opts{})
@@ -399,6 +421,7 @@
 		}),
 		Guard:    guard,
 		Throttle: throttle,
+		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoleSoftware),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
@@ -409,6 +432,10 @@
 	return fixture
 }
 
+func (fixture *relayFixture) findStream(_ context.Context, callID string) (*aubwire.StreamOrigin, aubresume.Coverage) {
+	return fixture.streams[callID], fixture.coverage
+}
+
 // newApplyFunc returns a function that applies commands to the table at once.
 func newApplyFunc(table *aubpoison.Table) aubpoison.ApplyFunc {
 	startedAt := time.Now()
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -16,6 +16,7 @@
 	"github.com/auburndale/auburndale/internal/aublimit"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubthrottle"
@@ -61,6 +62,8 @@
 	Guard *aubpoison.Guard
 	// Throttle keeps the rate limits that backend servers state.
 	Throttle *aubthrottle.Throttle
+	// Streams finds and records where streams began.
+	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -109,6 +109,7 @@
 	CodeBackendFailed         RefusalCode = "backend_failed"
 	CodeTimeout               RefusalCode = "timeout"
 	CodeBlocked               RefusalCode = "request_blocked"
+	CodeUnknownStream         RefusalCode = "unknown_stream"
 	CodeBackendLimited        RefusalCode = "backend_server_limited"
 )
 
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -5,10 +5,14 @@
 	"errors"
 	"hash/maphash"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubpoison"
+	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubthrottle"
 )
 
@@ -74,7 +78,9 @@
 // relay sends the request to one backend server after another until an attempt
 // is final or no retry is allowed.
 func (h *Handler) relay(ctx context.Context, ex *exchange) error {
-	ex.service = drawService(ex.route)
+	if err := h.bindService(ctx, ex); err != nil {
+		return err
+	}
 	defer h.endTrial(ex)
 	var lastResult attemptResult
 	for {
@@ -104,6 +110,40 @@
 	}
 }
 
+// bindService sets the service of the request. A stream that the caller takes up goes on at
+// the service and the software version that began it.
+func (h *Handler) bindService(ctx context.Context, ex *exchange) error {
+	if ex.route.Kind != aubsite.KindStream || ex.call.LastEventID == NoEventID {
+		ex.service = drawService(ex.route)
+		return nil
+	}
+	services := make([]string, 0, len(ex.route.Targets))
+	for _, target := range ex.route.Targets {
+		services = append(services, target.Service)
+	}
+	origin, err := h.opts.Streams.Resolve(ctx, ex.call.ID, ex.call.Resumes, services)
+	var unknown *aubresume.UnknownError
+	if errors.As(err, &unknown) {
+		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeUnknownStream, RetryAfter: unknown.RetryAfter}, err: err}
+	}
+	if !slices.Contains(services, origin.Service) {
+		return newRefusal(http.StatusServiceUnavailable, CodeUnknownStream, 0)
+	}
+	ex.service, ex.requiredSoftware = origin.Service, auboption.Some(origin.Software)
+	return nil
+}
+
+// recordStream notes the software version of a stream's first event, at which it must go on.
+func (h *Handler) recordStream(ex *exchange) {
+	if _, isBound := ex.requiredSoftware.Get(); isBound {
+		return
+	}
+	ex.requiredSoftware = auboption.Some(ex.software)
+	if ex.route.Resumable {
+		h.opts.Streams.Record(ex.call.ID, aubresume.Origin{Service: ex.service, Software: ex.software})
+	}
+}
+
 // admitSuspect returns an *aubpoison.BlockedError if the request may crash its backend
 // server. It is called before each attempt, because the attempt before may have done so.
 func (h *Handler) admitSuspect(ctx context.Context, ex *exchange) error {
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -63,7 +63,7 @@
 func (h *Handler) awaitCopy(ctx context.Context, ex *exchange) error {
 	waitDeadline := h.common.Timer.Now().Add(ex.route.Objective/waitDivisor - slotPollInterval)
 	for {
-		err := h.opts.CopyRequester.Await(ctx, ex.service, ex.call.Model, ex.call.Adapter)
+		err := h.opts.CopyRequester.Await(ctx, ex.service, ex.call.Model, ex.call.Adapter, ex.requiredSoftware)
 		var noBackend *aubroute.NoBackendError
 		isSlotFreeSoon := errors.As(err, &noBackend) && noBackend.RetryAfter <= maxSlotRetryAfter
 		if !isSlotFreeSoon || h.common.Timer.Now().After(waitDeadline) {
@@ -85,7 +85,7 @@
 
 // newRouteRequest returns the request to the router for a backend server.
 func (h *Handler) newRouteRequest(ex *exchange) aubroute.Request {
-	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service}
+	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service, Software: ex.requiredSoftware}
 	service, _ := ex.site.Service(ex.service)
 	if service.Engine == nil || ex.call.Model == "" {
 		request.Service = ex.service
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -50,6 +50,7 @@
 			ex.maxEventGap = max(ex.maxEventGap, now.Sub(lastEventAt))
 		}
 		lastEventAt = now
+		h.recordStream(ex)
 		h.writeStreamHeader(ex, resp)
 		_ = controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
 		if _, err := ex.writer.Write(event.data); err != nil {
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -192,6 +192,9 @@
 	if !ok || member.Announcement.GetLeaving() || slices.Contains(request.Exclude, name) {
 		return memberCandidate{}, false
 	}
+	if software, isBound := request.Software.Get(); isBound && software != member.Announcement.GetBackend().GetSoftware() {
+		return memberCandidate{}, false
+	}
 	if request.Adapter != "" && !isModelReady(member.Announcement, request.Model) {
 		return memberCandidate{}, false
 	}
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubmembership"
+	"github.com/auburndale/auburndale/internal/auboption"
 )
 
 // Request describes the request that a backend server is chosen for.
@@ -29,6 +30,8 @@
 	SharedHash uint64
 	// SharedTokens is the length of the shared beginning in tokens; 0 for none.
 	SharedTokens int64
+	// Software is the software version that the member must have; none if any will do.
+	Software auboption.Option[string]
 	// Exclude lists members that must not be chosen, such as those on which this
 	// request failed before.
 	Exclude []string
