Load models and adapters of rate-limited engines elsewhere

Cause: requests whose adapter or model only limited engines hold were refused although other engines could load it: the planner counted a limited engine's copy as a whole one, and an adapter was asked for only if no engine held it. Also, a relay went on reporting its own reading of a limit after others had read its end, so that a new relay took the limit for current.

TestPlan's new case: no move before, a load on the unlimited engine now.

--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubtimer"
@@ -324,6 +325,10 @@
 		e.CachedWeights = map[string]bool{model: true}
 		return e
 	}
+	withRateLimit := func(e EngineView, perSecond float64) EngineView {
+		e.RateLimit = auboption.Some(perSecond)
+		return e
+	}
 	model := func(name string, tokenRate float64, waiting bool) ModelView {
 		return ModelView{
 			Name: name, Megabytes: 70, TokenRate: tokenRate, RequestRate: tokenRate / 4000, Waiting: waiting,
@@ -405,6 +410,23 @@
 				Models: []ModelView{model("a", 50000, true), model("b", 9000, false), model("c", 0, false)},
 			},
 		},
+		{
+			name: "a model is loaded elsewhere if the rate limit of its engine is too low",
+			snapshot: Snapshot{
+				Engines:    []EngineView{withRateLimit(engine("e1", "a"), 0.5), withRateLimit(engine("e2"), 0.5), engine("e3", "b")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 4000, false), model("b", 0, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e3", Model: "a", FromStore: true, ExpectedDuration: 4 * time.Second}},
+		},
+		{
+			name: "a model stays where the rate limit covers its demand",
+			snapshot: Snapshot{
+				Engines:    []EngineView{withRateLimit(engine("e1", "a"), 2), engine("e2", "b")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 2000, false), model("b", 0, false)},
+			},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, Plan(test.snapshot), qt.DeepEquals, test.want)
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -63,6 +63,7 @@
 	if req.Software != nil {
 		holders = slices.DeleteFunc(holders, func(e *engineState) bool { return e.record.GetSoftware() != req.GetSoftware() })
 	}
+	holders = d.preferUnlimited(holders)
 	switch {
 	case len(holders) == 0:
 		return d.requestCopy(now, service, model)
@@ -123,6 +124,21 @@
 	return holders
 }
 
+// preferUnlimited returns the engines without a rate limit, or all if each has one.
+func (d *Director) preferUnlimited(engines []*engineState) []*engineState {
+	limits := d.opts.Loads.RateLimits()
+	var unlimited []*engineState
+	for _, e := range engines {
+		if _, isLimited := limits[e.record.GetId()]; !isLimited {
+			unlimited = append(unlimited, e)
+		}
+	}
+	if len(unlimited) == 0 {
+		return engines
+	}
+	return unlimited
+}
+
 // placeAdapter returns a holder of the adapter, or loads it on the engine with the most
 // free adapter slots, or in place of the adapter that is idle for longest.
 func (d *Director) placeAdapter(
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/auburndale/auburndale/internal/auboption"
 )
 
 // CopyState is the state of a model on an engine.
@@ -37,8 +39,14 @@
 	FreesMemoryFor string
 	// Load is the number of requests in flight.
 	Load int
+	// RateLimit is the number of requests per second that the engine takes; none if it
+	// states no limit.
+	RateLimit auboption.Option[float64]
 }
 
+// isLimited reports whether the engine states a rate limit.
+func (e EngineView) isLimited() bool { return e.RateLimit != auboption.None[float64]() }
+
 // ModelView is one model in a snapshot.
 type ModelView struct {
 	Name      string
@@ -129,6 +137,10 @@
 		busy:     make(map[string]bool),
 	}
 	maxMoves := s.MaxOperations
+	requestRates := make(map[string]float64, len(s.Models))
+	for _, m := range s.Models {
+		requestRates[m.Name] = m.RequestRate
+	}
 	for _, e := range s.Engines {
 		if e.Busy {
 			p.busy[e.ID] = true
@@ -141,10 +153,10 @@
 			p.pending[e.FreesMemoryFor]++
 		}
 		for model, state := range e.Models {
-			switch state {
-			case CopyReady:
+			switch {
+			case state == CopyReady && e.carries(requestRates[model]):
 				p.ready[model]++
-			case CopyLoading:
+			case state == CopyLoading:
 				p.pending[model]++
 			}
 		}
@@ -159,6 +171,13 @@
 	return p.moves
 }
 
+// carries reports whether the engine's rate limit allows the requests for a model. A copy that
+// can't take them is kept but counts for nothing.
+func (e EngineView) carries(requestRate float64) bool {
+	limit, isLimited := e.RateLimit.Get()
+	return !isLimited || limit >= requestRate
+}
+
 // isInUse reports whether callers use the model or wait for it.
 func (m ModelView) isInUse() bool { return m.Waiting || m.TokenRate >= idleTokenRate }
 
@@ -283,7 +302,9 @@
 // engineWithFreeMemory returns the engine to load the model on: one that caches its
 // weights, then the one with the least load.
 func (p *planBuilder) engineWithFreeMemory(m ModelView) (EngineView, bool) {
-	return p.bestEngine(m, func(e EngineView) bool { return e.FreeMegabytes >= m.Megabytes })
+	return p.bestEngine(m, func(e EngineView) bool {
+		return e.FreeMegabytes >= m.Megabytes && e.carries(m.RequestRate)
+	})
 }
 
 // bestEngine returns the preferred engine among those that can take an order, lack the
@@ -342,6 +363,9 @@
 	demandRate := p.tokenRatePerCopy(m)
 	victims := make(map[string]string)
 	e, ok := p.bestEngine(m, func(e EngineView) bool {
+		if !e.carries(m.RequestRate) {
+			return false
+		}
 		minCost := math.Inf(1)
 		for model, state := range e.Models {
 			if state != CopyReady || !p.canLoseCopy(model, tokenRates[model], demandRate) {
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubsite"
 )
@@ -13,6 +14,7 @@
 func (d *Director) snapshot(now time.Time, service aubsite.Service, engines map[string]*engineState) Snapshot {
 	models := modelsOf(service.Engine)
 	loads := d.opts.Loads.InFlight()
+	limits := d.opts.Loads.RateLimits()
 	d.mu.Lock()
 	d.refillStoreTokens(now, service.Engine.LoadsPerSecond)
 	concurrency := storeConcurrency(service.Engine)
@@ -28,7 +30,11 @@
 	d.mu.Unlock()
 	for id, e := range engines {
 		e.mu.Lock()
-		s.Engines = append(s.Engines, e.view(service.Engine, models, loads[id]))
+		view := e.view(service.Engine, models, loads[id])
+		if limit, isLimited := limits[id]; isLimited {
+			view.RateLimit = auboption.Some(limit)
+		}
+		s.Engines = append(s.Engines, view)
 		e.mu.Unlock()
 	}
 	slices.SortFunc(s.Engines, func(a, b EngineView) int {
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -114,6 +114,33 @@
 	return limits
 }
 
+// RateLimits returns the rate limits of backend servers, in requests per second, by their
+// ids. Of each one the newest statement counts.
+func (l *LoadAggregator) RateLimits() map[string]float64 {
+	newest := make(map[string]*aubwire.BackendLimit)
+	for _, limit := range l.Limits() {
+		known := newest[limit.GetId()]
+		if limit.GetStated() && (known == nil || isNewerStatement(limit, known)) {
+			newest[limit.GetId()] = limit
+		}
+	}
+	limits := make(map[string]float64)
+	for id, limit := range newest {
+		if limit.GetLimited() {
+			limits[id] = limit.GetPerSecond()
+		}
+	}
+	return limits
+}
+
+// isNewerStatement compares incarnations, then ages.
+func isNewerStatement(a, b *aubwire.BackendLimit) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetStatedAgoMs() < b.GetStatedAgoMs()
+}
+
 // PeerCount returns the number of relays with a recent report other than the named one.
 func (l *LoadAggregator) PeerCount(instance string) int {
 	now := l.common.Timer.Now()
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -48,7 +48,7 @@
 		request.Exclude = nil
 		return h.opts.Router.Pick(request)
 	}
-	if request.Service != "" || noBackend.Limited != "" {
+	if request.Service != "" || noBackend.Limited != "" && request.Adapter == "" {
 		return choice, err
 	}
 	if err := h.awaitCopy(ctx, ex); err != nil {
--- a/internal/aubthrottle/state.go
+++ b/internal/aubthrottle/state.go
@@ -180,11 +180,14 @@
 	limit, isLimited := s.own.Get()
 	return &aubwire.BackendLimit{
 		Id: b.Name, Incarnation: b.Incarnation,
-		Stated: !s.ownStatedAt.IsZero(), Limited: isLimited, PerSecond: limit, StatedAgoMs: now.Sub(s.ownStatedAt).Milliseconds(),
+		Stated: s.isOwnCurrent(), Limited: isLimited, PerSecond: limit, StatedAgoMs: now.Sub(s.ownStatedAt).Milliseconds(),
 		Sent: s.sent, KnownForMs: now.Sub(s.createdAt).Milliseconds(), AdvisedForMs: max(s.advisedUntil.Sub(now).Milliseconds(), 0),
 	}
 }
 
+// isOwnCurrent reports whether this instance's own reading still agrees with the newest one.
+func (s *limitState) isOwnCurrent() bool { return !s.ownStatedAt.IsZero() && s.own == s.limit }
+
 func compareBackends(a, b Backend) int {
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -231,7 +231,7 @@
 	defer t.mu.Unlock()
 	var limits []*aubwire.BackendLimit
 	for b, s := range t.states {
-		if !s.ownStatedAt.IsZero() {
+		if s.isOwnCurrent() {
 			limits = append(limits, s.report(now, b))
 		}
 	}
