Place models in use on engines whose rate limit can take them

Cause, from trials on a scratch copy that treats 40 in 100 engines as limited to 1.1 a second: models whose demand rises were loaded on limited engines, and the planner divided the memory of limited engines among the busy models as if it served them, so that few copies were surplus and no room was made for a model that only limited engines hold.

Further copies are now planned for the memory of engines whose limit is at least the mean request rate of all; a model in use isn't loaded on the others; callers of a model that only engines with too low a limit hold count as waiting.

What remains are models whose demand rises while their only copy is on a limited engine, for the seconds of a load.

--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -427,6 +427,24 @@
 				Models: []ModelView{model("a", 2000, false), model("b", 0, false)},
 			},
 		},
+		{
+			name: "a model in use is not loaded where the rate limit is below the mean of the engines",
+			snapshot: Snapshot{
+				Engines:    []EngineView{withRateLimit(engine("e1"), 0.5), engine("e2", "b"), engine("e3", "c", "d")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 1200, false), model("b", 4000, false), model("c", 4000, false), model("d", 4000, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true, ExpectedDuration: 4 * time.Second}},
+		},
+		{
+			name: "callers of a model that only limited engines hold count as waiting",
+			snapshot: Snapshot{
+				Engines:    []EngineView{withRateLimit(engine("e1", "a"), 0.5), engine("e2", "b", "c")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 4000, false), model("b", 9000, false), model("c", 0, false)},
+			},
+			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "c", FreesMemoryFor: "a"}},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, Plan(test.snapshot), qt.DeepEquals, test.want)
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -44,9 +44,6 @@
 	RateLimit auboption.Option[float64]
 }
 
-// isLimited reports whether the engine states a rate limit.
-func (e EngineView) isLimited() bool { return e.RateLimit != auboption.None[float64]() }
-
 // ModelView is one model in a snapshot.
 type ModelView struct {
 	Name      string
@@ -122,6 +119,8 @@
 	// busy names the engines that get no further move.
 	busy  map[string]bool
 	moves []Move
+	// meanRate is the number of requests per second and engine.
+	meanRate float64
 	// hasUnmetDemand is set once a model in use lacks a copy that could not be loaded
 	// yet.
 	hasUnmetDemand bool
@@ -137,10 +136,6 @@
 		busy:     make(map[string]bool),
 	}
 	maxMoves := s.MaxOperations
-	requestRates := make(map[string]float64, len(s.Models))
-	for _, m := range s.Models {
-		requestRates[m.Name] = m.RequestRate
-	}
 	for _, e := range s.Engines {
 		if e.Busy {
 			p.busy[e.ID] = true
@@ -152,16 +147,12 @@
 		if e.FreesMemoryFor != "" {
 			p.pending[e.FreesMemoryFor]++
 		}
-		for model, state := range e.Models {
-			switch {
-			case state == CopyReady && e.carries(requestRates[model]):
-				p.ready[model]++
-			case state == CopyLoading:
-				p.pending[model]++
-			}
-		}
 	}
-	p.desired = desiredCopies(s)
+	for _, m := range s.Models {
+		p.meanRate += m.RequestRate / float64(max(len(s.Engines), 1))
+	}
+	p.countCopies()
+	p.desired = p.desiredCopies()
 	for _, m := range p.modelsLackingCopies() {
 		if len(p.moves) >= maxMoves || p.hasUnmetDemand && !m.isInUse() {
 			break
@@ -171,6 +162,30 @@
 	return p.moves
 }
 
+// countCopies counts the ready and pending copies of each model. Callers of a model that
+// only rate-limited engines hold, which can't take its requests, count as waiting.
+func (p *planBuilder) countCopies() {
+	models := slices.Clone(p.snapshot.Models)
+	for i, m := range models {
+		hasLimitedCopy := false
+		for _, e := range p.snapshot.Engines {
+			switch e.Models[m.Name] {
+			case CopyReady:
+				if e.carries(m.RequestRate) {
+					p.ready[m.Name]++
+					continue
+				}
+				hasLimitedCopy = true
+			case CopyLoading:
+				p.pending[m.Name]++
+			case CopyUnloading:
+			}
+		}
+		models[i].Waiting = m.Waiting || p.ready[m.Name] == 0 && hasLimitedCopy
+	}
+	p.snapshot.Models = models
+}
+
 // carries reports whether the engine's rate limit allows the requests for a model. A copy that
 // can't take them is kept but counts for nothing.
 func (e EngineView) carries(requestRate float64) bool {
@@ -183,18 +198,26 @@
 
 // desiredCopies divides the memory of all engines among the models: one copy each, and
 // the remaining memory to those with the highest token rate per copy. If one copy of
-// each does not fit, models that are not in use need none.
-func desiredCopies(s Snapshot) map[string]int {
+// each does not fit, models that are not in use need none. Engines with a rate limit below
+// the mean request rate of all hold no further copies.
+func (p *planBuilder) desiredCopies() map[string]int {
+	s := p.snapshot
 	desired := make(map[string]int, len(s.Models))
 	freeMegabytes, modelMegabytes := 0.0, 0.0
-	for _, e := range s.Engines {
-		freeMegabytes += usableMemoryShare * e.Megabytes
-	}
 	for _, m := range s.Models {
 		modelMegabytes += m.Megabytes
 	}
+	limitedMegabytes, unlimitedEngines := 0.0, 0
+	for _, e := range s.Engines {
+		if !e.carries(p.meanRate) {
+			limitedMegabytes += usableMemoryShare * e.Megabytes
+			continue
+		}
+		freeMegabytes += usableMemoryShare * e.Megabytes
+		unlimitedEngines++
+	}
 	for _, m := range s.Models {
-		if m.isInUse() || modelMegabytes <= freeMegabytes {
+		if m.isInUse() || modelMegabytes <= freeMegabytes+limitedMegabytes {
 			desired[m.Name] = 1
 		}
 	}
@@ -205,7 +228,7 @@
 		best, maxPerCopy := ModelView{}, idleTokenRate
 		for _, m := range s.Models {
 			perCopy := m.TokenRate / float64(max(desired[m.Name], 1))
-			if perCopy > maxPerCopy && m.RequestRate >= minRequestRate && desired[m.Name] < len(s.Engines) && mayAddCopy(m, freeMegabytes, desired[m.Name]) {
+			if perCopy > maxPerCopy && m.RequestRate >= minRequestRate && desired[m.Name] < unlimitedEngines && mayAddCopy(m, freeMegabytes, desired[m.Name]) {
 				best, maxPerCopy = m, perCopy
 			}
 		}
@@ -299,11 +322,17 @@
 	p.pending[m.Name]++
 }
 
+// isSuitable reports whether the engine's rate limit allows a further copy of the model. A
+// model in use will get more requests than at present.
+func (p *planBuilder) isSuitable(e EngineView, m ModelView) bool {
+	return !m.isInUse() || e.carries(max(m.RequestRate, p.meanRate))
+}
+
 // engineWithFreeMemory returns the engine to load the model on: one that caches its
 // weights, then the one with the least load.
 func (p *planBuilder) engineWithFreeMemory(m ModelView) (EngineView, bool) {
 	return p.bestEngine(m, func(e EngineView) bool {
-		return e.FreeMegabytes >= m.Megabytes && e.carries(m.RequestRate)
+		return e.FreeMegabytes >= m.Megabytes && p.isSuitable(e, m)
 	})
 }
 
@@ -363,7 +392,7 @@
 	demandRate := p.tokenRatePerCopy(m)
 	victims := make(map[string]string)
 	e, ok := p.bestEngine(m, func(e EngineView) bool {
-		if !e.carries(m.RequestRate) {
+		if !p.isSuitable(e, m) {
 			return false
 		}
 		minCost := math.Inf(1)
