--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -117,11 +117,19 @@
 // RateLimits returns the rate limits of backend servers, in requests per second, by their
 // ids. Of each one the newest statement counts.
 func (l *LoadAggregator) RateLimits() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	newest := make(map[string]*aubwire.BackendLimit)
-	for _, limit := range l.Limits() {
-		known := newest[limit.GetId()]
-		if limit.GetStated() && (known == nil || isNewerStatement(limit, known)) {
-			newest[limit.GetId()] = limit
+	statedAt := make(map[string]time.Time)
+	for _, relay := range l.relays {
+		for _, limit := range relay.limits {
+			id, at := limit.GetId(), relay.receivedAt.Add(-time.Duration(limit.GetStatedAgoMs())*time.Millisecond)
+			known := newest[id]
+			isNewer := known == nil || limit.GetIncarnation() > known.GetIncarnation() ||
+				limit.GetIncarnation() == known.GetIncarnation() && at.After(statedAt[id])
+			if limit.GetStated() && isNewer {
+				newest[id], statedAt[id] = limit, at
+			}
 		}
 	}
 	limits := make(map[string]float64)
@@ -133,14 +141,6 @@
 	return limits
 }
 
-// isNewerStatement compares incarnations, then ages.
-func isNewerStatement(a, b *aubwire.BackendLimit) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
-	}
-	return a.GetStatedAgoMs() < b.GetStatedAgoMs()
-}
-
 // PeerCount returns the number of relays with a recent report other than the named one.
 func (l *LoadAggregator) PeerCount(instance string) int {
 	now := l.common.Timer.Now()
