Advance the clock of the slow link's test only while a message is on the link

Cause: the test moved the manual clock by 50 ms each 2 ms of wall time, whether or not the goroutines of server and follower had run. On a busy machine 80 ms without a turn count as the 4 s of the stream's timeout. The stream was not given up while data arrived.

The clock now moves only while a message is on the stand-in link and the follower has dealt with all before it.

--- a/internal/aubdistribution/fixture_test.go
+++ b/internal/aubdistribution/fixture_test.go
@@ -53,6 +53,8 @@
 	replicas map[string]*replica
 	// dials counts the connections opened by followers.
 	dials atomic.Int32
+	// received counts the messages that followers have dealt with.
+	received atomic.Int32
 }
 
 // replica is a configuration table with its server. Tests can inject faults into the
@@ -71,7 +73,11 @@
 	sendFilter func(*aubwire.WatchResponse) []*aubwire.WatchResponse
 	// linkBytesPerSecond is the bandwidth to each follower; 0 means unlimited.
 	linkBytesPerSecond int
-	timer              *aubtimer.Manual
+	// transferEndsAt is when the message on the link arrives; zero while there is none. sent
+	// counts the messages that have arrived.
+	transferEndsAt time.Time
+	sent           int
+	timer          *aubtimer.Manual
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -121,7 +127,11 @@
 func (s *testSite) dial(address string) (*grpc.ClientConn, error) {
 	s.dials.Add(1)
 	r := s.replicas[address]
-	return grpc.NewClient("passthrough:///"+address,
+	count := func(ctx context.Context, desc *grpc.StreamDesc, conn *grpc.ClientConn, method string, streamer grpc.Streamer, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+		stream, err := streamer(ctx, desc, conn, method, opts...)
+		return &countingClientStream{ClientStream: stream, isFirst: true, received: &s.received}, err
+	}
+	return grpc.NewClient("passthrough:///"+address, grpc.WithStreamInterceptor(count),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
 			if r == nil {
@@ -138,6 +148,42 @@
 	})
 }
 
+// countingClientStream counts the messages that its user has received and dealt with.
+type countingClientStream struct {
+	grpc.ClientStream
+
+	isFirst  bool
+	received *atomic.Int32
+}
+
+// RecvMsg implements grpc.ClientStream. The user asks for the next message once it has dealt
+// with the one before.
+func (s *countingClientStream) RecvMsg(m any) error {
+	if !s.isFirst {
+		s.received.Add(1)
+	}
+	s.isFirst = false
+	return s.ClientStream.RecvMsg(m)
+}
+
+// waitForTransfer advances the clock until a condition is met, only while a message is on the
+// slow link of the replica and the follower has dealt with all before it. How fast the
+// goroutines of this test run makes no difference.
+func (s *testSite) waitForTransfer(condition string, r *replica, isMet func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); {
+		switch {
+		case isMet():
+			return
+		case r.isTransferring(int(s.received.Load())):
+			s.timer.Advance(50 * time.Millisecond)
+		default:
+			time.Sleep(time.Millisecond)
+		}
+	}
+	s.t.Fatalf("condition not met: %s", condition)
+}
+
 // waitUntil advances the clock until a condition is met, for at most 200 seconds.
 func (s *testSite) waitUntil(condition string, isMet func() bool) {
 	s.t.Helper()
@@ -222,6 +268,21 @@
 	replica *replica
 }
 
+// setTransfer sets when the message on the link arrives and adds to the arrived ones.
+func (r *replica) setTransfer(endsAt time.Time, arrived int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.transferEndsAt = endsAt
+	r.sent += arrived
+}
+
+// isTransferring reports whether a message is on the link and all earlier ones were received.
+func (r *replica) isTransferring(received int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.timer.Now().Before(r.transferEndsAt) && received >= r.sent
+}
+
 func (s *faultyStream) Send(m *aubwire.WatchResponse) error {
 	s.replica.mu.Lock()
 	messages := []*aubwire.WatchResponse{m}
@@ -233,6 +294,7 @@
 	for _, m := range messages {
 		if bandwidth > 0 {
 			transferTime := time.Duration(proto.Size(m)) * time.Second / time.Duration(bandwidth)
+			s.replica.setTransfer(s.replica.timer.Now().Add(transferTime), 0)
 			if err := aubtimer.Wait(s.Context(), s.replica.timer, transferTime); err != nil {
 				return err
 			}
@@ -240,6 +302,7 @@
 		if err := s.BidiStreamingServer.Send(m); err != nil {
 			return err
 		}
+		s.replica.setTransfer(time.Time{}, 1)
 	}
 	return nil
 }
--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -164,7 +164,7 @@
 	server.linkBytesPerSecond = bytesPerSecond
 	server.mu.Unlock()
 	f := s.follow(s.ctx, "", "server")
-	s.waitUntil("the large state", hasVersion(f, 1))
+	s.waitForTransfer("the large state", server, hasVersion(f, 1))
 	qt.Assert(t, s.dials.Load(), qt.Equals, int32(1))
 }
 
