Let the test of the weight store wait for its loads on the manual timer

Cause, read in the test: it gave goroutines 20 ms and 5 ms of wall time to reach the timer. aubtimer.Manual now tells how many timers wait, and the clock moves only once each load has finished or waits.

--- a/internal/aubstandin/weight_store_test.go
+++ b/internal/aubstandin/weight_store_test.go
@@ -40,21 +40,22 @@
 			for range test.loads {
 				go func() { done <- store.Fetch(context.Background(), test.adapter, 100*time.Millisecond) }()
 			}
-			time.Sleep(20 * time.Millisecond)
 			finished, steps := 0, 0
-			for finished < test.loads {
-				timer.Advance(10 * time.Millisecond)
-				steps++
-				for settled := false; !settled; {
+			// settle returns once each load has finished or waits for the timer.
+			settle := func() {
+				for finished+timer.Waiting() < test.loads {
 					select {
 					case err := <-done:
 						qt.Assert(t, err, qt.IsNil)
 						finished++
-					case <-time.After(5 * time.Millisecond):
-						settled = true
+					case <-time.After(time.Millisecond):
 					}
 				}
 			}
+			for settle(); finished < test.loads; settle() {
+				timer.Advance(10 * time.Millisecond)
+				steps++
+			}
 			qt.Assert(t, steps, qt.Equals, test.steps)
 		})
 	}
--- a/internal/aubtimer/manual.go
+++ b/internal/aubtimer/manual.go
@@ -60,6 +60,20 @@
 	m.subscriptions = remaining
 }
 
+// Waiting returns the number of timers that have not fired for the last time and whose
+// context has not ended.
+func (m *Manual) Waiting() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	waiting := 0
+	for _, s := range m.subscriptions {
+		if s.ctx.Err() == nil {
+			waiting++
+		}
+	}
+	return waiting
+}
+
 // fireIfDue sends the time to a subscriber that is due and reports whether it stays subscribed.
 func (m *Manual) fireIfDue(s *subscription) bool {
 	if s.due.After(m.now) {
