Keep no connection that was dialed for a call canceled at the client's end

A process that replaces its clients keeps such connections for 30 s each.

Cause: net/http goes on dialing for a canceled call and keeps the connection for the next one. A call in progress as the client ends also cancels the order to close what becomes idle. The mend before covered only responses whose body was closed.

Calls after the end now use connections of their own, a dial that ends after the client closes its connection, and a failed call closes what has become idle.

--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -59,17 +60,26 @@
 		timer:     common.Timer,
 		url:       opts.URL,
 		timeout:   opts.Timeout,
-		pooled:    newTransport(false),
-		singleUse: newTransport(true),
+		pooled:    newTransport(ctx, false),
+		singleUse: newTransport(context.WithoutCancel(ctx), true),
 	}
 	context.AfterFunc(ctx, c.pooled.CloseIdleConnections)
 	return c
 }
 
-func newTransport(singleUse bool) *http.Transport {
+// newTransport returns a transport that opens no connection after ctx has ended. A dial may
+// take longer than the call that it was begun for; net/http keeps its connection then.
+func newTransport(ctx context.Context, singleUse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(dialCtx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(dialCtx, network, address)
+		if err == nil && ctx.Err() != nil {
+			return nil, errors.Join(ctx.Err(), conn.Close())
+		}
+		return conn, err
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableCompression:  true,
 		DisableKeepAlives:   singleUse,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -101,6 +111,9 @@
 		return nil, &NotSentError{Err: err}
 	}
 	resp, err := c.transport(call).RoundTrip(req)
+	if err != nil {
+		c.closeIdleIfEnded()
+	}
 	if err == nil {
 		resp.Body = &responseBody{ReadCloser: resp.Body, client: c}
 		return resp, nil
@@ -122,14 +135,22 @@
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	err := b.ReadCloser.Close()
-	if b.client.ctx.Err() != nil {
-		b.client.pooled.CloseIdleConnections()
-	}
+	b.client.closeIdleIfEnded()
 	return err
 }
 
+// closeIdleIfEnded closes the idle connections once more if the client has ended: a call that
+// was in progress then lets net/http keep connections again.
+func (c *Client) closeIdleIfEnded() {
+	if c.ctx.Err() != nil {
+		c.pooled.CloseIdleConnections()
+	}
+}
+
+// transport returns the one that keeps no connection for calls that must not be repeated or
+// come after the end of the client.
 func (c *Client) transport(call Call) *http.Transport {
-	if call.NoRetry {
+	if call.NoRetry || c.ctx.Err() != nil {
 		return c.singleUse
 	}
 	return c.pooled
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,3 +125,44 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// TestCanceledCallsLeaveNoIdleConnection cancels calls at random moments around the end of
+// their client, while net/http may still dial for them.
+func TestCanceledCallsLeaveNoIdleConnection(t *testing.T) {
+	const clients, callsPerClient = 300, 4
+	var mu sync.Mutex
+	open := make(map[net.Conn]bool)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		open[c] = true
+		if state == http.StateClosed {
+			delete(open, c)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	for i := range clients {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := aubengine.NewClient(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubengine.ClientOpts{URL: server.URL})
+		var calls sync.WaitGroup
+		for range callsPerClient {
+			calls.Go(func() { _, _ = client.State(ctx) })
+		}
+		time.Sleep(time.Duration(i%30) * 10 * time.Microsecond)
+		cancel()
+		calls.Wait()
+	}
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(open)
+	}
+	for deadline := time.Now().Add(2 * time.Second); count() > 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, count(), qt.Equals, 0)
+}
