Log the votes of control replicas with their reasons

Each vote and pre-vote that is asked for now leaves a line with the outcome, both logs' ends, the vote already given and the age of the last contact with a leader. The decisions are unchanged.

--- a/internal/aubconsensus/election.go
+++ b/internal/aubconsensus/election.go
@@ -85,6 +85,8 @@
 	n.hardStateDirty = true
 	n.votes = map[string]bool{n.self.GetDiskId(): true}
 	n.resetElectionDeadline()
+	n.common.Log.Info("Election begins.", zap.Uint64("term", n.term), zap.Bool("transfer", transfer),
+		zap.Uint64("last_index", n.log.lastIndex()), zap.Uint64("last_term", n.log.lastTerm()))
 	if n.log.membership().hasQuorum(n.hasVote) {
 		n.becomeLeader()
 		return
@@ -107,30 +109,70 @@
 	}
 }
 
+// voteOutcome is the answer to a vote or pre-vote request in logs.
+type voteOutcome string
+
+// Outcomes of vote and pre-vote requests.
+const (
+	voteGranted      voteOutcome = "granted"
+	voteOldTerm      voteOutcome = "term_outdated"
+	voteRecentLeader voteOutcome = "recent_leader"
+	voteLogBehind    voteOutcome = "log_behind"
+	voteGiven        voteOutcome = "vote_given"
+	voteLeads        voteOutcome = "leads"
+	voteOwnPreVote   voteOutcome = "own_pre_vote"
+)
+
 // stepVote handles a vote or pre-vote request.
 func (n *Node) stepVote(m *aubwire.ConsensusMessage, req *aubwire.VoteRequest) {
-	if m.GetTerm() < n.term || (n.hasRecentLeader() && !req.GetTransfer()) {
-		n.respondVote(m, req.GetPre(), false, n.term)
-		return
-	}
-	if req.GetPre() {
-		granted := m.GetTerm() > n.term && n.isUpToDate(req) && (n.role != preCandidate || n.yieldsTo(m.GetFrom(), req))
-		if granted {
-			n.deferElection()
-		}
-		n.respondVote(m, true, granted, m.GetTerm())
-		return
-	}
-	if m.GetTerm() > n.term {
+	outcome, term := n.decideVote(m, req)
+	n.common.Log.Info("Vote requested.",
+		zap.String("candidate", m.GetFrom()), zap.Bool("pre_vote", req.GetPre()), zap.Bool("transfer", req.GetTransfer()),
+		zap.String("outcome", string(outcome)), zap.Uint64("requested_term", m.GetTerm()), zap.Uint64("term", n.term), zap.String("vote", n.vote),
+		zap.Uint64("candidate_last_index", req.GetLastIndex()), zap.Uint64("candidate_last_term", req.GetLastTerm()),
+		zap.Uint64("last_index", n.log.lastIndex()), zap.Uint64("last_term", n.log.lastTerm()),
+		zap.Int64("leader_contact_ms", n.now().Sub(n.leaderContactAt).Milliseconds()))
+	n.respondVote(m, req.GetPre(), outcome == voteGranted, term)
+}
+
+// decideVote applies a vote or pre-vote request and returns its outcome and the term of the
+// response.
+func (n *Node) decideVote(m *aubwire.ConsensusMessage, req *aubwire.VoteRequest) (outcome voteOutcome, term uint64) {
+	switch {
+	case m.GetTerm() < n.term:
+		return voteOldTerm, n.term
+	case n.hasRecentLeader() && !req.GetTransfer():
+		return voteRecentLeader, n.term
+	case req.GetPre():
+		return n.decidePreVote(m, req), m.GetTerm()
+	case m.GetTerm() > n.term:
 		n.becomeFollower(m.GetTerm(), "")
 	}
-	granted := n.isUpToDate(req) && (n.vote == "" || n.vote == m.GetFrom()) && n.leadership == nil
-	if granted {
-		n.vote = m.GetFrom()
-		n.hardStateDirty = true
-		n.resetElectionDeadline()
-	}
-	n.respondVote(m, false, granted, n.term)
+	switch {
+	case !n.isUpToDate(req):
+		return voteLogBehind, n.term
+	case n.vote != "" && n.vote != m.GetFrom():
+		return voteGiven, n.term
+	case n.leadership != nil:
+		return voteLeads, n.term
+	}
+	n.vote = m.GetFrom()
+	n.hardStateDirty = true
+	n.resetElectionDeadline()
+	return voteGranted, n.term
+}
+
+func (n *Node) decidePreVote(m *aubwire.ConsensusMessage, req *aubwire.VoteRequest) voteOutcome {
+	switch {
+	case m.GetTerm() <= n.term:
+		return voteOldTerm
+	case !n.isUpToDate(req):
+		return voteLogBehind
+	case n.role == preCandidate && !n.yieldsTo(m.GetFrom(), req):
+		return voteOwnPreVote
+	}
+	n.deferElection()
+	return voteGranted
 }
 
 // yieldsTo reports whether this member gives up its own pre-vote for that of the candidate,
