Keep a control process up while its disk is full

Cause: a store refuses everything after a failed write, rightly, and the process ended with it. The process now asks whether the disk has no space (a probe of the size that opening the store needs; the errors of the database library hide the cause), redirects operators and backend servers to the other control processes as one without a disk does, and starts its replica anew once there is space. That is as safe as the restart of the process was: nothing of the failed store's memory is used, and the file is verified and rewritten. Other failures of the disk still end the process.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -16,6 +16,7 @@
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubstore"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -45,14 +46,31 @@
 	confirmed atomic.Bool
 }
 
-// RunController runs a control process. The end of ctx starts a graceful shutdown.
+// RunController runs a control process. The end of ctx starts a graceful shutdown. While the
+// disk is full, calls are redirected to other control processes.
 func RunController(ctx context.Context, common aubcommon.Common, watcher *aubsettings.Watcher, adapter PlatformAdapter) error {
+	runWith := func(run func(c *controller, ctx context.Context) error) func(ctx context.Context) error {
+		return func(ctx context.Context) error { return runController(ctx, common, watcher, adapter, run) }
+	}
+	return diskSpaceLoop{
+		common:         common.WithPart("disk"),
+		run:            runWith((*controller).run),
+		runWithoutDisk: runWith((*controller).runRedirector),
+		probe:          func() error { return aubstore.ProbeSpace(watcher.Settings().Control.DataDir) },
+	}.loop(ctx)
+}
+
+// runController runs a control process in one of its ways.
+func runController(
+	ctx context.Context, common aubcommon.Common, watcher *aubsettings.Watcher, adapter PlatformAdapter,
+	run func(c *controller, ctx context.Context) error,
+) error {
 	p, err := newProcess(ctx, common, watcher.Settings())
 	if err != nil {
 		return err
 	}
 	c := &controller{process: p, adapter: adapter, watcher: watcher}
-	if err := c.run(ctx); err != nil {
+	if err := run(c, ctx); err != nil {
 		p.common.Log.Error("Control process failed.", zap.Error(err))
 		_ = p.close()
 		return err
--- a/internal/aubprocess/redirect.go
+++ b/internal/aubprocess/redirect.go
@@ -13,7 +13,7 @@
 // runRedirector runs a control process without a data folder, which has no replica: it
 // redirects operators and backend servers to a control process that has one.
 func (c *controller) runRedirector(ctx context.Context) error {
-	c.common.Log.Warn("No data folder; every call is sent on to a control process with one.")
+	c.common.Log.Warn("No usable data folder; every call is sent on to a control process with one.")
 	c.registry = aubregistry.NewRegistry(c.common, registrationTimeout(c.cfg))
 	c.registryClient = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
 		Process:     c.cfg.Name,
--- a/internal/aubstore/store_test.go
+++ b/internal/aubstore/store_test.go
@@ -260,3 +260,14 @@
 	qt.Assert(t, gotID, qt.Equals, id)
 	qt.Assert(t, isEqual(got, want), qt.IsTrue)
 }
+
+// TestProbeSpaceLeavesNothing probes an empty folder and one with an interrupted rewrite.
+func TestProbeSpaceLeavesNothing(t *testing.T) {
+	dir := t.TempDir()
+	qt.Assert(t, os.WriteFile(filepath.Join(dir, "replica.db.tmp"), []byte("half"), 0o600), qt.IsNil)
+	qt.Assert(t, aubstore.ProbeSpace(dir), qt.IsNil)
+	entries, err := os.ReadDir(dir)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, entries, qt.HasLen, 0)
+	qt.Assert(t, aubstore.IsDiskFull(aubstore.ProbeSpace(filepath.Join(dir, "missing"))), qt.IsFalse)
+}
