Count the demand of a request once, and report the end of a rate limit for a time only

A request whose choice another one forestalled went round the loop of attempts and was counted again as demand for its model; the choice is now repeated where it is made. The end of a limit was reported to the peers as long as answers came; TestEndedLimitIsReportedForATime failed on that. Two queries of the throttle share their code.

--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -94,10 +94,6 @@
 		if err != nil {
 			return h.giveUp(ctx, ex, lastResult, err)
 		}
-		if !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
-			// Another request has used up the rate limit since the choice.
-			continue
-		}
 		lastResult = h.sendAttempt(ctx, ex, choice)
 		if lastResult.outcome == outcomeFinal {
 			return lastResult.err
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -12,7 +12,7 @@
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
-// selectBackend chooses a backend server. While the prompts that wait for prefill
+// selectBackend chooses a backend server whose rate limit admits the request. While the prompts that wait for prefill
 // there and this one together exceed maxPrefillRunTokens, it delays the choice, up to
 // a fraction of the objective: an engine that prefills without a break stalls its
 // running responses.
@@ -23,6 +23,10 @@
 		choice, err := h.routeOrPlace(ctx, ex, request)
 		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > maxPrefillRunTokens
 		if !exceedsPrefillRun || !h.common.Timer.Now().Before(waitDeadline) {
+			if err == nil && !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
+				// Another request has used up the rate limit since the choice.
+				continue
+			}
 			return choice, err
 		}
 		if err := aubtimer.Wait(ctx, h.common.Timer, prefillPollInterval); err != nil {
--- a/internal/aubthrottle/state.go
+++ b/internal/aubthrottle/state.go
@@ -28,9 +28,10 @@
 // limitState is the limit of one backend server and the bucket of this instance.
 type limitState struct {
 	// limit, in requests per second, is the newest one of all instances, statedAt when an
-	// answer stated it. own and ownStatedAt are those of this instance's answers.
+	// answer stated it, changedAt when it became known here. own and ownStatedAt are those of this instance's answers.
 	limit       auboption.Option[float64]
 	statedAt    time.Time
+	changedAt   time.Time
 	own         auboption.Option[float64]
 	ownStatedAt time.Time
 	createdAt   time.Time
@@ -67,7 +68,7 @@
 		// What was sent before is unknown.
 		s.level = min(s.level, 0)
 	}
-	s.limit, s.hasChanged = limit, true
+	s.limit, s.changedAt, s.hasChanged = limit, now, true
 	s.level = min(s.level, s.capacity())
 	return true
 }
@@ -118,6 +119,7 @@
 	return true
 }
 
+// adviseRetry returns when the next refused caller should come back.
 func (s *limitState) adviseRetry(now time.Time, share float64) time.Duration {
 	at := now.Add(s.wait(now, share))
 	if share > 0 && s.advisedUntil.After(now) {
@@ -165,7 +167,7 @@
 // isOutdated reports whether the state can be dropped.
 func (s *limitState) isOutdated(now time.Time) bool {
 	if !s.isLimited() {
-		return now.Sub(s.statedAt) > endedRetention
+		return now.Sub(s.changedAt) > endedRetention
 	}
 	lastUsedAt := s.statedAt
 	if n := len(s.recentSends); n > 0 && s.recentSends[n-1].After(lastUsedAt) {
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -67,9 +67,8 @@
 	states map[Backend]*limitState
 	// instances is the largest number of instances, this one included, known within
 	// instanceRetention; 0 while unknown.
-	instances     int
-	instancesAt   time.Time
-	lastInstances int
+	instances   int
+	instancesAt time.Time
 }
 
 // New returns a throttle that knows no limit.
@@ -90,13 +89,9 @@
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastInstances = n
-	if n >= t.instances {
+	if n >= t.instances || now.Sub(t.instancesAt) > instanceRetention {
 		t.instances, t.instancesAt = n, now
 	}
-	if now.Sub(t.instancesAt) > instanceRetention {
-		t.instances, t.instancesAt = t.lastInstances, now
-	}
 }
 
 // share returns the part of each limit that this instance and the peers that it hears use
@@ -149,16 +144,7 @@
 }
 
 // Wait returns the time until a request may be sent to the backend server; 0 for now.
-func (t *Throttle) Wait(b Backend) time.Duration {
-	now := t.common.Timer.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state := t.states[b]
-	if state == nil {
-		return 0
-	}
-	return state.wait(now, t.share())
-}
+func (t *Throttle) Wait(b Backend) time.Duration { return t.timeOf(b, (*limitState).wait) }
 
 // Take admits one request to the backend server and reports whether it may be sent.
 func (t *Throttle) Take(requestID string, b Backend) bool {
@@ -197,6 +183,11 @@
 // times one after the other at the rate of the limit, so that they don't all return for the
 // same request that the limit allows.
 func (t *Throttle) AdviseRetry(b Backend) time.Duration {
+	return t.timeOf(b, (*limitState).adviseRetry)
+}
+
+// timeOf returns a time that the state of the backend server tells; 0 without a state.
+func (t *Throttle) timeOf(b Backend, get func(s *limitState, now time.Time, share float64) time.Duration) time.Duration {
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -204,7 +195,7 @@
 	if state == nil {
 		return 0
 	}
-	return state.adviseRetry(now, t.share())
+	return get(state, now, t.share())
 }
 
 // Report returns the limits for the peers: all, or only those with changes since the last
--- a/internal/aubthrottle/throttle_test.go
+++ b/internal/aubthrottle/throttle_test.go
@@ -138,3 +138,32 @@
 	report(1, 2)
 	qt.Assert(t, i.Wait(modelBackend) >= 3*time.Second, qt.IsTrue)
 }
+
+// TestEndedLimitIsReportedForATime goes on with answers that state no limit.
+func TestEndedLimitIsReportedForATime(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	i := newInstance(timer, 2, 1)
+	i.Observe("", modelBackend, limitOf(1))
+	for range 9 {
+		i.Observe("", modelBackend, auboption.None[float64]())
+		reported := i.Report(true)
+		qt.Assert(t, reported, qt.HasLen, 1)
+		qt.Assert(t, reported[0].GetStated(), qt.IsTrue)
+		qt.Assert(t, reported[0].GetLimited(), qt.IsFalse)
+		timer.Advance(time.Second)
+	}
+	timer.Advance(2 * time.Second)
+	qt.Assert(t, i.Report(true), qt.HasLen, 0)
+}
+
+// TestSupersededReadingIsNotReported merges a newer statement that differs from the own one.
+func TestSupersededReadingIsNotReported(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	i := newInstance(timer, 2, 1)
+	i.Observe("", modelBackend, limitOf(1))
+	qt.Assert(t, i.Snapshot(), qt.HasLen, 1)
+	timer.Advance(time.Second)
+	i.Merge("peer", 1, []*aubwire.BackendLimit{{Id: modelBackend.Name, Incarnation: 1, Stated: true, Limited: true, PerSecond: 3}})
+	qt.Assert(t, i.Snapshot(), qt.HasLen, 0)
+	qt.Assert(t, i.Report(true)[0].GetStated(), qt.IsFalse)
+}
