Count the relays of the last minutes for the parts of rate limits

What a backend server would see: up to twice its limit, if a relay restarts while it is cut off with a control process: it took the few relays that this one hears for all, and so the whole limit for its own, while the others left it only its part. Found by asking what 'cut off' and 'restarted' do together. Control processes now also tell how many relays reported in the last 5 minutes.

TestSilentRelayIsKnownForMinutes can't be built without the count; before, the relay's number was that of PeerCount, which the test shows to be 0 others.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -234,7 +234,7 @@
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
-	r.throttle.SetInstances(int(peers.GetInstances()) + 1)
+	r.throttle.SetInstances(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 }
 
 // awaitReady reports ready once the relay has a configuration and a backend server.
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -11,8 +11,13 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// maxReportAge is the age above which a relay and its load are not counted.
-const maxReportAge = 1500 * time.Millisecond
+const (
+	// maxReportAge is the age above which a relay and its load are not counted.
+	maxReportAge = 1500 * time.Millisecond
+	// relayRetention is how long a relay that no longer reports is known: it may be cut off
+	// and run.
+	relayRetention = 5 * time.Minute
+)
 
 // ModelKey identifies a model or, if Adapter is not empty, an adapter of it.
 type ModelKey struct {
@@ -141,6 +146,20 @@
 	return limits
 }
 
+// KnownRelays returns the number of relays that reported within relayRetention.
+func (l *LoadAggregator) KnownRelays() int {
+	now := l.common.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := 0
+	for _, relay := range l.relays {
+		if now.Sub(relay.receivedAt) <= relayRetention {
+			known++
+		}
+	}
+	return known
+}
+
 // PeerCount returns the number of relays with a recent report other than the named one.
 func (l *LoadAggregator) PeerCount(instance string) int {
 	now := l.common.Timer.Now()
--- a/internal/aubregistry/load_test.go
+++ b/internal/aubregistry/load_test.go
@@ -12,6 +12,22 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+// TestSilentRelayIsKnownForMinutes guards against a restarted relay that takes the few relays
+// which a cut-off control process hears for all.
+func TestSilentRelayIsKnownForMinutes(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	loads := aubregistry.NewLoadAggregator(aubcommon.NewCommon(timer))
+	for _, relay := range []string{"r1", "r2", "r3"} {
+		loads.AddReport(&aubwire.LoadReport{Instance: relay, Incarnation: 1})
+	}
+	timer.Advance(time.Minute)
+	loads.AddReport(&aubwire.LoadReport{Instance: "r1", Incarnation: 2})
+	qt.Assert(t, loads.PeerCount("r1"), qt.Equals, 0)
+	qt.Assert(t, loads.KnownRelays(), qt.Equals, 3)
+	timer.Advance(4*time.Minute + time.Second)
+	qt.Assert(t, loads.KnownRelays(), qt.Equals, 1)
+}
+
 // TestNewestRateLimitCounts merges reports of three relays about one backend server.
 func TestNewestRateLimitCounts(t *testing.T) {
 	timer := aubtimer.NewManual(time.Unix(0, 0))
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -315,6 +315,8 @@
 		resp.Peers = &aubwire.Peers{
 			Instances:     int32(w.server.opts.Loads.PeerCount(w.process)),
 			LoadAddresses: w.server.loadAddresses(w.loadAddress),
+
+			KnownInstances: int32(w.server.opts.Loads.KnownRelays()),
 		}
 	}
 }
