Withdraw the announced unloads of an earlier leader

Cause, traced in its logs: leader 1 announced to the relays at 26:22.24 that engine i-4 was about to unload model1, as it must 100 ms before the order, and lost its leadership at 26:22.29 without having ordered it. Nobody withdrew the announcement. Relays left i-4 out, the next leader counted its copy as ready, unloaded the other one at 26:47.93 and named i-4 to every relay that asked for a copy.

A new leader withdraws what it finds announced once it may order; an order of its predecessor that is still carried out costs a request one refusal as not run. The list's revision, a time of day, now grows also over clocks that differ.

TestNewLeaderWithdrawsAnnouncedUnloads failed before.

--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -192,6 +192,10 @@
 		if e == nil || e.startedMs != record.GetStartedMs() {
 			e = newEngineState(record)
 			d.engines[record.GetId()] = e
+			if len(record.GetUnloading()) > 0 {
+				// An earlier leader announced an unload that it may never have ordered.
+				d.publishUnloading(e, nil)
+			}
 		}
 		engines[record.GetId()] = e
 	}
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -293,6 +293,24 @@
 	})
 }
 
+// TestNewLeaderWithdrawsAnnouncedUnloads begins with an unload that an earlier leader, whose
+// clock is ahead, announced and never ordered. The model would stay unreachable.
+func TestNewLeaderWithdrawsAnnouncedUnloads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, 1, 2)
+		s.register(noDelay)
+		s.registry.SetUnloading("e0", []string{"m0"}, s.fleet.timer.Now().Add(time.Hour).UnixNano())
+		for range 12 {
+			s.step(context.Background())
+		}
+		for _, record := range s.registry.Records() {
+			if len(record.GetUnloading()) > 0 {
+				t.Fatalf("%s is still announced to unload %v", record.GetId(), record.GetUnloading())
+			}
+		}
+	})
+}
+
 func TestDemandAddsCopies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDirectorSite(t, 1, 6)
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// SetUnloading replaces the list of models that a backend server is about to unload.
+// SetUnloading replaces the list of models that a backend server is about to unload. A
+// revision that is not newer than the stored one, as after a step of the clock, is raised.
 func (r *Registry) SetUnloading(id string, models []string, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,7 +138,7 @@
 		return
 	}
 	next := cloneRecord(stored.record)
-	next.Unloading, next.UnloadingRevision = models, revision
+	next.Unloading, next.UnloadingRevision = models, max(revision, stored.record.GetUnloadingRevision()+1)
 	stored.record = next
 	stored.isLocal = true
 	r.markChanged(stored)
