Mark backend servers as leaving by the word of their answers

Cause: a backend server that leaves says so in its answers before, or without, its registration; nothing read that, so a relay went on sending to it until the registry told it, and for ever without control processes. The mark sets the state of the incarnation as its own registration would, so routing, planning and crash detection need nothing new. Ruled out: a list of its own in the router, a second belief about the same fact; raising the record's sequence, which would make the next heartbeat look old.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -218,7 +218,10 @@
 // loadReporter returns a function that builds the load reports of this instance.
 func (r *relay) loadReporter(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
-		report := &aubwire.LoadReport{Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Suspects: r.registry.Suspects(), Limits: r.throttle.Snapshot()}
+		report := &aubwire.LoadReport{
+			Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Limits: r.throttle.Snapshot(),
+			Suspects: r.registry.Suspects(), Leaving: r.registry.Leaving(),
+		}
 		for id, load := range r.router.InFlight() {
 			report.Loads = append(report.Loads, &aubwire.BackendLoad{
 				Id: id, InFlight: int32(load.Requests), PrefillTokens: load.PrefillTokens,
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -45,6 +45,9 @@
 	// isSuperseded is set if a later backend server at the same address ended this one
 	// before it announced its departure.
 	isSuperseded bool
+	// leavingSaidAt is when an answer to this process said that the incarnation leaves; zero
+	// if none did.
+	leavingSaidAt time.Time
 	// isLocal is set if the newest change was made or received by this process itself, not
 	// merged from another control process.
 	isLocal bool
@@ -152,6 +155,7 @@
 	r.noteSoftware(softwareKey{service: record.GetService(), software: record.GetSoftware()}, now)
 	if stored != nil && !supersedes(record, stored.record) {
 		r.mergeUnloading(stored, record)
+		r.mergeState(stored, record)
 		if isLocal && record.GetStartedMs() == stored.record.GetStartedMs() && record.GetSequence() == stored.record.GetSequence() {
 			stored.receivedAt = now
 		}
@@ -168,7 +172,7 @@
 	}
 	previous := stored.record
 	if previous.GetStartedMs() != record.GetStartedMs() {
-		stored.isSuspected, stored.isSuperseded = false, false
+		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
 	}
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
 	r.newestReceivedAt = now
@@ -207,6 +211,21 @@
 	r.topologyVersion++
 }
 
+// mergeState applies a later state that a control process has learned of otherwise than by a
+// registration; the caller holds mu.
+func (r *Registry) mergeState(stored *entry, record *aubwire.BackendRecord) {
+	isLater := record.GetState() > stored.record.GetState()
+	if !isLater || record.GetStartedMs() != stored.record.GetStartedMs() {
+		return
+	}
+	previous, next := stored.record, cloneRecord(stored.record)
+	next.State = record.GetState()
+	stored.record, stored.isLocal = next, false
+	r.markChanged(stored)
+	r.topologyVersion++
+	r.logChange(previous, next)
+}
+
 // supersedeAddress marks the other backend servers at the record's address as gone. It
 // returns false if one of them started later; the caller holds mu.
 func (r *Registry) supersedeAddress(record *aubwire.BackendRecord) bool {
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -238,6 +238,7 @@
 	if req.GetReport() != nil {
 		w.server.opts.Loads.AddReport(req.GetReport())
 		w.server.opts.Registry.MergeSuspects(req.GetReport().GetSuspects())
+		w.server.opts.Registry.MergeLeaving(w.process, req.GetReport().GetLeaving())
 	}
 	w.server.opts.Streams.Add(req.GetStreams())
 	w.server.mu.Lock()
