Leave backend servers alone that leave or ask for quiet

Cause: a 503 with Retry-After and the header of a departure were read nowhere. The quiet is held in aubthrottle beside the rate limit, which relay and agent ask by the same calls; refused callers are told the true end, spread over half a second, also when the first try alone used up the attempts. Answers that name another request give no advice any more, rate limits included.

--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -115,7 +115,7 @@
 	if err := g.checkRequestID(resp); err != nil {
 		return err
 	}
-	g.observeRateLimit(resp)
+	g.observeAdvice(resp)
 	if resp.StatusCode != http.StatusOK {
 		return g.forwardError(resp)
 	}
--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -98,7 +98,7 @@
 	}
 	if !a.throttle.Take(exec.key.requestID, a.throttledBackend()) {
 		release()
-		return nil, notRun(aubwire.FailureReason_FAILURE_REASON_OVERLOADED, "rate limit of the backend server is reached", a.throttle.AdviseRetry(a.throttledBackend()))
+		return nil, notRun(aubwire.FailureReason_FAILURE_REASON_OVERLOADED, "backend server takes no more requests now", a.throttle.AdviseRetry(a.throttledBackend()))
 	}
 	return release, nil
 }
@@ -165,13 +165,18 @@
 	return nil
 }
 
-// observeRateLimit passes on the limit that a response states. Only a success ends a limit.
-func (b backendCall) observeRateLimit(resp *http.Response) {
+// observeAdvice passes on what a response says of the requests that the backend server wants.
+// Only a success ends a limit.
+func (b backendCall) observeAdvice(resp *http.Response) {
 	limit := aubthrottle.ParseLimit(resp.Header.Get(aubengine.HeaderRateLimit))
 	_, isLimited := limit.Get()
 	if isLimited || resp.StatusCode < http.StatusMultipleChoices {
 		b.agent.throttle.Observe(b.exec.key.requestID, b.agent.throttledBackend(), limit)
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		quiet := aubthrottle.ParseRetryAfter(resp.Header.Get(aubengine.HeaderRetryAfter), resp.Header.Get(aubengine.HeaderDate))
+		b.agent.throttle.ObserveQuiet(b.exec.key.requestID, b.agent.throttledBackend(), quiet)
+	}
 }
 
 func (b backendCall) sendHead(resp *http.Response) error {
--- a/internal/aubagent/service.go
+++ b/internal/aubagent/service.go
@@ -36,7 +36,7 @@
 	if err := s.checkRequestID(resp); err != nil {
 		return err
 	}
-	s.observeRateLimit(resp)
+	s.observeAdvice(resp)
 	if !hasEndMark(resp) {
 		return errNoEndMark
 	}
--- a/internal/aubengine/api.go
+++ b/internal/aubengine/api.go
@@ -24,6 +24,10 @@
 	// HeaderRateLimit in a response is the number of requests per second that the backend
 	// server takes from all callers together.
 	HeaderRateLimit = "X-Rate-Limit"
+	// HeaderRetryAfter in a 503 response is the time in seconds for which the backend server
+	// wants no more requests, or an HTTP date, which counts from HeaderDate.
+	HeaderRetryAfter = "Retry-After"
+	HeaderDate       = "Date"
 )
 
 // ItemState is the state of a model or adapter in the engine.
--- a/internal/aubentry/rate_limit_test.go
+++ b/internal/aubentry/rate_limit_test.go
@@ -55,3 +55,26 @@
 	limited := len(f.engines[0].Stats().Executions)
 	qt.Assert(t, limited <= 3, qt.IsTrue, qt.Commentf("%d calls reached the limited engine", limited))
 }
+
+// TestCallsToQuietEngineAreRefusedAtOnce has the only engine of a model turn a call away and
+// ask for quiet. Later calls don't reach it until the end.
+func TestCallsToQuietEngineAreRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, fixtureOpts{})
+	f.awaitBackends(t)
+	f.engines[0].SetFaults(aubstandin.Faults{QuietMS: 2000})
+	callChat(t, f)
+	// The engine would now serve calls, so that one which reaches it shows.
+	f.engines[0].SetFaults(aubstandin.Faults{})
+	startedAt := time.Now()
+	for range limitedCalls {
+		status, retryAfter := callChat(t, f)
+		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, retryAfter, qt.Not(qt.Equals), "")
+	}
+	elapsed := time.Since(startedAt)
+	qt.Assert(t, elapsed < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", elapsed))
+	qt.Assert(t, f.engines[0].Stats().Executions, qt.HasLen, 0)
+	time.Sleep(2500*time.Millisecond - elapsed)
+	status, _ := callChat(t, f)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+}
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -127,7 +127,7 @@
 // writes it to the caller.
 func (h *Handler) handleResponse(ex *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) attemptResult {
 	decoded := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header)
-	h.observeRateLimit(ex, choice, decoded)
+	h.observeAdvice(ex, choice, decoded)
 	switch {
 	case decoded.NotRun:
 		h.dropMissingCopy(ex, decoded)
@@ -142,13 +142,24 @@
 	return h.relayPlain(ex, choice, resp, started)
 }
 
-// observeRateLimit passes on the limit that a response states. Only a response that is
-// certainly the backend server's own ends a limit.
-func (h *Handler) observeRateLimit(ex *exchange, choice aubroute.Choice, decoded BackendResponse) {
+// observeAdvice passes on what a response says of the requests that its backend server
+// wants. Only a response that is certainly the backend server's own ends a limit. Nothing is
+// taken from one that belongs to another request: its sender may be gone.
+func (h *Handler) observeAdvice(ex *exchange, choice aubroute.Choice, decoded BackendResponse) {
+	if decoded.Misdirected || decoded.CallID != ex.call.ID && decoded.CallID != "" {
+		return
+	}
 	_, isLimited := decoded.RateLimit.Get()
 	isOwn := decoded.Signed && decoded.CallID == ex.call.ID
-	if !decoded.Misdirected && (isLimited || isOwn) {
-		h.opts.Throttle.Observe(ex.call.ID, throttledBackend(choice), decoded.RateLimit)
+	backend := throttledBackend(choice)
+	if isLimited || isOwn {
+		h.opts.Throttle.Observe(ex.call.ID, backend, decoded.RateLimit)
+	}
+	if decoded.RetryAfter > 0 {
+		h.opts.Throttle.ObserveQuiet(ex.call.ID, backend, decoded.RetryAfter)
+	}
+	if decoded.Leaving {
+		h.opts.Registry.MarkLeaving(ex.call.ID, backend.Name, int64(backend.Incarnation))
 	}
 }
 
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -49,6 +49,8 @@
 	headerOutput    = "Test-Output-Tokens"
 	headerRateLimit = "Test-Rate-Limit"
 	headerResumes   = "Test-Resumes"
+	headerLeaving   = "Test-Leaving"
+	headerQuiet     = "Test-Quiet"
 )
 
 // testProtocol is a minimal aubrelay.Protocol.
@@ -88,6 +90,8 @@
 	if limit, err := strconv.ParseFloat(header.Get(headerRateLimit), 64); err == nil {
 		resp.RateLimit = auboption.Some(limit)
 	}
+	resp.Leaving = header.Get(headerLeaving) != ""
+	resp.RetryAfter, _ = time.ParseDuration(header.Get(headerQuiet))
 	return resp
 }
 
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -89,6 +89,11 @@
 	// RateLimit is the number of requests per second that the backend server takes from all
 	// callers together; none if it states no limit.
 	RateLimit auboption.Option[float64]
+	// Leaving is set if the backend server states that it leaves.
+	Leaving bool
+	// RetryAfter is how long the backend server, which turned the request away, wants no more
+	// requests from this instance; 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // RefusalCode names the cause of a refusal.
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -196,6 +196,11 @@
 	}
 	retryAfter := defaultRetryAfter
 	var noBackend *aubroute.NoBackendError
+	if pickErr == nil {
+		// The only backend servers left may want no request for a time.
+		ex.excludedBackends = nil
+		_, pickErr = h.opts.Router.Pick(h.newRouteRequest(ex))
+	}
 	if errors.As(pickErr, &noBackend) && noBackend.RetryAfter > 0 {
 		retryAfter = noBackend.RetryAfter
 	}
--- a/internal/aubstandin/fault.go
+++ b/internal/aubstandin/fault.go
@@ -49,6 +49,9 @@
 	// RateLimit is the rate limit that responses state, in requests per second; 0 states
 	// none.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// QuietMS makes every request be turned away with the demand for no more requests for
+	// that many milliseconds; 0 turns none away.
+	QuietMS int64 `json:"quiet_ms,omitempty"`
 	// ForgetAnswers makes every answer unknown to resume and status requests.
 	ForgetAnswers bool `json:"forget_answers,omitempty"`
 }
@@ -78,6 +81,18 @@
 	}
 }
 
+// refuseForQuiet turns a request away if requests are to be turned away.
+func (s *faultSet) refuseForQuiet(w http.ResponseWriter) bool {
+	quiet := s.get().QuietMS
+	if quiet <= 0 {
+		return false
+	}
+	seconds := (time.Duration(quiet) * time.Millisecond).Seconds()
+	w.Header().Set(aubengine.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // consume decrements the count that counter selects and reports whether it was above 0.
 func (s *faultSet) consume(counter func(*Faults) *int) bool {
 	s.mu.Lock()
--- a/internal/aubstandin/generate.go
+++ b/internal/aubstandin/generate.go
@@ -51,6 +51,10 @@
 	if err != nil {
 		priority = 0
 	}
+	w.Header().Set(aubengine.HeaderRequestID, requestID)
+	if e.faults.refuseForQuiet(w) {
+		return
+	}
 	e.recorder.recordExecution(requestID, e.common.Timer.Now())
 	if poison := e.faults.get().PoisonPrompt; poison != "" && strings.Contains(req.prompt, poison) {
 		e.Crash()
--- a/internal/aubstandin/service.go
+++ b/internal/aubstandin/service.go
@@ -122,6 +122,9 @@
 		return
 	}
 	id := r.Header.Get(aubengine.HeaderRequestID)
+	if s.faults.refuseForQuiet(w) {
+		return
+	}
 	s.recorder.recordExecution(id, s.common.Timer.Now())
 	if poison := s.faults.get().PoisonPrompt; poison != "" && strings.Contains(string(body), poison) {
 		s.Crash()
--- a/internal/aubthrottle/parse.go
+++ b/internal/aubthrottle/parse.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/auburndale/auburndale/internal/auboption"
 )
@@ -11,9 +13,36 @@
 // ParseLimit parses a limit in requests per second. Text that is no such number states no
 // limit.
 func ParseLimit(text string) auboption.Option[float64] {
-	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+	limit, err := parseFinite(text)
+	if err != nil || limit < 0 {
 		return auboption.None[float64]()
 	}
 	return auboption.Some(limit)
 }
+
+// ParseRetryAfter parses the value of a Retry-After header, seconds or an HTTP date, up to
+// MaxQuietTime. A date counts from that of the answer, so that the clocks of two hosts are
+// not compared. Text that states no time to come returns 0.
+func ParseRetryAfter(text, answerDate string) time.Duration {
+	seconds, err := parseFinite(text)
+	if err != nil {
+		until, dateErr := http.ParseTime(strings.TrimSpace(text))
+		answeredAt, answerErr := http.ParseTime(answerDate)
+		if dateErr != nil || answerErr != nil {
+			return 0
+		}
+		seconds = until.Sub(answeredAt).Seconds()
+	}
+	seconds = min(max(seconds, 0), MaxQuietTime.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// parseFinite parses a number that is neither infinite nor NaN. Errors are those of
+// strconv.ParseFloat.
+func parseFinite(text string) (float64, error) {
+	number, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err == nil && (math.IsNaN(number) || math.IsInf(number, 0)) {
+		err = strconv.ErrRange
+	}
+	return number, err
+}
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -2,7 +2,9 @@
 // states in its answers. The limit holds for all instances together: each one has a token
 // bucket of the whole limit and subtracts what its peers report to have sent. An instance
 // that hears only a part of its peers uses only their common part of the limit, so that
-// groups that are cut off from each other don't exceed it together.
+// groups that are cut off from each other don't exceed it together. A backend server that
+// turns a request away may also ask one instance for quiet; that instance then sends it none
+// until the end.
 package aubthrottle
 
 import (
@@ -62,9 +64,12 @@
 	opts   Opts
 	sends  tally.Counter
 	denied tally.Counter
+	// quietAsked counts the answers that began or prolonged a quiet.
+	quietAsked tally.Counter
 
 	mu     sync.Mutex
 	states map[Backend]*limitState
+	quiets map[Backend]*quietPeriod
 	// instances is the largest number of instances, this one included, known within
 	// instanceRetention; 0 while unknown.
 	instances   int
@@ -75,8 +80,8 @@
 func New(common aubcommon.Common, opts Opts) *Throttle {
 	common = common.WithPart("throttle")
 	t := &Throttle{
-		common: common, opts: opts, states: make(map[Backend]*limitState),
-		sends: common.Metrics.Counter("sends"), denied: common.Metrics.Counter("denied"),
+		common: common, opts: opts, states: make(map[Backend]*limitState), quiets: make(map[Backend]*quietPeriod),
+		sends: common.Metrics.Counter("sends"), denied: common.Metrics.Counter("denied"), quietAsked: common.Metrics.Counter("quiet_asked"),
 	}
 	if opts.HeardPeers == nil {
 		t.instances = 1
@@ -144,7 +149,16 @@
 }
 
 // Wait returns the time until a request may be sent to the backend server; 0 for now.
-func (t *Throttle) Wait(b Backend) time.Duration { return t.timeOf(b, (*limitState).wait) }
+func (t *Throttle) Wait(b Backend) time.Duration {
+	now := t.common.Timer.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := t.quietWait(now, b)
+	if state := t.states[b]; state != nil {
+		wait = max(wait, state.wait(now, t.share()))
+	}
+	return wait
+}
 
 // Take admits one request to the backend server and reports whether it may be sent.
 func (t *Throttle) Take(requestID string, b Backend) bool {
@@ -159,6 +173,10 @@
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.quietWait(now, b) > 0 {
+		t.denied.Inc(1)
+		return false, false
+	}
 	state := t.states[b]
 	if state == nil {
 		return true, false
@@ -179,23 +197,23 @@
 	return true, true
 }
 
-// AdviseRetry returns the time after which a refused caller should come back. Callers get
-// times one after the other at the rate of the limit, so that they don't all return for the
-// same request that the limit allows.
+// AdviseRetry returns the time after which a refused caller should come back, never before
+// a quiet that the backend server asked for ends. Callers get times one after the other at
+// the rate of the limit, or spread over quietSpread after a quiet, so that they don't all
+// return at once.
 func (t *Throttle) AdviseRetry(b Backend) time.Duration {
-	return t.timeOf(b, (*limitState).adviseRetry)
-}
-
-// timeOf returns a time that the state of the backend server tells; 0 without a state.
-func (t *Throttle) timeOf(b Backend, get func(s *limitState, now time.Time, share float64) time.Duration) time.Duration {
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state := t.states[b]
-	if state == nil {
-		return 0
+	t.endQuiet(now, b)
+	var advice time.Duration
+	if state := t.states[b]; state != nil && state.isLimited() {
+		advice = state.adviseRetry(now, t.share())
+	}
+	if quiet := t.quiets[b]; quiet != nil {
+		advice = max(advice, quiet.adviseRetry(now))
 	}
-	return get(state, now, t.share())
+	return advice
 }
 
 // Report returns the limits for the peers: all, or only those with changes since the last
@@ -205,6 +223,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.states, func(_ Backend, s *limitState) bool { return s.isOutdated(now) })
+	t.endQuiets(now)
 	var limits []*aubwire.BackendLimit
 	for _, b := range slices.SortedFunc(maps.Keys(t.states), compareBackends) {
 		if s := t.states[b]; isFull || s.hasChanged {
