Send renewed registrations with the periodic responses

Cause, by reading: a control process woke the stream of every watcher for each heartbeat of a backend server, and each watcher acknowledged each one. At 105 relays and 165 backend servers that is 14,000 messages a second and as many acknowledgements. What routing depends on, a departure, also a repeated one, and the return of a lost backend server go at once as before. Test: TestOnlyNewsWakesWatchers, failed before.

--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -68,7 +68,7 @@
 	version uint64
 	// topologyVersion increases with every change that routing depends on.
 	topologyVersion uint64
-	// changed is closed when version increases.
+	// changed is closed when version increases by more than a renewed registration.
 	changed chan struct{}
 	// newestReceivedAt is when a new record was last received. Timeouts are relative to it:
 	// if no registrations are received at all, this process is partitioned and the
@@ -170,14 +170,19 @@
 		stored = &entry{}
 		r.entries[record.GetId()] = stored
 	}
-	previous := stored.record
+	previous, wasLost := stored.record, stored.record != nil && r.isLost(stored)
 	if previous.GetStartedMs() != record.GetStartedMs() {
 		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
 	}
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
 	r.newestReceivedAt = now
+	hasSameTopology := sameTopology(previous, record)
+	if hasSameTopology && !wasLost && record.GetState() == aubwire.BackendState_BACKEND_STATE_READY {
+		r.markRenewed(stored)
+		return
+	}
 	r.markChanged(stored)
-	if !sameTopology(previous, record) {
+	if !hasSameTopology {
 		r.topologyVersion++
 		r.logChange(previous, record)
 	}
@@ -247,11 +252,18 @@
 	return true
 }
 
+// markRenewed gives the entry a new version without notifying the watchers, which receive
+// it with their next periodic response: a registration that only says that the backend server
+// still runs matters after seconds. The caller holds mu.
+func (r *Registry) markRenewed(e *entry) {
+	r.version++
+	e.version = r.version
+}
+
 // markChanged gives the entry a new version and notifies the watchers; the caller holds
 // mu.
 func (r *Registry) markChanged(e *entry) {
-	r.version++
-	e.version = r.version
+	r.markRenewed(e)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -269,7 +281,8 @@
 }
 
 // ChangedSince returns the records that changed after the version, the current version and
-// a channel that is closed by the next change. Version 0 returns all records, a later one
+// a channel that is closed by the next change, except that of a registration which repeats
+// what is known. Version 0 returns all records, a later one
 // only those that this process received directly, because watchers are also connected to
 // the other control processes. Lost backend servers are left out.
 func (r *Registry) ChangedSince(version uint64) ([]*aubwire.BackendRecord, uint64, <-chan struct{}) {
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -155,3 +155,54 @@
 	_, err := client.Place(ctx, &aubwire.PlaceRequest{})
 	qt.Assert(t, err, qt.ErrorMatches, "no control process answers")
 }
+
+// TestOnlyNewsWakesWatchers applies registrations to a registry with two backend servers. One
+// that repeats what is known must not wake the watchers; it has a version of its own, so that
+// the next periodic response holds it.
+func TestOnlyNewsWakesWatchers(t *testing.T) {
+	withModel := record("i1", "a:1", 1, 2, ready)
+	withModel.Models = []*aubwire.ModelCopy{{Name: "m"}}
+	for _, test := range []struct {
+		name      string
+		prepare   func(r *aubregistry.Registry, timer *aubtimer.Manual)
+		next      *aubwire.BackendRecord
+		wantWaken bool
+	}{
+		{name: "renewed", next: record("i1", "a:1", 1, 2, ready)},
+		{name: "another model", next: withModel, wantWaken: true},
+		{name: "leaves", next: record("i1", "a:1", 1, 2, draining), wantWaken: true},
+		{name: "restarted", next: record("i1", "a:1", 2, 1, ready), wantWaken: true},
+		{name: "new", next: record("i3", "a:3", 1, 1, ready), wantWaken: true},
+		{name: "leaves again", prepare: func(r *aubregistry.Registry, _ *aubtimer.Manual) {
+			r.Register(record("i1", "a:1", 1, 2, draining))
+		}, next: record("i1", "a:1", 1, 3, draining), wantWaken: true},
+		{name: "back after refused connections", prepare: func(r *aubregistry.Registry, _ *aubtimer.Manual) {
+			r.MarkSuspect("i1", 1)
+		}, next: record("i1", "a:1", 1, 2, ready), wantWaken: true},
+		{name: "back after silence", prepare: func(r *aubregistry.Registry, timer *aubtimer.Manual) {
+			timer.Advance(time.Minute)
+			r.Register(record("i2", "a:2", 1, 2, ready))
+		}, next: record("i1", "a:1", 1, 2, ready), wantWaken: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, timer := newRegistry()
+			r.Register(record("i1", "a:1", 1, 1, ready))
+			r.Register(record("i2", "a:2", 1, 1, ready))
+			if test.prepare != nil {
+				test.prepare(r, timer)
+			}
+			_, version, changed := r.ChangedSince(1)
+			r.Register(test.next)
+			isWaken := false
+			select {
+			case <-changed:
+				isWaken = true
+			default:
+			}
+			qt.Assert(t, isWaken, qt.Equals, test.wantWaken)
+			records, newVersion, _ := r.ChangedSince(version)
+			qt.Assert(t, records, qt.HasLen, 1)
+			qt.Assert(t, newVersion > version, qt.IsTrue)
+		})
+	}
+}
