Let a panic of a gRPC handler fail its call only

Operators of similar systems lost whole processes to one message. A panic in a handler ended the process here too (TestPanicOfAHandlerFailsItsCallOnly ends the test's process without the guard). It is logged with its stack and counted; goroutines that a handler starts are not covered.

--- a/internal/aubprocess/process.go
+++ b/internal/aubprocess/process.go
@@ -49,12 +49,13 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	metrics := aubmetric.NewMetrics(common.Log, cfg.Name, cfg.Zone)
 	transport := aubtransport.NewTransport(certs)
+	common = common.WithMetrics(metrics.Scope)
 	return &process{
-		common:     common.WithMetrics(metrics.Scope),
+		common:     common,
 		cfg:        cfg,
 		metrics:    metrics,
 		transport:  transport,
-		grpcServer: transport.NewServer(),
+		grpcServer: transport.NewServer(common),
 		health:     newHealth(),
 		secret:     secret,
 		group:      group,
--- a/internal/aubtransport/grpc.go
+++ b/internal/aubtransport/grpc.go
@@ -8,6 +8,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
 )
 
 const (
@@ -44,9 +46,13 @@
 	)
 }
 
-// NewServer returns a gRPC server for calls from the site's processes.
-func (t *Transport) NewServer() *grpc.Server {
+// NewServer returns a gRPC server for calls from the site's processes. A panic of a handler
+// fails its call only.
+func (t *Transport) NewServer(common aubcommon.Common) *grpc.Server {
+	guard := panicGuard{common: common.WithPart("transport")}
 	return grpc.NewServer(
+		grpc.UnaryInterceptor(guard.unary),
+		grpc.StreamInterceptor(guard.stream),
 		grpc.Creds(t.serverCredentials()),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
--- a/internal/aubtransport/tls_test.go
+++ b/internal/aubtransport/tls_test.go
@@ -95,7 +95,7 @@
 // callHealth starts a gRPC server with the server transport, calls its health check
 // through the client transport and returns the error of the call.
 func callHealth(t *testing.T, server, client *aubtransport.Transport) error {
-	s := server.NewServer()
+	s := server.NewServer(aubcommon.NewCommon(aubtimer.NewReal()))
 	grpc_health_v1.RegisterHealthServer(s, health.NewServer())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
