Share redirected calls among the control processes

Cause: a control process without a disk redirected every call to the connected control process with the lowest address. On the large fleet 23 of 28 control processes have no disk, so that one got most of the heartbeats of 165 backend servers (at most 0.39 of a core, the mean 0.06). It now draws one.

--- a/internal/aubprocess/redirect.go
+++ b/internal/aubprocess/redirect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 
@@ -36,17 +37,25 @@
 	return nil
 }
 
-// redirect redirects a request to a connected control process. All control processes
-// listen for requests on the same port.
+// redirect redirects a request to a connected control process.
 func (c *controller) redirect(w http.ResponseWriter, r *http.Request) {
-	addresses := c.registryClient.ConnectedAddresses()
-	_, port, err := net.SplitHostPort(c.cfg.Registry.Listen.String())
-	if len(addresses) == 0 || err != nil {
-		c.common.Log.Warn("No control process to redirect a request to.", zap.String("path", r.URL.Path), zap.Error(err))
+	target, ok := redirectTarget(c.registryClient.ConnectedAddresses(), c.cfg.Registry.Listen.String(), rand.IntN)
+	if !ok {
+		c.common.Log.Warn("No control process to redirect a request to.", zap.String("path", r.URL.Path))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	// Addresses in checked settings always split into host and port.
-	host, _, _ := net.SplitHostPort(addresses[0])
-	http.Redirect(w, r, "http://"+net.JoinHostPort(host, port)+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+	http.Redirect(w, r, "http://"+target+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+}
+
+// redirectTarget draws one of the control processes, so that they share the calls, and
+// returns the address at which it serves operators and backend servers. All control
+// processes listen for these on the port of ownListen. It returns false if there is none.
+func redirectTarget(internalAddresses []string, ownListen string, intN func(n int) int) (string, bool) {
+	_, port, err := net.SplitHostPort(ownListen)
+	if err != nil || len(internalAddresses) == 0 {
+		return "", false
+	}
+	host, _, err := net.SplitHostPort(internalAddresses[intN(len(internalAddresses))])
+	return net.JoinHostPort(host, port), err == nil
 }
