Forget a backend server between two events in the relay's test

TestRunningRequestOutlivesItsRegistration failed in 1 of 1 and 2 of 10 runs at a load of 40: its streams took 250 ms of sleeps and more, and broke off at the route's timeout of 400 ms (0.42 to 0.51 s in the failed cases), not because the backend server was forgotten, which the test did 120 ms after its start by the wall clock.

--- a/internal/aubrelay/running_request_test.go
+++ b/internal/aubrelay/running_request_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// streamCalling returns a behavior that sends the events of a stream and calls a function before
+// the event with the id.
+func streamCalling(id int, call func()) behavior {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		b.setHeaders(w, r)
+		for i := firstEventID(r); i <= finalEventID; i++ {
+			if i == id {
+				call()
+			}
+			time.Sleep(10 * time.Millisecond)
+			writeEvents(w, i, i+1)
+		}
+	}
+}
+
 // trickle sends one event and then a byte now and then until its request is cancelled.
 func trickle(b *backend, w http.ResponseWriter, r *http.Request) {
 	b.recordRun(r)
@@ -126,8 +142,7 @@
 		for _, path := range []string{"/stream/x", "/stream-once/x"} {
 			t.Run(name+path, func(t *testing.T) {
 				fixture := newRelayFixture(t, "b1")
-				fixture.setBehaviors(streamSlowly(50 * time.Millisecond))
-				time.AfterFunc(120*time.Millisecond, func() { forget(fixture) })
+				fixture.setBehaviors(streamCalling(2, func() { forget(fixture) }))
 				result := fixture.call(http.MethodPost, path, "1", nil)
 				qt.Assert(t, result.isBroken, qt.IsFalse)
 				qt.Assert(t, result.body, qt.Equals, completeStream())
