Keep the software versions of services in the replicated log

A relay that knows no origin of a stream takes the only version of the service, which it knew from registrations in memory. After all relays and control processes were killed at once only the servers that still run register, so streams of a version that has left, or has not registered again, went on at the new one with status 200.

The table "software" (aubresume) holds service, version and replicated time. FindStream states the committed versions and whether the process has confirmed its state since its start; only such answers count, and committed and seen versions together must be exactly one.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -36,6 +36,7 @@
 	replica        *aubcontrol.Replica
 	siteTable      *aubsite.Table
 	poison         *aubpoison.Table
+	software       *aubresume.SoftwareTable
 	site           *aubsite.ActiveSite
 	registry       *aubregistry.Registry
 	loads          *aubregistry.LoadAggregator
@@ -120,6 +121,7 @@
 func (c *controller) startReplica() error {
 	c.siteTable = aubsite.NewTable()
 	c.poison = aubpoison.NewTable()
+	c.software = aubresume.NewSoftwareTable()
 	c.site = aubsite.NewActiveSite(c.common, c.adapter.DecodeSite)
 	selfAddress := c.cfg.Internal.Address()
 	seeds := controlSeeds(c.cfg)
@@ -136,7 +138,7 @@
 		MaxVoters:       2*c.cfg.Control.FaultTolerance + 1,
 		ReplaceAfter:    c.cfg.Control.ReplaceAfter.Value(),
 		DataDir:         c.cfg.Control.DataDir,
-		Tables:          []aubcontrol.Table{c.siteTable, c.poison},
+		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.software},
 		Dial:            c.transport.Dial,
 		Heartbeat:       c.cfg.Control.HeartbeatInterval.Value(),
 		ElectionTimeout: c.cfg.Control.ElectionTimeout.Value(),
@@ -163,6 +165,9 @@
 		Handover:   c.cfg.Placement.HandoverDelay.Value(),
 		Forward:    c.forwardPlace,
 	})
+	software := aubresume.NewSoftwareCommitter(c.ctx, c.common, aubresume.CommitterOpts{
+		Table: c.software, Proposer: c.replica, Leadership: c.replica, Seen: c.registry.SoftwareSeen,
+	})
 	c.registryServer = aubregistry.NewServer(c.common, aubregistry.ServerOpts{
 		Registry:    c.registry,
 		Loads:       c.loads,
@@ -174,6 +179,9 @@
 		Zone:        c.cfg.Zone,
 		Confirmed:   c.confirmed.Load,
 		Addresses:   c.controlAddresses,
+
+		Software:       c.software,
+		EnsureSoftware: software.Ensure,
 	})
 	aubwire.RegisterRegistryServer(c.grpcServer, c.registryServer)
 	c.registryClient = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -196,7 +196,7 @@
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
 		Throttle:          r.throttle,
-		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoleSoftware),
+		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -58,6 +58,10 @@
 	ApplyPoison aubpoison.ApplyFunc
 	// Streams holds the origins of streams that relays report.
 	Streams *aubresume.Table
+	// Software is the replicated table of software versions, EnsureSoftware commits a version
+	// to it.
+	Software       *aubresume.SoftwareTable
+	EnsureSoftware func(ctx context.Context, service, software string) error
 	// Zone is the availability zone of this control process.
 	Zone string
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
@@ -106,7 +110,23 @@
 
 // FindStream implements aubwire.RegistryServer.
 func (s *Server) FindStream(_ context.Context, req *aubwire.FindStreamRequest) (*aubwire.FindStreamResponse, error) {
-	return &aubwire.FindStreamResponse{Origin: s.opts.Streams.Find(req.GetId())}, nil
+	return &aubwire.FindStreamResponse{
+		Origin: s.opts.Streams.Find(req.GetId()), Confirmed: s.opts.Confirmed(), Software: s.opts.Software.Seen(req.GetServices()),
+	}, nil
+}
+
+// Register applies a registration that this process received directly and returns the version
+// of the registry that includes it. The software version of a backend server that is ready is
+// committed first, so that no stream begins at a version that a restart of all processes would
+// forget. A departure is not delayed; the leader commits its version later. The error is
+// *aubresume.CommitError.
+func (s *Server) Register(ctx context.Context, record *aubwire.BackendRecord) (uint64, error) {
+	if record.GetState() == aubwire.BackendState_BACKEND_STATE_READY {
+		if err := s.opts.EnsureSoftware(ctx, record.GetService(), record.GetSoftware()); err != nil {
+			return 0, err
+		}
+	}
+	return s.opts.Registry.Register(record), nil
 }
 
 // Watch implements aubwire.RegistryServer.
--- a/internal/aubregistry/software.go
+++ b/internal/aubregistry/software.go
@@ -16,20 +16,19 @@
 	software string
 }
 
-// SoleSoftware returns the software version of the service if all its backend servers that
-// registered within softwareRetention had the same one.
-func (r *Registry) SoleSoftware(service string) (software string, ok bool) {
+// SoftwareVersions returns the software versions of the backend servers of the service that
+// registered within softwareRetention.
+func (r *Registry) SoftwareVersions(service string) []string {
 	now := r.common.Timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	versions := 0
+	var versions []string
 	for key, seenAt := range r.softwareSeen {
 		if key.service == service && now.Sub(seenAt) <= softwareRetention {
-			software = key.software
-			versions++
+			versions = append(versions, key.software)
 		}
 	}
-	return software, versions == 1
+	return versions
 }
 
 // SoftwareSeen returns the versions of all services with the ages of their last registrations.
--- a/internal/aubregistry/stream.go
+++ b/internal/aubregistry/stream.go
@@ -58,36 +58,38 @@
 }
 
 // FindStream asks all connected control processes for the origin of the stream that began
-// with the call. It returns nil if none knows it; an empty ID is known to none.
-func (c *Client) FindStream(ctx context.Context, callID string) (*aubwire.StreamOrigin, aubresume.Coverage) {
+// with the call at one of the services. An empty ID is known to none.
+func (c *Client) FindStream(ctx context.Context, callID string, services []string) aubresume.Answer {
 	conns, known := c.connectedConns()
-	if callID == "" {
-		return nil, aubresume.NewCoverage(len(conns), known)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type answer struct {
+	type reply struct {
 		resp *aubwire.FindStreamResponse
 		err  error
 	}
-	answers := make(chan answer, len(conns))
+	replies := make(chan reply, len(conns))
 	for _, conn := range conns {
 		go func() {
-			resp, err := aubwire.NewRegistryClient(conn).FindStream(ctx, &aubwire.FindStreamRequest{Id: callID})
-			answers <- answer{resp, err}
+			resp, err := aubwire.NewRegistryClient(conn).FindStream(ctx, &aubwire.FindStreamRequest{Id: callID, Services: services})
+			replies <- reply{resp, err}
 		}()
 	}
-	answered := 0
+	var answer aubresume.Answer
+	confirmed := 0
 	for range conns {
-		a := <-answers
-		if a.resp.GetOrigin() != nil {
-			return a.resp.GetOrigin(), aubresume.CoverageAll
+		r := <-replies
+		if r.resp.GetOrigin() != nil {
+			return aubresume.Answer{Origin: r.resp.GetOrigin(), Coverage: aubresume.CoverageAll}
 		}
-		if a.err != nil {
-			c.common.Log.Info("Control process gave no origin of a stream.", zap.String("resumes", callID), zap.Error(a.err))
+		if r.err != nil {
+			c.common.Log.Info("Control process gave no origin of a stream.", zap.String("resumes", callID), zap.Error(r.err))
 			continue
 		}
-		answered++
+		answer.Software = append(answer.Software, r.resp.GetSoftware()...)
+		if r.resp.GetConfirmed() {
+			confirmed++
+		}
 	}
-	return nil, aubresume.NewCoverage(answered, known)
+	answer.Coverage = aubresume.NewCoverage(confirmed, known)
+	return answer
 }
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -50,18 +50,22 @@
 	revisions *revisions
 	listener  *bufconn.Listener
 	grpc      *grpc.Server
+	software  *aubresume.SoftwareTable
+	confirmed atomic.Bool
 }
 
 func newControlProcess(t *testing.T, common aubcommon.Common) *controlProcess {
 	c := &controlProcess{
 		registry: aubregistry.NewRegistry(common, time.Minute), loads: aubregistry.NewLoadAggregator(common),
-		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(),
+		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(), software: aubresume.NewSoftwareTable(),
 	}
+	c.confirmed.Store(true)
 	c.revisions.current.Store(&aubwire.SiteRevision{})
 	c.server = aubregistry.NewServer(common, aubregistry.ServerOpts{
 		Streams:  aubresume.NewTable(common.Timer),
+		Software: c.software,
 		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{},
-		Confirmed: func() bool { return true }, Addresses: func() []string { return []string{"c1"} },
+		Confirmed: c.confirmed.Load, Addresses: func() []string { return []string{"c1"} },
 	})
 	aubwire.RegisterRegistryServer(c.grpc, c.server)
 	go func() { _ = c.grpc.Serve(c.listener) }()
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -290,6 +290,8 @@
 	// answer.
 	streams  map[string]*aubwire.StreamOrigin
 	coverage aubresume.Coverage
+	// committed holds the software versions that control processes state.
+	committed []*aubwire.SoftwareSeen
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 }
@@ -425,7 +427,7 @@
 		}),
 		Guard:    guard,
 		Throttle: throttle,
-		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoleSoftware),
+		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
@@ -436,8 +438,8 @@
 	return fixture
 }
 
-func (fixture *relayFixture) findStream(_ context.Context, callID string) (*aubwire.StreamOrigin, aubresume.Coverage) {
-	return fixture.streams[callID], fixture.coverage
+func (fixture *relayFixture) findStream(_ context.Context, callID string, _ []string) aubresume.Answer {
+	return aubresume.Answer{Origin: fixture.streams[callID], Coverage: fixture.coverage, Software: fixture.committed}
 }
 
 // newApplyFunc returns a function that applies commands to the table at once.
--- a/internal/aubrelay/software_version_test.go
+++ b/internal/aubrelay/software_version_test.go
@@ -83,6 +83,8 @@
 		versions map[string]string
 		began    string
 		coverage aubresume.Coverage
+		// committed is a version that control processes state beside those seen.
+		committed string
 		// want is the version that must run the request; empty if it must not run.
 		want           string
 		wantRetryAfter bool
@@ -96,12 +98,18 @@
 		{name: "not known to most, only one version", versions: same, began: "unknown", coverage: aubresume.CoverageMajority, wantRetryAfter: true},
 		{name: "not named, only one version", versions: same, coverage: aubresume.CoverageMajority, want: "v1"},
 		{name: "not named, only one version, few answer", versions: same, wantRetryAfter: true},
+		{name: "not named, another version committed", versions: same, coverage: all, committed: "v0"},
+		{name: "not known, another version committed", versions: same, began: "unknown", coverage: all, committed: "v0"},
+		{name: "known, another version committed", versions: mixed, began: "known", coverage: all, committed: "v0", want: "v2"},
 		{name: "known, at no version that is left", versions: same, began: "known", coverage: all, wantRetryAfter: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			fixture := newRelayFixtureWithSoftware(t, test.versions)
 			fixture.streams = map[string]*aubwire.StreamOrigin{"known": {Id: "known", Service: "s", Software: "v2"}}
 			fixture.coverage = test.coverage
+			if test.committed != "" {
+				fixture.committed = []*aubwire.SoftwareSeen{{Service: "s", Software: test.committed}}
+			}
 			for i := range 10 {
 				id := fmt.Sprint(i)
 				result := fixture.call(http.MethodPost, "/stream/x", id, takeUp(test.began, 1))
--- a/internal/aubresume/model_test.go
+++ b/internal/aubresume/model_test.go
@@ -79,6 +79,11 @@
 	streams  []*modelStream
 	later    []delivery
 	count    int
+	// takeUpDelay is added to the time after which callers take streams up.
+	takeUpDelay time.Duration
+	// silent marks the engines that run but don't register.
+	silent map[int]bool
+	log    modelLog
 
 	mixed, newTried, newBegun, resumeTried, resumeBegun int
 }
@@ -172,6 +177,10 @@
 	controlCuts  time.Duration
 	// rollouts replace a quarter of the engines by those of another version.
 	rollouts time.Duration
+	// restarts kill all relays and control processes at once. Engines of all versions but the
+	// newest leave then, or run on without a registration if oldStays is set.
+	restarts time.Duration
+	oldStays bool
 }
 
 var scenarios = []scenario{
@@ -218,7 +227,7 @@
 			kept = append(kept, s)
 			continue
 		}
-		m.after(time.Duration(10+m.rnd.IntN(100))*time.Millisecond, func() { m.takeUp(s) })
+		m.after(m.takeUpDelay+time.Duration(10+m.rnd.IntN(100))*time.Millisecond, func() { m.takeUp(s) })
 	}
 	m.streams = kept
 }
@@ -226,6 +235,9 @@
 // engine returns the version of an engine drawn at random, of the version if it is not empty.
 func (m *model) engine(version string) (string, bool) {
 	for _, i := range m.rnd.Perm(len(m.engines)) {
+		if m.silent[i] {
+			continue
+		}
 		if version == "" || m.engines[i] == version {
 			return m.engines[i], true
 		}
@@ -310,17 +322,19 @@
 			}
 			origins, next, _ := r.recorder.Since(r.reported[k], 1000)
 			r.reported[k] = next
+			m.log.addOrigins(origins)
 			if len(origins) > 0 {
 				table := c.table
 				m.after(reportDelay, func() { table.Add(origins) })
 			}
 		}
-		for _, version := range m.engines {
-			if !r.isCut {
+		for i, version := range m.engines {
+			if !r.isCut && !m.silent[i] {
 				r.versions[version] = true
 			}
 		}
 	}
+	m.log.commitOrigins()
 }
 
 func (m *model) isDue(interval time.Duration) bool {
@@ -352,12 +366,17 @@
 		c.isCut = true
 		m.after(3*time.Second, func() { c.isCut = false })
 	}
+	if m.isDue(s.restarts) {
+		m.restartEverything()
+	}
 	if m.isDue(s.rollouts) {
 		version := fmt.Sprintf("v%d", m.now/s.rollouts)
 		for _, i := range m.rnd.Perm(modelEngines)[:modelEngines/4] {
 			m.engines[i] = version
+			delete(m.silent, i)
 		}
 	}
+	m.registerEngines()
 }
 
 func (m *model) step() {
@@ -396,7 +415,7 @@
 }
 
 func runModel(s scenario, w way, seed uint64) *model {
-	m := &model{scenario: s, way: w, rnd: rand.New(rand.NewPCG(seed, 1)), timer: aubtimer.NewManual(time.Unix(0, 0))}
+	m := &model{scenario: s, way: w, rnd: rand.New(rand.NewPCG(seed, 1)), timer: aubtimer.NewManual(time.Unix(0, 0)), silent: make(map[int]bool), log: newModelLog()}
 	for range modelEngines {
 		m.engines = append(m.engines, "v0")
 	}
--- a/internal/aubresume/resolver.go
+++ b/internal/aubresume/resolver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,19 +22,7 @@
 	unreachableRetryAfter = 500 * time.Millisecond
 )
 
-// UnknownError means that nobody who was asked knows where a stream began.
-type UnknownError struct {
-	CallID string
-	// RetryAfter is the time after which another process may be asked; 0 if all were.
-	RetryAfter time.Duration
-}
-
-// Error implements error.
-func (e *UnknownError) Error() string {
-	return "software version of the stream that began with request " + e.CallID + " is not known"
-}
-
-// Coverage is how many of the known control processes answered.
+// Coverage is how many of the known control processes gave answers that count.
 type Coverage int
 
 // Coverages.
@@ -55,26 +44,61 @@
 	}
 }
 
-// FindFunc asks the control processes for an origin and returns nil if none that answered
-// knows it. An empty ID is known to none.
-type FindFunc func(ctx context.Context, callID string) (*aubwire.StreamOrigin, Coverage)
+// Answer joins the answers of the control processes to the question for an origin.
+type Answer struct {
+	// Origin is nil if none knows it.
+	Origin *aubwire.StreamOrigin
+	// Coverage counts the control processes that have confirmed their state since their start.
+	// Another one may not yet know versions that were committed before.
+	Coverage Coverage
+	// Software holds the committed versions of the services that any of them stated.
+	Software []*aubwire.SoftwareSeen
+}
+
+// Covers reports whether the answers suffice to tell the only software version of a service. A
+// backend server of another version may be known only to a control process that did not answer,
+// and so may be the origin of a stream whose caller names its begin.
+func (a Answer) Covers(isBeginNamed bool) bool {
+	return a.Coverage == CoverageAll || !isBeginNamed && a.Coverage == CoverageMajority
+}
+
+// SoleSoftware returns the software version of the service if the committed versions and those
+// that this process has seen are exactly one.
+func (a Answer) SoleSoftware(service string, own []string) (software string, ok bool) {
+	versions := slices.Clone(own)
+	for _, seen := range a.Software {
+		if seen.GetService() == service {
+			versions = append(versions, seen.GetSoftware())
+		}
+	}
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// FindFunc asks the control processes for the origin of a stream that began at one of the
+// services. An empty ID is known to none.
+type FindFunc func(ctx context.Context, callID string, services []string) Answer
 
-// SoleFunc returns the software version of a service whose backend servers have all had the
-// same one for as long as streams are taken up; false if there are several.
-type SoleFunc func(service string) (software string, ok bool)
+// SeenFunc returns the software versions of a service that this process has seen for as long as
+// streams are taken up.
+type SeenFunc func(service string) []string
 
 // Resolver finds the origins of streams.
 type Resolver struct {
 	common   aubcommon.Common
 	recorder *Recorder
 	find     FindFunc
-	sole     SoleFunc
+	seen     SeenFunc
 }
 
 // NewResolver returns a resolver that looks into the recorder before it calls find. If no
-// origin is found, sole may tell the only possible one.
-func NewResolver(common aubcommon.Common, recorder *Recorder, find FindFunc, sole SoleFunc) *Resolver {
-	return &Resolver{common: common.WithPart("resume"), recorder: recorder, find: find, sole: sole}
+// origin is found, a service with only one version tells it.
+func NewResolver(common aubcommon.Common, recorder *Recorder, find FindFunc, seen SeenFunc) *Resolver {
+	return &Resolver{common: common.WithPart("resume"), recorder: recorder, find: find, seen: seen}
 }
 
 // Record adds the origin of a stream that began at this instance.
@@ -85,12 +109,10 @@
 // *UnknownError.
 func (r *Resolver) Resolve(ctx context.Context, requestID, beganWith string, services []string) (Origin, error) {
 	startedAt := r.common.Timer.Now()
-	origin, source, coverage := r.resolve(ctx, beganWith)
-	// A backend server of another version may be known only to a control process that did not
-	// answer, and so may be the origin of a stream whose caller names its begin.
-	isCovered := coverage == CoverageAll || beganWith == "" && coverage == CoverageMajority
+	origin, source, answer := r.resolve(ctx, beganWith, services)
+	isCovered := answer.Covers(beganWith != "")
 	if source == sourceUnknown && isCovered && len(services) == 1 {
-		if software, ok := r.sole(services[0]); ok {
+		if software, ok := answer.SoleSoftware(services[0], r.seen(services[0])); ok {
 			origin, source = Origin{Service: services[0], Software: software}, sourceSole
 		}
 	}
@@ -98,7 +120,7 @@
 	r.common.Log.Info("Stream is taken up.",
 		zap.String("request_id", requestID), zap.String("resumes", beganWith), zap.String("source", source),
 		zap.String("service", origin.Service), zap.String("software", origin.Software),
-		zap.Int("coverage", int(coverage)), zap.Int64("elapsed_ms", r.common.Timer.Now().Sub(startedAt).Milliseconds()))
+		zap.Int("coverage", int(answer.Coverage)), zap.Int("committed_versions", len(answer.Software)), zap.Int64("elapsed_ms", r.common.Timer.Now().Sub(startedAt).Milliseconds()))
 	if source != sourceUnknown {
 		return origin, nil
 	}
@@ -117,18 +139,20 @@
 	sourceUnknown = "unknown"
 )
 
-func (r *Resolver) resolve(ctx context.Context, beganWith string) (origin Origin, source string, coverage Coverage) {
+func (r *Resolver) resolve(ctx context.Context, beganWith string, services []string) (origin Origin, source string, answer Answer) {
 	if origin, ok := r.recorder.Find(beganWith); ok {
-		return origin, sourceOwn, CoverageMinority
+		return origin, sourceOwn, Answer{}
 	}
 	ctx, cancel := aubtimer.WithTimeout(ctx, r.common.Timer, findTimeout)
 	defer cancel()
-	found, coverage := r.find(ctx, beganWith)
-	if found == nil && beganWith != "" && aubtimer.Wait(ctx, r.common.Timer, findRetryDelay) == nil {
-		found, coverage = r.find(ctx, beganWith)
+	answer = r.find(ctx, beganWith, services)
+	if answer.Origin == nil && beganWith != "" && aubtimer.Wait(ctx, r.common.Timer, findRetryDelay) == nil {
+		first := answer
+		answer = r.find(ctx, beganWith, services)
+		answer.Software = append(answer.Software, first.Software...)
 	}
-	if found == nil {
-		return Origin{}, sourceUnknown, coverage
+	if answer.Origin == nil {
+		return Origin{}, sourceUnknown, answer
 	}
-	return Origin{Service: found.GetService(), Software: found.GetSoftware()}, sourceControl, coverage
+	return Origin{Service: answer.Origin.GetService(), Software: answer.Origin.GetSoftware()}, sourceControl, answer
 }
