--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubresume"
@@ -23,6 +24,12 @@
 	quickReconnectDelay = 80 * time.Millisecond
 	quickReconnects     = 8
 	reconnectDelay      = 300 * time.Millisecond
+	// minConnectTimeout limits the time to a connection. An instance that is only starting
+	// drops the first packet of a connection, which TCP sends again after a second. It doubles
+	// after connectsPerTimeout failures, up to three times, for links that need longer.
+	minConnectTimeout  = 400 * time.Millisecond
+	connectsPerTimeout = 4
+	maxConnectDoubling = 3
 	// streamReportDelay is the time for which origins of streams are collected before they
 	// are reported, maxReportedStreams limits those in one request.
 	streamReportDelay  = 20 * time.Millisecond
@@ -215,7 +222,7 @@
 func (c *Client) runLink(ctx context.Context, link *controlLink) {
 	failures := 0
 	for ctx.Err() == nil {
-		err := c.watch(ctx, link)
+		err := c.watch(ctx, link, connectTimeout(failures))
 		failures++
 		if c.setConnected(link, nil) {
 			failures = 1
@@ -254,14 +261,22 @@
 	return hasChanged
 }
 
-// watch runs one stream on a new connection until the stream fails or receives nothing
-// for streamTimeout.
-func (c *Client) watch(ctx context.Context, link *controlLink) error {
+// connectTimeout returns the time limit of a connection attempt after consecutive failures.
+func connectTimeout(failures int) time.Duration {
+	return minConnectTimeout << min(failures/connectsPerTimeout, maxConnectDoubling)
+}
+
+// watch runs one stream on a new connection, which it establishes within the timeout, until
+// the stream fails or receives nothing for streamTimeout.
+func (c *Client) watch(ctx context.Context, link *controlLink, timeout time.Duration) error {
 	conn, err := c.opts.Dial(link.address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	if err := c.awaitConnection(ctx, conn, timeout); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan *aubwire.RegistryResponse)
@@ -271,6 +286,19 @@
 	return c.handleStream(ctx, link, conn, requests, responses, failed)
 }
 
+// awaitConnection connects within the timeout. The error is *NoConnectionError.
+func (c *Client) awaitConnection(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration) error {
+	ctx, cancel := aubtimer.WithTimeout(ctx, c.common.Timer, timeout)
+	defer cancel()
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
+			return &NoConnectionError{Address: conn.Target(), State: state.String()}
+		}
+	}
+	return nil
+}
+
 // handleStream applies the responses of one stream, acknowledges them and sends a report
 // each reportInterval.
 func (c *Client) handleStream(
--- a/internal/aubregistry/error.go
+++ b/internal/aubregistry/error.go
@@ -28,3 +28,15 @@
 func (e *IncompleteRevisionError) Error() string {
 	return fmt.Sprintf("received %d of %d bytes of configuration %d", e.Received, e.Total, e.Number)
 }
+
+// NoConnectionError means that no connection to a control process was established in time.
+type NoConnectionError struct {
+	Address string
+	// State is the last state of the connection.
+	State string
+}
+
+// Error implements error.
+func (e *NoConnectionError) Error() string {
+	return "no connection to control process " + e.Address + ": " + e.State
+}
