Share the measured speed of engines between relays

Relays report the event rates of their streams, control processes compare them with the median of the service and tell all relays which engines differ by more than 0.7 to 1.43 (docs/design/engine_speed.md). Where engines are alike, nothing is announced and nothing changes.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -16,6 +16,7 @@
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubspeed"
 	"github.com/auburndale/auburndale/internal/aubstore"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -166,6 +167,7 @@
 	c.registryServer = aubregistry.NewServer(c.common, aubregistry.ServerOpts{
 		Registry:    c.registry,
 		Loads:       c.loads,
+		Speeds:      aubspeed.NewAggregator(c.common),
 		Revisions:   c.siteTable,
 		Placer:      c.director,
 		Poison:      c.poison,
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -19,6 +19,7 @@
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubspeed"
 	"github.com/auburndale/auburndale/internal/aubthrottle"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -67,6 +68,8 @@
 	router         *aubroute.Router
 	throttle       *aubthrottle.Throttle
 	demand         *aubrelay.DemandCounter
+	speedMeter     *aubspeed.Meter
+	speeds         *aubspeed.Table
 	loads          *aubmembership.LoadExchange
 	handler        *aubrelay.Handler
 	callerServer   *http.Server
@@ -122,6 +125,7 @@
 	r.site = aubsite.NewActiveSite(r.common, r.adapter.DecodeSite)
 	r.registry = aubregistry.NewRegistry(r.common, registrationTimeout(r.cfg))
 	r.demand = aubrelay.NewDemandCounter(r.common)
+	r.speedMeter, r.speeds = aubspeed.NewMeter(r.common), aubspeed.NewTable()
 	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{
 		Limits:  r.workspaceLimits,
 		Overrun: float64(r.cfg.Limits.Overrun),
@@ -145,6 +149,9 @@
 		Throttle: func(backend string, incarnation uint64) time.Duration {
 			return r.throttle.Wait(aubthrottle.Backend{Name: backend, Incarnation: incarnation})
 		},
+		Speed: func(backend string, incarnation uint64) float64 {
+			return r.speeds.Speed(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)})
+		},
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -196,6 +203,7 @@
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
 		Throttle:          r.throttle,
+		Speeds:            r.speedMeter,
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoleSoftware),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
@@ -220,7 +228,7 @@
 	return func() *aubwire.LoadReport {
 		report := &aubwire.LoadReport{
 			Instance: r.cfg.Name, Incarnation: incarnation, Models: r.demand.Report(), Limits: r.throttle.Snapshot(),
-			Suspects: r.registry.Suspects(), Leaving: r.registry.Leaving(),
+			Suspects: r.registry.Suspects(), Leaving: r.registry.Leaving(), EngineStreams: r.speedMeter.Report(),
 		}
 		for id, load := range r.router.InFlight() {
 			report.Loads = append(report.Loads, &aubwire.BackendLoad{
@@ -236,6 +244,7 @@
 func (r *relay) updatePeers(peers *aubwire.Peers) {
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
+	r.speeds.Replace(peers.GetSpeeds())
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
 	r.throttle.SetInstances(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 }
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -14,6 +14,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubresume"
+	"github.com/auburndale/auburndale/internal/aubspeed"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -51,6 +52,8 @@
 type ServerOpts struct {
 	Registry  *Registry
 	Loads     *LoadAggregator
+	// Speeds combines the relays' measurements of engines; nil announces none.
+	Speeds    *aubspeed.Aggregator
 	Revisions RevisionSource
 	Placer    Placer
 	Poison    PoisonTable
@@ -237,6 +240,9 @@
 func (w *watcher) handleRequest(req *aubwire.RegistryRequest) {
 	if req.GetReport() != nil {
 		w.server.opts.Loads.AddReport(req.GetReport())
+		if w.server.opts.Speeds != nil {
+			w.server.opts.Speeds.AddReport(req.GetReport().GetInstance(), req.GetReport().GetIncarnation(), req.GetReport().GetEngineStreams())
+		}
 		w.server.opts.Registry.MergeSuspects(req.GetReport().GetSuspects())
 		w.server.opts.Registry.MergeLeaving(w.process, req.GetReport().GetLeaving())
 	}
@@ -319,6 +325,9 @@
 
 			KnownInstances: int32(w.server.opts.Loads.KnownRelays()),
 		}
+		if w.server.opts.Speeds != nil {
+			resp.Peers.Speeds = w.server.opts.Speeds.Speeds()
+		}
 	}
 }
 
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -19,6 +19,7 @@
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubspeed"
 	"github.com/auburndale/auburndale/internal/aubthrottle"
 )
 
@@ -62,6 +63,8 @@
 	Guard *aubpoison.Guard
 	// Throttle keeps the rate limits that backend servers state.
 	Throttle *aubthrottle.Throttle
+	// Speeds measures the speed of engines by their streams; nil measures none.
+	Speeds *aubspeed.Meter
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubroute"
+	"github.com/auburndale/auburndale/internal/aubspeed"
 )
 
 const (
@@ -27,6 +28,8 @@
 	events := newEventReader(resp.Body)
 	controller := http.NewResponseController(ex.writer)
 	var lastEventAt time.Time
+	var pauses aubspeed.Pauses
+	defer func() { h.recordPauses(ex, choice, &pauses) }()
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && isUnframed(resp) {
@@ -48,6 +51,7 @@
 		}
 		if !lastEventAt.IsZero() {
 			ex.maxEventGap = max(ex.maxEventGap, now.Sub(lastEventAt))
+			pauses.Add(now.Sub(lastEventAt))
 		}
 		lastEventAt = now
 		h.recordStream(ex)
@@ -65,6 +69,16 @@
 	}
 }
 
+// recordPauses adds the pauses between the events of one attempt to the measured speed of its
+// backend server.
+func (h *Handler) recordPauses(ex *exchange, choice aubroute.Choice, pauses *aubspeed.Pauses) {
+	if h.opts.Speeds == nil {
+		return
+	}
+	a := choice.Member.Announcement
+	h.opts.Speeds.Add(aubspeed.Engine{ID: a.GetName(), StartedMs: int64(a.GetIncarnation())}, ex.service, pauses)
+}
+
 // writeStreamHeader writes the response header before the first event. A resumed stream
 // keeps the header of its first attempt.
 func (h *Handler) writeStreamHeader(ex *exchange, resp *http.Response) {
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -227,6 +227,10 @@
 	if c.PrefillRate == 0 {
 		c.PrefillRate = r.opts.PrefillRate
 	}
+	if r.opts.Speed != nil {
+		c.Speed = r.opts.Speed(member.Announcement.GetName(), member.Announcement.GetIncarnation())
+		c.PrefillRate *= c.speed()
+	}
 	if member.Announcement.GetZone() != r.opts.Zone {
 		c.ZoneRTT = r.opts.ZoneRTT
 	}
--- a/internal/aubroute/expected.go
+++ b/internal/aubroute/expected.go
@@ -30,7 +30,7 @@
 	limit := loadLimit(candidates)
 	return indexOfMin(q, candidates, func(c Candidate) float64 {
 		seconds := EstimateFirstToken(q, c).Seconds()
-		if float64(c.InFlight) > limit {
+		if c.loadInFlight() > limit {
 			seconds += overLimitSeconds
 		}
 		return seconds
@@ -47,7 +47,8 @@
 	}
 	uncached := max(q.PromptTokens-c.CachedTokens, 0)
 	seconds := float64(c.PendingTokens+uncached) / rate
-	wait := time.Duration(seconds*float64(time.Second)) + time.Duration(c.InFlight)*perRequestDelay + batchWait(c)
+	requestDelay := time.Duration(c.loadInFlight() * float64(perRequestDelay))
+	wait := time.Duration(seconds*float64(time.Second)) + requestDelay + batchWait(c)
 	return c.ZoneRTT + time.Duration(float64(wait)*max(c.Slowness, 1))
 }
 
@@ -64,9 +65,21 @@
 // loadLimit returns the load bound in requests in flight, see loadBoundFactor. A
 // candidate above it is chosen only if all are.
 func loadLimit(candidates []Candidate) float64 {
-	var sum int
+	var sum float64
 	for _, c := range candidates {
-		sum += c.InFlight
+		sum += c.loadInFlight()
 	}
-	return loadBoundFactor*float64(sum)/float64(len(candidates)) + loadSlack
+	return loadBoundFactor*sum/float64(len(candidates)) + loadSlack
 }
+
+// speed returns the relative speed of the candidate.
+func (c Candidate) speed() float64 {
+	if c.Speed <= 0 {
+		return 1
+	}
+	return c.Speed
+}
+
+// loadInFlight returns the requests in flight, weighted by the time that the candidate needs
+// for each.
+func (c Candidate) loadInFlight() float64 { return float64(c.InFlight) / c.speed() }
--- a/internal/aubroute/policy.go
+++ b/internal/aubroute/policy.go
@@ -47,6 +47,8 @@
 	MaxBatch int
 	// ServiceTime is the mean duration of a request on the member; 0 while unknown.
 	ServiceTime time.Duration
+	// Speed is the speed of the member relative to the others; 0 counts as 1.
+	Speed float64
 	// Slowness is the ratio of measured to expected time to first token, at least 1.
 	Slowness float64
 }
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -97,6 +97,8 @@
 	PendingTokens int64
 	// UncachedTokens is the number of prompt tokens that the request adds to them.
 	UncachedTokens int64
+	// Speed is the speed of the member relative to the others, 1 for equal.
+	Speed float64
 
 	router   *Router
 	inFlight *inFlightRequest
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -65,6 +65,9 @@
 	// Throttle returns the time until the rate limit of a member incarnation allows another
 	// request; 0 for now. Nil limits none.
 	Throttle func(member string, incarnation uint64) time.Duration
+	// Speed returns the speed of a member incarnation relative to the other members; nil means
+	// that all are equal.
+	Speed func(member string, incarnation uint64) float64
 	// PrefillRate is assumed for members that report none, in tokens a second; 0
 	// means the default.
 	PrefillRate float64
@@ -242,6 +245,7 @@
 		ExpectedFirstToken: expected,
 		PendingTokens:      chosen.candidate.PendingTokens,
 		UncachedTokens:     max(request.PromptTokens-chosen.candidate.CachedTokens, 0),
+		Speed:              chosen.candidate.speed(),
 		router:             r,
 		inFlight: &inFlightRequest{
 			state:          chosen.state,
--- /dev/null
+++ b/internal/aubspeed/meter.go
@@ -0,0 +1,128 @@
+// Package aubspeed measures how fast the engines of a service generate, relative to each
+// other. A relay sees too few streams of each engine to tell alone, so that relays report
+// what they measure, and control processes combine the reports.
+package aubspeed
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+const (
+	// minPauses is the number of pauses between events from which a stream counts.
+	minPauses = 6
+	// minPause limits the rate of a stream whose events arrive together.
+	minPause = time.Millisecond
+	// maxPauses limits the pauses that are kept of one stream.
+	maxPauses = 64
+	// reportRetention is how long an engine without new streams stays in the reports.
+	reportRetention = 2 * time.Second
+	// meterRetention is how long an engine without new streams is kept.
+	meterRetention = 2 * time.Minute
+)
+
+// Engine identifies an incarnation of an engine.
+type Engine struct {
+	ID string
+	// StartedMs is the start of the incarnation in Unix milliseconds.
+	StartedMs int64
+}
+
+// Pauses collects the pauses between the events of one stream. The zero value is ready to
+// use, by one goroutine.
+type Pauses struct {
+	pauses []time.Duration
+}
+
+// Add adds a pause.
+func (p *Pauses) Add(pause time.Duration) {
+	if len(p.pauses) < maxPauses {
+		p.pauses = append(p.pauses, pause)
+	}
+}
+
+// typicalRate returns the events a second by the lower quartile of the pauses, which prompts
+// of other requests rarely lengthen; false if there are too few.
+func (p *Pauses) typicalRate() (float64, bool) {
+	if len(p.pauses) < minPauses {
+		return 0, false
+	}
+	sorted := slices.Sorted(slices.Values(p.pauses))
+	return 1 / max(sorted[len(sorted)/4], minPause).Seconds(), true
+}
+
+// measured is the total of one engine.
+type measured struct {
+	service string
+	// totalRate is the sum of the rates of all streams, in events a second. A stream that
+	// pauses unusually long weighs little in it.
+	totalRate float64
+	streams   int64
+	lastAt    time.Time
+}
+
+// Meter counts the pauses of the streams that this instance has relayed.
+//
+// Lock order: mu is taken alone.
+type Meter struct {
+	common aubcommon.Common
+
+	mu      sync.Mutex
+	engines map[Engine]*measured
+}
+
+// NewMeter returns a meter without streams.
+func NewMeter(common aubcommon.Common) *Meter {
+	return &Meter{common: common, engines: make(map[Engine]*measured)}
+}
+
+// Add counts a stream of an engine of the service.
+func (m *Meter) Add(engine Engine, service string, pauses *Pauses) {
+	rate, ok := pauses.typicalRate()
+	if !ok {
+		return
+	}
+	now := m.common.Timer.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stored := m.engines[engine]
+	if stored == nil {
+		m.dropOld(now)
+		stored = &measured{service: service}
+		m.engines[engine] = stored
+	}
+	stored.totalRate += rate
+	stored.streams++
+	stored.lastAt = now
+}
+
+// dropOld removes the engines without a stream within meterRetention; the caller holds mu.
+func (m *Meter) dropOld(now time.Time) {
+	for engine, e := range m.engines {
+		if now.Sub(e.lastAt) > meterRetention {
+			delete(m.engines, engine)
+		}
+	}
+}
+
+// Report returns the totals of the engines with a stream within reportRetention.
+func (m *Meter) Report() []*aubwire.EngineStreams {
+	now := m.common.Timer.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var reported []*aubwire.EngineStreams
+	for engine, e := range m.engines {
+		if now.Sub(e.lastAt) > reportRetention {
+			continue
+		}
+		reported = append(reported, &aubwire.EngineStreams{
+			Id: engine.ID, StartedMs: engine.StartedMs, Service: e.service,
+			TotalRate: e.totalRate, Streams: e.streams,
+		})
+	}
+	return reported
+}
