Read from registrations how long backend servers stay cold

Cause: registrations and the configuration say when backend servers are cold and what they tolerate then, but nothing read it.

A change between warm and cold, or a new cold period, is sent to relays at once, and a record that is passed on later carries the time that is left then. Datagrams hold 12 limits instead of 16, so that those with the new part fit.

--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -24,7 +24,7 @@
 	// state after lost datagrams.
 	fullLoadInterval = 500 * time.Millisecond
 	// maxDatagramLimits is the number of rate limits that fit into one datagram.
-	maxDatagramLimits = 16
+	maxDatagramLimits = 12
 	// maxLoadAge is the age after which the last reported load of a peer is ignored.
 	maxLoadAge = 2500 * time.Millisecond
 )
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -74,6 +74,8 @@
 	// if no registrations are received at all, this process is partitioned and the
 	// backend servers don't count as lost.
 	newestReceivedAt time.Time
+	// observe is called with each registration that is applied; nil for none.
+	observe func(record *aubwire.BackendRecord)
 	// view is the cached view, built at viewAt.
 	view   aubmembership.View
 	viewAt time.Time
@@ -176,6 +178,9 @@
 	}
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
 	r.newestReceivedAt = now
+	if r.observe != nil {
+		r.observe(record)
+	}
 	hasSameTopology := sameTopology(previous, record)
 	if hasSameTopology && !wasLost && record.GetState() == aubwire.BackendState_BACKEND_STATE_READY {
 		r.markRenewed(stored)
@@ -293,7 +298,7 @@
 		if e.version <= version || version > 0 && !e.isLocal || r.isLost(e) {
 			continue
 		}
-		records = append(records, e.record)
+		records = append(records, e.agedRecord(r.common.Timer.Now()))
 	}
 	return records, r.version, r.changed
 }
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -94,6 +94,9 @@
 	// RetryAfter is how long the backend server, which turned the request away, wants no more
 	// requests from this instance; 0 if it does not say.
 	RetryAfter time.Duration
+	// ColdLeft is how much longer the backend server stays cold, 0 if it is warm; none if it
+	// does not say.
+	ColdLeft auboption.Option[time.Duration]
 }
 
 // RefusalCode names the cause of a refusal.
--- a/internal/aubsite/spec.go
+++ b/internal/aubsite/spec.go
@@ -87,10 +87,18 @@
 	// MaxConnections is the number of connections that one backend server accepts
 	// from all callers.
 	MaxConnections int
+	// ColdTime is how long a backend server is cold after a start, ColdRate the number of
+	// requests per second that it tolerates then from all callers together. Without both,
+	// backend servers are never cold.
+	ColdTime time.Duration
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
 
+// HasColdRate reports whether the backend servers are cold after a start.
+func (s Service) HasColdRate() bool { return s.ColdTime > 0 && s.ColdRate > 0 }
+
 // Workspace is a tenant with its keys and limits.
 type Workspace struct {
 	Name string
