Keep requests to cold backend servers within their rate

Cause: a backend server that starts cold crashes if all relays together send it well above its cold rate; 20 requests in a second were seen, at most 17 are allowed.

Change: aubthrottle believes the newest statement of a registration, an answer or a peer, and ColdZone after a withdrawn zone drain. Relays share the rate with buckets of one request and tell each other what they send. Of many relays only some, by a hash, send to one cold backend server, each with a minimum time between its sends, so that all together stay within 1.5 times the rate in any second also if they hear nothing of each other. A relay that has just started waits 2 s.

--- a/internal/aubthrottle/state.go
+++ b/internal/aubthrottle/state.go
@@ -48,6 +48,18 @@
 	advisedUntil time.Time
 	// hasChanged is set while there is a change that was not reported.
 	hasChanged bool
+	// burst is the number of requests that may be sent at once; 0 means those of burstTime.
+	burst float64
+	// countsAllSends is set if everything counts that a peer has sent before its first report
+	// here.
+	countsAllSends bool
+}
+
+// sendReport is what a peer reports of its sends to one backend server.
+type sendReport interface {
+	GetSent() uint64
+	GetKnownForMs() int64
+	GetAdvisedForMs() int64
 }
 
 func newLimitState(now time.Time) *limitState {
@@ -76,7 +88,12 @@
 // rate returns the limit in requests per second, at least minRate.
 func (s *limitState) rate() float64 { return max(s.limit.Or(0), minRate) }
 
-func (s *limitState) capacity() float64 { return max(1, s.rate()*burstTime.Seconds()) }
+func (s *limitState) capacity() float64 {
+	if s.burst > 0 {
+		return s.burst
+	}
+	return max(1, s.rate()*burstTime.Seconds())
+}
 
 func (s *limitState) isLimited() bool { return s.limit != auboption.None[float64]() }
 
@@ -137,7 +154,7 @@
 
 // mergeSends subtracts what a peer has sent since its last report. Instances is the number
 // of instances that share the limit.
-func (s *limitState) mergeSends(now time.Time, peer string, incarnation uint64, reported *aubwire.BackendLimit, instances int) {
+func (s *limitState) mergeSends(now time.Time, peer string, incarnation uint64, reported sendReport, instances int) {
 	previous, isKnown := s.peers[peer]
 	s.peers[peer] = peerSends{incarnation: incarnation, sent: reported.GetSent(), receivedAt: now}
 	isSameStart := isKnown && previous.incarnation == incarnation
@@ -149,7 +166,7 @@
 		return
 	case isSameStart:
 		sent -= float64(previous.sent)
-	case !isKnown && milliseconds(reported.GetKnownForMs()) > now.Sub(s.createdAt):
+	case !isKnown && !s.countsAllSends && milliseconds(reported.GetKnownForMs()) > now.Sub(s.createdAt):
 		// The peer counted before this instance knew of the limit.
 		sent = 0
 	}
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -4,7 +4,8 @@
 // that hears only a part of its peers uses only their common part of the limit, so that
 // groups that are cut off from each other don't exceed it together. A backend server that
 // turns a request away may also ask one instance for quiet; that instance then sends it none
-// until the end.
+// until the end. A backend server that is cold after a start gets few requests per second
+// from all instances together.
 package aubthrottle
 
 import (
@@ -25,9 +26,9 @@
 	// PeerTimeout is the time without a report after which a peer counts as not heard: two
 	// periodic reports and a quarter.
 	PeerTimeout = 1250 * time.Millisecond
-	// instanceRetention is how long an instance that is no longer known keeps its part of
+	// InstanceRetention is how long an instance that is no longer known keeps its part of
 	// the limits, since it may be cut off and run.
-	instanceRetention = 5 * time.Minute
+	InstanceRetention = 5 * time.Minute
 	// recentWindow is the time over which the sends in log lines are counted.
 	recentWindow = 4 * time.Second
 	// maxAdvisedWait limits the advised times to come back.
@@ -54,11 +55,19 @@
 	// OnChange is called, without a lock held, when there is something to report; nil
 	// ignores it.
 	OnChange func()
+	// ColdRate returns how long backend servers of a service are cold after a start and the
+	// requests per second that they tolerate then, 0 for never. It is called with the lock
+	// held. Nil means never.
+	ColdRate func(service string) (coldTime time.Duration, perSecond float64)
+	// Instance is the name of this instance. PeerNames returns the names of the instances
+	// heard within InstanceRetention; nil for an instance without peers.
+	Instance  string
+	PeerNames func() []string
 }
 
 // Throttle admits requests to limited backend servers.
 //
-// Lock order: mu is taken before the locks of Opts.HeardPeers.
+// Lock order: mu is taken before the locks of the functions of Opts.
 type Throttle struct {
 	common aubcommon.Common
 	opts   Opts
@@ -74,6 +83,15 @@
 	// instanceRetention; 0 while unknown.
 	instances   int
 	instancesAt time.Time
+
+	startedAt time.Time
+	colds     map[Backend]*coldState
+	// coldZones holds when the drain of a zone was withdrawn.
+	coldZones map[string]time.Time
+	coldSends tally.Counter
+	coldCount tally.Gauge
+	// coldShare returns the number of senders and the minimum time between two sends of one.
+	coldShare func(perSecond float64, instances int) (senders int, interval time.Duration)
 }
 
 // New returns a throttle that knows no limit.
@@ -82,6 +100,8 @@
 	t := &Throttle{
 		common: common, opts: opts, states: make(map[Backend]*limitState), quiets: make(map[Backend]*quietPeriod),
 		sends: common.Metrics.Counter("sends"), denied: common.Metrics.Counter("denied"), quietAsked: common.Metrics.Counter("quiet_asked"),
+		startedAt: common.Timer.Now(), colds: make(map[Backend]*coldState), coldZones: make(map[string]time.Time),
+		coldSends: common.Metrics.Counter("cold_sends"), coldCount: common.Metrics.Gauge("cold_backend_servers"), coldShare: newColdShare,
 	}
 	if opts.HeardPeers == nil {
 		t.instances = 1
@@ -94,7 +114,7 @@
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n >= t.instances || now.Sub(t.instancesAt) > instanceRetention {
+	if n >= t.instances || now.Sub(t.instancesAt) > InstanceRetention {
 		t.instances, t.instancesAt = n, now
 	}
 }
@@ -153,7 +173,7 @@
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wait := t.quietWait(now, b)
+	wait := max(t.quietWait(now, b), t.coldWait(now, b))
 	if state := t.states[b]; state != nil {
 		wait = max(wait, state.wait(now, t.share()))
 	}
@@ -177,19 +197,24 @@
 		t.denied.Inc(1)
 		return false, false
 	}
+	if t.coldWait(now, b) > 0 {
+		t.denied.Inc(1)
+		return false, true
+	}
 	state := t.states[b]
 	if state == nil {
-		return true, false
+		return true, t.takeCold(now, requestID, b)
 	}
 	limit, isLimited := state.limit.Get()
 	if !isLimited {
-		return true, false
+		return true, t.takeCold(now, requestID, b)
 	}
 	if !state.take(now, t.share()) {
 		t.denied.Inc(1)
 		return false, true
 	}
 	t.sends.Inc(1)
+	t.takeCold(now, requestID, b)
 	t.common.Log.Info("Request is sent to a limited backend server.",
 		zap.String("request_id", requestID), zap.String("backend_server", b.Name), zap.Float64("limit", limit),
 		zap.Int64("limit_age_ms", now.Sub(state.statedAt).Milliseconds()), zap.Int("recent_sends", len(state.recentSends)),
@@ -213,7 +238,7 @@
 	if quiet := t.quiets[b]; quiet != nil {
 		advice = max(advice, quiet.adviseRetry(now))
 	}
-	return advice
+	return max(advice, t.adviseCold(now, b))
 }
 
 // Report returns the limits for the peers: all, or only those with changes since the last
@@ -231,7 +256,7 @@
 			limits = append(limits, s.report(now, b))
 		}
 	}
-	return limits
+	return t.addColdReports(now, isFull, limits)
 }
 
 // Snapshot returns the limits that this instance has itself read from answers.
@@ -256,7 +281,13 @@
 	defer t.mu.Unlock()
 	for _, reported := range limits {
 		if state := t.mergeStatement(now, peer, reported); state != nil {
-			state.mergeSends(now, peer, incarnation, reported, t.instances)
+			isColdOnly := reported.GetCold() != nil && reported.GetSent() == 0
+			if !isColdOnly {
+				state.mergeSends(now, peer, incarnation, reported, t.instances)
+			}
+		}
+		if reported.GetCold() != nil {
+			t.mergeCold(now, peer, incarnation, reported)
 		}
 	}
 }
