Route, refuse and place by the rate of cold backend servers

Cause: relays had no use for what registrations say of cold backend servers, and the planner took cold engines for full ones.

Change: relays pass registrations, the configuration's rate and the names of their peers to aubthrottle, so that the router leaves out cold backend servers that can't take a request and refuses at once if all are. Engines count with their cold rate when copies are placed, unless they are warm before another copy could be ready.

Result: the tests of aubprocess, aubrelay, auborder, aubregistry and aubmembership pass; a relay sends at most 4 requests in the first second to a backend server that is cold at 4 a second and serves all others elsewhere.

--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -184,6 +184,20 @@
 	return heard
 }
 
+// PeerNames returns the names of the peers whose last report is not older than maxAge.
+func (x *LoadExchange) PeerNames(maxAge time.Duration) []string {
+	now := x.common.Timer.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	names := make([]string, 0, len(x.peers))
+	for name, peer := range x.peers {
+		if now.Sub(peer.receivedAt) <= maxAge {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // run sends changed loads and counters when notified, and full reports on ticks.
 func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
 	var sequence uint64
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -347,6 +347,10 @@
 		e.RateLimit = auboption.Some(perSecond)
 		return e
 	}
+	cold := func(e EngineView, left time.Duration) EngineView {
+		e.LimitedFor = left
+		return withRateLimit(e, 0.5)
+	}
 	model := func(name string, tokenRate float64, waiting bool) ModelView {
 		return ModelView{
 			Name: name, Megabytes: 70, TokenRate: tokenRate, RequestRate: tokenRate / 4000, Waiting: waiting,
@@ -463,6 +467,32 @@
 			},
 			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "c", FreesMemoryFor: "a"}},
 		},
+		{
+			name: "a model is loaded elsewhere if its engine is cold for longer than the load takes",
+			snapshot: Snapshot{
+				Engines:    []EngineView{cold(engine("e1", "a"), 5*time.Second), engine("e2", "b")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 4000, false), model("b", 0, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "a", FromStore: true, ExpectedDuration: 4 * time.Second}},
+		},
+		{
+			name: "a model stays where its engine is warm before another copy is ready",
+			snapshot: Snapshot{
+				Engines:    []EngineView{cold(engine("e1", "a"), 3*time.Second), engine("e2", "b", "c")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 4000, false), model("b", 9000, false), model("c", 0, false)},
+			},
+		},
+		{
+			name: "a model in use is loaded on an engine that is warm when it is ready",
+			snapshot: Snapshot{
+				Engines:    []EngineView{cold(engine("e1"), 3*time.Second), cold(engine("e2", "b"), 3*time.Second)},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 1,
+				Models: []ModelView{model("a", 4000, true), model("b", 4000, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e1", Model: "a", FromStore: true, ExpectedDuration: 4 * time.Second}},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, Plan(test.snapshot), qt.DeepEquals, test.want)
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -63,7 +63,7 @@
 	if req.Software != nil {
 		holders = slices.DeleteFunc(holders, func(e *engineState) bool { return e.record.GetSoftware() != req.GetSoftware() })
 	}
-	holders = d.preferUnlimited(holders)
+	holders = d.preferUnlimited(service, holders)
 	switch {
 	case len(holders) == 0:
 		return d.requestCopy(now, service, model)
@@ -124,9 +124,10 @@
 	return holders
 }
 
-// preferUnlimited returns the engines without a rate limit, or all if each has one.
-func (d *Director) preferUnlimited(engines []*engineState) []*engineState {
-	limits := d.opts.Loads.RateLimits()
+// preferUnlimited returns the engines of the service without a rate limit, or all if each has
+// one.
+func (d *Director) preferUnlimited(service aubsite.Service, engines []*engineState) []*engineState {
+	limits := d.rateLimits(service)
 	var unlimited []*engineState
 	for _, e := range engines {
 		if _, isLimited := limits[e.record.GetId()]; !isLimited {
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -42,6 +42,9 @@
 	// RateLimit is the number of requests per second that the engine takes; none if it
 	// states no limit.
 	RateLimit auboption.Option[float64]
+	// LimitedFor is the time after which the rate limit ends, as that of a cold engine; 0 if it
+	// is not known.
+	LimitedFor time.Duration
 }
 
 // ModelView is one model in a snapshot.
@@ -171,7 +174,7 @@
 		for _, e := range p.snapshot.Engines {
 			switch e.Models[m.Name] {
 			case CopyReady:
-				if e.carries(m.RequestRate) {
+				if e.carries(m.RequestRate) || e.isLimitedAtMost(p.shortestLoadTime(m)) {
 					p.ready[m.Name]++
 					continue
 				}
@@ -193,13 +196,30 @@
 	return !isLimited || limit >= requestRate
 }
 
+// isLimitedAtMost reports whether the engine's rate limit ends within the time, so that it
+// doesn't matter to what takes as long.
+func (e EngineView) isLimitedAtMost(within time.Duration) bool {
+	return e.LimitedFor > 0 && e.LimitedFor <= within
+}
+
+// shortestLoadTime returns the time until another copy of the model can be ready.
+func (p *planBuilder) shortestLoadTime(m ModelView) time.Duration {
+	shortest := m.LoadTime
+	for _, e := range p.snapshot.Engines {
+		if e.Models[m.Name] == 0 {
+			shortest = min(shortest, loadTime(e, m))
+		}
+	}
+	return shortest
+}
+
 // isInUse reports whether callers use the model or wait for it.
 func (m ModelView) isInUse() bool { return m.Waiting || m.TokenRate >= idleTokenRate }
 
 // desiredCopies divides the memory of all engines among the models: one copy each, and
 // the remaining memory to those with the highest token rate per copy. If one copy of
 // each does not fit, models that are not in use need none. Engines with a rate limit below
-// the mean request rate of all hold no further copies.
+// the mean request rate of all hold no further copies, unless the limit ends by itself.
 func (p *planBuilder) desiredCopies() map[string]int {
 	s := p.snapshot
 	desired := make(map[string]int, len(s.Models))
@@ -209,7 +229,7 @@
 	}
 	limitedMegabytes, unlimitedEngines := 0.0, 0
 	for _, e := range s.Engines {
-		if !e.carries(p.meanRate) {
+		if !e.carries(p.meanRate) && e.LimitedFor == 0 {
 			limitedMegabytes += usableMemoryShare * e.Megabytes
 			continue
 		}
@@ -325,7 +345,7 @@
 // isSuitable reports whether the engine's rate limit allows a further copy of the model. A
 // model in use will get more requests than at present.
 func (p *planBuilder) isSuitable(e EngineView, m ModelView) bool {
-	return !m.isInUse() || e.carries(max(m.RequestRate, p.meanRate))
+	return !m.isInUse() || e.carries(max(m.RequestRate, p.meanRate)) || e.isLimitedAtMost(loadTime(e, m))
 }
 
 // engineWithFreeMemory returns the engine to load the model on: one that caches its
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -14,7 +14,7 @@
 func (d *Director) snapshot(now time.Time, service aubsite.Service, engines map[string]*engineState) Snapshot {
 	models := modelsOf(service.Engine)
 	loads := d.opts.Loads.InFlight()
-	limits := d.opts.Loads.RateLimits()
+	limits := d.rateLimits(service)
 	d.mu.Lock()
 	d.refillStoreTokens(now, service.Engine.LoadsPerSecond)
 	concurrency := storeConcurrency(service.Engine)
@@ -32,7 +32,7 @@
 		e.mu.Lock()
 		view := e.view(service.Engine, models, loads[id])
 		if limit, isLimited := limits[id]; isLimited {
-			view.RateLimit = auboption.Some(limit)
+			view.RateLimit, view.LimitedFor = auboption.Some(limit.perSecond), limit.endsIn
 		}
 		s.Engines = append(s.Engines, view)
 		e.mu.Unlock()
@@ -46,6 +46,31 @@
 	return s
 }
 
+// engineLimit is the number of requests per second that an engine takes, and the time after
+// which that ends; 0 if it is not known.
+type engineLimit struct {
+	perSecond float64
+	endsIn    time.Duration
+}
+
+// rateLimits returns the limits of engines by their ids: those that answers state, and the
+// cold rate of the service where it is lower.
+func (d *Director) rateLimits(service aubsite.Service) map[string]engineLimit {
+	limits := make(map[string]engineLimit)
+	for id, perSecond := range d.opts.Loads.RateLimits() {
+		limits[id] = engineLimit{perSecond: perSecond}
+	}
+	if !service.HasColdRate() {
+		return limits
+	}
+	for id, left := range d.opts.Registry.ColdLeft() {
+		if stated, isLimited := limits[id]; !isLimited || service.ColdRate < stated.perSecond {
+			limits[id] = engineLimit{perSecond: service.ColdRate, endsIn: left}
+		}
+	}
+	return limits
+}
+
 // refillStoreTokens adds the loads that the weight store may start since the last call;
 // the caller holds mu.
 func (d *Director) refillStoreTokens(now time.Time, perSecond float64) {
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -130,7 +130,11 @@
 	r.throttle = aubthrottle.New(r.common, aubthrottle.Opts{
 		HeardPeers: func() int { return r.loads.CountHeardPeers(aubthrottle.PeerTimeout) },
 		OnChange:   func() { r.loads.NotifyLoadChanged() },
+		ColdRate:   r.coldRate,
+		Instance:   r.cfg.Name,
+		PeerNames:  func() []string { return r.loads.PeerNames(aubthrottle.InstanceRetention) },
 	})
+	r.registry.ObserveRegistrations(r.throttle.ObserveRegistration)
 	router, err := aubroute.NewRouter(r.common, aubroute.RouterOpts{
 		Policy:       aubroute.PolicyExpectedFirstToken,
 		Zone:         r.cfg.Zone,
@@ -215,6 +219,17 @@
 	return w.Rate, w.Burst, ok
 }
 
+// coldRate returns how long backend servers of a service are cold after a start and the
+// requests per second that they tolerate then, as the active configuration says.
+func (r *relay) coldRate(service string) (coldTime time.Duration, perSecond float64) {
+	site := r.site.Site()
+	if site == nil {
+		return 0, 0
+	}
+	s, _ := site.Service(service)
+	return s.ColdTime, s.ColdRate
+}
+
 // loadReporter returns a function that builds the load reports of this instance.
 func (r *relay) loadReporter(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
--- a/internal/aubregistry/leaving.go
+++ b/internal/aubregistry/leaving.go
@@ -55,6 +55,7 @@
 	if e.record.GetState() >= aubwire.BackendState_BACKEND_STATE_DRAINING {
 		return
 	}
+	e.leavingSince, e.leavingSource = r.common.Timer.Now().Add(-age), source
 	next := cloneRecord(e.record)
 	next.State = aubwire.BackendState_BACKEND_STATE_DRAINING
 	e.record, e.isLocal = next, true
@@ -64,3 +65,15 @@
 		source, zap.String("backend_server", next.GetId()), zap.String("service", next.GetService()),
 		zap.Int64("started_ms", next.GetStartedMs()), zap.Int64("sequence", next.GetSequence()), zap.Int64("age_ms", age.Milliseconds()))
 }
+
+// endLeaving logs that the departure of an incarnation, which answers announced, is over
+// because it is gone or another one has started; the caller holds mu.
+func (r *Registry) endLeaving(e *entry) {
+	if e.leavingSince.IsZero() {
+		return
+	}
+	r.common.Log.Info("Departure by a backend server's own answer ended.",
+		e.leavingSource, zap.String("backend_server", e.record.GetId()), zap.String("service", e.record.GetService()),
+		zap.Int64("started_ms", e.record.GetStartedMs()), zap.Int64("age_ms", r.common.Timer.Now().Sub(e.leavingSince).Milliseconds()))
+	e.leavingSince = time.Time{}
+}
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -48,6 +48,10 @@
 	// leavingSaidAt is when an answer to this process said that the incarnation leaves; zero
 	// if none did.
 	leavingSaidAt time.Time
+	// leavingSince is when this process learned of an answer, to itself or to a relay, which
+	// said that the incarnation leaves, leavingSource who had the answer; zero if none did.
+	leavingSince  time.Time
+	leavingSource zap.Field
 	// isLocal is set if the newest change was made or received by this process itself, not
 	// merged from another control process.
 	isLocal bool
@@ -173,6 +177,9 @@
 		r.entries[record.GetId()] = stored
 	}
 	previous, wasLost := stored.record, stored.record != nil && r.isLost(stored)
+	if previous.GetStartedMs() != record.GetStartedMs() || record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE {
+		r.endLeaving(stored)
+	}
 	if previous.GetStartedMs() != record.GetStartedMs() {
 		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
 	}
@@ -250,6 +257,7 @@
 		other.isSuperseded = other.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
 		superseded := cloneRecord(other.record)
 		superseded.State = aubwire.BackendState_BACKEND_STATE_GONE
+		r.endLeaving(other)
 		other.record = superseded
 		r.markChanged(other)
 		r.topologyVersion++
@@ -280,6 +288,7 @@
 	for id, e := range r.entries {
 		isOutdated := now.Sub(e.receivedAt) > recordRetention
 		if isOutdated && (e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || len(r.entries) > maxRecords) {
+			r.endLeaving(e)
 			delete(r.entries, id)
 		}
 	}
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -158,6 +158,7 @@
 	if decoded.RetryAfter > 0 {
 		h.opts.Throttle.ObserveQuiet(ex.call.ID, backend, decoded.RetryAfter)
 	}
+	h.opts.Throttle.ObserveCold(ex.call.ID, backend, decoded.ColdLeft)
 	if decoded.Leaving {
 		h.opts.Registry.MarkLeaving(ex.call.ID, backend.Name, int64(backend.Incarnation))
 	}
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -380,6 +380,13 @@
 	return site
 }
 
+// coldTime and coldRate are how long backend servers are cold after a start, if they say so, and
+// the requests per second that they tolerate then.
+const (
+	coldTime = 1500 * time.Millisecond
+	coldRate = 4.0
+)
+
 // newRelayFixture starts a relay and the named backend servers, which state no software
 // version.
 func newRelayFixture(t *testing.T, names ...string) *relayFixture {
@@ -407,7 +414,8 @@
 			State: aubwire.BackendState_BACKEND_STATE_READY, Software: versions[name],
 		})
 	}
-	throttle := aubthrottle.New(common, aubthrottle.Opts{})
+	throttle := aubthrottle.New(common, aubthrottle.Opts{ColdRate: func(string) (time.Duration, float64) { return coldTime, coldRate }})
+	fixture.registry.ObserveRegistrations(throttle.ObserveRegistration)
 	router, err := aubroute.NewRouter(common, aubroute.RouterOpts{
 		Source: fixture.registry, RetryShare: 1, RetryBurst: 1000,
 		Throttle: func(member string, incarnation uint64) time.Duration {
--- a/internal/aubthrottle/quiet.go
+++ b/internal/aubthrottle/quiet.go
@@ -56,15 +56,19 @@
 	if quiet != nil && !until.After(quiet.until) {
 		return
 	}
-	if quiet == nil {
+	isFirst := quiet == nil
+	if isFirst {
 		quiet = &quietPeriod{askedAt: now, requestID: requestID}
 		t.quiets[b] = quiet
 	}
 	quiet.until = until
 	t.quietAsked.Inc(1)
+	if !isFirst {
+		return
+	}
 	t.common.Log.Info("Backend server asks for no more requests.",
 		zap.String("request_id", requestID), zap.String("backend_server", b.Name), zap.Uint64("backend_started_ms", b.Incarnation),
-		zap.Int64("quiet_ms", duration.Milliseconds()), zap.Int64("quiet_since_ms", now.Sub(quiet.askedAt).Milliseconds()))
+		zap.Int64("quiet_ms", duration.Milliseconds()), zap.Int64("age_ms", 0))
 }
 
 // quietWait returns the time until the quiet of the backend server ends; the caller holds mu.
@@ -85,7 +89,7 @@
 	delete(t.quiets, b)
 	t.common.Log.Info("Backend server takes requests again.",
 		zap.String("backend_server", b.Name), zap.Uint64("backend_started_ms", b.Incarnation), zap.String("asked_in_answer_to", quiet.requestID),
-		zap.Int64("quiet_ms", quiet.until.Sub(quiet.askedAt).Milliseconds()), zap.Int("refused", quiet.advised))
+		zap.Int64("quiet_ms", quiet.until.Sub(quiet.askedAt).Milliseconds()), zap.Int64("age_ms", now.Sub(quiet.askedAt).Milliseconds()), zap.Int("refused", quiet.advised))
 }
 
 // endQuiets drops all that are over; the caller holds mu.
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -247,7 +247,13 @@
 	now := t.common.Timer.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.states, func(_ Backend, s *limitState) bool { return s.isOutdated(now) })
+	maps.DeleteFunc(t.states, func(b Backend, s *limitState) bool {
+		isDropped := s.isOutdated(now)
+		if isDropped && s.isLimited() {
+			t.logChange(b, s.limit, auboption.None[float64](), now.Sub(s.statedAt), zap.String("source", "not_used"))
+		}
+		return isDropped
+	})
 	t.endQuiets(now)
 	var limits []*aubwire.BackendLimit
 	for _, b := range slices.SortedFunc(maps.Keys(t.states), compareBackends) {
