--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -24,7 +24,7 @@
 	// state after lost datagrams.
 	fullLoadInterval = 500 * time.Millisecond
 	// maxDatagramLimits is the number of rate limits that fit into one datagram.
-	maxDatagramLimits = 16
+	maxDatagramLimits = 12
 	// maxLoadAge is the age after which the last reported load of a peer is ignored.
 	maxLoadAge = 2500 * time.Millisecond
 )
@@ -184,6 +184,20 @@
 	return heard
 }
 
+// PeerNames returns the names of the peers whose last report is not older than maxAge.
+func (x *LoadExchange) PeerNames(maxAge time.Duration) []string {
+	now := x.common.Timer.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	names := make([]string, 0, len(x.peers))
+	for name, peer := range x.peers {
+		if now.Sub(peer.receivedAt) <= maxAge {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // run sends changed loads and counters when notified, and full reports on ticks.
 func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
 	var sequence uint64
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -48,6 +48,10 @@
 	// leavingSaidAt is when an answer to this process said that the incarnation leaves; zero
 	// if none did.
 	leavingSaidAt time.Time
+	// leavingSince is when this process learned of an answer, to itself or to a relay, which
+	// said that the incarnation leaves, leavingSource who had the answer; zero if none did.
+	leavingSince  time.Time
+	leavingSource zap.Field
 	// isLocal is set if the newest change was made or received by this process itself, not
 	// merged from another control process.
 	isLocal bool
@@ -74,6 +78,8 @@
 	// if no registrations are received at all, this process is partitioned and the
 	// backend servers don't count as lost.
 	newestReceivedAt time.Time
+	// observe is called with each registration that is applied; nil for none.
+	observe func(record *aubwire.BackendRecord)
 	// view is the cached view, built at viewAt.
 	view   aubmembership.View
 	viewAt time.Time
@@ -171,11 +177,17 @@
 		r.entries[record.GetId()] = stored
 	}
 	previous, wasLost := stored.record, stored.record != nil && r.isLost(stored)
+	if previous.GetStartedMs() != record.GetStartedMs() || record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE {
+		r.endLeaving(stored)
+	}
 	if previous.GetStartedMs() != record.GetStartedMs() {
 		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
 	}
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
 	r.newestReceivedAt = now
+	if r.observe != nil {
+		r.observe(record)
+	}
 	hasSameTopology := sameTopology(previous, record)
 	if hasSameTopology && !wasLost && record.GetState() == aubwire.BackendState_BACKEND_STATE_READY {
 		r.markRenewed(stored)
@@ -245,6 +257,7 @@
 		other.isSuperseded = other.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
 		superseded := cloneRecord(other.record)
 		superseded.State = aubwire.BackendState_BACKEND_STATE_GONE
+		r.endLeaving(other)
 		other.record = superseded
 		r.markChanged(other)
 		r.topologyVersion++
@@ -275,6 +288,7 @@
 	for id, e := range r.entries {
 		isOutdated := now.Sub(e.receivedAt) > recordRetention
 		if isOutdated && (e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || len(r.entries) > maxRecords) {
+			r.endLeaving(e)
 			delete(r.entries, id)
 		}
 	}
@@ -293,7 +307,7 @@
 		if e.version <= version || version > 0 && !e.isLocal || r.isLost(e) {
 			continue
 		}
-		records = append(records, e.record)
+		records = append(records, e.agedRecord(r.common.Timer.Now()))
 	}
 	return records, r.version, r.changed
 }
