Subscribe to the slow link's transfer before the test's clock may advance

TestLargeStateArrivesOverASlowLink waited 61 s and failed once. Cause: the fixture set the end of a transfer and then subscribed to it. The test's goroutine advances the manual clock as soon as the end is set, so a sender preempted between the two subscribed to a time after the transfer's end, and nothing advances the clock there. Neither the distribution code nor the real timer is concerned.

The dump had the clock at 1004.95 s, the end of the transfer at 1004.94 s, one connection, and the sender in aubtimer.Wait for 1.6392 s.

Ruled out by the dump: a broken stream (one connection), and messages that were not dealt with (2 sent, 2 received).

Change: the fixture subscribes first.

--- a/internal/aubdistribution/fixture_test.go
+++ b/internal/aubdistribution/fixture_test.go
@@ -77,7 +77,7 @@
 	// counts the messages that have arrived.
 	transferEndsAt time.Time
 	sent           int
-	timer          *aubtimer.Manual
+	timer          aubtimer.Service
 }
 
 func newTestSite(t *testing.T) *testSite {
@@ -294,9 +294,14 @@
 	for _, m := range messages {
 		if bandwidth > 0 {
 			transferTime := time.Duration(proto.Size(m)) * time.Second / time.Duration(bandwidth)
+			// The clock moves as soon as the transfer is set. A subscription after that may
+			// be due later than the transfer, and then nothing advances the clock to it.
+			arrived := s.replica.timer.After(s.Context(), transferTime)
 			s.replica.setTransfer(s.replica.timer.Now().Add(transferTime), 0)
-			if err := aubtimer.Wait(s.Context(), s.replica.timer, transferTime); err != nil {
-				return err
+			select {
+			case <-arrived:
+			case <-s.Context().Done():
+				return s.Context().Err()
 			}
 		}
 		if err := s.BidiStreamingServer.Send(m); err != nil {
--- a/internal/aubdistribution/follower_test.go
+++ b/internal/aubdistribution/follower_test.go
@@ -16,6 +16,7 @@
 	"github.com/auburndale/auburndale/internal/aubdistribution"
 	"github.com/auburndale/auburndale/internal/aubstate/aubcodec"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
@@ -152,9 +153,32 @@
 
 // TestLargeStateArrivesOverASlowLink guards against a transfer that is longer than the timeout of a silent stream.
 func TestLargeStateArrivesOverASlowLink(t *testing.T) {
-	const workspaceCount, bytesPerSecond = 10_000, 20_000
+	s := newTestSite(t)
+	s.transferLargeState(t, s.addReplica("server"))
+}
+
+// lateTimer is a timer whose caller is preempted before it subscribes.
+type lateTimer struct{ aubtimer.Service }
+
+// After implements aubtimer.Service.
+func (l lateTimer) After(ctx context.Context, d time.Duration) <-chan time.Time {
+	time.Sleep(5 * time.Millisecond)
+	return l.Service.After(ctx, d)
+}
+
+// TestSlowLinkIgnoresPreemption guards against a slow link that waits for a time which the test's clock never reaches.
+func TestSlowLinkIgnoresPreemption(t *testing.T) {
 	s := newTestSite(t)
 	server := s.addReplica("server")
+	server.timer = lateTimer{Service: s.timer}
+	s.transferLargeState(t, server)
+}
+
+// transferLargeState sends a state of 10,000 workspaces over a link of 20,000 bytes a second,
+// on one connection.
+func (s *testSite) transferLargeState(t *testing.T, server *replica) {
+	t.Helper()
+	const workspaceCount, bytesPerSecond = 10_000, 20_000
 	ticket := aubapi.Ticket{Number: 1}
 	for i := range workspaceCount {
 		ticket.Workspaces = append(ticket.Workspaces, aubapi.Workspace{Name: "workspace-" + strconv.Itoa(i), Rate: 1, Burst: 1})
