Keep requests in the regions that route and workspace allow

Routes and tenants of the configuration may name regions, which were not decoded: their requests could run anywhere.

The fields are decoded and checked; the router leaves out members in zones of other regions or of none, which every path to a backend server passes. The leader returns copies in the regions only (PlaceRequest.regions) and loads a model there that is missing there. A request whose regions hold no backend server of its service is refused at once with 503 no_allowed_region. The refusals of relays now stand in docs/ERRORS.md.

--- a/internal/aubcli/settings.go
+++ b/internal/aubcli/settings.go
@@ -8,6 +8,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/auburndale/auburndale/internal/aubentry"
+	"github.com/auburndale/auburndale/internal/aubrelay"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 )
 
@@ -23,7 +24,7 @@
 			newSettingsCheckCommand(s),
 			newSettingsSiteCommand(s),
 			newPageCommand(s, "reference", "write the reference page of all settings", aubsettings.WriteReference),
-			newPageCommand(s, "errors", "write the page of all refusals that callers may get", aubentry.WriteErrorReference),
+			newPageCommand(s, "errors", "write the page of all refusals that callers may get", writeErrorReference),
 		},
 		Exec: func(context.Context, []string) error {
 			return s.usageError("settings needs the command check, site, reference or errors")
@@ -31,6 +32,14 @@
 	}
 }
 
+// writeErrorReference writes the refusals of entries and relays.
+func writeErrorReference(w io.Writer) error {
+	if err := aubentry.WriteErrorReference(w); err != nil {
+		return err
+	}
+	return aubrelay.WriteRefusalReference(w)
+}
+
 func newSettingsCheckCommand(s streams) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "check",
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -47,6 +47,8 @@
 	Loads      *aubregistry.LoadAggregator
 	// Site returns the active configuration, nil before the first.
 	Site func() *aubsite.Site
+	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
+	RegionOf func(zone string) string
 	// Interval is the time between two plans.
 	Interval time.Duration
 	// Handover is the time at the start of a term in which no orders are sent.
@@ -76,6 +78,8 @@
 	storeRefilledAt time.Time
 	// copyRequestedAt is when callers last waited for a model without a copy.
 	copyRequestedAt map[string]time.Time
+	// regionRequests holds, by model, when callers limited to certain regions last waited.
+	regionRequests map[string][]regionRequest
 }
 
 // NewDirector returns a director that plans until ctx ends.
@@ -109,6 +113,7 @@
 		engines:         make(map[string]*engineState),
 		demandMeter:     newDemandMeter(),
 		copyRequestedAt: make(map[string]time.Time),
+		regionRequests:  make(map[string][]regionRequest),
 	}
 }
 
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -97,7 +97,7 @@
 	s.sequence++
 	for id, e := range s.fleet.engines {
 		s.delayed = append(s.delayed, delayedRecord{steps: delay(), record: &aubwire.BackendRecord{
-			Id: id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
+			Id: id, Zone: id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
 			State: aubwire.BackendState_BACKEND_STATE_READY, Models: e.state().Models,
 		}})
 	}
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -39,7 +39,7 @@
 	d.mu.Unlock()
 	if !isLeading && !req.GetForwarded() {
 		return d.opts.Forward(ctx, &aubwire.PlaceRequest{
-			Service: req.GetService(), Model: req.GetModel(), Adapter: req.GetAdapter(), Software: req.Software, Forwarded: true,
+			Service: req.GetService(), Model: req.GetModel(), Adapter: req.GetAdapter(), Software: req.Software, Regions: req.GetRegions(), Forwarded: true,
 		})
 	}
 	site := d.opts.Site()
@@ -63,10 +63,11 @@
 	if req.Software != nil {
 		holders = slices.DeleteFunc(holders, func(e *engineState) bool { return e.record.GetSoftware() != req.GetSoftware() })
 	}
+	holders = slices.DeleteFunc(holders, func(e *engineState) bool { return !d.isInRegions(req.GetRegions(), e) })
 	holders = d.preferUnlimited(holders)
 	switch {
 	case len(holders) == 0:
-		return d.requestCopy(now, service, model)
+		return d.requestCopy(now, service, model, req.GetRegions())
 	case req.GetAdapter() == "":
 		return &aubwire.PlaceResponse{Backend: holders[0].record.GetId()}
 	}
@@ -75,19 +76,24 @@
 
 // requestCopy makes the next plan load a model that callers wait for, and returns when
 // it is likely to be ready.
-func (d *Director) requestCopy(now time.Time, service aubsite.Service, model aubsite.Model) *aubwire.PlaceResponse {
+func (d *Director) requestCopy(now time.Time, service aubsite.Service, model aubsite.Model, regions []string) *aubwire.PlaceResponse {
 	d.mu.Lock()
-	d.copyRequestedAt[aubregistry.ModelName(service.Name, model.Name)] = now
+	name := aubregistry.ModelName(service.Name, model.Name)
+	d.copyRequestedAt[name] = now
+	d.regionRequests[name] = addRegionRequest(d.regionRequests[name], regionRequest{regions: regions, at: now})
 	d.mu.Unlock()
 	d.triggerPlan()
-	return &aubwire.PlaceResponse{RetryAfterMs: d.expectedReadyIn(now, model).Milliseconds()}
+	return &aubwire.PlaceResponse{RetryAfterMs: d.expectedReadyIn(now, model, regions).Milliseconds()}
 }
 
 // expectedReadyIn estimates the time until relays see a ready copy of a model that is
 // being loaded or will be.
-func (d *Director) expectedReadyIn(now time.Time, model aubsite.Model) time.Duration {
+func (d *Director) expectedReadyIn(now time.Time, model aubsite.Model, regions []string) time.Duration {
 	remaining := model.LoadTime
 	for _, e := range d.allEngines() {
+		if !d.isInRegions(regions, e) {
+			continue
+		}
 		e.mu.Lock()
 		if op := e.operation; op != nil && op.action == ActionLoad && op.model == model.Name && op.accepted {
 			remaining = min(remaining, max(op.expectedDuration-now.Sub(op.startedAt), 0))
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/auboption"
+	"github.com/auburndale/auburndale/internal/aubsite"
 )
 
 // CopyState is the state of a model on an engine.
@@ -42,6 +43,8 @@
 	// RateLimit is the number of requests per second that the engine takes; none if it
 	// states no limit.
 	RateLimit auboption.Option[float64]
+	// Region of the engine; empty if its zone has none.
+	Region string
 }
 
 // ModelView is one model in a snapshot.
@@ -54,10 +57,14 @@
 	RequestRate float64
 	// Waiting is set while callers wait for a first copy.
 	Waiting bool
+	// WaitingRegions are the sets of regions to which waiting callers are limited.
+	WaitingRegions [][]string
 	// LoadTime is the duration of a load from the weight store, CachedLoadTime that of
 	// a load of weights that the engine caches.
 	LoadTime       time.Duration
 	CachedLoadTime time.Duration
+	// regions are those that lack a copy for waiting callers; the next copy is loaded there.
+	regions []string
 }
 
 // Snapshot is the input of the planner.
@@ -168,7 +175,11 @@
 	models := slices.Clone(p.snapshot.Models)
 	for i, m := range models {
 		hasLimitedCopy := false
+		models[i].regions = p.regionsLackingCopy(m)
 		for _, e := range p.snapshot.Engines {
+			if !aubsite.InRegions(models[i].regions, e.Region) {
+				continue
+			}
 			switch e.Models[m.Name] {
 			case CopyReady:
 				if e.carries(m.RequestRate) {
@@ -186,6 +197,22 @@
 	p.snapshot.Models = models
 }
 
+// regionsLackingCopy returns the first set of regions in which callers wait for the model, and no
+// engine holds it or is about to. Copies elsewhere then count for nothing in this plan.
+func (p *planBuilder) regionsLackingCopy(m ModelView) []string {
+	for _, regions := range m.WaitingRegions {
+		hasCopy := slices.ContainsFunc(p.snapshot.Engines, func(e EngineView) bool {
+			state := e.Models[m.Name]
+			isComing := state == CopyLoading || e.FreesMemoryFor == m.Name
+			return aubsite.InRegions(regions, e.Region) && (isComing || state == CopyReady && e.carries(m.RequestRate))
+		})
+		if !hasCopy {
+			return regions
+		}
+	}
+	return nil
+}
+
 // carries reports whether the engine's rate limit allows the requests for a model. A copy that
 // can't take them is kept but counts for nothing.
 func (e EngineView) carries(requestRate float64) bool {
@@ -341,7 +368,7 @@
 func (p *planBuilder) bestEngine(m ModelView, fits func(EngineView) bool) (EngineView, bool) {
 	var candidates []EngineView
 	for _, e := range p.snapshot.Engines {
-		if _, isPresent := e.Models[m.Name]; !isPresent && !p.busy[e.ID] && fits(e) {
+		if _, isPresent := e.Models[m.Name]; !isPresent && aubsite.InRegions(m.regions, e.Region) && !p.busy[e.ID] && fits(e) {
 			candidates = append(candidates, e)
 		}
 	}
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -24,7 +24,8 @@
 		s.Models = append(s.Models, ModelView{
 			Name: m.Name, Megabytes: m.Megabytes, TokenRate: d.demandMeter.tokenRates[name], RequestRate: d.demandMeter.requestRates[name],
 			LoadTime: m.LoadTime, CachedLoadTime: m.DiskLoadTime,
-			Waiting: now.Sub(d.copyRequestedAt[name]) < copyRequestTTL,
+			Waiting:        now.Sub(d.copyRequestedAt[name]) < copyRequestTTL,
+			WaitingRegions: waitingRegions(now, d.regionRequests[name]),
 		})
 	}
 	d.mu.Unlock()
@@ -34,6 +35,7 @@
 		if limit, isLimited := limits[id]; isLimited {
 			view.RateLimit = auboption.Some(limit)
 		}
+		view.Region = d.regionOf(e.record.GetZone())
 		s.Engines = append(s.Engines, view)
 		e.mu.Unlock()
 	}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -164,6 +164,7 @@
 		Interval:   c.cfg.Placement.Interval.Value(),
 		Handover:   c.cfg.Placement.HandoverDelay.Value(),
 		Forward:    c.forwardPlace,
+		RegionOf:   func(zone string) string { return c.cfg.Regions[zone] },
 	})
 	software := aubresume.NewSoftwareCommitter(c.ctx, c.common, aubresume.CommitterOpts{
 		Table: c.software, Proposer: c.replica, Leadership: c.replica, Seen: c.registry.SoftwareSeen,
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -145,6 +145,7 @@
 		Throttle: func(backend string, incarnation uint64) time.Duration {
 			return r.throttle.Wait(aubthrottle.Backend{Name: backend, Incarnation: incarnation})
 		},
+		RegionOf:      func(zone string) string { return r.cfg.Regions[zone] },
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -196,6 +197,7 @@
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
 		Throttle:          r.throttle,
+		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
--- a/internal/aubrelay/copy_requester.go
+++ b/internal/aubrelay/copy_requester.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,16 +37,19 @@
 	return &CopyRequester{common: common.WithPart("copies"), registry: registry, place: place}
 }
 
-// Await requests a copy, at a backend server of the software version if there is one, and
-// returns nil if a backend server then holds the model or adapter. Otherwise the error is *aubroute.NoBackendError with the time to retry.
-func (c *CopyRequester) Await(ctx context.Context, service, model, adapter string, software auboption.Option[string]) error {
+// Await requests a copy, at a backend server of the software version if there is one and in one of
+// the regions if there are any, and returns nil if a backend server then holds the model or adapter. Otherwise the error is *aubroute.NoBackendError with the time to retry.
+func (c *CopyRequester) Await(ctx context.Context, service, model, adapter string, software auboption.Option[string], regions []string) error {
 	name := aubregistry.AdapterName(service, model, adapter)
-	req := &aubwire.PlaceRequest{Service: service, Model: model, Adapter: adapter}
+	req := &aubwire.PlaceRequest{Service: service, Model: model, Adapter: adapter, Regions: regions}
 	key := name
 	if version, isBound := software.Get(); isBound {
 		req.Software = &version
 		key += "@" + version
 	}
+	if len(regions) > 0 {
+		key += "#" + strings.Join(regions, "#")
+	}
 	result := c.inFlight.DoChan(key, func() (any, error) { return c.requestCopy(ctx, req) })
 	select {
 	case placed := <-result:
@@ -77,7 +81,7 @@
 	defer cancel()
 	resp, err := c.place(ctx, req)
 	c.common.Log.Info("Copy asked for.",
-		zap.String("service", req.GetService()), zap.String("model", req.GetModel()), zap.String("adapter", req.GetAdapter()), zap.Stringp("software", req.Software),
+		zap.String("service", req.GetService()), zap.String("model", req.GetModel()), zap.String("adapter", req.GetAdapter()), zap.Stringp("software", req.Software), zap.Strings("regions", req.GetRegions()),
 		zap.String("backend_server", resp.GetBackend()), zap.Int64("retry_after_ms", resp.GetRetryAfterMs()), zap.Error(err))
 	return resp, err
 }
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -22,7 +22,9 @@
 	route     aubsite.Route
 	workspace aubsite.Workspace
 	service   string
-	body      []byte
+	// regions are those in which the request may run; any if there are none.
+	regions []string
+	body    []byte
 	// fingerprint identifies the content of the request; empty until the body is read.
 	fingerprint string
 	// suspectFingerprints are fingerprint and those of the shared prompt parts.
@@ -151,6 +153,9 @@
 		zap.Int64("longest_pause_ms", ex.maxEventGap.Milliseconds()),
 		zap.Int64("elapsed_ms", elapsed.Milliseconds()),
 	}
+	if len(ex.regions) > 0 {
+		fields = append(fields, zap.Strings("regions", ex.regions))
+	}
 	if ex.site != nil {
 		fields = append(fields, zap.Uint64("revision", ex.site.Number()))
 	}
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -292,6 +292,8 @@
 	coverage aubresume.Coverage
 	// committed holds the software versions that control processes state.
 	committed []*aubwire.SoftwareSeen
+	// regions holds the regions of the zones.
+	regions map[string]string
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 }
@@ -415,6 +417,7 @@
 		Throttle: func(member string, incarnation uint64) time.Duration {
 			return throttle.Wait(aubthrottle.Backend{Name: member, Incarnation: incarnation})
 		},
+		RegionOf: func(zone string) string { return fixture.regions[zone] },
 	})
 	qt.Assert(t, err, qt.IsNil)
 	fixture.poison = aubpoison.NewTable()
@@ -426,6 +429,7 @@
 			return nil, errors.New("no control process")
 		}),
 		Guard:    guard,
+		RegionOf: func(zone string) string { return fixture.regions[zone] },
 		Throttle: throttle,
 		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -62,6 +62,8 @@
 	Guard *aubpoison.Guard
 	// Throttle keeps the rate limits that backend servers state.
 	Throttle *aubthrottle.Throttle
+	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
+	RegionOf func(zone string) string
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -116,6 +116,7 @@
 	CodeBlocked               RefusalCode = "request_blocked"
 	CodeUnknownStream         RefusalCode = "unknown_stream"
 	CodeBackendLimited        RefusalCode = "backend_server_limited"
+	CodeNoAllowedRegion       RefusalCode = "no_allowed_region"
 )
 
 // Refusal is the relay's own error response to a request.
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -78,6 +78,9 @@
 // relay sends the request to one backend server after another until an attempt
 // is final or no retry is allowed.
 func (h *Handler) relay(ctx context.Context, ex *exchange) error {
+	if err := h.bindRegions(ex); err != nil {
+		return err
+	}
 	if err := h.bindService(ctx, ex); err != nil {
 		return err
 	}
@@ -194,6 +197,10 @@
 	if errors.As(pickErr, &blocked) {
 		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeBlocked, RetryAfter: blocked.RetryAfter}, err: cause}
 	}
+	var refused *refusalError
+	if errors.As(pickErr, &refused) {
+		return refused
+	}
 	retryAfter := defaultRetryAfter
 	var noBackend *aubroute.NoBackendError
 	if pickErr == nil {
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -46,6 +47,9 @@
 	if !errors.As(err, &noBackend) {
 		return choice, err
 	}
+	if !h.hasBackendInRegions(ex) {
+		return choice, newRefusal(http.StatusServiceUnavailable, CodeNoAllowedRegion, emptyRegionRetryAfter)
+	}
 	if len(ex.excludedBackends) > 0 {
 		// The only holder may succeed at the next attempt: a lost response does not mean
 		// that the backend server is lost.
@@ -67,7 +71,7 @@
 func (h *Handler) awaitCopy(ctx context.Context, ex *exchange) error {
 	waitDeadline := h.common.Timer.Now().Add(ex.route.Objective/waitDivisor - slotPollInterval)
 	for {
-		err := h.opts.CopyRequester.Await(ctx, ex.service, ex.call.Model, ex.call.Adapter, ex.requiredSoftware)
+		err := h.opts.CopyRequester.Await(ctx, ex.service, ex.call.Model, ex.call.Adapter, ex.requiredSoftware, ex.regions)
 		var noBackend *aubroute.NoBackendError
 		isSlotFreeSoon := errors.As(err, &noBackend) && noBackend.RetryAfter <= maxSlotRetryAfter
 		if !isSlotFreeSoon || h.common.Timer.Now().After(waitDeadline) {
@@ -89,7 +93,7 @@
 
 // newRouteRequest returns the request to the router for a backend server.
 func (h *Handler) newRouteRequest(ex *exchange) aubroute.Request {
-	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service, Software: ex.requiredSoftware}
+	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service, Software: ex.requiredSoftware, Regions: ex.regions}
 	service, _ := ex.site.Service(ex.service)
 	if service.Engine == nil || ex.call.Model == "" {
 		request.Service = ex.service
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -195,6 +195,9 @@
 	if software, isBound := request.Software.Get(); isBound && software != member.Announcement.GetBackend().GetSoftware() {
 		return memberCandidate{}, false
 	}
+	if len(request.Regions) > 0 && !r.isInRegions(request.Regions, member.Announcement.GetZone()) {
+		return memberCandidate{}, false
+	}
 	if request.Adapter != "" && !isModelReady(member.Announcement, request.Model) {
 		return memberCandidate{}, false
 	}
@@ -202,6 +205,15 @@
 	return memberCandidate{member: member, state: state, candidate: r.candidate(now, member, state, request)}, true
 }
 
+// isInRegions reports whether the zone belongs to one of the regions.
+func (r *Router) isInRegions(regions []string, zone string) bool {
+	if r.opts.RegionOf == nil {
+		return false
+	}
+	region := r.opts.RegionOf(zone)
+	return region != "" && slices.Contains(regions, region)
+}
+
 // candidate returns the load snapshot of a member. The member's report is outdated by
 // ReportLag and its age, so requests that this instance started since are added.
 func (r *Router) candidate(
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -32,6 +32,8 @@
 	SharedTokens int64
 	// Software is the software version that the member must have; none if any will do.
 	Software auboption.Option[string]
+	// Regions are those in which the member must be; any if there are none.
+	Regions []string
 	// Exclude lists members that must not be chosen, such as those on which this
 	// request failed before.
 	Exclude []string
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -65,6 +65,8 @@
 	// Throttle returns the time until the rate limit of a member incarnation allows another
 	// request; 0 for now. Nil limits none.
 	Throttle func(member string, incarnation uint64) time.Duration
+	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
+	RegionOf func(zone string) string
 	// PrefillRate is assumed for members that report none, in tokens a second; 0
 	// means the default.
 	PrefillRate float64
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -25,6 +25,9 @@
 	Standin    Standin    `yaml:"standin" doc:"Stand-in engine, plain service or weight store, for tests and measurements."`
 	Objectives Objectives `yaml:"objectives" doc:"Service-level objectives for the burn report."`
 	Shutdown   Shutdown   `yaml:"shutdown" doc:"Graceful shutdown."`
+
+	Region  string            `yaml:"region" doc:"Region of the process."`
+	Regions map[string]string `yaml:"regions" doc:"Region of each availability zone; a zone that is left out belongs to no region."`
 }
 
 // Log holds the settings of logging.
--- a/internal/aubsite/site.go
+++ b/internal/aubsite/site.go
@@ -54,6 +54,9 @@
 	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
 		return &InvalidError{Object: object, Reason: "has a prefix that does not begin and end with a slash"}
 	}
+	if slices.Contains(route.Regions, "") {
+		return &InvalidError{Object: object, Reason: "allows a region without a name"}
+	}
 	totalWeight := 0
 	for _, t := range route.Targets {
 		if _, ok := s.serviceByName[t.Service]; !ok {
@@ -83,6 +86,9 @@
 	if _, ok := s.workspaceByName[w.Name]; ok || w.Name == "" {
 		return &InvalidError{Object: "workspace " + w.Name, Reason: "has no name or one that is in use"}
 	}
+	if slices.Contains(w.Regions, "") {
+		return &InvalidError{Object: "workspace " + w.Name, Reason: "allows a region without a name"}
+	}
 	s.workspaceByName[w.Name] = index
 	for _, key := range w.Keys {
 		digest := sha256.Sum256([]byte(key))
--- a/internal/aubsite/site_test.go
+++ b/internal/aubsite/site_test.go
@@ -85,6 +85,10 @@
 		{"negative weight", withRoute(func(r *aubsite.Route) { r.Targets[0].Weight = -1 }), "negative weight"},
 		{"no target", withRoute(func(r *aubsite.Route) { r.Targets = nil }), "add up to 0"},
 		{"prefix without slash", withRoute(func(r *aubsite.Route) { r.Prefix = "/x" }), "end with a slash"},
+		{"route with a region without a name", withRoute(func(r *aubsite.Route) { r.Regions = []string{"r1", ""} }), "region without a name"},
+		{"workspace with a region without a name", aubsite.Spec{Number: 1, Workspaces: []aubsite.Workspace{
+			{Name: "w", Regions: []string{""}},
+		}}, "region without a name"},
 		{"same host and prefix", spec(route("r", "a", "/"), route("q", "a", "/")), "host and prefix of another route"},
 		{"same service", aubsite.Spec{Number: 1, Services: []aubsite.Service{{Name: "s"}, {Name: "s"}}}, "in use"},
 		{"shared key", aubsite.Spec{Number: 1, Workspaces: []aubsite.Workspace{
--- a/internal/aubsite/spec.go
+++ b/internal/aubsite/spec.go
@@ -48,6 +48,8 @@
 	Anonymous bool
 	// Resumable streams may continue on another backend server after an event.
 	Resumable bool
+	// Regions are those in which requests may run; none means any.
+	Regions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -105,6 +107,8 @@
 	// the cost of a request that declares no tokens.
 	CountsTokens bool
 	DefaultCost  int64
+	// Regions are those in which requests may run; none means any.
+	Regions []string
 }
 
 // Spec is the content of one revision, not yet checked.
