--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -156,6 +156,7 @@
 		Speed: func(backend string, incarnation uint64) float64 {
 			return r.speeds.Speed(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)})
 		},
+		RegionOf:      func(zone string) string { return r.cfg.Regions[zone] },
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -208,6 +209,7 @@
 		Guard:             guard,
 		Throttle:          r.throttle,
 		Speeds:            r.speedMeter,
+		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -50,8 +50,8 @@
 
 // ServerOpts configures a server.
 type ServerOpts struct {
-	Registry  *Registry
-	Loads     *LoadAggregator
+	Registry *Registry
+	Loads    *LoadAggregator
 	// Speeds combines the relays' measurements of engines; nil announces none.
 	Speeds    *aubspeed.Aggregator
 	Revisions RevisionSource
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -68,6 +68,8 @@
 	Throttle *aubthrottle.Throttle
 	// Speeds measures the speed of engines by their streams; nil measures none.
 	Speeds *aubspeed.Meter
+	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
+	RegionOf func(zone string) string
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -68,6 +68,8 @@
 	// Speed returns the speed of a member incarnation relative to the other members; nil means
 	// that all are equal.
 	Speed func(member string, incarnation uint64) float64
+	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
+	RegionOf func(zone string) string
 	// PrefillRate is assumed for members that report none, in tokens a second; 0
 	// means the default.
 	PrefillRate float64
