Store orders to drain an availability zone in the replicated log

Cause: operators had no way to take a zone out of service without taking every backend server in it out one by one.

Change: POST and DELETE /evacuations/ZONE on the port of the control API commit an order to the new replicated table zone_drains (internal/aubdrain). An order is acknowledged once committed. A zone is unknown (400) only by confirmed state, every other failure is answered with 503. Known zones come from the new setting regions or, if it is empty, from registrations. A zone with an order stays known, so that a repeated withdrawal gets the same answer.

Measured: go test -race of aubdrain, aubsettings, aubregistry, aubprocess and platform passes. No relay receives the orders yet.

--- a/internal/aubprocess/adapter.go
+++ b/internal/aubprocess/adapter.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/auborder"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubrelay"
@@ -25,5 +26,6 @@
 	// register.
 	ControlHandler func(
 		common aubcommon.Common, configs *aubsite.Configurations, backends *aubregistry.Registry, relays *aubregistry.Server,
+		drains *aubdrain.Orders,
 	) http.Handler
 }
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/auborder"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
@@ -36,6 +37,7 @@
 	replica        *aubcontrol.Replica
 	siteTable      *aubsite.Table
 	poison         *aubpoison.Table
+	drains         *aubdrain.Table
 	site           *aubsite.ActiveSite
 	registry       *aubregistry.Registry
 	loads          *aubregistry.LoadAggregator
@@ -97,7 +99,7 @@
 	configs := aubsite.NewConfigurations(c.siteTable, c.replica, c.replica)
 	_, err := c.serveHTTP(httpOpts{
 		setting: "registry.listen", listen: c.cfg.Registry.Listen,
-		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer),
+		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer, c.zoneOrders()),
 	})
 	if err != nil {
 		return err
@@ -120,6 +122,7 @@
 func (c *controller) startReplica() error {
 	c.siteTable = aubsite.NewTable()
 	c.poison = aubpoison.NewTable()
+	c.drains = aubdrain.NewTable(c.common.Timer)
 	c.site = aubsite.NewActiveSite(c.common, c.adapter.DecodeSite)
 	selfAddress := c.cfg.Internal.Address()
 	seeds := controlSeeds(c.cfg)
@@ -136,7 +139,7 @@
 		MaxVoters:       2*c.cfg.Control.FaultTolerance + 1,
 		ReplaceAfter:    c.cfg.Control.ReplaceAfter.Value(),
 		DataDir:         c.cfg.Control.DataDir,
-		Tables:          []aubcontrol.Table{c.siteTable, c.poison},
+		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.drains},
 		Dial:            c.transport.Dial,
 		Heartbeat:       c.cfg.Control.HeartbeatInterval.Value(),
 		ElectionTimeout: c.cfg.Control.ElectionTimeout.Value(),
@@ -184,6 +187,7 @@
 		Registry:    c.registry,
 	})
 	go c.followTable()
+	c.watchDrains()
 }
 
 // followTable activates committed configurations in this process until it ends.
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -311,6 +311,20 @@
 	return records
 }
 
+// Zones returns the zones of all registered backend servers, also of those that are lost or
+// gone but still stored.
+func (r *Registry) Zones() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	zones := make(map[string]bool)
+	for _, e := range r.entries {
+		if zone := e.record.GetZone(); zone != "" {
+			zones[zone] = true
+		}
+	}
+	return zones
+}
+
 // View implements aubmembership.Source.
 func (r *Registry) View() aubmembership.View {
 	now := r.common.Timer.Now()
--- a/internal/aubsettings/load.go
+++ b/internal/aubsettings/load.go
@@ -65,6 +65,8 @@
 		d.decodeStruct(n, v, path)
 	case reflect.Slice:
 		d.decodeSlice(n, v, path)
+	case reflect.Map:
+		d.decodeMap(n, v, path)
 	default:
 		d.decodeScalar(n, v, path, allowed)
 	}
@@ -114,6 +116,27 @@
 	v.Set(list)
 }
 
+// decodeMap decodes a group whose keys are texts of the file's choice.
+func (d *decoder) decodeMap(n *yaml.Node, v reflect.Value, path string) {
+	if n.Kind != yaml.MappingNode {
+		d.addFault(n, path, "allowed: names with values")
+		return
+	}
+	entries := reflect.MakeMap(v.Type())
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		entryPath := joinPath(path, key.Value)
+		if entries.MapIndex(reflect.ValueOf(key.Value)).IsValid() {
+			d.addFault(key, entryPath, "the setting stands twice")
+			continue
+		}
+		value := reflect.New(v.Type().Elem()).Elem()
+		d.decode(n.Content[i+1], value, entryPath, "")
+		entries.SetMapIndex(reflect.ValueOf(key.Value), value)
+	}
+	v.Set(entries)
+}
+
 func (d *decoder) decodeScalar(n *yaml.Node, v reflect.Value, path, allowed string) {
 	if n.Kind != yaml.ScalarNode {
 		d.addFault(n, path, "allowed: a single value")
--- a/internal/aubsettings/reference.go
+++ b/internal/aubsettings/reference.go
@@ -69,6 +69,8 @@
 		return "number from 0 to 1"
 	case reflect.TypeFor[[]Address]():
 		return "list of addresses"
+	case reflect.TypeFor[map[string]string]():
+		return "names with texts"
 	case reflect.TypeFor[[]string]():
 		return "list of texts"
 	case reflect.TypeFor[[]Peer]():
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -6,25 +6,26 @@
 // reference page, allowed the set of values of a choice, separated by spaces, and
 // required marks a setting that must not be empty.
 type Settings struct {
-	Name       string     `yaml:"name" doc:"Name of the process, unique in the site." required:"true"`
-	Zone       string     `yaml:"zone" doc:"Availability zone of the process." required:"true"`
-	SecretFile string     `yaml:"secret_file" doc:"File with the secret that the site's processes share; it authenticates datagrams."`
-	Log        Log        `yaml:"log" doc:"Logging."`
-	Internal   Internal   `yaml:"internal" doc:"Listener for the site's own processes (gRPC)."`
-	Membership Membership `yaml:"membership" doc:"Membership and load datagrams (UDP)."`
-	Control    Control    `yaml:"control" doc:"Replicated state."`
-	Caller     Caller     `yaml:"caller" doc:"Listener for callers (HTTP)."`
-	Registry   Registry   `yaml:"registry" doc:"Listener for backend servers and operators of the users' platform (HTTP)."`
-	Admin      Admin      `yaml:"admin" doc:"Listener for operators (HTTP)."`
-	Platform   Platform   `yaml:"platform" doc:"Listener for health checks and metrics (HTTP)."`
-	Limits     Limits     `yaml:"limits" doc:"Token limits of workspaces."`
-	Queue      Queue      `yaml:"queue" doc:"Admission and fair queueing."`
-	Routing    Routing    `yaml:"routing" doc:"Choice of the backend server."`
-	Placement  Placement  `yaml:"placement" doc:"Placement of models and adapters."`
-	Agent      Agent      `yaml:"agent" doc:"Agent and the backend server beside it."`
-	Standin    Standin    `yaml:"standin" doc:"Stand-in engine, plain service or weight store, for tests and measurements."`
-	Objectives Objectives `yaml:"objectives" doc:"Service-level objectives for the burn report."`
-	Shutdown   Shutdown   `yaml:"shutdown" doc:"Graceful shutdown."`
+	Name       string            `yaml:"name" doc:"Name of the process, unique in the site." required:"true"`
+	Zone       string            `yaml:"zone" doc:"Availability zone of the process." required:"true"`
+	Regions    map[string]string `yaml:"regions" doc:"Availability zones of the deployment, each with its region. Empty means that the zones of registered backend servers are known."`
+	SecretFile string            `yaml:"secret_file" doc:"File with the secret that the site's processes share; it authenticates datagrams."`
+	Log        Log               `yaml:"log" doc:"Logging."`
+	Internal   Internal          `yaml:"internal" doc:"Listener for the site's own processes (gRPC)."`
+	Membership Membership        `yaml:"membership" doc:"Membership and load datagrams (UDP)."`
+	Control    Control           `yaml:"control" doc:"Replicated state."`
+	Caller     Caller            `yaml:"caller" doc:"Listener for callers (HTTP)."`
+	Registry   Registry          `yaml:"registry" doc:"Listener for backend servers and operators of the users' platform (HTTP)."`
+	Admin      Admin             `yaml:"admin" doc:"Listener for operators (HTTP)."`
+	Platform   Platform          `yaml:"platform" doc:"Listener for health checks and metrics (HTTP)."`
+	Limits     Limits            `yaml:"limits" doc:"Token limits of workspaces."`
+	Queue      Queue             `yaml:"queue" doc:"Admission and fair queueing."`
+	Routing    Routing           `yaml:"routing" doc:"Choice of the backend server."`
+	Placement  Placement         `yaml:"placement" doc:"Placement of models and adapters."`
+	Agent      Agent             `yaml:"agent" doc:"Agent and the backend server beside it."`
+	Standin    Standin           `yaml:"standin" doc:"Stand-in engine, plain service or weight store, for tests and measurements."`
+	Objectives Objectives        `yaml:"objectives" doc:"Service-level objectives for the burn report."`
+	Shutdown   Shutdown          `yaml:"shutdown" doc:"Graceful shutdown."`
 }
 
 // Log holds the settings of logging.
@@ -107,6 +108,7 @@
 	Listen            Address  `yaml:"listen" doc:"IP address and port for registrations and complete configurations."`
 	HeartbeatInterval Duration `yaml:"heartbeat" doc:"Time between two registrations of a backend server."`
 	ActivationTimeout Duration `yaml:"activation_timeout" doc:"Time from the commit of a complete configuration in which every relay must have it in force. A relay that knows of a newer one for four fifths of it refuses all requests; empty means that it serves on."`
+	DrainTimeout      Duration `yaml:"drain_timeout" doc:"Time from the acknowledgement of an order to drain an availability zone in which requests to its backend servers must end to be sent. In the first half of it, the zone still gets what no other zone can take; 0s means 5s."`
 }
 
 // Platform holds the settings of the listeners for health checks and metrics.
