Keep requests of relays away from drained zones

Cause: relays did not learn of the orders to drain a zone.

Change: control processes state the drained zones to relays with each response, once their own state is confirmed (RegistryResponse.zone_drains). A relay serves nothing before its first statement and keeps the newest revision (aubdrain.View). The router leaves out the members of drained zones. For half of registry.drain_timeout from the commit they still get what no other zone can take. The age of a commit is an upper bound: it counts from the latest confirmed read before the commit, and from the relay's own request, so that a control process or relay that was suspended does not take an old order for a new one.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -173,6 +173,7 @@
 		Placer:      c.director,
 		Poison:      c.poison,
 		ApplyPoison: aubpoison.NewApplyFunc(c.replica),
+		ZoneDrains:  c.drains,
 		Streams:     aubresume.NewTable(c.common.Timer),
 		Zone:        c.cfg.Zone,
 		Confirmed:   c.confirmed.Load,
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aublimit"
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubpoison"
@@ -66,6 +67,7 @@
 	limiter        *aublimit.SharedCounters
 	router         *aubroute.Router
 	throttle       *aubthrottle.Throttle
+	drains         *aubdrain.View
 	demand         *aubrelay.DemandCounter
 	loads          *aubmembership.LoadExchange
 	handler        *aubrelay.Handler
@@ -145,6 +147,7 @@
 		Throttle: func(backend string, incarnation uint64) time.Duration {
 			return r.throttle.Wait(aubthrottle.Backend{Name: backend, Incarnation: incarnation})
 		},
+		ZoneUse:       r.zoneUse,
 		PrefillRate:   relayPrefillRate,
 		EjectSlowness: relayEjectSlowness,
 	})
@@ -152,6 +155,7 @@
 		return err
 	}
 	r.router = router
+	r.drains = r.newDrainView()
 	incarnation := uint64(r.common.Timer.Now().UnixNano())
 	if r.loads, err = aubmembership.NewLoadExchange(r.ctx, r.common, aubmembership.LoadExchangeOpts{
 		Listen:           r.cfg.Membership.Listen.String(),
@@ -169,20 +173,21 @@
 	poison := aubpoison.NewView(r.common.Timer)
 	streams := aubresume.NewRecorder(r.common.Timer)
 	r.registryClient = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
-		Process:     r.cfg.Name,
-		Relay:       true,
-		LoadAddress: r.cfg.Membership.Listen.String(),
-		Zone:        r.cfg.Zone,
-		Seeds:       func() []string { return controlSeeds(r.watcher.Settings()) },
-		Dial:        r.transport.Dial,
-		Registry:    r.registry,
-		Report:      r.loadReporter(incarnation),
-		OnAnnounce:  r.site.Announce,
-		OnRevision:  r.site.ActivateIfNewer,
-		OnPeers:     r.updatePeers,
-		OnPoison:    poison.Merge,
-		OnLimits:    r.throttle.MergeStatements,
-		Streams:     streams,
+		Process:      r.cfg.Name,
+		Relay:        true,
+		LoadAddress:  r.cfg.Membership.Listen.String(),
+		Zone:         r.cfg.Zone,
+		Seeds:        func() []string { return controlSeeds(r.watcher.Settings()) },
+		Dial:         r.transport.Dial,
+		Registry:     r.registry,
+		Report:       r.loadReporter(incarnation),
+		OnAnnounce:   r.site.Announce,
+		OnRevision:   r.site.ActivateIfNewer,
+		OnPeers:      r.updatePeers,
+		OnPoison:     poison.Merge,
+		OnLimits:     r.throttle.MergeStatements,
+		OnZoneDrains: r.drains.Merge,
+		Streams:      streams,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
@@ -196,6 +201,7 @@
 		CopyRequester:     aubrelay.NewCopyRequester(r.common, r.registry, r.registryClient.Place),
 		Guard:             guard,
 		Throttle:          r.throttle,
+		HasZoneDrains:     r.drains.HasStatement,
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoleSoftware),
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
@@ -240,10 +246,11 @@
 	r.throttle.SetInstances(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 }
 
-// awaitReady reports ready once the relay has a configuration and a backend server.
+// awaitReady reports ready once the relay has a configuration and a backend server, and knows
+// the drained zones.
 func (r *relay) awaitReady() {
 	ticks := r.common.Timer.Subscribe(r.ctx, readyPollInterval)
-	for r.site.Site() == nil || len(r.registry.Records()) == 0 {
+	for r.site.Site() == nil || len(r.registry.Records()) == 0 || !r.drains.HasStatement() {
 		select {
 		case <-ticks:
 		case <-r.ctx.Done():
--- a/internal/aubprocess/zone_drain.go
+++ b/internal/aubprocess/zone_drain.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubdrain"
+	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubroute"
 )
 
 const (
@@ -81,6 +83,38 @@
 	}
 }
 
+// newDrainView returns the relay's view of the drained zones, and starts logging the progress
+// of drains.
+func (r *relay) newDrainView() *aubdrain.View {
+	view := aubdrain.NewView(r.common, aubdrain.ViewOpts{Timeout: r.cfg.Registry.DrainTimeout.Value()})
+	aubdrain.NewMonitor(r.ctx, r.common, aubdrain.MonitorOpts{
+		Drains:   view.Drains,
+		Age:      view.Age,
+		InFlight: func() map[string]int { return inFlightByZone(r.registry, requestCounts(r.router.InFlight())) },
+	})
+	return view
+}
+
+// zoneUse returns the use that the router makes of a zone.
+func (r *relay) zoneUse(zone string) aubroute.ZoneUse {
+	switch r.drains.Eligibility(zone, r.common.Timer.Now()) {
+	case aubdrain.EligibilityOpen:
+		return aubroute.ZoneOpen
+	case aubdrain.EligibilityLastResort:
+		return aubroute.ZoneLastResort
+	case aubdrain.EligibilityClosed:
+	}
+	return aubroute.ZoneClosed
+}
+
+func requestCounts(loads map[string]aubmembership.Load) map[string]int {
+	counts := make(map[string]int, len(loads))
+	for id, load := range loads {
+		counts[id] = load.Requests
+	}
+	return counts
+}
+
 // inFlightByZone sums the requests in flight, given by backend server, by zone.
 func inFlightByZone(registry *aubregistry.Registry, inFlight map[string]int) map[string]int {
 	byZone := make(map[string]int)
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -58,6 +58,9 @@
 	OnPoison func(statuses []*aubwire.PoisonStatus)
 	// OnLimits receives the rate limits that a control process knows; nil ignores them.
 	OnLimits func(source string, limits []*aubwire.BackendLimit)
+	// OnZoneDrains receives the drained zones that a control process states, with a time before
+	// their ages were determined; nil ignores them.
+	OnZoneDrains func(statement *aubwire.ZoneDrains, askedAt time.Time)
 	// Streams holds the origins to report; nil reports none.
 	Streams *aubresume.Recorder
 }
@@ -70,6 +73,8 @@
 	common aubcommon.Common
 	opts   ClientOpts
 	ctx    context.Context
+	// startedAt is where sent_ms of the requests counts from.
+	startedAt time.Time
 
 	mu    sync.Mutex
 	links map[string]*controlLink
@@ -101,6 +106,7 @@
 		common:    common.WithPart("registry"),
 		opts:      opts,
 		ctx:       ctx,
+		startedAt: common.Timer.Now(),
 		links:     make(map[string]*controlLink),
 		announced: make(chan struct{}),
 	}
@@ -303,14 +309,17 @@
 
 // handleResponse applies the content of one response.
 func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
-	// A relay serves once it knows a backend server; by then it must know what is blocked
-	// and limited.
+	// A relay serves once it knows a backend server; by then it must know what is blocked,
+	// limited and drained.
 	if c.opts.OnPoison != nil {
 		c.opts.OnPoison(resp.GetPoison())
 	}
 	if len(resp.GetLimits()) > 0 && c.opts.OnLimits != nil {
 		c.opts.OnLimits(link.address, resp.GetLimits())
 	}
+	if drains := resp.GetZoneDrains(); drains != nil && c.opts.OnZoneDrains != nil {
+		c.opts.OnZoneDrains(drains, c.startedAt.Add(time.Duration(drains.GetHeardMs())*time.Millisecond))
+	}
 	c.opts.Registry.Merge(resp.GetRecords())
 	c.opts.Registry.MergeSoftware(resp.GetSoftware())
 	c.setAnnounced(link, resp)
@@ -347,6 +356,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.opts.OnZoneDrains != nil {
+		req.SentMs = c.common.Timer.Now().Sub(c.startedAt).Milliseconds()
+	}
 	req.WantsPeers = c.opts.OnPeers != nil && c.primary == link.address
 	return req
 }
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -47,6 +47,13 @@
 	ChangedSince(index uint64) ([]*aubwire.PoisonStatus, uint64, <-chan struct{})
 }
 
+// ZoneDrainTable is the replicated table of drained availability zones.
+type ZoneDrainTable interface {
+	// Statement returns what relays are to know now, and a channel that is closed at the
+	// next change.
+	Statement() (*aubwire.ZoneDrains, <-chan struct{})
+}
+
 // ServerOpts configures a server.
 type ServerOpts struct {
 	Registry  *Registry
@@ -56,12 +63,14 @@
 	Poison    PoisonTable
 	// ApplyPoison commits a command to the table.
 	ApplyPoison aubpoison.ApplyFunc
+	// ZoneDrains is the table of drained zones; nil states none to relays.
+	ZoneDrains ZoneDrainTable
 	// Streams holds the origins of streams that relays report.
 	Streams *aubresume.Table
 	// Zone is the availability zone of this control process.
 	Zone string
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
-	// the process. No revision is announced or sent before.
+	// the process. No revision is announced or sent and no drained zones are stated before.
 	Confirmed func() bool
 	// Addresses returns the addresses of all known control processes.
 	Addresses func() []string
@@ -199,7 +208,7 @@
 }
 
 // watcher is the stream of one watching process. The server's mutex guards ackedVersion,
-// lastReceivedAt and wantsPeers.
+// lastReceivedAt, heardMs and wantsPeers.
 type watcher struct {
 	server  *Server
 	stream  grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]
@@ -218,6 +227,10 @@
 	sentVersion       uint64
 	announcedRevision uint64
 	sentPoison        uint64
+	// sentDrains is the newest revision of the drained zones sent on the stream, plus 1; only the
+	// sending goroutine uses it. heardMs is sent_ms of the newest request.
+	sentDrains uint64
+	heardMs    int64
 	// hasSentLimits is set once the known rate limits were sent.
 	hasSentLimits bool
 }
@@ -245,6 +258,7 @@
 	defer w.server.mu.Unlock()
 	w.lastReceivedAt = w.server.common.Timer.Now()
 	w.wantsPeers = req.GetWantsPeers()
+	w.heardMs = max(w.heardMs, req.GetSentMs())
 	if req.GetAcked() > w.ackedVersion {
 		w.ackedVersion = req.GetAcked()
 		w.server.notify()
@@ -259,7 +273,8 @@
 		records, version, changed := w.server.opts.Registry.ChangedSince(w.sentVersion)
 		newest, revisionChanged := w.server.newestRevision()
 		statuses, poisonIndex, poisonChanged := w.poisonChanges()
-		resp := &aubwire.RegistryResponse{Update: version, Records: records, NewestRevision: newest, Poison: statuses}
+		drains, drainsChanged := w.zoneDrains()
+		resp := &aubwire.RegistryResponse{Update: version, Records: records, NewestRevision: newest, Poison: statuses, ZoneDrains: drains}
 		if isTickDue {
 			w.addPeriodic(resp)
 		}
@@ -270,11 +285,14 @@
 		if w.sentVersion == 0 {
 			resp.Software = w.server.opts.Registry.SoftwareSeen()
 		}
-		if isTickDue || len(records) > 0 || newest != w.announcedRevision || len(statuses) > 0 {
+		if isTickDue || len(records) > 0 || newest != w.announcedRevision || len(statuses) > 0 || drains != nil && drains.GetRevision()+1 != w.sentDrains {
 			if err := w.stream.Send(resp); err != nil {
 				return err
 			}
 			w.sentVersion, w.announcedRevision, w.sentPoison = version, newest, poisonIndex
+			if drains != nil {
+				w.sentDrains = drains.GetRevision() + 1
+			}
 		}
 		isTickDue = false
 		if len(statuses) > 0 {
@@ -285,6 +303,7 @@
 		case <-changed:
 		case <-revisionChanged:
 		case <-poisonChanged:
+		case <-drainsChanged:
 		case <-ticks:
 			if w.isTimedOut() {
 				return status.Error(codes.DeadlineExceeded, "watcher fell silent")
@@ -304,6 +323,21 @@
 	return w.server.opts.Poison.ChangedSince(w.sentPoison)
 }
 
+// zoneDrains returns the statement of the drained zones for a relay, nil while the state is not
+// confirmed, and a channel that is closed at the next change.
+func (w *watcher) zoneDrains() (*aubwire.ZoneDrains, <-chan struct{}) {
+	if !w.isRelay || w.server.opts.ZoneDrains == nil || !w.server.opts.Confirmed() {
+		return nil, nil
+	}
+	w.server.mu.Lock()
+	heardMs := w.heardMs
+	w.server.mu.Unlock()
+	// The ages are determined after the request was received.
+	drains, changed := w.server.opts.ZoneDrains.Statement()
+	drains.HeardMs = heardMs
+	return drains, changed
+}
+
 // addPeriodic adds the control addresses, the zone and, if requested, the peers to a
 // response.
 func (w *watcher) addPeriodic(resp *aubwire.RegistryResponse) {
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -12,8 +12,11 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
@@ -48,6 +51,8 @@
 	server    *aubregistry.Server
 	loads     *aubregistry.LoadAggregator
 	revisions *revisions
+	drains    *aubdrain.Table
+	confirmed atomic.Bool
 	listener  *bufconn.Listener
 	grpc      *grpc.Server
 }
@@ -55,13 +60,15 @@
 func newControlProcess(t *testing.T, common aubcommon.Common) *controlProcess {
 	c := &controlProcess{
 		registry: aubregistry.NewRegistry(common, time.Minute), loads: aubregistry.NewLoadAggregator(common),
-		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(),
+		revisions: &revisions{}, drains: aubdrain.NewTable(common.Timer), listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(),
 	}
+	c.confirmed.Store(true)
 	c.revisions.current.Store(&aubwire.SiteRevision{})
 	c.server = aubregistry.NewServer(common, aubregistry.ServerOpts{
 		Streams:  aubresume.NewTable(common.Timer),
 		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{},
-		Confirmed: func() bool { return true }, Addresses: func() []string { return []string{"c1"} },
+		ZoneDrains: c.drains,
+		Confirmed:  c.confirmed.Load, Addresses: func() []string { return []string{"c1"} },
 	})
 	aubwire.RegisterRegistryServer(c.grpc, c.server)
 	go func() { _ = c.grpc.Serve(c.listener) }()
@@ -206,3 +213,36 @@
 		})
 	}
 }
+
+// TestDrainedZonesAreStatedOnlyOnceConfirmed guards against a restarted control process whose
+// empty table opens a drained zone, and against a change that waits for the next tick.
+func TestDrainedZonesAreStatedOnlyOnceConfirmed(t *testing.T) {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	c := newControlProcess(t, common)
+	c.confirmed.Store(false)
+	view := aubdrain.NewView(common, aubdrain.ViewOpts{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	registry := aubregistry.NewRegistry(common, time.Minute)
+	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
+		Process: "relay", Relay: true, Seeds: func() []string { return []string{"c1"} }, Dial: c.dial, Registry: registry, OnZoneDrains: view.Merge,
+	})
+	await(t, "relay connects", func() bool { return client.ConnectedCount() == 1 })
+	time.Sleep(2 * 250 * time.Millisecond)
+	qt.Assert(t, view.HasStatement(), qt.IsFalse)
+	c.confirmed.Store(true)
+	await(t, "relay has a statement", view.HasStatement)
+	qt.Assert(t, view.Eligibility("a", common.Timer.Now()), qt.Equals, aubdrain.EligibilityOpen)
+
+	body, err := proto.Marshal(&aubwire.ZoneDrainCommand{Zone: "a", Drained: true})
+	qt.Assert(t, err, qt.IsNil)
+	_, changed := view.Drains()
+	c.drains.Confirmed(common.Timer.Now(), 6)
+	committedAt := common.Timer.Now()
+	c.drains.Apply(aubcontrol.Command{Index: 7, Body: body})
+	<-changed
+	qt.Assert(t, view.Eligibility("a", common.Timer.Now()), qt.Equals, aubdrain.EligibilityLastResort)
+	// The age is too high by at most one report interval of the relay.
+	qt.Assert(t, view.Eligibility("a", committedAt.Add(aubdrain.DefaultTimeout/2-300*time.Millisecond)), qt.Equals, aubdrain.EligibilityLastResort)
+	qt.Assert(t, view.Eligibility("a", committedAt.Add(aubdrain.DefaultTimeout/2)), qt.Equals, aubdrain.EligibilityClosed)
+}
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -290,6 +290,8 @@
 	// answer.
 	streams  map[string]*aubwire.StreamOrigin
 	coverage aubresume.Coverage
+	// hasZoneDrains is set once the relay knows the drained zones.
+	hasZoneDrains atomic.Bool
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 }
@@ -415,6 +417,7 @@
 		},
 	})
 	qt.Assert(t, err, qt.IsNil)
+	fixture.hasZoneDrains.Store(true)
 	fixture.poison = aubpoison.NewTable()
 	guard := aubpoison.NewGuard(t.Context(), common, fixture.poison, newApplyFunc(fixture.poison))
 	fixture.handler = aubrelay.NewHandler(common, aubrelay.HandlerOpts{
@@ -424,8 +427,8 @@
 			return nil, errors.New("no control process")
 		}),
 		Guard:    guard,
-		Throttle: throttle,
-		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoleSoftware),
+		Throttle: throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
+		Streams: aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoleSoftware),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -62,6 +62,9 @@
 	Guard *aubpoison.Guard
 	// Throttle keeps the rate limits that backend servers state.
 	Throttle *aubthrottle.Throttle
+	// HasZoneDrains reports whether the drained zones are known; until then all requests are
+	// refused. Nil means that they are.
+	HasZoneDrains func() bool
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
@@ -122,7 +125,7 @@
 // reservation if the request did not run.
 func (h *Handler) serve(ex *exchange) error {
 	ex.site = h.opts.Site.Site()
-	if ex.site == nil {
+	if ex.site == nil || h.opts.HasZoneDrains != nil && !h.opts.HasZoneDrains() {
 		return newRefusal(http.StatusServiceUnavailable, CodeNoConfiguration, startupRetryAfter)
 	}
 	if timeout := h.opts.ActivationTimeout; timeout > 0 && h.opts.Site.OutdatedFor(ex.site.Number()) > timeout {
--- a/internal/aubrelay/relay_test.go
+++ b/internal/aubrelay/relay_test.go
@@ -341,3 +341,16 @@
 	qt.Assert(t, result.status, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, result.header.Get(headerCode), qt.Equals, "no_configuration")
 }
+
+// TestNothingIsServedBeforeTheDrainedZonesAreKnown guards against a restarted relay that sends
+// requests to a drained zone.
+func TestNothingIsServedBeforeTheDrainedZonesAreKnown(t *testing.T) {
+	fixture := newRelayFixture(t, "b1")
+	fixture.hasZoneDrains.Store(false)
+	result := fixture.call(http.MethodGet, "/read/x", "r1", nil)
+	qt.Assert(t, result.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, fixture.countRuns("r1"), qt.Equals, 0)
+	fixture.hasZoneDrains.Store(true)
+	result = fixture.call(http.MethodGet, "/read/x", "r2", nil)
+	qt.Assert(t, result.status, qt.Equals, http.StatusOK)
+}
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -42,6 +42,11 @@
 		return aubroute.Choice{}, err
 	}
 	choice, err := h.opts.Router.Pick(request)
+	if err == nil && choice.IsLastResort && request.Adapter != "" {
+		// A copy of the model in another zone may load the adapter at once.
+		_ = h.awaitCopy(ctx, ex)
+		return h.opts.Router.Pick(request)
+	}
 	var noBackend *aubroute.NoBackendError
 	if !errors.As(err, &noBackend) {
 		return choice, err
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -13,6 +13,8 @@
 	// and in the remote zones.
 	maxLocalSample  = 6
 	maxRemoteSample = 4
+	// maxLastResort limits the members of drained zones that are considered.
+	maxLastResort = 6
 )
 
 // memberCandidate is a member that can take the request.
@@ -20,6 +22,8 @@
 	member    aubmembership.Member
 	state     *memberState
 	candidate Candidate
+	// zoneUse is the use that may be made of the member, never ZoneClosed.
+	zoneUse ZoneUse
 }
 
 // candidateSet holds the sampled members for one request.
@@ -29,6 +33,8 @@
 	// excluded are the members left out because they are ejected or recover from an
 	// ejection.
 	excluded []memberCandidate
+	// lastResort are members of zones that get only what no open zone can take.
+	lastResort []memberCandidate
 	// limited is the member whose rate limit allows the next request first, among those left
 	// out because of theirs; its wait is 0 if there is none.
 	limited limitedMember
@@ -94,7 +100,12 @@
 	if !ok || slices.ContainsFunc(set.eligible, c.isSameMember) {
 		return
 	}
-	if wait := r.limitWait(now, c.member); wait > 0 {
+	wait := r.limitWait(now, c.member)
+	if c.zoneUse == ZoneLastResort {
+		set.addLastResort(c, wait)
+		return
+	}
+	if wait > 0 {
 		set.addLimited(limitedMember{name: name, incarnation: c.member.Announcement.GetIncarnation(), wait: wait})
 		return
 	}
@@ -123,13 +134,43 @@
 	}
 }
 
+// addLastResort adds a member of a zone of last resort unless its rate limit makes it wait.
+func (s *candidateSet) addLastResort(c memberCandidate, wait time.Duration) {
+	if wait == 0 && len(s.lastResort) < maxLastResort && !slices.ContainsFunc(s.lastResort, c.isSameMember) {
+		s.lastResort = append(s.lastResort, c)
+	}
+}
+
 // candidates returns the eligible members, or else the excluded one whose ejection ends
-// first.
-func (s *candidateSet) candidates() []memberCandidate {
-	if len(s.eligible) > 0 || len(s.excluded) == 0 {
+// first. Members of last resort come before one that is still ejected.
+func (s *candidateSet) candidates(now time.Time) []memberCandidate {
+	if len(s.eligible) > 0 {
+		return s.eligible
+	}
+	first := firstToRecover(s.excluded)
+	if len(first) > 0 && !first[0].state.health.EjectedUntil.After(now) {
+		return first
+	}
+	for _, c := range s.lastResort {
+		if c.state.health.TrafficShare(now) > 0 {
+			s.eligible = append(s.eligible, c)
+		}
+	}
+	switch {
+	case len(s.eligible) > 0:
 		return s.eligible
+	case len(first) > 0:
+		return first
+	}
+	return firstToRecover(s.lastResort)
+}
+
+// firstToRecover returns the member whose ejection ends first; empty without members.
+func firstToRecover(members []memberCandidate) []memberCandidate {
+	if len(members) == 0 {
+		return nil
 	}
-	return []memberCandidate{slices.MinFunc(s.excluded, func(a, b memberCandidate) int {
+	return []memberCandidate{slices.MinFunc(members, func(a, b memberCandidate) int {
 		return a.state.health.EjectedUntil.Compare(b.state.health.EjectedUntil)
 	})}
 }
@@ -195,11 +236,18 @@
 	if software, isBound := request.Software.Get(); isBound && software != member.Announcement.GetBackend().GetSoftware() {
 		return memberCandidate{}, false
 	}
+	zoneUse := ZoneOpen
+	if r.opts.ZoneUse != nil {
+		zoneUse = r.opts.ZoneUse(member.Announcement.GetZone())
+	}
+	if zoneUse == ZoneClosed {
+		return memberCandidate{}, false
+	}
 	if request.Adapter != "" && !isModelReady(member.Announcement, request.Model) {
 		return memberCandidate{}, false
 	}
 	state := r.state(now, member)
-	return memberCandidate{member: member, state: state, candidate: r.candidate(now, member, state, request)}, true
+	return memberCandidate{member: member, state: state, candidate: r.candidate(now, member, state, request), zoneUse: zoneUse}, true
 }
 
 // candidate returns the load snapshot of a member. The member's report is outdated by
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -97,6 +97,8 @@
 	PendingTokens int64
 	// UncachedTokens is the number of prompt tokens that the request adds to them.
 	UncachedTokens int64
+	// IsLastResort is set if the member's zone gets only what no open zone can take.
+	IsLastResort bool
 
 	router   *Router
 	inFlight *inFlightRequest
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -65,6 +65,9 @@
 	// Throttle returns the time until the rate limit of a member incarnation allows another
 	// request; 0 for now. Nil limits none.
 	Throttle func(member string, incarnation uint64) time.Duration
+	// ZoneUse returns the use that may be made of the members of a zone; nil means that all
+	// zones are open.
+	ZoneUse func(zone string) ZoneUse
 	// PrefillRate is assumed for members that report none, in tokens a second; 0
 	// means the default.
 	PrefillRate float64
@@ -75,6 +78,19 @@
 	Rand *rand.Rand
 }
 
+// ZoneUse is the use that may be made of the members of a zone.
+type ZoneUse int
+
+// Values of ZoneUse.
+const (
+	// ZoneOpen members may get any request.
+	ZoneOpen ZoneUse = iota
+	// ZoneLastResort members get only what no member of an open zone can take.
+	ZoneLastResort
+	// ZoneClosed members get nothing.
+	ZoneClosed
+)
+
 // DefaultBlockTokens is the usual number of tokens in a block of an engine's prompt
 // cache.
 const DefaultBlockTokens = 16
@@ -90,8 +106,8 @@
 	// isRoundRobin offers the members in round-robin order instead of a sample.
 	isRoundRobin bool
 
-	// mu guards budgets, opts.RetryBurst and the fields below. Config, PeerLoad and
-	// OnLoadChange of the options are called with mu held, so they must not call the
+	// mu guards budgets, opts.RetryBurst and the fields below. Config, PeerLoad,
+	// ZoneUse and OnLoadChange of the options are called with mu held, so they must not call the
 	// router.
 	mu       sync.Mutex
 	rnd      *rand.Rand
@@ -174,7 +190,7 @@
 		return Choice{}, r.noBackend(t, targetHolders)
 	}
 	set := r.collect(now, view, request, targetHolders)
-	sampled := set.candidates()
+	sampled := set.candidates(now)
 	if len(sampled) == 0 {
 		return Choice{}, r.noBackend(t, targetHolders).withLimited(set.limited)
 	}
@@ -242,6 +258,7 @@
 		ExpectedFirstToken: expected,
 		PendingTokens:      chosen.candidate.PendingTokens,
 		UncachedTokens:     max(request.PromptTokens-chosen.candidate.CachedTokens, 0),
+		IsLastResort:       chosen.zoneUse == ZoneLastResort,
 		router:             r,
 		inFlight: &inFlightRequest{
 			state:          chosen.state,
--- a/internal/aubroute/router_test.go
+++ b/internal/aubroute/router_test.go
@@ -74,11 +74,16 @@
 }
 
 func newRouter(t testing.TB, policy string) (*aubroute.Router, *fakeSource) {
+	return newRouterWith(t, policy, func(*aubroute.RouterOpts) {})
+}
+
+// newRouterWith returns a router with changed options.
+func newRouterWith(t testing.TB, policy string, change func(*aubroute.RouterOpts)) (*aubroute.Router, *fakeSource) {
 	timer := aubtimer.NewManual(time.Unix(1000, 0))
 	source := &fakeSource{timer: timer}
-	r, err := aubroute.NewRouter(aubcommon.NewCommon(timer), aubroute.RouterOpts{
-		Policy: policy, Zone: "a", Source: source, Rand: rand.New(rand.NewPCG(1, 2)),
-	})
+	opts := aubroute.RouterOpts{Policy: policy, Zone: "a", Source: source, Rand: rand.New(rand.NewPCG(1, 2))}
+	change(&opts)
+	r, err := aubroute.NewRouter(aubcommon.NewCommon(timer), opts)
 	qt.Assert(t, err, qt.IsNil)
 	return r, source
 }
