--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/auborder"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
@@ -38,6 +39,7 @@
 	siteTable      *aubsite.Table
 	poison         *aubpoison.Table
 	software       *aubresume.SoftwareTable
+	drains         *aubdrain.Table
 	site           *aubsite.ActiveSite
 	registry       *aubregistry.Registry
 	loads          *aubregistry.LoadAggregator
@@ -99,7 +101,7 @@
 	configs := aubsite.NewConfigurations(c.siteTable, c.replica, c.replica)
 	_, err := c.serveHTTP(httpOpts{
 		setting: "registry.listen", listen: c.cfg.Registry.Listen,
-		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer),
+		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer, c.zoneOrders()),
 	})
 	if err != nil {
 		return err
@@ -123,6 +125,7 @@
 	c.siteTable = aubsite.NewTable()
 	c.poison = aubpoison.NewTable()
 	c.software = aubresume.NewSoftwareTable()
+	c.drains = aubdrain.NewTable(c.common.Timer)
 	c.site = aubsite.NewActiveSite(c.common, c.adapter.DecodeSite)
 	selfAddress := c.cfg.Internal.Address()
 	seeds := controlSeeds(c.cfg)
@@ -139,7 +142,7 @@
 		MaxVoters:       2*c.cfg.Control.FaultTolerance + 1,
 		ReplaceAfter:    c.cfg.Control.ReplaceAfter.Value(),
 		DataDir:         c.cfg.Control.DataDir,
-		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.software},
+		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.software, c.drains},
 		Dial:            c.transport.Dial,
 		Heartbeat:       c.cfg.Control.HeartbeatInterval.Value(),
 		ElectionTimeout: c.cfg.Control.ElectionTimeout.Value(),
@@ -178,6 +181,7 @@
 		Placer:      c.director,
 		Poison:      c.poison,
 		ApplyPoison: aubpoison.NewApplyFunc(c.replica),
+		ZoneDrains:  c.drains,
 		Streams:     aubresume.NewTable(c.common.Timer),
 		Zone:        c.cfg.Zone,
 		Confirmed:   c.confirmed.Load,
@@ -195,6 +199,7 @@
 		Registry:    c.registry,
 	})
 	go c.followTable()
+	c.watchDrains()
 }
 
 // followTable activates committed configurations in this process until it ends.
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -294,6 +294,8 @@
 	committed []*aubwire.SoftwareSeen
 	// regions holds the regions of the zones.
 	regions map[string]string
+	// hasZoneDrains is set once the relay knows the drained zones.
+	hasZoneDrains atomic.Bool
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 }
@@ -428,6 +430,7 @@
 		RegionOf: func(zone string) string { return fixture.regions[zone] },
 	})
 	qt.Assert(t, err, qt.IsNil)
+	fixture.hasZoneDrains.Store(true)
 	fixture.poison = aubpoison.NewTable()
 	guard := aubpoison.NewGuard(t.Context(), common, fixture.poison, newApplyFunc(fixture.poison))
 	fixture.handler = aubrelay.NewHandler(common, aubrelay.HandlerOpts{
@@ -438,8 +441,8 @@
 		}),
 		Guard:    guard,
 		RegionOf: func(zone string) string { return fixture.regions[zone] },
-		Throttle: throttle,
-		Streams:  aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
+		Throttle: throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
+		Streams: aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -70,6 +70,9 @@
 	Speeds *aubspeed.Meter
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
+	// HasZoneDrains reports whether the drained zones are known; until then all requests are
+	// refused. Nil means that they are.
+	HasZoneDrains func() bool
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
@@ -132,7 +135,7 @@
 // reservation if the request did not run.
 func (h *Handler) serve(ex *exchange) error {
 	ex.site = h.opts.Site.Site()
-	if ex.site == nil {
+	if ex.site == nil || h.opts.HasZoneDrains != nil && !h.opts.HasZoneDrains() {
 		uptime := h.common.Timer.Now().Sub(h.startedAt)
 		return newRefusal(http.StatusServiceUnavailable, CodeNoConfiguration, startupRetryAfter(uptime, rand.Float64()))
 	}
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -101,6 +101,8 @@
 	UncachedTokens int64
 	// Speed is the speed of the member relative to the others, 1 for equal.
 	Speed float64
+	// IsLastResort is set if the member's zone gets only what no open zone can take.
+	IsLastResort bool
 
 	router   *Router
 	inFlight *inFlightRequest
