Repeat refused pre-votes soon after a start

In the first three election timeouts after its start a refused candidate now asks again after a quarter of one. TestRefusedPreVoteIsRepeatedSoon failed before.

--- a/internal/aubconsensus/election.go
+++ b/internal/aubconsensus/election.go
@@ -8,6 +8,16 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+const (
+	// preVoteRepeatDivisor gives the time from a refused pre-vote to the next one after a start,
+	// as a part of the election timeout.
+	preVoteRepeatDivisor = 4
+	// preVoteRepeatTimeouts is the time after the start in which refused pre-votes are repeated
+	// soon, in election timeouts. Later that makes no election quicker: where a vote takes 0.6
+	// election timeouts, it made the slowest ones slower.
+	preVoteRepeatTimeouts = 3
+)
+
 func (n *Node) tick() {
 	if n.leadership != nil {
 		n.tickLeader()
@@ -225,6 +235,9 @@
 
 func (n *Node) stepVoteResponse(m *aubwire.ConsensusMessage, resp *aubwire.VoteResponse) {
 	if !resp.GetGranted() {
+		if resp.GetPre() && n.role == preCandidate {
+			n.repeatPreVoteSoon()
+		}
 		return
 	}
 	switch {
@@ -243,6 +256,19 @@
 	}
 }
 
+// repeatPreVoteSoon brings the next pre-vote forward after a start. A member that has just
+// restarted refuses for an election timeout, because it doesn't know when it last had contact
+// with a leader. After a restart of all members the pre-vote succeeds as soon as that time is over
+// at a majority.
+func (n *Node) repeatPreVoteSoon() {
+	if n.now().Sub(n.startedAt) > preVoteRepeatTimeouts*n.opts.ElectionTimeout {
+		return
+	}
+	if next := n.now().Add(n.opts.ElectionTimeout / preVoteRepeatDivisor); next.Before(n.electionDeadline) {
+		n.electionDeadline = next
+	}
+}
+
 func (n *Node) hasPreVote(id string) bool { return n.preVotes[id] }
 
 func (n *Node) hasVote(id string) bool { return n.votes[id] }
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -56,6 +56,7 @@
 	// election timeout after it this member grants no vote, because the leader's
 	// lease depends on that.
 	leaderContactAt time.Time
+	startedAt       time.Time
 	// preVotes holds the disk ids that granted the current pre-vote.
 	preVotes map[string]bool
 	// votes holds the disk ids that granted a vote in the term; it is nil unless this
@@ -127,7 +128,8 @@
 	n.applied = n.log.snapIndex
 	// The leader may still hold a lease that depends on a message acknowledged
 	// before the restart.
-	n.leaderContactAt = n.now()
+	n.startedAt = n.now()
+	n.leaderContactAt = n.startedAt
 	n.resetElectionDeadline()
 	if n.isSoleVoter() {
 		n.electionDeadline = n.now()
--- a/internal/aubconsensus/vote_test.go
+++ b/internal/aubconsensus/vote_test.go
@@ -156,3 +156,45 @@
 		}
 	}
 }
+
+// TestRefusedPreVoteIsRepeatedSoon guards against a majority that restarts and has no leader for
+// a random time after its members may vote again.
+func TestRefusedPreVoteIsRepeatedSoon(t *testing.T) {
+	c := newCluster(t, 3, 7)
+	c.commitValue("k", "v")
+	c.waitValueOnAll("k", "v,")
+	requester := newVoteRequester(c)
+	leader := c.waitLeader()
+	first := c.randomReplica(leader)
+	second := c.randomReplica(leader, first)
+	manual := aubtimer.NewManual(time.Now())
+	c.timer = manual
+	c.kill(leader)
+	c.kill(first)
+	c.restart(second)
+	replica, _ := c.replica(second)
+	requests := c.network.tap(second, first)
+	awaitPreVote := func(limit time.Duration) uint64 {
+		const step = electionTimeout / 20
+		for waited := time.Duration(0); waited <= limit; waited += step {
+			manual.Advance(step)
+			select {
+			case m := <-requests:
+				if m.GetVote().GetPre() {
+					return m.GetTerm()
+				}
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+		t.Fatalf("no pre-vote within %s", limit)
+		return 0
+	}
+	term := awaitPreVote(3 * electionTimeout)
+	for range 2 {
+		replica.node.Deliver(&aubwire.ConsensusMessage{
+			ClusterId: requester.clusterID, Term: term - 1, From: requester.diskIDs[first], FromAddress: first, To: requester.diskIDs[second],
+			Body: &aubwire.ConsensusMessage_VoteResponse{VoteResponse: &aubwire.VoteResponse{Pre: true}},
+		})
+		qt.Assert(t, awaitPreVote(electionTimeout/2), qt.Equals, term)
+	}
+}
