Let control processes without a disk tell where the others are

Cause: a process whose seeds are all without a disk finds no control process, and replicas whose seeds are without a disk form no cluster.

Change: a control process without a data folder serves its internal port. It tells relays and replicas the addresses of the control processes that call it or that it is connected to. Replicas form the first cluster among the seeds with a disk. If no seed has one, the lowest seed names the voters once every seed has promised it this cluster.

--- a/internal/aubconsensus/discovery.go
+++ b/internal/aubconsensus/discovery.go
@@ -75,7 +75,7 @@
 }
 
 // discover sends Hello to the known peers, then to leaders that they name, and
-// handles the responses.
+// handles the responses. Replicas that a witness names are queried in the next round.
 func (n *Node) discover(ctx context.Context) {
 	status := n.Status()
 	helloCtx, cancel := context.WithTimeout(ctx, 2*n.opts.ElectionTimeout)
@@ -83,11 +83,34 @@
 	peers := n.helloTargets(status)
 	results := n.callHello(helloCtx, peers, status)
 	results = append(results, n.callHello(helloCtx, unqueriedLeaders(results, peers), status)...)
+	n.updateWitnessed(results)
 	// An unresponsive peer may have used up helloCtx; the results are handled
 	// under ctx.
 	_ = n.call(ctx, func() { n.handleHelloResults(results) })
 }
 
+// updateWitnessed stores the replicas that witnesses name. Without an answer of a witness
+// the previous ones stay.
+func (n *Node) updateWitnessed(results []helloResult) {
+	if slices.ContainsFunc(results, func(r helloResult) bool { return r.resp.GetWithoutDisk() }) {
+		n.witnessed = n.namedReplicas(results)
+	}
+}
+
+// namedReplicas returns the other replicas that the responses of witnesses name.
+func (n *Node) namedReplicas(results []helloResult) []Peer {
+	var replicas []Peer
+	for _, result := range results {
+		for _, address := range result.resp.GetControlAddresses() {
+			p := Peer{Name: address, Address: address}
+			if address != n.opts.Self.Address && !slices.Contains(replicas, p) {
+				replicas = append(replicas, p)
+			}
+		}
+	}
+	return replicas
+}
+
 // callHello sends Hello to the peers concurrently.
 func (n *Node) callHello(ctx context.Context, peers []Peer, status Status) []helloResult {
 	var wg sync.WaitGroup
@@ -118,12 +141,12 @@
 	return leaders
 }
 
-// helloTargets returns the voters of the settings, the known voters and the
-// known leader, except this replica and without duplicate addresses.
+// helloTargets returns the voters of the settings, the known voters, the known leader
+// and the replicas that witnesses name, except this replica and without duplicate addresses.
 func (n *Node) helloTargets(status Status) []Peer {
 	var peers []Peer
 	known := map[string]bool{n.opts.Self.Address: true}
-	for _, p := range append(append([]Peer(nil), n.opts.Voters...), append(status.Voters, status.Leader)...) {
+	for _, p := range slices.Concat(n.opts.Voters, status.Voters, []Peer{status.Leader}, n.witnessed) {
 		if p.Address != "" && !known[p.Address] {
 			known[p.Address] = true
 			peers = append(peers, p)
@@ -139,14 +162,17 @@
 		n.logNoVote(results)
 		return
 	}
-	for _, result := range results {
-		if result.resp.GetMembership().GetClusterId() != "" {
-			n.adoptMembership(result.resp.GetMembership())
-			return
+	// A witness knows only the first membership, a replica may know a newer one.
+	for _, isWitness := range []bool{false, true} {
+		for _, result := range results {
+			if result.resp.GetWithoutDisk() == isWitness && result.resp.GetMembership().GetClusterId() != "" {
+				n.adoptMembership(result.resp.GetMembership())
+				return
+			}
 		}
 	}
-	if n.canFormCluster(results) {
-		n.formCluster(results)
+	if founders, ok := n.canFormCluster(results); ok {
+		n.formCluster(founders)
 	}
 }
 
@@ -159,35 +185,56 @@
 	n.resetElectionDeadline()
 }
 
-// canFormCluster reports whether this replica may form a new cluster: it has the
-// lowest name of the listed voters, its store was never damaged, and every other
-// listed voter responded without a cluster and without a damaged store.
-func (n *Node) canFormCluster(results []helloResult) bool {
+// canFormCluster reports whether this replica may form a new cluster, and returns the
+// responses of its other voters. It may if it has the lowest name of the listed voters with
+// a disk, its store was never damaged, every other listed voter responded, and all of them
+// that have a disk, and all replicas that the others name, have no cluster and no damaged
+// store.
+func (n *Node) canFormCluster(results []helloResult) ([]helloResult, bool) {
 	isListed := slices.ContainsFunc(n.opts.Voters, func(p Peer) bool { return p.Name == n.opts.Self.Name })
 	if n.opts.JoinOnly || !isListed {
-		return false
+		return nil, false
 	}
-	otherVoters := 0
+	var otherVoters []Peer
 	for _, v := range n.opts.Voters {
-		if v.Name == n.opts.Self.Name {
+		if v.Name == n.opts.Self.Name || isWithoutDisk(results, v) {
 			continue
 		}
 		if strings.Compare(v.Name, n.opts.Self.Name) < 0 {
-			return false
+			return nil, false
 		}
-		otherVoters++
+		otherVoters = append(otherVoters, v)
 	}
 	if n.opts.Disk.AfterDamage() {
 		n.common.Log.Error("The store was damaged and no replica has a cluster; an operator must restore the cluster.")
-		return false
+		return nil, false
 	}
-	emptyVoters := 0
-	for _, result := range results {
-		if result.resp != nil && result.resp.GetMember().GetName() == result.peer.Name && !result.resp.GetAfterDamage() {
-			emptyVoters++
+	founders, ok := emptyReplicas(results, otherVoters)
+	if !ok {
+		return nil, false
+	}
+	_, ok = emptyReplicas(results, n.namedReplicas(results))
+	return founders, ok
+}
+
+func isWithoutDisk(results []helloResult, p Peer) bool {
+	return slices.ContainsFunc(results, func(r helloResult) bool { return r.peer.Address == p.Address && r.resp.GetWithoutDisk() })
+}
+
+// emptyReplicas returns the responses of the peers, and whether all of them responded
+// without a damaged store. The caller has checked that no response has a cluster.
+func emptyReplicas(results []helloResult, peers []Peer) ([]helloResult, bool) {
+	var empty []helloResult
+	for _, p := range peers {
+		i := slices.IndexFunc(results, func(r helloResult) bool {
+			return r.peer.Address == p.Address && r.resp.GetMember().GetName() == r.peer.Name && r.resp.GetMember().GetDiskId() != ""
+		})
+		if i < 0 || results[i].resp.GetAfterDamage() {
+			return nil, false
 		}
+		empty = append(empty, results[i])
 	}
-	return emptyVoters == otherVoters
+	return empty, true
 }
 
 func (n *Node) formCluster(results []helloResult) {
--- a/internal/aubconsensus/fake_network_test.go
+++ b/internal/aubconsensus/fake_network_test.go
@@ -20,12 +20,14 @@
 
 // fakeNetwork delivers messages between the nodes of one test.
 type fakeNetwork struct {
-	mu      sync.Mutex
-	rand    *rand.Rand
-	nodes   map[string]*aubconsensus.Node
-	blocked map[route]bool
-	frozen  map[string]chan struct{}
-	taps    map[route]chan *aubwire.ConsensusMessage
+	mu    sync.Mutex
+	rand  *rand.Rand
+	nodes map[string]*aubconsensus.Node
+	// witnesses holds the processes without a disk.
+	witnesses map[string]*aubconsensus.Witness
+	blocked   map[route]bool
+	frozen    map[string]chan struct{}
+	taps      map[route]chan *aubwire.ConsensusMessage
 	// dropFilter selects the messages that are lost; nil selects none.
 	dropFilter func(m *aubwire.ConsensusMessage) bool
 	// faultRate is the share of messages that are lost, of those delayed and of
@@ -35,8 +37,11 @@
 
 func newFakeNetwork(seed uint64) *fakeNetwork {
 	return &fakeNetwork{
-		rand:    rand.New(rand.NewPCG(seed, 1)),
-		nodes:   make(map[string]*aubconsensus.Node),
+		rand:  rand.New(rand.NewPCG(seed, 1)),
+		nodes: make(map[string]*aubconsensus.Node),
+
+		witnesses: make(map[string]*aubconsensus.Witness),
+
 		blocked: make(map[route]bool),
 		frozen:  make(map[string]chan struct{}),
 		taps:    make(map[route]chan *aubwire.ConsensusMessage),
@@ -56,17 +61,45 @@
 
 func (e endpoint) Hello(ctx context.Context, address string, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
 	n := e.network
+	if witness, ok := n.witnessAt(e.self, address); ok {
+		return proto.CloneOf(witness.Hello(proto.CloneOf(req))), nil
+	}
 	node, ok := n.nodeAt(e.self, address)
 	if !ok {
 		return nil, errNoRoute
 	}
 	resp, err := node.Hello(ctx, proto.CloneOf(req))
-	if _, ok := n.nodeAt(address, e.self); !ok || err != nil {
+	if !n.canReturn(address, e.self) || err != nil {
 		return nil, errNoRoute
 	}
 	return proto.CloneOf(resp), nil
 }
 
+func (e endpoint) PromiseCluster(_ context.Context, address string, req *aubwire.PromiseClusterRequest) (*aubwire.PromiseClusterResponse, error) {
+	witness, ok := e.network.witnessAt(e.self, address)
+	if !ok {
+		return nil, errNoRoute
+	}
+	return witness.PromiseCluster(proto.CloneOf(req)), nil
+}
+
+// witnessAt returns the witness at an address and whether the routes in both directions are
+// open.
+func (n *fakeNetwork) witnessAt(from, to string) (*aubconsensus.Witness, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	witness, ok := n.witnesses[to]
+	return witness, ok && !n.blocked[route{from, to}] && !n.blocked[route{to, from}]
+}
+
+// canReturn reports whether a response reaches its caller.
+func (n *fakeNetwork) canReturn(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isRunning := n.nodes[to] != nil || n.witnesses[to] != nil
+	return isRunning && !n.blocked[route{from, to}]
+}
+
 // nodeAt returns the node at an address and whether the route to it is open.
 func (n *fakeNetwork) nodeAt(from, to string) (*aubconsensus.Node, bool) {
 	n.mu.Lock()
@@ -112,6 +145,16 @@
 	n.nodes[address] = node
 }
 
+// setWitness sets the process without a disk at an address; nil removes it.
+func (n *fakeNetwork) setWitness(address string, witness *aubconsensus.Witness) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.witnesses, address)
+	if witness != nil {
+		n.witnesses[address] = witness
+	}
+}
+
 func (n *fakeNetwork) detach(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -28,7 +28,7 @@
 
 // Node is one member of the replicated log.
 //
-// All fields except those under mu are owned by the goroutine of run. Lock
+// All fields except witnessed and those under mu are owned by the goroutine of run. Lock
 // order: mu is taken alone.
 type Node struct {
 	common aubcommon.Common
@@ -76,6 +76,10 @@
 	sendBeforeSync []outgoingMessage
 	sendAfterSync  []outgoingMessage
 
+	// witnessed holds the replicas that witnesses named last. The goroutine of
+	// runDiscovery owns it.
+	witnessed []Peer
+
 	mu        sync.Mutex
 	published published
 	err       error
--- a/internal/aubconsensus/service.go
+++ b/internal/aubconsensus/service.go
@@ -57,3 +57,23 @@
 		return nil, status.Error(codes.Unknown, err.Error())
 	}
 }
+
+// WitnessService serves the consensus calls to a control process without a disk.
+type WitnessService struct {
+	aubwire.UnimplementedConsensusServer
+
+	witness *Witness
+}
+
+// NewWitnessService returns the gRPC service of the witness.
+func NewWitnessService(witness *Witness) *WitnessService { return &WitnessService{witness: witness} }
+
+// Hello implements the gRPC service.
+func (s *WitnessService) Hello(_ context.Context, req *aubwire.HelloRequest) (*aubwire.HelloResponse, error) {
+	return s.witness.Hello(req), nil
+}
+
+// PromiseCluster implements the gRPC service.
+func (s *WitnessService) PromiseCluster(_ context.Context, req *aubwire.PromiseClusterRequest) (*aubwire.PromiseClusterResponse, error) {
+	return s.witness.PromiseCluster(req), nil
+}
--- a/internal/aubconsensus/transport.go
+++ b/internal/aubconsensus/transport.go
@@ -40,7 +40,10 @@
 	links map[string]*link
 }
 
-var _ Transport = (*RemoteTransport)(nil)
+var (
+	_ Transport        = (*RemoteTransport)(nil)
+	_ WitnessTransport = (*RemoteTransport)(nil)
+)
 
 // NewRemoteTransport returns a transport that runs until ctx ends. The timeout
 // limits one delivery, beyond its transfer at minDeliverRate.
@@ -69,6 +72,18 @@
 	return aubwire.NewConsensusClient(conn).Hello(ctx, req)
 }
 
+// PromiseCluster implements WitnessTransport.
+func (t *RemoteTransport) PromiseCluster(
+	ctx context.Context, address string, req *aubwire.PromiseClusterRequest,
+) (*aubwire.PromiseClusterResponse, error) {
+	conn, err := t.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return aubwire.NewConsensusClient(conn).PromiseCluster(ctx, req)
+}
+
 func (t *RemoteTransport) link(address string) *link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -179,6 +179,7 @@
 	c.registryClient = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
 		Process:     c.cfg.Name,
 		SelfAddress: c.cfg.Internal.Address(),
+		HasReplica:  true,
 		Seeds:       c.controlAddresses,
 		Dial:        c.transport.Dial,
 		Registry:    c.registry,
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -38,8 +38,10 @@
 	// Zone is the availability zone of this process; a configuration is preferably fetched
 	// from a control process in it.
 	Zone string
-	// SelfAddress is this process's control address; empty if it serves none.
+	// SelfAddress is this process's control address; empty if it serves none. HasReplica is
+	// set if it runs a replica, so that other processes may find it by this address.
 	SelfAddress string
+	HasReplica  bool
 	// Seeds returns the control addresses of the current settings.
 	Seeds    func() []string
 	Dial     func(address string) (*grpc.ClientConn, error)
@@ -88,6 +90,11 @@
 	// listedAt is when the settings or a control process last listed the address.
 	listedAt  time.Time
 	connected bool
+	// lastReceivedAt is when the last response was received.
+	lastReceivedAt time.Time
+	// isWithoutDisk is set if the control process has no disk. It only tells addresses and
+	// never counts as connected.
+	isWithoutDisk bool
 	// zone and newestRevision are what the control process last sent. failedFetchAt is
 	// when a fetch from it last failed.
 	zone           string
@@ -271,6 +278,10 @@
 		select {
 		case resp := <-responses:
 			lastReceivedAt = c.common.Timer.Now()
+			if c.recordResponse(link, resp.GetWithoutDisk()) {
+				c.ensureLinks(resp.GetControlAddresses())
+				continue
+			}
 			if c.setConnected(link, conn) {
 				c.common.Log.Info("Control process reached.", zap.String("address", link.address))
 			}
@@ -301,6 +312,15 @@
 	}
 }
 
+// recordResponse stores the time of a response and whether its sender is without a disk,
+// and returns the latter.
+func (c *Client) recordResponse(link *controlLink, isWithoutDisk bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	link.lastReceivedAt, link.isWithoutDisk = c.common.Timer.Now(), isWithoutDisk
+	return isWithoutDisk
+}
+
 // handleResponse applies the content of one response.
 func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
 	// A relay serves once it knows a backend server; by then it must know what is blocked
@@ -342,6 +362,15 @@
 // newRequest returns the next request, with a load report if withReport is set.
 func (c *Client) newRequest(link *controlLink, ackedVersion uint64, withReport bool) *aubwire.RegistryRequest {
 	req := &aubwire.RegistryRequest{Process: c.opts.Process, Relay: c.opts.Relay, LoadAddress: c.opts.LoadAddress, Acked: ackedVersion}
+	c.mu.Lock()
+	isWithoutDisk := link.isWithoutDisk
+	c.mu.Unlock()
+	if isWithoutDisk {
+		if c.opts.HasReplica {
+			req.ControlAddress = c.opts.SelfAddress
+		}
+		return req
+	}
 	if withReport && c.opts.Report != nil {
 		req.Report = c.opts.Report()
 	}
@@ -408,14 +437,15 @@
 	}
 }
 
-// ConnectedAddresses returns the addresses of the connected control processes in lexical
-// order.
-func (c *Client) ConnectedAddresses() []string {
+// RespondingAddresses returns the addresses of the connected control processes with a disk
+// that sent something within the given time, in lexical order.
+func (c *Client) RespondingAddresses(within time.Duration) []string {
+	now := c.common.Timer.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var addresses []string
 	for address, link := range c.links {
-		if link.connected {
+		if link.connected && now.Sub(link.lastReceivedAt) <= within {
 			addresses = append(addresses, address)
 		}
 	}
--- a/internal/aubregistry/stream.go
+++ b/internal/aubregistry/stream.go
@@ -45,7 +45,7 @@
 }()
 
 // connectedConns returns the connections to all connected control processes, and the number of
-// all known ones.
+// all known ones. Control processes without a disk are left out, because they hold no origins.
 func (c *Client) connectedConns() (conns []*grpc.ClientConn, known int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -53,8 +53,11 @@
 		if link.connected {
 			conns = append(conns, link.conn)
 		}
+		if !link.isWithoutDisk {
+			known++
+		}
 	}
-	return conns, len(c.links)
+	return conns, known
 }
 
 // FindStream asks all connected control processes for the origin of the stream that began
