--- a/internal/aubconsensus/forming_test.go
+++ b/internal/aubconsensus/forming_test.go
@@ -17,6 +17,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubconsensus"
 	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
 const (
@@ -266,3 +267,75 @@
 		}
 	}
 }
+
+// TestForgetfulWitnessNamesNoSecondCluster restarts the witness that named the first cluster
+// as if it were the first start, while other empty replicas start and those of the cluster
+// are cut off for longer than any process lists them. It guards against a second cluster
+// that is named by a witness which forgot the first one.
+func TestForgetfulWitnessNamesNoSecondCluster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFormation(t, 1, 3)
+		first, second := []string{"r0", "r1", "r2"}, []string{"x0", "x1", "x2"}
+		f.replicas = slices.Concat(first, second)
+		for _, name := range second {
+			f.disks[name] = newStoredDisk(false)
+		}
+		for _, name := range slices.Concat(f.withoutDisk, first) {
+			f.startProcess(name, true)
+		}
+		f.eventually("the first cluster has a leader", f.hasLeader)
+		for _, name := range first {
+			f.network.isolate(name, slices.Concat(f.withoutDisk, second), true, true)
+		}
+		time.Sleep(callerTimeout + time.Second)
+		f.killProcess("s1")
+		for _, name := range slices.Concat([]string{"s1"}, second) {
+			f.startProcess(name, true)
+		}
+		for range 2 * int(formingTime/time.Second) {
+			time.Sleep(time.Second)
+			f.recordClusters()
+		}
+		qt.Check(t, len(f.clusterIDs), qt.Equals, 1)
+		f.network.heal()
+		f.eventually("the other replicas find the first cluster", func() bool {
+			return !slices.ContainsFunc(second, func(name string) bool {
+				replica, _ := f.replica(name)
+				return replica.node.Status().ClusterID == ""
+			})
+		})
+		for _, name := range slices.Concat(f.replicas, f.withoutDisk) {
+			f.killProcess(name)
+		}
+		f.recordClusters()
+		qt.Check(t, len(f.clusterIDs), qt.Equals, 1)
+	})
+}
+
+// TestWitnessKeepsItsPromise guards against a witness that grants two clusters, or that hands
+// one out which another seed has not promised.
+func TestWitnessKeepsItsPromise(t *testing.T) {
+	first, second := &aubwire.Membership{ClusterId: "first"}, &aubwire.Membership{ClusterId: "second"}
+	witness := aubconsensus.NewWitness(t.Context(), aubcommon.NewCommon(aubtimer.NewReal()), aubconsensus.WitnessOpts{
+		Self: aubconsensus.Peer{Name: "s2", Address: "s2"}, Seeds: []aubconsensus.Peer{{Name: "s1", Address: "s1"}, {Name: "s2", Address: "s2"}},
+		OnReplica: func(string) {}, Replicas: func() []string { return nil },
+	})
+	for _, test := range []struct {
+		name        string
+		req         *aubwire.PromiseClusterRequest
+		wantGranted bool
+		wantKnown   string
+	}{
+		{name: "first", req: &aubwire.PromiseClusterRequest{Membership: first}, wantGranted: true},
+		{name: "second", req: &aubwire.PromiseClusterRequest{Membership: second}},
+		{name: "second is named", req: &aubwire.PromiseClusterRequest{Membership: second, Named: true}},
+		{name: "first again", req: &aubwire.PromiseClusterRequest{Membership: first}, wantGranted: true},
+		{name: "first is named", req: &aubwire.PromiseClusterRequest{Membership: first, Named: true}, wantGranted: true, wantKnown: "first"},
+		{name: "second after the first is named", req: &aubwire.PromiseClusterRequest{Membership: second}, wantKnown: "first"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Check(t, witness.PromiseCluster(test.req).GetGranted(), qt.Equals, test.wantGranted)
+			qt.Check(t, witness.Hello(&aubwire.HelloRequest{}).GetMembership().GetClusterId(), qt.Equals, test.wantKnown)
+		})
+	}
+}
