--- a/internal/aubconsensus/witness.go
+++ b/internal/aubconsensus/witness.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -14,6 +15,10 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
+// namingTimeout limits one attempt to name the first cluster. It covers a round trip to each
+// control process of a large site, one after the other.
+const namingTimeout = time.Second
+
 // WitnessTransport sends the calls of a witness.
 type WitnessTransport interface {
 	// Hello requests the identity and membership of the process at the address.
@@ -49,6 +54,10 @@
 	common aubcommon.Common
 	opts   WitnessOpts
 
+	// waitsFor is what the log last said that the first cluster waits for. Only the goroutine
+	// that names it uses the field.
+	waitsFor string
+
 	mu sync.Mutex
 	// promised is the only cluster that this witness grants or names; nil before the first
 	// promise. It never changes.
@@ -107,6 +116,9 @@
 
 // PromiseCluster grants the first cluster that is asked for, and refuses all others.
 func (w *Witness) PromiseCluster(req *aubwire.PromiseClusterRequest) *aubwire.PromiseClusterResponse {
+	if req.GetMembership().GetClusterId() == "" {
+		return &aubwire.PromiseClusterResponse{}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.promised == nil {
@@ -124,7 +136,7 @@
 // tryName names the first cluster if that is possible, and reports whether it is named or
 // a cluster exists.
 func (w *Witness) tryName(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*helloInterval)
+	ctx, cancel := context.WithTimeout(ctx, namingTimeout)
 	defer cancel()
 	if w.promise() == nil {
 		voters, exists := w.findVoters(ctx)
@@ -170,6 +182,7 @@
 		resp, err := w.hello(ctx, seed.Address)
 		switch {
 		case err != nil:
+			w.logWait("seed "+seed.Address, zap.Error(err))
 			return nil, false
 		case resp.GetMembership().GetClusterId() != "" || !resp.GetWithoutDisk():
 			// A seed with a disk forms the cluster.
@@ -181,7 +194,7 @@
 	for _, address := range slices.Compact(replicas) {
 		resp, err := w.hello(ctx, address)
 		if err != nil || resp.GetWithoutDisk() || resp.GetAfterDamage() || resp.GetMember().GetDiskId() == "" {
-			w.common.Log.Info("First cluster waits for a replica.", zap.String("address", address), zap.Bool("after_damage", resp.GetAfterDamage()), zap.Error(err))
+			w.logWait("replica "+address, zap.Bool("after_damage", resp.GetAfterDamage()), zap.Error(err))
 			return nil, false
 		}
 		if resp.GetMembership().GetClusterId() != "" {
@@ -190,7 +203,7 @@
 		voters = append(voters, resp.GetMember())
 	}
 	if len(voters) < w.opts.Voters {
-		w.common.Log.Info("First cluster waits for more replicas.", zap.Int("replicas", len(voters)), zap.Int("needed", w.opts.Voters))
+		w.logWait("more replicas", zap.Int("replicas", len(voters)), zap.Int("needed", w.opts.Voters))
 		return nil, false
 	}
 	slices.SortFunc(voters, func(a, b *aubwire.ConsensusMember) int { return strings.Compare(a.GetName(), b.GetName()) })
@@ -203,13 +216,22 @@
 	for _, seed := range w.otherSeeds() {
 		resp, err := w.opts.Transport.PromiseCluster(ctx, seed.Address, proto.CloneOf(req))
 		if err != nil || !resp.GetGranted() {
-			w.common.Log.Warn("A seed does not promise the first cluster.", zap.String("address", seed.Address), zap.Error(err))
+			w.logWait("promise of "+seed.Address, zap.Error(err))
 			granted = false
 		}
 	}
 	return granted
 }
 
+// logWait logs what the first cluster waits for, once until that changes.
+func (w *Witness) logWait(reason string, fields ...zap.Field) {
+	if w.waitsFor == reason {
+		return
+	}
+	w.waitsFor = reason
+	w.common.Log.Info("First cluster waits.", append(fields, zap.String("for", reason))...)
+}
+
 func (w *Witness) hello(ctx context.Context, address string) (*aubwire.HelloResponse, error) {
 	// Without a cluster id the caller is admitted nowhere.
 	return w.opts.Transport.Hello(ctx, address, &aubwire.HelloRequest{Member: w.member()})
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -68,7 +68,7 @@
 type Control struct {
 	DataDir           string    `yaml:"data_dir" doc:"Data folder of the control replica; a process without one runs no replica."`
 	Voters            []Peer    `yaml:"voters" doc:"Control replicas that form the site at the first start, including this one."`
-	Seeds             []Address `yaml:"seeds" doc:"Addresses on the hosts of the control processes, of which only the host is used; the replicas there form the cluster at the first start."`
+	Seeds             []Address `yaml:"seeds" doc:"Addresses on the hosts of the control processes, of which only the host is used; the replicas there form the cluster at the first start. Control processes without a data folder there tell where the replicas are; if there are only such, the lowest one names the replicas that form the cluster."`
 	Port              int       `yaml:"port" doc:"Internal port of every control process on the hosts of the seeds."`
 	Bootstrap         bool      `yaml:"form" doc:"Form a new cluster with the seeds if no replica belongs to one yet."`
 	FaultTolerance    int       `yaml:"losses" doc:"Number of control replicas whose simultaneous loss is tolerated; replicas join by themselves until twice as many plus one vote."`
