Answer a refused pre-vote with the own term

A majority could stay without a leader for dozens of election timeouts while its terms grew. Cause: the refusal of a pre-vote carried the requested term. The refused candidate adopted it although nobody had begun it, and then refused the pre-vote of the replica that could win, because that one asked for the same term. That replica adopted the term in turn and reset its deadline, and the candidate with the shorter log asked first again.

In a trace of two connected voters, one with two entries less, and a third with an empty disk, all pre-votes but the last ended as log_behind or term_outdated, the terms grew from 1 to 17 and there was no leader for 25 election timeouts.

TestRefusedPreVoteRaisesNoTerm failed before the change (term 2 instead of 1).

--- a/internal/aubconsensus/election.go
+++ b/internal/aubconsensus/election.go
@@ -144,7 +144,12 @@
 	case n.hasRecentLeader() && !req.GetTransfer():
 		return voteRecentLeader, n.term
 	case req.GetPre():
-		return n.decidePreVote(m, req), m.GetTerm()
+		// Only a granted pre-vote is of the requested term. The candidate adopts the term of a
+		// refusal, and nobody has begun the requested one.
+		if outcome := n.decidePreVote(m, req); outcome != voteGranted {
+			return outcome, n.term
+		}
+		return voteGranted, m.GetTerm()
 	case m.GetTerm() > n.term:
 		n.becomeFollower(m.GetTerm(), "")
 	}
--- a/internal/aubconsensus/vote_test.go
+++ b/internal/aubconsensus/vote_test.go
@@ -117,3 +117,42 @@
 	qt.Assert(t, requester.requestVote(first, second, 1001, outdated), qt.Equals, voteRefused)
 	qt.Assert(t, requester.requestVote(first, second, 1001, upToDateRequest(true, false)), qt.Equals, voteGranted)
 }
+
+// TestRefusedPreVoteRaisesNoTerm guards against a candidate with too short a log that takes the
+// term it asked for from the refusal: the terms grow, and the other replica's own pre-vote comes
+// too late in each of them.
+func TestRefusedPreVoteRaisesNoTerm(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	c.commitValue("k", "v")
+	c.waitValueOnAll("k", "v,")
+	requester := newVoteRequester(c)
+	leader := c.waitLeader()
+	first := c.randomReplica(leader)
+	second := c.randomReplica(leader, first)
+	manual := aubtimer.NewManual(time.Now())
+	c.timer = manual
+	c.kill(leader)
+	c.kill(first)
+	c.restart(second)
+	manual.Advance(electionTimeout)
+	replica, _ := c.replica(second)
+	term := replica.node.Status().Term
+
+	responses := c.network.tap(second, leader)
+	replica.node.Deliver(&aubwire.ConsensusMessage{
+		ClusterId: requester.clusterID, Term: term + 1, From: requester.diskIDs[leader], FromAddress: leader, To: requester.diskIDs[second],
+		Body: &aubwire.ConsensusMessage_Vote{Vote: &aubwire.VoteRequest{Pre: true, LastIndex: 1, LastTerm: 1}},
+	})
+	for {
+		select {
+		case m := <-responses:
+			if resp := m.GetVoteResponse(); resp != nil {
+				qt.Assert(t, resp.GetGranted(), qt.IsFalse)
+				qt.Assert(t, m.GetTerm(), qt.Equals, term)
+				return
+			}
+		case <-time.After(testTimeout):
+			t.Fatal("no response")
+		}
+	}
+}
