Close the database when the sync of its folder fails

openDatabase returned the open database beside the error of the folder's sync, and its caller dropped it. The file stayed open and locked, so every later start in the same process failed after 5 s with "store: open failed: timeout". A control process starts its replica anew after a full disk.

Change: the database is closed before the error is returned. The sync is a parameter, so that a test can let it fail.

--- a/internal/aubstore/database.go
+++ b/internal/aubstore/database.go
@@ -36,8 +36,8 @@
 // openDatabase opens the database in the data folder. An existing file is first
 // rewritten completely and synced: after a failed sync the kernel may still
 // return cached pages that never reached the disk, and opening the file would
-// treat them as durable.
-func openDatabase(opts Opts) (*bbolt.DB, error) {
+// treat them as durable. Sync syncs the data folder; if it fails, no file stays open.
+func openDatabase(opts Opts, sync func(dir string) error) (*bbolt.DB, error) {
 	path := filepath.Join(opts.DataDir, databaseFile)
 	if err := verifyAndRewrite(path, filepath.Join(opts.DataDir, rewriteFile)); err != nil {
 		return nil, err
@@ -55,7 +55,10 @@
 	if err != nil {
 		return nil, &IOError{Op: "open", Err: err}
 	}
-	return db, syncFolder(opts.DataDir)
+	if err := sync(opts.DataDir); err != nil {
+		return nil, errors.Join(err, db.Close())
+	}
+	return db, nil
 }
 
 // verifyAndRewrite removes the temporary file of an interrupted rewrite, then
--- a/internal/aubstore/store.go
+++ b/internal/aubstore/store.go
@@ -106,7 +106,7 @@
 }
 
 func open(common aubcommon.Common, opts Opts, afterDamage bool) (*Store, error) {
-	db, err := openDatabase(opts)
+	db, err := openDatabase(opts, syncFolder)
 	if err != nil {
 		return nil, err
 	}
