Reload certificates also when a file becomes older

A changed key or CA file alone was reloaded only if its modification time was later than that of all three files at the last load. A file that replaces another and keeps its own, earlier time was never read, so a replaced authority stayed trusted until a restart.

Change: the times of the three files are compared one by one for any difference. TestCertificatesReloadWhenAFileBecomesOlder failed before; all tests of aubtransport pass after. Ruled out: a later time of the CA file alone, which TestCertificatesReloadWhenAnyFileChanges already covers.

--- a/internal/aubtransport/tls.go
+++ b/internal/aubtransport/tls.go
@@ -31,23 +31,25 @@
 	CAFile   string
 }
 
-// modifiedAt returns the time at which one of the files was last changed. The error is
+// fileTimes holds the modification times of the certificate, key and CA file in
+// nanoseconds; 0 for a file that is not set.
+type fileTimes [3]int64
+
+// modifiedAt returns the times at which the files were last changed. The error is
 // *CertError.
-func (o CertOpts) modifiedAt() (time.Time, error) {
-	var newest time.Time
-	for _, file := range []string{o.CertFile, o.KeyFile, o.CAFile} {
+func (o CertOpts) modifiedAt() (fileTimes, error) {
+	var times fileTimes
+	for i, file := range []string{o.CertFile, o.KeyFile, o.CAFile} {
 		if file == "" {
 			continue
 		}
 		info, err := os.Stat(file)
 		if err != nil {
-			return time.Time{}, &CertError{File: file, Err: err}
-		}
-		if info.ModTime().After(newest) {
-			newest = info.ModTime()
+			return fileTimes{}, &CertError{File: file, Err: err}
 		}
+		times[i] = info.ModTime().UnixNano()
 	}
-	return newest, nil
+	return times, nil
 }
 
 // CertError reports a certificate file that can't be used and the cause.
@@ -71,7 +73,7 @@
 	mu         sync.Mutex
 	cert       *tls.Certificate
 	caPool     *x509.CertPool
-	modifiedAt time.Time
+	modifiedAt fileTimes
 	checkedAt  time.Time
 }
 
@@ -140,11 +142,11 @@
 	return c.cert, c.caPool
 }
 
-// reloadIfModified loads the files again if the modification time of one of them is later
-// than at the last load.
+// reloadIfModified loads the files again if the modification time of one of them differs from
+// that at the last load. A file that replaces another may be older.
 func (c *Certificates) reloadIfModified() {
 	modifiedAt, err := c.opts.modifiedAt()
-	if err != nil || !modifiedAt.After(c.modifiedAt) {
+	if err != nil || modifiedAt == c.modifiedAt {
 		return
 	}
 	if err := c.load(); err != nil {
@@ -157,7 +159,7 @@
 // load reads and checks the files. On an error the certificate and the CA pool stay
 // as they are.
 func (c *Certificates) load() error {
-	// The time is read first, so that a file that changes meanwhile is loaded again.
+	// The times are read first, so that a file that changes meanwhile is loaded again.
 	modifiedAt, err := c.opts.modifiedAt()
 	if err != nil {
 		return err
--- a/internal/aubtransport/tls_test.go
+++ b/internal/aubtransport/tls_test.go
@@ -197,6 +197,24 @@
 	qt.Assert(t, certs.ClientConfig().RootCAs.Equal(before), qt.IsFalse)
 }
 
+// TestCertificatesReloadWhenAFileBecomesOlder guards against a replaced authority that stays trusted
+// because its file keeps the time at which it was made.
+func TestCertificatesReloadWhenAFileBecomesOlder(t *testing.T) {
+	a := newAuthority(t)
+	opts := a.issue("entry-a", 2, time.Now().Add(time.Hour))
+	timer := aubtimer.NewManual(time.Now())
+	certs, err := aubtransport.NewCertificates(aubcommon.NewCommon(timer), opts)
+	qt.Assert(t, err, qt.IsNil)
+	before := certs.ClientConfig().RootCAs
+	next, err := os.ReadFile(newAuthority(t).caFile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, os.WriteFile(opts.CAFile, next, 0o600), qt.IsNil)
+	earlier := time.Now().Add(-time.Hour)
+	qt.Assert(t, os.Chtimes(opts.CAFile, earlier, earlier), qt.IsNil)
+	timer.Advance(10 * time.Second)
+	qt.Assert(t, certs.ClientConfig().RootCAs.Equal(before), qt.IsFalse)
+}
+
 func serialOf(t *testing.T, c *aubtransport.Certificates) int64 {
 	cert, err := c.ServerConfig().GetCertificate(&tls.ClientHelloInfo{})
 	qt.Assert(t, err, qt.IsNil)
