Place models outside drained zones

Cause: the director counted copies in drained zones and sent orders there, so models whose only copies are in such a zone stayed without a usable copy.

Change: the planner leaves out the engines of drained zones and counts callers of models held only there as waiting, the busiest first, within the rate of the weight store. A change of the drained zones starts a plan at once. No order is sent to an engine of a drained zone, also not one that was planned before, and requests for a copy or adapter get no engine there.

--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -47,6 +48,9 @@
 	Loads      *aubregistry.LoadAggregator
 	// Site returns the active configuration, nil before the first.
 	Site func() *aubsite.Site
+	// Drains returns the drained zones and a channel that is closed at the next change; nil if
+	// no zone is ever drained.
+	Drains func() (aubdrain.Drains, <-chan struct{})
 	// Interval is the time between two plans.
 	Interval time.Duration
 	// Handover is the time at the start of a term in which no orders are sent.
@@ -85,9 +89,12 @@
 	stepTicks := common.Timer.Subscribe(ctx, stepInterval)
 	go func() {
 		for {
+			drainsChanged := d.drainsChanged()
 			select {
 			case <-ctx.Done():
 				return
+			case <-drainsChanged:
+				d.runCycle(ctx)
 			case <-stepTicks:
 				d.runNextSteps(ctx)
 			case <-planTicks:
@@ -100,6 +107,25 @@
 	return d
 }
 
+// drains returns the drained zones.
+func (d *Director) drains() aubdrain.Drains {
+	if d.opts.Drains == nil {
+		return aubdrain.Drains{}
+	}
+	drains, _ := d.opts.Drains()
+	return drains
+}
+
+// drainsChanged returns a channel that is closed at the next change of the drained zones; nil
+// if they never change.
+func (d *Director) drainsChanged() <-chan struct{} {
+	if d.opts.Drains == nil {
+		return nil
+	}
+	_, changed := d.opts.Drains()
+	return changed
+}
+
 // newDirector returns a director without a goroutine.
 func newDirector(common aubcommon.Common, opts DirectorOpts) *Director {
 	return &Director{
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -9,9 +9,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubsite"
@@ -27,9 +30,12 @@
 
 // directorSite is a fleet of engines under two directors that lead alternately.
 type directorSite struct {
-	fleet       *fakeFleet
-	registry    *aubregistry.Registry
-	loads       *aubregistry.LoadAggregator
+	fleet    *fakeFleet
+	registry *aubregistry.Registry
+	loads    *aubregistry.LoadAggregator
+	// drains is the table of drained zones; each engine has a zone of its own, named "z-" and
+	// its id.
+	drains      *aubdrain.Table
 	leaderships []*fakeLeadership
 	directors   []*Director
 	sequence    int64
@@ -69,6 +75,7 @@
 		registry: aubregistry.NewRegistry(common, time.Hour),
 		loads:    aubregistry.NewLoadAggregator(common),
 		counts:   make(map[string]int64),
+		drains:   aubdrain.NewTable(timer),
 	}
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
@@ -81,7 +88,7 @@
 		s.leaderships = append(s.leaderships, leadership)
 		s.directors = append(s.directors, newDirector(common, DirectorOpts{
 			Holder: fmt.Sprintf("c%d", i), Engine: s.fleet, Leadership: leadership, Registry: s.registry, Loads: s.loads,
-			Site: func() *aubsite.Site { return site }, Interval: testInterval, Handover: 3 * time.Second,
+			Site: func() *aubsite.Site { return site }, Drains: s.drains.Drains, Interval: testInterval, Handover: 3 * time.Second,
 			Forward: func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 				return nil, errNoResponse
 			},
@@ -97,7 +104,7 @@
 	s.sequence++
 	for id, e := range s.fleet.engines {
 		s.delayed = append(s.delayed, delayedRecord{steps: delay(), record: &aubwire.BackendRecord{
-			Id: id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
+			Id: id, Zone: "z-" + id, Service: testService, Address: "10.0.0.1:" + id, StartedMs: 1, Sequence: s.sequence,
 			State: aubwire.BackendState_BACKEND_STATE_READY, Models: e.state().Models,
 		}})
 	}
@@ -347,6 +354,10 @@
 		e.RateLimit = auboption.Some(perSecond)
 		return e
 	}
+	drained := func(e EngineView) EngineView {
+		e.Drained = true
+		return e
+	}
 	model := func(name string, tokenRate float64, waiting bool) ModelView {
 		return ModelView{
 			Name: name, Megabytes: 70, TokenRate: tokenRate, RequestRate: tokenRate / 4000, Waiting: waiting,
@@ -463,9 +474,106 @@
 			},
 			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "c", FreesMemoryFor: "a"}},
 		},
+		{
+			name: "models whose only copies are in a drained zone are loaded elsewhere, the busiest first",
+			snapshot: Snapshot{
+				Engines:    []EngineView{drained(engine("e1", "a", "b")), engine("e2"), engine("e3")},
+				StoreLoads: 2, StoreConcurrency: 4, MaxOperations: 8,
+				Models: []ModelView{model("a", 100, false), model("b", 4000, false)},
+			},
+			want: []Move{
+				{Action: ActionLoad, Engine: "e2", Model: "b", FromStore: true, ExpectedDuration: 4 * time.Second},
+				{Action: ActionLoad, Engine: "e3", Model: "a", FromStore: true, ExpectedDuration: 4 * time.Second},
+			},
+		},
+		{
+			name: "the loads after a drain stay within the rate of the weight store",
+			snapshot: Snapshot{
+				Engines:    []EngineView{drained(engine("e1", "a", "b")), engine("e2"), engine("e3")},
+				StoreLoads: 1, StoreConcurrency: 4, MaxOperations: 8,
+				Models: []ModelView{model("a", 100, false), model("b", 4000, false)},
+			},
+			want: []Move{{Action: ActionLoad, Engine: "e2", Model: "b", FromStore: true, ExpectedDuration: 4 * time.Second}},
+		},
+		{
+			name: "no order in a drained zone",
+			snapshot: Snapshot{
+				Engines:    []EngineView{withCachedWeights(drained(engine("e1", "a")), "c"), drained(engine("e2", "b", "d"))},
+				StoreLoads: 2, StoreConcurrency: 4, MaxOperations: 8,
+				Models: []ModelView{model("a", 50000, false), model("b", 0, false), model("c", 9000, true), model("d", 0, false)},
+			},
+		},
+		{
+			name: "a copy is not surplus because of one in a drained zone",
+			snapshot: Snapshot{
+				Engines:    []EngineView{drained(engine("e1", "a")), engine("e2", "a", "b")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 4000, false), model("b", 4000, false), model("c", 4000, true)},
+			},
+		},
+		{
+			name: "an idle model is unloaded for one whose only copy is in a drained zone",
+			snapshot: Snapshot{
+				Engines:    []EngineView{drained(engine("e1", "a")), engine("e2", "b", "c")},
+				StoreLoads: 1, StoreConcurrency: 2, MaxOperations: 4,
+				Models: []ModelView{model("a", 100, false), model("b", 4000, false), model("c", 0, false)},
+			},
+			want: []Move{{Action: ActionUnload, Engine: "e2", Model: "c", FreesMemoryFor: "a"}},
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, Plan(test.snapshot), qt.DeepEquals, test.want)
 		})
 	}
 }
+
+// TestNoOrderAndNoCopyInADrainedZone guards against loads on engines that get no requests, and
+// against copies and adapters that relays can't use.
+func TestNoOrderAndNoCopyInADrainedZone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDirectorSite(t, rapid.Uint64().Draw(t, "seed"), 3)
+		ctx := context.Background()
+		s.register(noDelay)
+		for range 20 {
+			s.demand("m0", 20000)
+			s.step(ctx)
+		}
+		order := func(index uint64, drained bool) {
+			body, err := proto.Marshal(&aubwire.ZoneDrainCommand{Zone: "z-e0", Drained: drained})
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.drains.Apply(aubcontrol.Command{Index: index, Body: body})
+		}
+		order(1, true)
+		accepted := s.fleet.engines["e0"].sequence
+		placed := false
+		for i := range 60 {
+			s.demand("m0", 20000)
+			req := &aubwire.PlaceRequest{Service: testService, Model: "m0"}
+			if i%10 == 0 {
+				req.Adapter = fmt.Sprintf("a%d", i/10)
+			}
+			// The wait for an adapter is on the timer, which stands still during the call.
+			placeCtx, cancel := context.WithTimeout(ctx, 5*time.Millisecond)
+			resp, err := s.directors[0].Place(placeCtx, req)
+			cancel()
+			if err == nil && resp.GetBackend() == "e0" {
+				t.Fatal("a copy in the drained zone was returned")
+			}
+			placed = placed || resp.GetBackend() != ""
+			s.step(ctx)
+		}
+		if got := s.fleet.engines["e0"].sequence; got != accepted {
+			t.Fatalf("%d orders in the drained zone", got-accepted)
+		}
+		if !placed {
+			t.Fatal("the model was not loaded in another zone")
+		}
+		order(2, false)
+		resp, err := s.directors[0].Place(ctx, &aubwire.PlaceRequest{Service: testService, Model: "m0"})
+		if err != nil || resp.GetBackend() == "" {
+			t.Fatalf("no copy after the withdrawal: %v, %v", resp, err)
+		}
+	})
+}
--- a/internal/auborder/execute.go
+++ b/internal/auborder/execute.go
@@ -163,6 +163,10 @@
 	}
 	outcome := OutcomeRefused
 	for attempt := range maxOrderAttempts {
+		if d.drains().Contains(record.GetZone()) {
+			// The drain may have been ordered after the plan.
+			break
+		}
 		if !d.stampLeadership(&order) {
 			// An earlier attempt may still be executed.
 			break
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -87,9 +87,10 @@
 // being loaded or will be.
 func (d *Director) expectedReadyIn(now time.Time, model aubsite.Model) time.Duration {
 	remaining := model.LoadTime
+	drains := d.drains()
 	for _, e := range d.allEngines() {
 		e.mu.Lock()
-		if op := e.operation; op != nil && op.action == ActionLoad && op.model == model.Name && op.accepted {
+		if op := e.operation; op != nil && !drains.Contains(e.record.GetZone()) && op.action == ActionLoad && op.model == model.Name && op.accepted {
 			remaining = min(remaining, max(op.expectedDuration-now.Sub(op.startedAt), 0))
 		}
 		e.mu.Unlock()
@@ -104,15 +105,17 @@
 	return slices.Collect(maps.Values(d.engines))
 }
 
-// holders returns the engines with a ready copy of the model, the least loaded first.
+// holders returns the engines outside drained zones with a ready copy of the model, the least
+// loaded first.
 func (d *Director) holders(service aubsite.Service, model string) []*engineState {
 	loads := d.opts.Loads.InFlight()
+	drains := d.drains()
 	var holders []*engineState
 	for _, e := range d.allEngines() {
 		e.mu.Lock()
 		resident := e.models[model]
 		isReady := resident != nil && resident.state == CopyReady && e.record.GetService() == service.Name &&
-			e.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
+			e.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY && !drains.Contains(e.record.GetZone())
 		e.mu.Unlock()
 		if isReady {
 			holders = append(holders, e)
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -37,6 +37,9 @@
 	FromStore bool
 	// FreesMemoryFor names the model that an unload in progress frees memory for.
 	FreesMemoryFor string
+	// Drained is set while the engine's zone is drained: its copies count for nothing, and it
+	// gets no order.
+	Drained bool
 	// Load is the number of requests in flight.
 	Load int
 	// RateLimit is the number of requests per second that the engine takes; none if it
@@ -135,7 +138,7 @@
 		pending:  make(map[string]int),
 		busy:     make(map[string]bool),
 	}
-	maxMoves := s.MaxOperations
+	maxMoves, engines := s.MaxOperations, 0
 	for _, e := range s.Engines {
 		if e.Busy {
 			p.busy[e.ID] = true
@@ -144,12 +147,17 @@
 		if e.FromStore {
 			p.snapshot.StoreConcurrency--
 		}
+		if e.Drained {
+			p.busy[e.ID] = true
+			continue
+		}
+		engines++
 		if e.FreesMemoryFor != "" {
 			p.pending[e.FreesMemoryFor]++
 		}
 	}
 	for _, m := range s.Models {
-		p.meanRate += m.RequestRate / float64(max(len(s.Engines), 1))
+		p.meanRate += m.RequestRate / float64(max(engines, 1))
 	}
 	p.countCopies()
 	p.desired = p.desiredCopies()
@@ -163,25 +171,30 @@
 }
 
 // countCopies counts the ready and pending copies of each model. Callers of a model that
-// only rate-limited engines hold, which can't take its requests, count as waiting.
+// only engines hold which can't take its requests, because of their rate limit or because their
+// zone is drained, count as waiting.
 func (p *planBuilder) countCopies() {
 	models := slices.Clone(p.snapshot.Models)
 	for i, m := range models {
-		hasLimitedCopy := false
+		hasUnusableCopy := false
 		for _, e := range p.snapshot.Engines {
+			if e.Drained {
+				hasUnusableCopy = hasUnusableCopy || e.Models[m.Name] != 0 && m.TokenRate > 0
+				continue
+			}
 			switch e.Models[m.Name] {
 			case CopyReady:
 				if e.carries(m.RequestRate) {
 					p.ready[m.Name]++
 					continue
 				}
-				hasLimitedCopy = true
+				hasUnusableCopy = true
 			case CopyLoading:
 				p.pending[m.Name]++
 			case CopyUnloading:
 			}
 		}
-		models[i].Waiting = m.Waiting || p.ready[m.Name] == 0 && hasLimitedCopy
+		models[i].Waiting = m.Waiting || p.ready[m.Name] == 0 && hasUnusableCopy
 	}
 	p.snapshot.Models = models
 }
@@ -209,6 +222,9 @@
 	}
 	limitedMegabytes, unlimitedEngines := 0.0, 0
 	for _, e := range s.Engines {
+		if e.Drained {
+			continue
+		}
 		if !e.carries(p.meanRate) {
 			limitedMegabytes += usableMemoryShare * e.Megabytes
 			continue
@@ -248,7 +264,8 @@
 }
 
 // modelsLackingCopies lists the models that lack copies, those with the highest token
-// rate per copy first.
+// rate per copy first, and among those without a copy that callers wait for the ones with the
+// highest token rate.
 func (p *planBuilder) modelsLackingCopies() []ModelView {
 	var lacking []ModelView
 	for _, m := range p.snapshot.Models {
@@ -256,7 +273,9 @@
 			lacking = append(lacking, m)
 		}
 	}
-	slices.SortStableFunc(lacking, func(a, b ModelView) int { return cmp.Compare(p.tokenRatePerCopy(b), p.tokenRatePerCopy(a)) })
+	slices.SortStableFunc(lacking, func(a, b ModelView) int {
+		return cmp.Or(cmp.Compare(p.tokenRatePerCopy(b), p.tokenRatePerCopy(a)), cmp.Compare(b.TokenRate, a.TokenRate))
+	})
 	return lacking
 }
 
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -15,6 +15,7 @@
 	models := modelsOf(service.Engine)
 	loads := d.opts.Loads.InFlight()
 	limits := d.opts.Loads.RateLimits()
+	drains := d.drains()
 	d.mu.Lock()
 	d.refillStoreTokens(now, service.Engine.LoadsPerSecond)
 	concurrency := storeConcurrency(service.Engine)
@@ -34,6 +35,7 @@
 		if limit, isLimited := limits[id]; isLimited {
 			view.RateLimit = auboption.Some(limit)
 		}
+		view.Drained = drains.Contains(e.record.GetZone())
 		s.Engines = append(s.Engines, view)
 		e.mu.Unlock()
 	}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -162,6 +162,7 @@
 		Registry:   c.registry,
 		Loads:      c.loads,
 		Site:       c.site.Site,
+		Drains:     c.drains.Drains,
 		Interval:   c.cfg.Placement.Interval.Value(),
 		Handover:   c.cfg.Placement.HandoverDelay.Value(),
 		Forward:    c.forwardPlace,
