--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -49,6 +50,9 @@
 	Site func() *aubsite.Site
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
+	// Drains returns the drained zones and a channel that is closed at the next change; nil if
+	// no zone is ever drained.
+	Drains func() (aubdrain.Drains, <-chan struct{})
 	// Interval is the time between two plans.
 	Interval time.Duration
 	// Handover is the time at the start of a term in which no orders are sent.
@@ -89,9 +93,12 @@
 	stepTicks := common.Timer.Subscribe(ctx, stepInterval)
 	go func() {
 		for {
+			drainsChanged := d.drainsChanged()
 			select {
 			case <-ctx.Done():
 				return
+			case <-drainsChanged:
+				d.runCycle(ctx)
 			case <-stepTicks:
 				d.runNextSteps(ctx)
 			case <-planTicks:
@@ -104,6 +111,25 @@
 	return d
 }
 
+// drains returns the drained zones.
+func (d *Director) drains() aubdrain.Drains {
+	if d.opts.Drains == nil {
+		return aubdrain.Drains{}
+	}
+	drains, _ := d.opts.Drains()
+	return drains
+}
+
+// drainsChanged returns a channel that is closed at the next change of the drained zones; nil
+// if they never change.
+func (d *Director) drainsChanged() <-chan struct{} {
+	if d.opts.Drains == nil {
+		return nil
+	}
+	_, changed := d.opts.Drains()
+	return changed
+}
+
 // newDirector returns a director without a goroutine.
 func newDirector(common aubcommon.Common, opts DirectorOpts) *Director {
 	return &Director{
--- a/internal/auborder/region_test.go
+++ b/internal/auborder/region_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 		s := newDirectorSite(t, rapid.Uint64().Draw(t, "seed"), 4)
 		regionOf := map[string]string{"e0": "r1", "e1": "r1", "e2": "r2"}
 		for _, d := range s.directors {
-			d.opts.RegionOf = func(zone string) string { return regionOf[zone] }
+			d.opts.RegionOf = func(zone string) string { return regionOf[strings.TrimPrefix(zone, "z-")] }
 		}
 		s.register(noDelay)
 		for range 10 {
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -15,6 +15,7 @@
 	models := modelsOf(service.Engine)
 	loads := d.opts.Loads.InFlight()
 	limits := d.rateLimits(service)
+	drains := d.drains()
 	d.mu.Lock()
 	d.refillStoreTokens(now, service.Engine.LoadsPerSecond)
 	concurrency := storeConcurrency(service.Engine)
@@ -36,6 +37,7 @@
 			view.RateLimit, view.LimitedFor = auboption.Some(limit.perSecond), limit.endsIn
 		}
 		view.Region = d.regionOf(e.record.GetZone())
+		view.Drained = drains.Contains(e.record.GetZone())
 		s.Engines = append(s.Engines, view)
 		e.mu.Unlock()
 	}
