Give the slow stream of the relay's test a longer route

TestSlowStreamIsCompleteAndStalledOneEnds failed in one of three runs at a load of 25 to 54: the sound stream takes 300 ms of sleeps and its route allowed 400 ms. It runs on a route of 2 s now; the pauses, and the route and bound of the stalled stream, are as they were.

--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -374,6 +374,8 @@
 			route("write", aubsite.KindNonIdempotent, nil),
 			route("stream", aubsite.KindStream, func(r *aubsite.Route) { r.Resumable = true }),
 			route("stream-once", aubsite.KindStream, nil),
+			route("long-stream", aubsite.KindStream, func(r *aubsite.Route) { r.Resumable, r.Timeout = true, 2*time.Second }),
+			route("long-stream-once", aubsite.KindStream, func(r *aubsite.Route) { r.Timeout = 2 * time.Second }),
 			route("open", aubsite.KindIdempotent, func(r *aubsite.Route) { r.Anonymous = true }),
 			route("nowhere", aubsite.KindIdempotent, func(r *aubsite.Route) { r.Targets = []aubsite.Target{{Service: "none", Weight: 1}} }),
 		},
