Measure the speed of engines apart from their load

An engine's rate is now that which three quarters of its streams of 30 s don't exceed, each by the shortest sixth of its pauses, and only slow engines are told apart.

--- a/internal/aubspeed/aggregator.go
+++ b/internal/aubspeed/aggregator.go
@@ -14,62 +14,76 @@
 )
 
 const (
-	// halfLife is the time in which a measured stream loses half of its weight.
-	halfLife = 10 * time.Second
-	// minWeight is the weight, in streams, from which an engine's mean counts.
-	minWeight = 4.0
+	// window is the time for which a stream counts.
+	window = 30 * time.Second
+	// maxStreams limits the streams that are kept of an engine, minStreams is the number from
+	// which they count.
+	maxStreams = 64
+	minStreams = 5
+	// fastShare is the share of an engine's streams that may be slower than the rate that counts:
+	// prompts of other requests slow most streams of a busy engine, but not all.
+	fastShare = 0.75
 	// minEngines is the number of measured engines from which their median counts.
 	minEngines = 3
-	// Speeds between unevenBelow and its reciprocal count as 1: small differences are within
-	// what batches and models explain. An engine that counted as uneven does so until it is
-	// between evenFrom and its reciprocal.
-	unevenBelow = 0.7
-	evenFrom    = 0.8
+	// An engine counts as slow below slowBelow of the median, until it is above evenFrom.
+	// Smaller differences are within what batches and models explain.
+	slowBelow = 0.7
+	evenFrom  = 0.8
 	// minSpeed limits the speed; an engine that is slower still gets some requests.
 	minSpeed = 0.2
 	// speedStep is the relative change from which a speed is announced anew.
-	speedStep = 0.1
-	// engineRetention is how long an engine without streams is kept.
-	engineRetention = time.Minute
+	speedStep = 0.15
+	// computeInterval is the time between two comparisons of the engines.
+	computeInterval = 500 * time.Millisecond
 )
 
-// engineMean is the decaying mean event rate of one engine.
-type engineMean struct {
+// streamRate is the event rate of one stream.
+type streamRate struct {
+	perSecond float64
+	endedAt   time.Time
+}
+
+// engineRates holds the last streams of one engine.
+type engineRates struct {
 	service string
-	// totalRate is the weighted sum of the streams' rates, in events a second.
-	totalRate float64
-	weight    float64
-	updatedAt time.Time
+	// rates are ordered by their ends.
+	rates []streamRate
 	// speed is the announced speed; 0 while the engine counts as even.
 	speed float64
 }
 
-// decay reduces the weight of earlier streams.
-func (e *engineMean) decay(now time.Time) {
-	factor := math.Exp2(-now.Sub(e.updatedAt).Seconds() / halfLife.Seconds())
-	e.totalRate *= factor
-	e.weight *= factor
-	e.updatedAt = now
+// dropOld removes the streams that ended before the window.
+func (e *engineRates) dropOld(now time.Time) {
+	first := 0
+	for first < len(e.rates) && now.Sub(e.rates[first].endedAt) > window {
+		first++
+	}
+	e.rates = e.rates[max(first, len(e.rates)-maxStreams):]
 }
 
-// mean returns the mean rate in events a second, false while too few streams are known.
-func (e *engineMean) mean() (float64, bool) {
-	if e.weight < minWeight {
+// rate returns the rate, in events a second, that fastShare of the streams don't exceed; false
+// while too few streams are known.
+func (e *engineRates) rate() (float64, bool) {
+	if len(e.rates) < minStreams {
 		return 0, false
 	}
-	return e.totalRate / e.weight, true
+	values := make([]float64, 0, len(e.rates))
+	for _, r := range e.rates {
+		values = append(values, r.perSecond)
+	}
+	slices.Sort(values)
+	return values[int(fastShare*float64(len(values)))], true
 }
 
-// counterKey identifies the counters of one relay for one engine.
+// counterKey identifies what a relay reports of an engine.
 type counterKey struct {
 	relay  string
 	engine Engine
 }
 
-// relayCounter holds the last counters that a relay has reported.
+// relayCounter holds the last number of streams that a relay has reported.
 type relayCounter struct {
 	incarnation uint64
-	totalRate   float64
 	streams     int64
 	receivedAt  time.Time
 }
@@ -81,100 +95,113 @@
 	common aubcommon.Common
 
 	mu       sync.Mutex
-	engines  map[Engine]*engineMean
+	engines  map[Engine]*engineRates
 	counters map[counterKey]relayCounter
 	sweptAt  time.Time
+	// speeds is the last result of Speeds, computed at computedAt.
+	speeds     []*aubwire.EngineSpeed
+	computedAt time.Time
 }
 
 // NewAggregator returns an aggregator without reports.
 func NewAggregator(common aubcommon.Common) *Aggregator {
-	return &Aggregator{common: common.WithPart("speed"), engines: make(map[Engine]*engineMean), counters: make(map[counterKey]relayCounter)}
+	return &Aggregator{common: common.WithPart("speed"), engines: make(map[Engine]*engineRates), counters: make(map[counterKey]relayCounter)}
 }
 
-// AddReport adds the counters of one relay. Incarnation differs between two starts of it.
+// AddReport adds the streams that a relay reports and has not reported before. Incarnation
+// differs between two starts of it.
 func (a *Aggregator) AddReport(relay string, incarnation uint64, reported []*aubwire.EngineStreams) {
 	now := a.common.Timer.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, r := range reported {
-		key := counterKey{relay: relay, engine: Engine{ID: r.GetId(), StartedMs: r.GetStartedMs()}}
-		next := relayCounter{
-			incarnation: incarnation, totalRate: r.GetTotalRate(), streams: r.GetStreams(), receivedAt: now,
-		}
+		engine := Engine{ID: r.GetId(), StartedMs: r.GetStartedMs()}
+		key := counterKey{relay: relay, engine: engine}
 		previous := a.counters[key]
-		a.counters[key] = next
 		if previous.incarnation != incarnation {
 			previous = relayCounter{}
 		}
-		if streams := next.streams - previous.streams; streams > 0 && next.totalRate > previous.totalRate {
-			a.add(now, key.engine, r.GetService(), next.totalRate-previous.totalRate, streams)
+		a.counters[key] = relayCounter{incarnation: incarnation, streams: max(r.GetStreams(), previous.streams), receivedAt: now}
+		added := min(max(r.GetStreams()-previous.streams, 0), int64(len(r.GetRates())))
+		if added > 0 {
+			a.add(now, engine, r.GetService(), r.GetRates()[int64(len(r.GetRates()))-added:])
 		}
 	}
 }
 
-// add counts streams of an engine; the caller holds mu.
-func (a *Aggregator) add(now time.Time, engine Engine, service string, totalRate float64, streams int64) {
+// add adds streams of an engine; the caller holds mu.
+func (a *Aggregator) add(now time.Time, engine Engine, service string, rates []float32) {
 	stored := a.engines[engine]
 	if stored == nil {
-		stored = &engineMean{service: service, updatedAt: now}
+		stored = &engineRates{service: service}
 		a.engines[engine] = stored
 	}
-	stored.decay(now)
-	stored.totalRate += totalRate
-	stored.weight += float64(streams)
+	for _, perSecond := range rates {
+		stored.rates = append(stored.rates, streamRate{perSecond: float64(perSecond), endedAt: now})
+	}
+	stored.dropOld(now)
 }
 
-// Speeds returns the engines whose speed differs much from the median of their service.
+// Speeds returns the engines that are much slower than the median of their service. The
+// result is shared and must not be changed.
 func (a *Aggregator) Speeds() []*aubwire.EngineSpeed {
 	now := a.common.Timer.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if now.Sub(a.computedAt) >= computeInterval {
+		a.speeds, a.computedAt = a.compute(now), now
+	}
+	return a.speeds
+}
+
+// compute compares the engines of each service; the caller holds mu.
+func (a *Aggregator) compute(now time.Time) []*aubwire.EngineSpeed {
 	a.sweep(now)
-	means := make(map[string][]float64)
+	rates := make(map[string][]float64)
 	for _, e := range a.engines {
-		e.decay(now)
-		if mean, ok := e.mean(); ok {
-			means[e.service] = append(means[e.service], mean)
+		e.dropOld(now)
+		if rate, ok := e.rate(); ok {
+			rates[e.service] = append(rates[e.service], rate)
 		}
 	}
 	var speeds []*aubwire.EngineSpeed
 	for engine, e := range a.engines {
-		if mean, ok := e.mean(); ok && len(means[e.service]) >= minEngines {
-			a.update(engine, e, median(means[e.service]), mean)
+		if rate, ok := e.rate(); ok && len(rates[e.service]) >= minEngines {
+			a.update(engine, e, median(rates[e.service]), rate)
 		}
 		if e.speed != 0 {
 			speeds = append(speeds, &aubwire.EngineSpeed{Id: engine.ID, StartedMs: engine.StartedMs, Speed: e.speed})
 		}
 	}
-	a.common.Metrics.Gauge("uneven_engines").Update(float64(len(speeds)))
+	a.common.Metrics.Gauge("slow_engines").Update(float64(len(speeds)))
 	slices.SortFunc(speeds, func(x, y *aubwire.EngineSpeed) int { return cmp.Compare(x.GetId(), y.GetId()) })
 	return speeds
 }
 
 // update sets the announced speed of an engine from the median rate of its service and its
 // own; the caller holds mu.
-func (a *Aggregator) update(engine Engine, e *engineMean, median, mean float64) {
-	speed := nextSpeed(e.speed, mean/median)
+func (a *Aggregator) update(engine Engine, e *engineRates, median, rate float64) {
+	speed := nextSpeed(e.speed, rate/median)
 	if speed == e.speed {
 		return
 	}
 	a.common.Log.Info("Speed of an engine changed.",
 		zap.String("backend_server", engine.ID), zap.Int64("started_ms", engine.StartedMs), zap.String("service", e.service),
-		zap.Float64("previous", e.speed), zap.Float64("speed", speed), zap.Float64("streams", e.weight),
-		zap.Float64("events_per_s", mean), zap.Float64("median_events_per_s", median))
+		zap.Float64("previous", e.speed), zap.Float64("speed", speed), zap.Int("streams", len(e.rates)),
+		zap.Float64("events_per_s", rate), zap.Float64("median_events_per_s", median))
 	e.speed = speed
 }
 
 // nextSpeed returns the speed to announce after previous, 0 for an even one, given the
 // measured ratio to the median.
 func nextSpeed(previous, ratio float64) float64 {
-	bound := unevenBelow
+	bound := slowBelow
 	if previous != 0 {
 		bound = evenFrom
 	}
-	ratio = min(max(ratio, minSpeed), 1/minSpeed)
+	ratio = max(ratio, minSpeed)
 	switch {
-	case ratio > bound && ratio < 1/bound:
+	case ratio > bound:
 		return 0
 	case previous != 0 && math.Abs(ratio-previous) < speedStep*previous:
 		return previous
@@ -187,19 +214,19 @@
 	return sorted[len(sorted)/2]
 }
 
-// sweep removes engines and counters without streams for engineRetention; the caller holds mu.
+// sweep removes engines and counters without streams for the window; the caller holds mu.
 func (a *Aggregator) sweep(now time.Time) {
-	if now.Sub(a.sweptAt) < engineRetention/4 {
+	if now.Sub(a.sweptAt) < window/4 {
 		return
 	}
 	a.sweptAt = now
 	for engine, e := range a.engines {
-		if e.weight < math.Exp2(-engineRetention.Seconds()/halfLife.Seconds()) {
+		if e.dropOld(now); len(e.rates) == 0 {
 			delete(a.engines, engine)
 		}
 	}
 	for key, c := range a.counters {
-		if now.Sub(c.receivedAt) > engineRetention {
+		if now.Sub(c.receivedAt) > window {
 			delete(a.counters, key)
 		}
 	}
--- a/internal/aubspeed/meter.go
+++ b/internal/aubspeed/meter.go
@@ -17,6 +17,9 @@
 	minPauses = 6
 	// minPause limits the rate of a stream whose events arrive together.
 	minPause = time.Millisecond
+	// maxReportedRates limits the streams of an engine in one report. Reports follow each other
+	// every 250 ms.
+	maxReportedRates = 8
 	// maxPauses limits the pauses that are kept of one stream.
 	maxPauses = 64
 	// reportRetention is how long an engine without new streams stays in the reports.
@@ -45,24 +48,23 @@
 	}
 }
 
-// typicalRate returns the events a second by the lower quartile of the pauses, which prompts
-// of other requests rarely lengthen; false if there are too few.
+// typicalRate returns the events a second by the shortest sixth of the pauses: prompts of other
+// requests lengthen many pauses on a busy engine, but rarely all. It is false if there are too few.
 func (p *Pauses) typicalRate() (float64, bool) {
 	if len(p.pauses) < minPauses {
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(p.pauses))
-	return 1 / max(sorted[len(sorted)/4], minPause).Seconds(), true
+	return 1 / max(sorted[len(sorted)/6], minPause).Seconds(), true
 }
 
 // measured is the total of one engine.
 type measured struct {
 	service string
-	// totalRate is the sum of the rates of all streams, in events a second. A stream that
-	// pauses unusually long weighs little in it.
-	totalRate float64
-	streams   int64
-	lastAt    time.Time
+	// rates are those of the last streams, in events a second, oldest first.
+	rates   []float32
+	streams int64
+	lastAt  time.Time
 }
 
 // Meter counts the pauses of the streams that this instance has relayed.
@@ -95,7 +97,8 @@
 		stored = &measured{service: service}
 		m.engines[engine] = stored
 	}
-	stored.totalRate += rate
+	stored.rates = append(stored.rates, float32(rate))
+	stored.rates = stored.rates[max(len(stored.rates)-maxReportedRates, 0):]
 	stored.streams++
 	stored.lastAt = now
 }
@@ -121,7 +124,7 @@
 		}
 		reported = append(reported, &aubwire.EngineStreams{
 			Id: engine.ID, StartedMs: engine.StartedMs, Service: e.service,
-			TotalRate: e.totalRate, Streams: e.streams,
+			Rates: slices.Clone(e.rates), Streams: e.streams,
 		})
 	}
 	return reported
