--- a/internal/aubspeed/aggregator.go
+++ b/internal/aubspeed/aggregator.go
@@ -19,7 +19,7 @@
 	// maxStreams limits the streams that are kept of an engine, minStreams is the number from
 	// which they count.
 	maxStreams = 64
-	minStreams = 5
+	minStreams = 8
 	// fastShare is the share of an engine's streams that may be slower than the rate that counts:
 	// prompts of other requests slow most streams of a busy engine, but not all.
 	fastShare = 0.75
--- a/internal/aubspeed/meter.go
+++ b/internal/aubspeed/meter.go
@@ -48,14 +48,14 @@
 	}
 }
 
-// typicalRate returns the events a second by the shortest sixth of the pauses: prompts of other
+// typicalRate returns the events a second by the shortest quarter of the pauses: prompts of other
 // requests lengthen many pauses on a busy engine, but rarely all. It is false if there are too few.
 func (p *Pauses) typicalRate() (float64, bool) {
 	if len(p.pauses) < minPauses {
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(p.pauses))
-	return 1 / max(sorted[len(sorted)/6], minPause).Seconds(), true
+	return 1 / max(sorted[len(sorted)/4], minPause).Seconds(), true
 }
 
 // measured is the total of one engine.
