Mend faults found in the review of drains, cold servers and speeds

A relay could be asked for its peers before the exchange of loads was assigned (a panic in the microseconds of its start); an unsigned answer could end the cold of a backend server; the begin of a cold period reached peers only with the next full report; streams that ended minutes ago counted as new if an engine was seen rarely; an engine stayed slow for good once it had too few streams; a relay cut off without any drained zone warned every 2 s.

--- a/internal/aubdrain/monitor.go
+++ b/internal/aubdrain/monitor.go
@@ -73,7 +73,7 @@
 			delete(m.running, zone)
 		}
 	}
-	if m.opts.Age == nil {
+	if m.opts.Age == nil || len(drains.Zones()) == 0 {
 		return
 	}
 	if age, ok := m.opts.Age(m.common.Timer.Now()); ok && age > maxStatementAge {
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +74,7 @@
 	speedMeter     *aubspeed.Meter
 	speeds         *aubspeed.Table
 	loads          *aubmembership.LoadExchange
+	loadsStarted   atomic.Bool
 	handler        *aubrelay.Handler
 	callerServer   *http.Server
 }
@@ -178,10 +180,16 @@
 		TokensUsed:       r.limiter.SpentTokens,
 		OnPeerTokensUsed: r.limiter.UpdatePeers,
 		Limits:           r.throttle.Report,
-		OnPeerLimits:     r.throttle.Merge,
+		OnPeerLimits: func(peer string, incarnation uint64, limits []*aubwire.BackendLimit) {
+			// Datagrams arrive before the exchange is assigned, which the throttle asks.
+			if r.loadsStarted.Load() {
+				r.throttle.Merge(peer, incarnation, limits)
+			}
+		},
 	}); err != nil {
 		return err
 	}
+	r.loadsStarted.Store(true)
 	poison := aubpoison.NewView(r.common.Timer)
 	streams := aubresume.NewRecorder(r.common.Timer)
 	r.registryClient = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -158,7 +158,10 @@
 	if decoded.RetryAfter > 0 {
 		h.opts.Throttle.ObserveQuiet(ex.call.ID, backend, decoded.RetryAfter)
 	}
-	h.opts.Throttle.ObserveCold(ex.call.ID, backend, decoded.ColdLeft)
+	// Only an answer to this request may end the cold; any may say that it lasts.
+	if left, _ := decoded.ColdLeft.Get(); isOwn || left > 0 {
+		h.opts.Throttle.ObserveCold(ex.call.ID, backend, decoded.ColdLeft)
+	}
 	if decoded.Leaving {
 		h.opts.Registry.MarkLeaving(ex.call.ID, backend.Name, int64(backend.Incarnation))
 	}
--- a/internal/aubspeed/aggregator.go
+++ b/internal/aubspeed/aggregator.go
@@ -166,8 +166,13 @@
 	}
 	var speeds []*aubwire.EngineSpeed
 	for engine, e := range a.engines {
-		if rate, ok := e.rate(); ok && len(rates[e.service]) >= minEngines {
+		rate, ok := e.rate()
+		switch {
+		case ok && len(rates[e.service]) >= minEngines:
 			a.update(engine, e, median(rates[e.service]), rate)
+		case !ok:
+			// Too few streams to tell: the engine gets its share again, and is measured by it.
+			e.speed = 0
 		}
 		if e.speed != 0 {
 			speeds = append(speeds, &aubwire.EngineSpeed{Id: engine.ID, StartedMs: engine.StartedMs, Speed: e.speed})
--- a/internal/aubspeed/meter.go
+++ b/internal/aubspeed/meter.go
@@ -22,7 +22,7 @@
 	maxReportedRates = 8
 	// maxPauses limits the pauses that are kept of one stream.
 	maxPauses = 64
-	// reportRetention is how long an engine without new streams stays in the reports.
+	// reportRetention is how long a stream stays in the reports.
 	reportRetention = 2 * time.Second
 	// meterRetention is how long an engine without new streams is kept.
 	meterRetention = 2 * time.Minute
@@ -61,8 +61,8 @@
 // measured is the total of one engine.
 type measured struct {
 	service string
-	// rates are those of the last streams, in events a second, oldest first.
-	rates   []float32
+	// rates are those of the last streams, by their ends.
+	rates   []streamRate
 	streams int64
 	lastAt  time.Time
 }
@@ -97,7 +97,7 @@
 		stored = &measured{service: service}
 		m.engines[engine] = stored
 	}
-	stored.rates = append(stored.rates, float32(rate))
+	stored.rates = append(stored.rates, streamRate{perSecond: rate, endedAt: now})
 	stored.rates = stored.rates[max(len(stored.rates)-maxReportedRates, 0):]
 	stored.streams++
 	stored.lastAt = now
@@ -112,19 +112,25 @@
 	}
 }
 
-// Report returns the totals of the engines with a stream within reportRetention.
+// Report returns the streams that ended within reportRetention, by engine.
 func (m *Meter) Report() []*aubwire.EngineStreams {
 	now := m.common.Timer.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var reported []*aubwire.EngineStreams
 	for engine, e := range m.engines {
-		if now.Sub(e.lastAt) > reportRetention {
+		var rates []float32
+		for _, r := range e.rates {
+			if now.Sub(r.endedAt) <= reportRetention {
+				rates = append(rates, float32(r.perSecond))
+			}
+		}
+		if len(rates) == 0 {
 			continue
 		}
 		reported = append(reported, &aubwire.EngineStreams{
 			Id: engine.ID, StartedMs: engine.StartedMs, Service: e.service,
-			Rates: slices.Clone(e.rates), Streams: e.streams,
+			Rates: rates, Streams: e.streams,
 		})
 	}
 	return reported
--- a/internal/aubthrottle/cold.go
+++ b/internal/aubthrottle/cold.go
@@ -170,7 +170,7 @@
 	if c.isCold {
 		return
 	}
-	c.isCold, c.begunAt, c.sentBefore, c.advised = true, now, c.sent, 0
+	c.isCold, c.begunAt, c.sentBefore, c.advised, c.hasChanged = true, now, c.sent, 0, true
 	c.level, c.refilledAt = 0, now
 	senders, interval := t.coldShare(perSecond, t.instances)
 	rank := t.coldRank(b)
