--- a/internal/aubroute/speed_test.go
+++ b/internal/aubroute/speed_test.go
@@ -78,8 +78,8 @@
 			kind = 1
 		}
 		tokens := min(rnd.ExpFloat64()*unevenKinds[kind].tokens, 39600)
-		var sampled []*unevenEngine
-		var candidates []aubroute.Candidate
+		sampled := make([]*unevenEngine, 0, unevenSamples)
+		candidates := make([]aubroute.Candidate, 0, unevenSamples)
 		for range unevenSamples {
 			e := engines[rnd.IntN(len(engines))]
 			e.dropEnded(now)
--- a/internal/aubspeed/aggregator_test.go
+++ b/internal/aubspeed/aggregator_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubtimer"
-	qt "github.com/frankban/quicktest"
 )
 
 // fleet is a service whose streams arrive evenly at relays and engines.
