Rename what reads ambiguously in the new parts

Retention of the replicated software versions, senders of cold backend servers, limits of a connection attempt and responses of empty replicas had names that other parts use for something else. No behaviour changes.

--- a/internal/aubconsensus/discovery.go
+++ b/internal/aubconsensus/discovery.go
@@ -209,11 +209,11 @@
 		n.common.Log.Error("The store was damaged and no replica has a cluster; an operator must restore the cluster.")
 		return nil, false
 	}
-	founders, ok := emptyReplicas(results, otherVoters)
+	founders, ok := emptyResponses(results, otherVoters)
 	if !ok {
 		return nil, false
 	}
-	_, ok = emptyReplicas(results, n.namedReplicas(results))
+	_, ok = emptyResponses(results, n.namedReplicas(results))
 	return founders, ok
 }
 
@@ -221,9 +221,9 @@
 	return slices.ContainsFunc(results, func(r helloResult) bool { return r.peer.Address == p.Address && r.resp.GetWithoutDisk() })
 }
 
-// emptyReplicas returns the responses of the peers, and whether all of them responded
+// emptyResponses returns the responses of the peers, and whether all of them responded
 // without a damaged store. The caller has checked that no response has a cluster.
-func emptyReplicas(results []helloResult, peers []Peer) ([]helloResult, bool) {
+func emptyResponses(results []helloResult, peers []Peer) ([]helloResult, bool) {
 	var empty []helloResult
 	for _, p := range peers {
 		i := slices.IndexFunc(results, func(r helloResult) bool {
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -24,12 +24,12 @@
 	quickReconnectDelay = 80 * time.Millisecond
 	quickReconnects     = 8
 	reconnectDelay      = 300 * time.Millisecond
-	// minConnectTimeout limits the time to a connection. An instance that is only starting
+	// minAttemptTimeout limits the time to a connection. An instance that is only starting
 	// drops the first packet of a connection, which TCP sends again after a second. It doubles
-	// after connectsPerTimeout failures, up to three times, for links that need longer.
-	minConnectTimeout  = 400 * time.Millisecond
-	connectsPerTimeout = 4
-	maxConnectDoubling = 3
+	// after attemptsPerTimeout failures, up to three times, for links that need longer.
+	minAttemptTimeout  = 400 * time.Millisecond
+	attemptsPerTimeout = 4
+	maxTimeoutDoubling = 3
 	// streamReportDelay is the time for which origins of streams are collected before they
 	// are reported, maxReportedStreams limits those in one request.
 	streamReportDelay  = 20 * time.Millisecond
@@ -235,7 +235,7 @@
 func (c *Client) runLink(ctx context.Context, link *controlLink) {
 	failures := 0
 	for ctx.Err() == nil {
-		err := c.watch(ctx, link, connectTimeout(failures))
+		err := c.watch(ctx, link, attemptTimeout(failures))
 		failures++
 		if c.setConnected(link, nil) {
 			failures = 1
@@ -274,9 +274,9 @@
 	return hasChanged
 }
 
-// connectTimeout returns the time limit of a connection attempt after consecutive failures.
-func connectTimeout(failures int) time.Duration {
-	return minConnectTimeout << min(failures/connectsPerTimeout, maxConnectDoubling)
+// attemptTimeout returns the time limit of a connection attempt after consecutive failures.
+func attemptTimeout(failures int) time.Duration {
+	return minAttemptTimeout << min(failures/attemptsPerTimeout, maxTimeoutDoubling)
 }
 
 // watch runs one stream on a new connection, which it establishes within the timeout, until
--- a/internal/aubresume/software_table.go
+++ b/internal/aubresume/software_table.go
@@ -20,10 +20,10 @@
 	// refreshInterval is the time between two commits of the leader for a version that is
 	// registered all the while.
 	refreshInterval = 30 * time.Second
-	// softwareRetention is how long a version is held after its last commit: as long as
+	// tableRetention is how long a version is held after its last commit: as long as
 	// callers take streams up, and the time by which a commit may be older than the last
 	// registration.
-	softwareRetention = retention + refreshInterval
+	tableRetention = retention + refreshInterval
 	// maxSoftwareBytes limits the names in the table. A version beyond is refused rather than
 	// another evicted, because an evicted one could no longer be told from one that never was.
 	maxSoftwareBytes = 1 << 20
@@ -77,7 +77,7 @@
 	defer t.mu.Unlock()
 	t.clock = cmd.Clock
 	for key, at := range t.registeredAt {
-		if t.clock-at > softwareRetention {
+		if t.clock-at > tableRetention {
 			delete(t.registeredAt, key)
 			t.size -= key.size()
 		}
--- a/internal/aubthrottle/cold.go
+++ b/internal/aubthrottle/cold.go
@@ -15,7 +15,7 @@
 const (
 	// coldOverrun bounds what all instances together send in a second if they hear nothing of
 	// each other: coldOverrun times the cold rate. The platform's bound has the same factor and
-	// five requests more, which are left to what nobody can know, such as delays on the way.
+	// five requests more, a reserve for delays on the way and for relays that are not known yet.
 	coldOverrun = 1.5
 	// coldIntervalMargin lengthens the time between two sends of one instance, so that
 	// different delays on the way don't bring one more into a second.
@@ -70,11 +70,11 @@
 	advised    int
 }
 
-// newColdShare returns the number of instances that send to a cold backend server and the
+// newColdSenders returns the number of instances that send to a cold backend server and the
 // minimum time between two sends of one of them. All senders together send at most
 // coldOverrun times the rate in any second, at least one request, also if they hear nothing
 // of each other.
-func newColdShare(perSecond float64, instances int) (senders int, interval time.Duration) {
+func newColdSenders(perSecond float64, instances int) (senders int, interval time.Duration) {
 	most := max(int(coldOverrun*perSecond), 1)
 	senders = max(min(instances, most), 1)
 	return senders, secondsToDuration(coldIntervalMargin / float64(most/senders))
@@ -103,7 +103,7 @@
 	c.service, c.zone, c.registeredAt = record.GetService(), record.GetZone(), now.Add(-registrationDelay)
 	if record.GetSequence() >= c.sequence {
 		c.sequence = record.GetSequence()
-		c.state(now, milliseconds(record.GetColdRemainingMs()), coldByRegistration, "")
+		c.setStatement(now, milliseconds(record.GetColdRemainingMs()), coldByRegistration, "")
 	}
 	t.refreshCold(now, b, c)
 }
@@ -116,7 +116,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c := t.colds[b]; c != nil && isStated {
-		c.state(now, stated, coldByAnswer, requestID)
+		c.setStatement(now, stated, coldByAnswer, requestID)
 		t.refreshCold(now, b, c)
 	}
 }
@@ -140,8 +140,8 @@
 	}
 }
 
-// state stores a statement.
-func (c *coldState) state(now time.Time, left time.Duration, source, name string) {
+// setStatement stores a statement.
+func (c *coldState) setStatement(now time.Time, left time.Duration, source, name string) {
 	c.statedAt, c.statedUntil, c.source, c.sourceName = now, now.Add(min(max(left, 0), MaxColdTime)), source, name
 }
 
@@ -172,7 +172,7 @@
 	}
 	c.isCold, c.begunAt, c.sentBefore, c.advised, c.hasChanged = true, now, c.sent, 0, true
 	c.level, c.refilledAt = 0, now
-	senders, interval := t.coldShare(perSecond, t.instances)
+	senders, interval := t.coldSenders(perSecond, t.instances)
 	rank := t.coldRank(b)
 	// Senders begin one after the other, so that reports arrive in between.
 	c.nextSendAt = now.Add(interval * time.Duration(min(rank, senders)) / time.Duration(senders))
@@ -250,7 +250,7 @@
 // isColdSender reports whether this instance may send to the cold backend server; the caller
 // holds mu.
 func (t *Throttle) isColdSender(b Backend, c *coldState) bool {
-	senders, _ := t.coldShare(c.rate(), t.instances)
+	senders, _ := t.coldSenders(c.rate(), t.instances)
 	return t.instances > 0 && t.coldRank(b) < senders
 }
 
@@ -262,7 +262,7 @@
 		return false
 	}
 	c.take(now, t.share())
-	_, interval := t.coldShare(c.rate(), t.instances)
+	_, interval := t.coldSenders(c.rate(), t.instances)
 	c.nextSendAt = now.Add(interval)
 	t.coldSends.Inc(1)
 	t.common.Log.Info("Request is sent to a cold backend server.",
@@ -335,7 +335,7 @@
 	cold := reported.GetCold()
 	if cold.GetSequence() > c.sequence {
 		c.sequence = cold.GetSequence()
-		c.state(now, milliseconds(cold.GetLeftMs()), coldByPeer, peer)
+		c.setStatement(now, milliseconds(cold.GetLeftMs()), coldByPeer, peer)
 	}
 	t.refreshCold(now, b, c)
 	if c.isCold {
--- a/internal/aubthrottle/export_test.go
+++ b/internal/aubthrottle/export_test.go
@@ -6,5 +6,5 @@
 func (t *Throttle) SetColdShare(share func(perSecond float64, instances int) (senders int, interval time.Duration)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.coldShare = share
+	t.coldSenders = share
 }
--- a/internal/aubthrottle/throttle.go
+++ b/internal/aubthrottle/throttle.go
@@ -80,7 +80,7 @@
 	states map[Backend]*limitState
 	quiets map[Backend]*quietPeriod
 	// instances is the largest number of instances, this one included, known within
-	// instanceRetention; 0 while unknown.
+	// InstanceRetention; 0 while unknown.
 	instances   int
 	instancesAt time.Time
 
@@ -90,8 +90,8 @@
 	coldZones map[string]time.Time
 	coldSends tally.Counter
 	coldCount tally.Gauge
-	// coldShare returns the number of senders and the minimum time between two sends of one.
-	coldShare func(perSecond float64, instances int) (senders int, interval time.Duration)
+	// coldSenders returns the number of senders and the minimum time between two sends of one.
+	coldSenders func(perSecond float64, instances int) (senders int, interval time.Duration)
 }
 
 // New returns a throttle that knows no limit.
@@ -101,7 +101,7 @@
 		common: common, opts: opts, states: make(map[Backend]*limitState), quiets: make(map[Backend]*quietPeriod),
 		sends: common.Metrics.Counter("sends"), denied: common.Metrics.Counter("denied"), quietAsked: common.Metrics.Counter("quiet_asked"),
 		startedAt: common.Timer.Now(), colds: make(map[Backend]*coldState), coldZones: make(map[string]time.Time),
-		coldSends: common.Metrics.Counter("cold_sends"), coldCount: common.Metrics.Gauge("cold_backend_servers"), coldShare: newColdShare,
+		coldSends: common.Metrics.Counter("cold_sends"), coldCount: common.Metrics.Gauge("cold_backend_servers"), coldSenders: newColdSenders,
 	}
 	if opts.HeardPeers == nil {
 		t.instances = 1
