Let a save return that empties a log of several pages

Cause: after its changes a save reads the last entry with bbolt's Cursor.Last. On a bucket of several leaf pages that the same transaction has emptied, Last steps back to the first page, finds it empty and starts again; it never returns. The store's lock stays held, so the replica stands still until it is killed.

Ruled out: slow syncs (the stack is inside the transaction's function, not in the commit).

Change: the last record is read only if the bucket has a first one.

Measured: the new test failed before (no return within 10 s in both cases) and passes now; the package passes in 11.7 s.

--- a/internal/aubstore/store_test.go
+++ b/internal/aubstore/store_test.go
@@ -271,3 +271,35 @@
 	qt.Assert(t, entries, qt.HasLen, 0)
 	qt.Assert(t, aubstore.IsDiskFull(aubstore.ProbeSpace(filepath.Join(dir, "missing"))), qt.IsFalse)
 }
+
+// TestSaveEmptiesALogOfSeveralPages guards against a save that never returns: bbolt's
+// Cursor.Last does not terminate on a bucket whose leaf pages were all emptied in the
+// same transaction.
+func TestSaveEmptiesALogOfSeveralPages(t *testing.T) {
+	const entries = 64
+	for name, u := range map[string]aubstore.Update{
+		"compacted": {Snapshot: snapshot(entries), CompactTo: entries},
+		"truncated": {TruncateFrom: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			s := open(t, dir, 0)
+			filled := aubstore.Update{}
+			for i := range uint64(entries) {
+				filled.Entries = append(filled.Entries, entry(i+1, 1, 700))
+			}
+			qt.Assert(t, s.Save(filled), qt.IsNil)
+			saved := make(chan error, 1)
+			go func() { saved <- s.Save(u) }()
+			select {
+			case err := <-saved:
+				qt.Assert(t, err, qt.IsNil)
+			case <-time.After(10 * time.Second):
+				t.Fatal("save did not return within 10 s")
+			}
+			qt.Assert(t, s.Close(), qt.IsNil)
+			state, _, _ := readStore(t, dir)
+			qt.Assert(t, state.Entries, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/aubstore/write.go
+++ b/internal/aubstore/write.go
@@ -43,7 +43,7 @@
 // updateLastEntry sets the summary's last index and term from the last log entry.
 func updateLastEntry(log *bbolt.Bucket, summary *aubwire.StoreSummary) error {
 	last := &aubwire.LogEntry{}
-	if key, record := log.Cursor().Last(); key != nil {
+	if key, record := lastRecord(log); key != nil {
 		if err := decode(key, record, last); err != nil {
 			return err
 		}
@@ -79,3 +79,14 @@
 	}
 	return removed, nil
 }
+
+// lastRecord returns the last key and value of the bucket, or nil if it is empty.
+// Cursor.Last alone does not terminate on a bucket of several leaf pages that the
+// transaction has emptied, so the bucket is first checked for a first key.
+func lastRecord(b *bbolt.Bucket) (key, value []byte) {
+	c := b.Cursor()
+	if first, _ := c.First(); first == nil {
+		return nil, nil
+	}
+	return c.Last()
+}
