Tell which routes of a configuration are deferrable

Cause: two new deployments have callers whose objectives differ tenfold (0.8 s and 8 s, 0.5 s and 5 s); the earlier ones differ at most fivefold.

Nothing reads it yet.

--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -21,6 +21,7 @@
 	Limits     Limits            `yaml:"limits" doc:"Token limits of workspaces."`
 	Queue      Queue             `yaml:"queue" doc:"Admission and fair queueing."`
 	Routing    Routing           `yaml:"routing" doc:"Choice of the backend server."`
+	Admission  Admission         `yaml:"admission" doc:"Admission of requests by their objectives at relays."`
 	Placement  Placement         `yaml:"placement" doc:"Placement of models and adapters."`
 	Agent      Agent             `yaml:"agent" doc:"Agent and the backend server beside it."`
 	Standin    Standin           `yaml:"standin" doc:"Stand-in engine, plain service or weight store, for tests and measurements."`
@@ -141,6 +142,11 @@
 	MaxAttempts int      `yaml:"attempts" doc:"Maximum number of attempts for one request."`
 }
 
+// Admission holds the settings of admission by objective.
+type Admission struct {
+	ObjectiveSpread float64 `yaml:"objective_spread" doc:"Admission by objective is on for configurations in which the objectives of the routes to one service differ at least by this factor; 0 turns it off."`
+}
+
 // Placement holds the settings of the placement of models and adapters.
 type Placement struct {
 	Policy                 Choice   `yaml:"policy" allowed:"marginal_attainment least_recently_used" doc:"How copies of models are placed."`
--- /dev/null
+++ b/internal/aubsite/objective.go
@@ -0,0 +1,49 @@
+package aubsite
+
+import "time"
+
+// IsDeferrable reports whether the route's objective is at least spread times the shortest
+// objective of the routes to one of its services: other requests there are more urgent. It is
+// false if spread is 0.
+func (s *Site) IsDeferrable(route Route, spread float64) bool {
+	if spread <= 0 {
+		return false
+	}
+	for _, target := range route.Targets {
+		shortest := s.shortestObjectives[target.Service]
+		if shortest > 0 && route.Objective.Seconds() >= spread*shortest.Seconds() {
+			return true
+		}
+	}
+	return false
+}
+
+// HasDeferrableRoutes reports whether any route is deferrable by the spread.
+func (s *Site) HasDeferrableRoutes(spread float64) bool {
+	for _, routes := range s.routesByHost {
+		for _, route := range routes {
+			if s.IsDeferrable(route, spread) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ShortestPause returns the shortest pause objective of the routes to the service; 0 if none
+// has one.
+func (s *Site) ShortestPause(service string) time.Duration { return s.shortestPauses[service] }
+
+// addObjectives records the objectives of a route for its services.
+func (s *Site) addObjectives(route Route) {
+	for _, target := range route.Targets {
+		recordShortest(s.shortestObjectives, target.Service, route.Objective)
+		recordShortest(s.shortestPauses, target.Service, route.PauseObjective)
+	}
+}
+
+func recordShortest(shortest map[string]time.Duration, service string, d time.Duration) {
+	if known := shortest[service]; d > 0 && (known == 0 || d < known) {
+		shortest[service] = d
+	}
+}
--- a/internal/aubsite/site.go
+++ b/internal/aubsite/site.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Site is a checked revision with lookup indexes. It is immutable.
@@ -16,6 +17,10 @@
 	// looked up by digest, so that the time of a lookup reveals nothing about a key.
 	workspaceByKey  map[[sha256.Size]byte]int
 	workspaceByName map[string]int
+	// shortestObjectives and shortestPauses hold the shortest objectives of the routes to
+	// each service.
+	shortestObjectives map[string]time.Duration
+	shortestPauses     map[string]time.Duration
 }
 
 // New checks a specification and indexes it. Errors are *InvalidError.
@@ -26,6 +31,9 @@
 		serviceByName:   make(map[string]Service, len(spec.Services)),
 		workspaceByKey:  make(map[[sha256.Size]byte]int),
 		workspaceByName: make(map[string]int, len(spec.Workspaces)),
+
+		shortestObjectives: make(map[string]time.Duration),
+		shortestPauses:     make(map[string]time.Duration),
 	}
 	for _, service := range spec.Services {
 		if _, ok := s.serviceByName[service.Name]; ok || service.Name == "" {
@@ -79,6 +87,7 @@
 		return &InvalidError{Object: object, Reason: "has the host and prefix of another route"}
 	}
 	routes[route.Prefix] = route
+	s.addObjectives(route)
 	return nil
 }
 
