Prefer the own zone while it costs a small part of the objective

Cause: the router weighs another zone by its round trip alone, 3 ms, so a gain that no caller notices sends bodies of 9 kB to another zone. Bytes between zones are dear where objectives differ.

The load bound stays.

Most of the bytes are the system's own messages, which this doesn't touch.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -222,6 +222,8 @@
 		Guard:             guard,
 		Throttle:          r.throttle,
 		Speeds:            r.speedMeter,
+		ObjectiveSpread:   r.cfg.Admission.ObjectiveSpread,
+		ZoneShare:         float64(r.cfg.Admission.ZoneShare),
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		HasZoneDrains:     r.drains.HasStatement,
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -68,6 +68,11 @@
 	Throttle *aubthrottle.Throttle
 	// Speeds measures the speed of engines by their streams; nil measures none.
 	Speeds *aubspeed.Meter
+	// ObjectiveSpread is the ratio of objectives from which a route is deferrable, 0 for none.
+	ObjectiveSpread float64
+	// ZoneShare is the part of its objective by which a request may be expected to wait longer
+	// in the own zone than in another one, if the configuration has deferrable routes.
+	ZoneShare float64
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
 	// HasZoneDrains reports whether the drained zones are known; until then all requests are
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/maphash"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -105,6 +106,9 @@
 // newRouteRequest returns the request to the router for a backend server.
 func (h *Handler) newRouteRequest(ex *exchange) aubroute.Request {
 	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service, Software: ex.requiredSoftware, Regions: ex.regions}
+	if h.opts.ZoneShare > 0 && ex.site.HasDeferrableRoutes(h.opts.ObjectiveSpread) {
+		request.ZoneTolerance = time.Duration(h.opts.ZoneShare * float64(ex.route.Objective))
+	}
 	service, _ := ex.site.Service(ex.service)
 	if service.Engine == nil || ex.call.Model == "" {
 		request.Service = ex.service
--- a/internal/aubroute/expected.go
+++ b/internal/aubroute/expected.go
@@ -22,7 +22,8 @@
 
 // ExpectedFirstToken chooses the candidate with the minimum expected time to first
 // token, which consists of the work queued before the prompt, the uncached part of the
-// prompt and the round-trip time. Candidates above the load bound come last.
+// prompt and the round-trip time. Candidates of other zones must be faster by the request's
+// tolerance, which saves traffic between zones. Candidates above the load bound come last.
 type ExpectedFirstToken struct{}
 
 // Choose implements Policy.
@@ -30,6 +31,9 @@
 	limit := loadLimit(candidates)
 	return indexOfMin(q, candidates, func(c Candidate) float64 {
 		seconds := EstimateFirstToken(q, c).Seconds()
+		if c.ZoneRTT > 0 {
+			seconds += q.ZoneTolerance.Seconds()
+		}
 		if c.loadInFlight() > limit {
 			seconds += overLimitSeconds
 		}
--- a/internal/aubroute/policy.go
+++ b/internal/aubroute/policy.go
@@ -22,6 +22,9 @@
 // Query holds the attributes of a request that policies use.
 type Query struct {
 	PromptTokens int64
+	// ZoneTolerance is the time by which the expected time to first token may be longer in the
+	// own zone than in another one.
+	ZoneTolerance time.Duration
 	// TieBreak is uniformly distributed in [0, 1) and breaks ties between candidates.
 	TieBreak float64
 }
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -30,6 +30,9 @@
 	SharedHash uint64
 	// SharedTokens is the length of the shared beginning in tokens; 0 for none.
 	SharedTokens int64
+	// ZoneTolerance is the time by which the expected time to first token may be longer in the
+	// zone of this instance than in another one.
+	ZoneTolerance time.Duration
 	// Software is the software version that the member must have; none if any will do.
 	Software auboption.Option[string]
 	// Regions are those in which the member must be; any if there are none.
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -255,7 +255,7 @@
 	for i, member := range sampled {
 		candidates[i] = member.candidate
 	}
-	query := Query{PromptTokens: request.PromptTokens, TieBreak: r.rnd.Float64()}
+	query := Query{PromptTokens: request.PromptTokens, ZoneTolerance: request.ZoneTolerance, TieBreak: r.rnd.Float64()}
 	chosen := sampled[r.policy.Choose(query, candidates)]
 	expected := EstimateFirstToken(query, chosen.candidate)
 	return Choice{
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -144,7 +144,8 @@
 
 // Admission holds the settings of admission by objective.
 type Admission struct {
-	ObjectiveSpread float64 `yaml:"objective_spread" doc:"Admission by objective is on for configurations in which the objectives of the routes to one service differ at least by this factor; 0 turns it off."`
+	ObjectiveSpread float64  `yaml:"objective_spread" doc:"Admission by objective is on for configurations in which the objectives of the routes to one service differ at least by this factor; 0 turns it off."`
+	ZoneShare       Fraction `yaml:"zone_share" doc:"Part of its objective by which a request may be expected to wait longer in the relay's own availability zone than in another one; saves traffic between zones. Used only with admission by objective."`
 }
 
 // Placement holds the settings of the placement of models and adapters.
