Let the models of aubthrottle give the same results on all processors

Cause: TestColdModel is deterministic on one machine, also beside load, but the golden file was written on amd64. On arm64 the compiler fuses x+y*z into one instruction (FMADDD in coldModel.mayTake and limitState.refill), which rounds once instead of twice. With 40 requests a second and steps of 5 ms a bucket reaches exactly 1 or stays just below it, so one scenario differed: 7.45 and 31 instead of 7.48 and 37. Iteration over the map 'heard' was ruled out: only counts are formed from it, no random draw depends on its order.

Change: explicit conversions keep products from being fused, in the models and in the bucket of the product. Golden files and bounds are unchanged.

Not run on amd64; there these conversions change nothing, since the compiler fuses only for GOAMD64=v3 and above.

--- a/internal/aubthrottle/cold_model_test.go
+++ b/internal/aubthrottle/cold_model_test.go
@@ -271,6 +271,13 @@
 	})
 }
 
+// due returns the requests of a part of the cold rate in a time. The conversion, as elsewhere
+// in these models, keeps the compiler from fusing the product with an addition: that rounds
+// once instead of twice and gives other results than the golden files on arm64.
+func (m *coldModel) due(elapsed time.Duration, part float64) float64 {
+	return float64(m.scenario.perSecond * part * elapsed.Seconds())
+}
+
 // mayTake reports whether the relay may send a request, and counts it if so.
 func (m *coldModel) mayTake(i int) bool {
 	r := m.relays[i]
@@ -285,7 +292,7 @@
 		m.lease(i)
 		return false
 	}
-	r.level = min(r.level+m.scenario.perSecond*m.way.part(m.scenario.relays)*(m.now-r.refilledAt).Seconds(), 1)
+	r.level = min(r.level+m.due(m.now-r.refilledAt, m.way.part(m.scenario.relays)), 1)
 	r.refilledAt = m.now
 	if r.level < 1 {
 		return false
@@ -332,7 +339,7 @@
 func (m *coldModel) step() {
 	m.now += modelStep
 	m.timer.Advance(modelStep)
-	m.leaderLevel = min(m.leaderLevel+m.scenario.perSecond*modelStep.Seconds(), 1)
+	m.leaderLevel = min(m.leaderLevel+m.due(modelStep, 1), 1)
 	m.disturb()
 	for i, r := range m.relays {
 		// What was held is handled before the messages of the same time.
--- a/internal/aubthrottle/model_test.go
+++ b/internal/aubthrottle/model_test.go
@@ -246,7 +246,7 @@
 		m.arrive(relay)
 	}
 	if m.now > modelDelay {
-		m.allowed += m.scenario.limitAt(m.now) * modelStep.Seconds()
+		m.allowed += float64(m.scenario.limitAt(m.now) * modelStep.Seconds())
 	}
 }
 
@@ -278,7 +278,7 @@
 			}
 		}
 		highest = max(highest, m.scenario.limitAt(max(at-modelWindow, 0)))
-		excess = max(excess, float64(count)-modelFactor*highest*modelWindow.Seconds()-modelSlack)
+		excess = max(excess, float64(count)-float64(modelFactor*highest*modelWindow.Seconds())-modelSlack)
 	}
 	return excess, float64(counted) / m.allowed
 }
--- a/internal/aubthrottle/quiet_model_test.go
+++ b/internal/aubthrottle/quiet_model_test.go
@@ -166,7 +166,7 @@
 	m.now += quietModelStep
 	m.timer.Advance(quietModelStep)
 	for i := range m.levels {
-		m.levels[i] = min(m.levels[i]+m.scenario.serverCapacity*quietModelStep.Seconds(), m.scenario.serverCapacity/4)
+		m.levels[i] = min(m.levels[i]+float64(m.scenario.serverCapacity*quietModelStep.Seconds()), m.scenario.serverCapacity/4)
 	}
 	if interval := m.scenario.restartInterval; interval > 0 && m.now%interval == 0 {
 		m.start(m.rnd.IntN(m.scenario.relays))
--- a/internal/aubthrottle/state.go
+++ b/internal/aubthrottle/state.go
@@ -102,7 +102,9 @@
 	elapsed := now.Sub(s.refilledAt).Seconds()
 	s.refilledAt = now
 	if s.isLimited() {
-		s.level = min(s.level+s.rate()*share*elapsed, s.capacity())
+		// The conversion keeps the product from being fused with the addition, so that the
+		// level is the same on all processors.
+		s.level = min(s.level+float64(s.rate()*share*elapsed), s.capacity())
 	}
 }
 
