Admit requests by their objectives

Cause: at relays with too little capacity behind them, nearly every request on the engines of busy models is answered after its objective.

Change: where the routes to one service have objectives that differ by the factor admission.objective_spread, a relay refuses a request at once (503 objective_unreachable, not run) if its best backend server is expected to answer too late. Expected times are compared with what this relay measured of late; without measurements the request is sent. Deferrable requests wait at the relay until an engine has at most one prompt chunk waiting.

--- /dev/null
+++ b/internal/aubadmission/decide.go
@@ -0,0 +1,165 @@
+// Package aubadmission decides whether a relay sends a request, lets it wait or refuses it
+// because no backend server can answer it within its objective. Decisions are pure functions
+// over a snapshot of one request and its best backend server.
+package aubadmission
+
+import "time"
+
+const (
+	// ChunkTokens is the number of prompt tokens that an engine prefills in one step. A
+	// deferrable request is sent only while no more than these wait on its engine.
+	ChunkTokens = 2048
+	// HoldDivisor limits how long a request is held that is then refused: the objective
+	// divided by it.
+	HoldDivisor = 8
+	// deferDivisor limits the wait of a deferrable request: the objective divided by it.
+	deferDivisor = 2
+	// firstAttemptShare is the share of its objective within which a first attempt must be
+	// expected to be answered. The rest is left to callers that return after a refusal, who
+	// have less time left, and to errors of the estimate.
+	firstAttemptShare = 0.8
+	// urgentShare is the share of the shortest objective of more urgent requests up to which
+	// less urgent ones may fill a backend server.
+	urgentShare = 0.5
+	// lateFactor times its objective is the age up to which a request is served late.
+	lateFactor = 2
+	// minRetryAfter is the shortest advised time before a retry.
+	minRetryAfter = 40 * time.Millisecond
+	// honouredShare is the share of the time left that a caller waits for a retry at most.
+	honouredShare = 0.3
+	// busyRetryAfter applies where the time until a place is free is not known.
+	busyRetryAfter = 100 * time.Millisecond
+)
+
+// Request is a request for which a decision is made.
+type Request struct {
+	// Objective is the time from the first attempt of the caller to the answer, or to the
+	// first event of a stream.
+	Objective time.Duration
+	// Elapsed is the time that the caller spent on earlier attempts; 0 for a first attempt.
+	Elapsed time.Duration
+	// Held is the time since the request arrived at this relay.
+	Held time.Duration
+	// TimeLeft is the time until the caller stops waiting.
+	TimeLeft time.Duration
+	// IsDeferrable is set if the request gives way to more urgent ones.
+	IsDeferrable bool
+	// UrgentObjective is the shortest objective of more urgent requests that the service
+	// received of late; 0 if there were none.
+	UrgentObjective time.Duration
+}
+
+// Server is the load of the best backend server for the request.
+type Server struct {
+	// InFlight is the number of requests of all relays on the server, Slots how many it runs
+	// at the same time; 0 if unknown.
+	InFlight int
+	Slots    int
+	// PendingTokens is the number of prompt tokens that wait for prefill.
+	PendingTokens int64
+	// Expected is the time to the answer, or to the first event of a stream. It is valid if
+	// IsKnown is set.
+	Expected time.Duration
+	IsKnown  bool
+}
+
+// Action is what happens to the request.
+type Action int
+
+// Actions.
+const (
+	// ActionSend sends the request.
+	ActionSend Action = iota
+	// ActionWait lets the request wait and decides again later.
+	ActionWait
+	// ActionRefuse refuses the request.
+	ActionRefuse
+)
+
+// Decision is the result of Decide.
+type Decision struct {
+	Action Action
+	// RetryAfter is the time after which a retry is expected to meet its objective; set for
+	// ActionRefuse.
+	RetryAfter time.Duration
+	// Remaining is the time within which the request should have been answered.
+	Remaining time.Duration
+}
+
+// isIdle reports whether nothing waits on the server and a place is free.
+func (s Server) isIdle() bool {
+	return s.PendingTokens == 0 && s.hasPlace() && (s.Slots > 0 || s.InFlight == 0)
+}
+
+// hasPlace reports whether a request would run at once.
+func (s Server) hasPlace() bool { return s.Slots <= 0 || s.InFlight < s.Slots }
+
+// hasRoom reports whether the server can take a request that gives way to others.
+func (s Server) hasRoom() bool { return s.PendingTokens <= ChunkTokens && s.hasPlace() }
+
+// Decide returns what to do with the request. Draw is uniformly distributed in [0, 1) and
+// spreads the callers that are refused.
+func Decide(req Request, server Server, draw float64) Decision {
+	remaining := req.Objective - req.Elapsed - req.Held
+	decision := Decision{Remaining: remaining}
+	if server.isIdle() {
+		return decision
+	}
+	if req.IsDeferrable {
+		if !server.hasRoom() && req.Held < DeferLimit(req) {
+			decision.Action = ActionWait
+		}
+		return decision
+	}
+	bound := req.bound(remaining)
+	switch {
+	case !server.IsKnown || server.Expected <= bound:
+		return decision
+	case req.Held > req.Objective/HoldDivisor:
+		// It may no longer be refused.
+		return decision
+	case req.Elapsed > 0 && server.hasRoom() && req.Elapsed+req.Held+server.Expected <= lateFactor*req.Objective:
+		// A second refusal would lose the caller; the server has room for a late answer.
+		return decision
+	}
+	decision.Action = ActionRefuse
+	decision.RetryAfter = retryAfter(server.Expected-bound, req.TimeLeft, draw)
+	return decision
+}
+
+// bound returns the expected time up to which the request is sent.
+func (req Request) bound(remaining time.Duration) time.Duration {
+	bound := remaining
+	if req.Elapsed == 0 {
+		bound = min(bound, time.Duration(firstAttemptShare*float64(req.Objective)))
+	}
+	if req.UrgentObjective > 0 {
+		bound = min(bound, time.Duration(urgentShare*float64(req.UrgentObjective)))
+	}
+	return bound
+}
+
+// DeferLimit returns how long a deferrable request may wait at the relay.
+func DeferLimit(req Request) time.Duration {
+	return max(min(req.Objective-req.Elapsed, req.TimeLeft+req.Held)/deferDivisor, 0)
+}
+
+// RefuseFull returns the refusal of a request that finds the queue full.
+func RefuseFull(req Request, draw float64) Decision {
+	return Decision{
+		Action: ActionRefuse, Remaining: req.Objective - req.Elapsed - req.Held,
+		RetryAfter: retryAfter(busyRetryAfter, req.TimeLeft, draw),
+	}
+}
+
+// retryAfter spreads the retries over half of the excess and keeps to the time that a caller
+// is ready to wait.
+func retryAfter(excess, timeLeft time.Duration, draw float64) time.Duration {
+	base := max(excess, minRetryAfter)
+	spread := time.Duration(draw * float64(max(base/2, minRetryAfter)))
+	limit := time.Duration(honouredShare * float64(timeLeft))
+	if base+spread > limit {
+		return max(limit-time.Duration(draw*float64(limit)/4), time.Millisecond)
+	}
+	return base + spread
+}
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -75,8 +75,10 @@
 	speeds         *aubspeed.Table
 	loads          *aubmembership.LoadExchange
 	loadsStarted   atomic.Bool
-	handler        *aubrelay.Handler
-	callerServer   *http.Server
+	// knownRelays is the number of relays that a control process last stated.
+	knownRelays  atomic.Int32
+	handler      *aubrelay.Handler
+	callerServer *http.Server
 }
 
 // RunRelay runs a relay instance. The end of ctx starts a graceful shutdown.
@@ -223,6 +225,9 @@
 		Throttle:          r.throttle,
 		Speeds:            r.speedMeter,
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
+		ObjectiveSpread:   r.cfg.Admission.ObjectiveSpread,
+		LoadAge:           r.loads.LoadAge,
+		KnownRelays:       func() int { return int(r.knownRelays.Load()) },
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		HasZoneDrains:     r.drains.HasStatement,
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
@@ -274,6 +279,7 @@
 // exchange, the router, which gets its part of the retry slack, and the limiter.
 func (r *relay) updatePeers(peers *aubwire.Peers) {
 	r.loads.SetPeers(peers.GetLoadAddresses())
+	r.knownRelays.Store(peers.GetInstances() + 1)
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.speeds.Replace(peers.GetSpeeds())
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -58,6 +58,8 @@
 	maxEventGap time.Duration
 	// excludedBackends are the backend servers of earlier attempts.
 	excludedBackends []string
+	// admission is nil unless requests are admitted by their objectives.
+	admission *admission
 }
 
 // refusalError ends a request with a refusal. The cause err may be nil.
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -73,6 +73,13 @@
 	// HasZoneDrains reports whether the drained zones are known; until then all requests are
 	// refused. Nil means that they are.
 	HasZoneDrains func() bool
+	// ObjectiveSpread is the factor between objectives of one service from which requests are
+	// admitted by their objectives; 0 turns that off.
+	ObjectiveSpread float64
+	// LoadAge returns the age of the peers' loads, false if none is known, and KnownRelays the
+	// number of relays last known. Nil means that this relay is the only one.
+	LoadAge     func() (time.Duration, bool)
+	KnownRelays func() int
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
 	// Crashes receives the lost connections to backend servers.
@@ -87,6 +94,7 @@
 	opts      HandlerOpts
 	transport http.RoundTripper
 	metrics   metrics
+	admitter  *admitter
 	inFlight  atomic.Int64
 	startedAt time.Time
 	// shutdownAt is when the process shuts down; nil before Drain.
@@ -99,6 +107,7 @@
 	return &Handler{
 		common:    common,
 		opts:      opts,
+		admitter:  newAdmitter(common),
 		transport: newTransport(opts.Dial),
 		startedAt: common.Timer.Now(),
 		metrics:   newMetrics(common.Metrics),
@@ -107,7 +116,11 @@
 
 // Drain makes the handler refuse new streams that may still run at shutdownAt, when the
 // process shuts down.
-func (h *Handler) Drain(shutdownAt time.Time) { h.shutdownAt.Store(&shutdownAt) }
+// Requests that wait for room on an engine are refused at once.
+func (h *Handler) Drain(shutdownAt time.Time) {
+	h.shutdownAt.Store(&shutdownAt)
+	h.admitter.drain()
+}
 
 // mayOutlastProcess reports whether a stream may still run when the process shuts down.
 func (h *Handler) mayOutlastProcess(route aubsite.Route, call Call) bool {
--- a/internal/aubrelay/plain.go
+++ b/internal/aubrelay/plain.go
@@ -19,6 +19,7 @@
 	}
 	ex.firstEventTime = h.common.Timer.Now().Sub(started)
 	choice.FirstToken()
+	h.observeAnswer(ex, choice, resp.StatusCode)
 	plain := &plainResponse{status: resp.StatusCode, header: resp.Header, body: body, remainder: resp.Body, isComplete: len(body) < maxBufferedBytes}
 	if resp.StatusCode >= http.StatusInternalServerError && plain.isComplete && !ex.headerWritten {
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, response: plain, err: &statusError{status: resp.StatusCode}}
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -120,6 +120,7 @@
 	CodeUnknownStream         RefusalCode = "unknown_stream"
 	CodeBackendLimited        RefusalCode = "backend_server_limited"
 	CodeNoAllowedRegion       RefusalCode = "no_allowed_region"
+	CodeObjectiveUnreachable  RefusalCode = "objective_unreachable"
 )
 
 // Refusal is the relay's own error response to a request.
--- a/internal/aubrelay/reference.go
+++ b/internal/aubrelay/reference.go
@@ -28,6 +28,7 @@
 	{CodeBlocked, http.StatusServiceUnavailable, "The request or a part of its prompt was in flight when backend servers crashed."},
 	{CodeUnknownStream, http.StatusServiceUnavailable, "The software version of the stream that the request takes up is not known."},
 	{CodeBackendLimited, http.StatusServiceUnavailable, "The rate limits of all backend servers that could run the request are reached."},
+	{CodeObjectiveUnreachable, http.StatusServiceUnavailable, "The best backend server is expected to answer after the request's objective, or too many requests wait at the instance."},
 }
 
 // WriteRefusalReference writes a table of all refusals of a relay as Markdown.
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -20,8 +20,19 @@
 func (h *Handler) selectBackend(ctx context.Context, ex *exchange) (aubroute.Choice, error) {
 	request := h.newRouteRequest(ex)
 	waitDeadline := h.common.Timer.Now().Add(ex.route.Objective / waitDivisor)
+	h.startAdmission(ex)
+	defer h.leaveQueue(ex)
 	for {
 		choice, err := h.routeOrPlace(ctx, ex, request)
+		if err == nil && ex.admission != nil {
+			isAdmitted, err := h.admitToBackend(ctx, ex, choice)
+			if err != nil {
+				return choice, err
+			}
+			if !isAdmitted {
+				continue
+			}
+		}
 		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > prefillRunLimit(choice.Speed)
 		if !exceedsPrefillRun || !h.common.Timer.Now().Before(waitDeadline) {
 			if err == nil && !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -101,6 +101,15 @@
 	UncachedTokens int64
 	// Speed is the speed of the member relative to the others, 1 for equal.
 	Speed float64
+	// AssumedFirstToken is the expected time to first token without the member's slowness.
+	AssumedFirstToken time.Duration
+	// InFlight is the number of requests on the member, OwnInFlight that of this instance's;
+	// OwnPendingTokens is this instance's part of PendingTokens.
+	InFlight         int
+	OwnInFlight      int
+	OwnPendingTokens int64
+	// ServiceTime is the mean duration of this instance's requests on the member; 0 if unknown.
+	ServiceTime time.Duration
 	// IsLastResort is set if the member's zone gets only what no open zone can take.
 	IsLastResort bool
 
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -258,19 +258,26 @@
 	query := Query{PromptTokens: request.PromptTokens, TieBreak: r.rnd.Float64()}
 	chosen := sampled[r.policy.Choose(query, candidates)]
 	expected := EstimateFirstToken(query, chosen.candidate)
+	assumed := EstimateFirstToken(query, chosen.candidate.withoutSlowness())
+	ownInFlight, ownTokens := chosen.state.unreported(time.Time{})
 	return Choice{
 		Member:             chosen.member,
 		ExpectedFirstToken: expected,
 		PendingTokens:      chosen.candidate.PendingTokens,
 		UncachedTokens:     max(request.PromptTokens-chosen.candidate.CachedTokens, 0),
 		Speed:              chosen.candidate.speed(),
+		AssumedFirstToken:  assumed,
+		InFlight:           chosen.candidate.InFlight,
+		OwnInFlight:        ownInFlight,
+		OwnPendingTokens:   ownTokens,
+		ServiceTime:        chosen.candidate.ServiceTime,
 		IsLastResort:       chosen.zoneUse == ZoneLastResort,
 		router:             r,
 		inFlight: &inFlightRequest{
 			state:          chosen.state,
 			startedAt:      now,
 			uncachedTokens: max(request.PromptTokens-chosen.candidate.CachedTokens, 0),
-			expected:       EstimateFirstToken(query, chosen.candidate.withoutSlowness()),
+			expected:       assumed,
 			prefixes:       request.PrefixHashes,
 			budget:         request.RetryBudget,
 		},
