Keep the age of a request whose caller returns late

Cause: a retry older than twice its objective counted as a first attempt and was admitted with a fresh objective.

Change: the age counts whatever it is; advised times before a retry are above the 50 ms from which a retry is recognised.

--- a/internal/aubadmission/decide.go
+++ b/internal/aubadmission/decide.go
@@ -23,8 +23,9 @@
 	urgentShare = 0.5
 	// lateFactor times its objective is the age up to which a request is served late.
 	lateFactor = 2
-	// minRetryAfter is the shortest advised time before a retry.
-	minRetryAfter = 40 * time.Millisecond
+	// minRetryAfter is the shortest advised time before a retry. It is above minElapsed, so that
+	// a caller that returns is recognised.
+	minRetryAfter = 60 * time.Millisecond
 	// honouredShare is the share of the time left that a caller waits for a retry at most.
 	honouredShare = 0.3
 	// busyRetryAfter applies where the time until a place is free is not known.
--- a/internal/aubadmission/kinds.go
+++ b/internal/aubadmission/kinds.go
@@ -91,9 +91,5 @@
 			urgentObjective = other.objective
 		}
 	}
-	// Callers may declare different timeouts for other reasons than retries.
-	if elapsed >= lateFactor*kind.Objective {
-		elapsed = 0
-	}
 	return elapsed, urgentObjective
 }
