Measure prefill rates by engine and model

Cause: the router assumes 40,000 tokens a second for every engine and model, although engines differ by a factor of two and models by three, and the prefill run limit ignores the pause objective.

Change: relays report the first events of their streams. Control processes order the events of each engine, take a prompt's own time from the event before it, and fit a line for each model and a factor for each engine. The router and the prefill run limit use the rates where the configuration has deferrable routes.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -73,6 +73,7 @@
 	demand         *aubrelay.DemandCounter
 	speedMeter     *aubspeed.Meter
 	speeds         *aubspeed.Table
+	deferrable     *aubsite.DeferrableCheck
 	loads          *aubmembership.LoadExchange
 	loadsStarted   atomic.Bool
 	handler        *aubrelay.Handler
@@ -130,6 +131,7 @@
 	r.registry = aubregistry.NewRegistry(r.common, registrationTimeout(r.cfg))
 	r.demand = aubrelay.NewDemandCounter(r.common)
 	r.speedMeter, r.speeds = aubspeed.NewMeter(r.common), aubspeed.NewTable()
+	r.deferrable = aubsite.NewDeferrableCheck(r.cfg.Admission.ObjectiveSpread)
 	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{
 		Limits:  r.workspaceLimits,
 		Overrun: float64(r.cfg.Limits.Overrun),
@@ -160,6 +162,7 @@
 		Speed: func(backend string, incarnation uint64) float64 {
 			return r.speeds.Speed(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)})
 		},
+		PrefillRateOf: r.prefillRateOf,
 		RegionOf:      func(zone string) string { return r.cfg.Regions[zone] },
 		ZoneUse:       r.zoneUse,
 		PrefillRate:   relayPrefillRate,
@@ -222,6 +225,7 @@
 		Guard:             guard,
 		Throttle:          r.throttle,
 		Speeds:            r.speedMeter,
+		Deferrable:        r.deferrable,
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		HasZoneDrains:     r.drains.HasStatement,
@@ -254,6 +258,15 @@
 	return s.ColdTime, s.ColdRate
 }
 
+// prefillRateOf returns the measured prefill rate of a model on a backend server, in tokens a
+// second; false if it is not measured or the configuration has no deferrable routes.
+func (r *relay) prefillRateOf(backend string, incarnation uint64, model string) (float64, bool) {
+	if !r.deferrable.Has(r.site.Site()) {
+		return 0, false
+	}
+	return r.speeds.PrefillRate(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)}, model)
+}
+
 // loadReporter returns a function that builds the load reports of this instance.
 func (r *relay) loadReporter(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
@@ -276,6 +289,9 @@
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.speeds.Replace(peers.GetSpeeds())
+	if peers.GetPrefillRates() != nil {
+		r.speeds.ReplacePrefillRates(peers.GetPrefillRates())
+	}
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
 	r.throttle.SetInstances(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 }
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -254,6 +254,9 @@
 	// sending goroutine uses it. heardMs is sent_ms of the newest request.
 	sentDrains uint64
 	heardMs    int64
+	// sentRates is the version of the prefill rates sent on the stream since the process last
+	// began to want peers; 0 for none. Only the sending goroutine uses it.
+	sentRates uint64
 	// hasSentLimits is set once the known rate limits were sent.
 	hasSentLimits bool
 }
@@ -381,8 +384,15 @@
 		}
 		if w.server.opts.Speeds != nil {
 			resp.Peers.Speeds = w.server.opts.Speeds.Speeds()
+			rates, version := w.server.opts.Speeds.PrefillRates()
+			if version != w.sentRates {
+				resp.Peers.PrefillRates, w.sentRates = rates, version
+			}
 		}
+		return
 	}
+	// Another control process sends its own rates meanwhile.
+	w.sentRates = 0
 }
 
 // isTimedOut reports whether no request was received for streamTimeout.
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -68,6 +68,8 @@
 	Throttle *aubthrottle.Throttle
 	// Speeds measures the speed of engines by their streams; nil measures none.
 	Speeds *aubspeed.Meter
+	// Deferrable tells whether the configuration has deferrable routes; nil means never.
+	Deferrable *aubsite.DeferrableCheck
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
 	// HasZoneDrains reports whether the drained zones are known; until then all requests are
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -22,7 +22,7 @@
 	waitDeadline := h.common.Timer.Now().Add(ex.route.Objective / waitDivisor)
 	for {
 		choice, err := h.routeOrPlace(ctx, ex, request)
-		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > prefillRunLimit(choice.Speed)
+		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > h.prefillRunLimit(ex, choice)
 		if !exceedsPrefillRun || !h.common.Timer.Now().Before(waitDeadline) {
 			if err == nil && !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
 				// Another request has used up the rate limit since the choice.
@@ -36,12 +36,6 @@
 	}
 }
 
-// prefillRunLimit returns the number of prompt tokens that an engine of the speed may prefill
-// without a break. A slow engine's running responses pause longer for the same prompts.
-func prefillRunLimit(speed float64) int64 {
-	return int64(maxPrefillRunTokens * min(speed, 1))
-}
-
 // routeOrPlace picks a backend server with the router. If no backend server holds the
 // model or adapter, it requests a copy first and picks again.
 func (h *Handler) routeOrPlace(ctx context.Context, ex *exchange, request aubroute.Request) (aubroute.Choice, error) {
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -48,6 +48,7 @@
 		if ex.firstEventTime == 0 {
 			ex.firstEventTime = now.Sub(started)
 			choice.FirstToken()
+			h.recordFirstEvent(ex, choice, ex.firstEventTime)
 		}
 		if !lastEventAt.IsZero() {
 			ex.maxEventGap = max(ex.maxEventGap, now.Sub(lastEventAt))
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -291,6 +291,12 @@
 		c.Speed = r.opts.Speed(member.Announcement.GetName(), member.Announcement.GetIncarnation())
 		c.PrefillRate *= c.speed()
 	}
+	if r.opts.PrefillRateOf != nil && request.Model != "" {
+		// A measured rate contains the speed of the member.
+		if rate, ok := r.opts.PrefillRateOf(member.Announcement.GetName(), member.Announcement.GetIncarnation(), request.Model); ok {
+			c.PrefillRate, c.IsRateMeasured = rate, true
+		}
+	}
 	if member.Announcement.GetZone() != r.opts.Zone {
 		c.ZoneRTT = r.opts.ZoneRTT
 	}
--- a/internal/aubroute/policy.go
+++ b/internal/aubroute/policy.go
@@ -38,8 +38,10 @@
 	InFlight int
 	// SelfInFlight is the number of this instance's requests in flight on the member.
 	SelfInFlight int
-	// PrefillRate is in tokens a second.
-	PrefillRate float64
+	// PrefillRate is in tokens a second; IsRateMeasured is set if it was measured for the model
+	// of the request.
+	PrefillRate    float64
+	IsRateMeasured bool
 	// CachedTokens is the number of prompt tokens expected in the member's cache.
 	CachedTokens int64
 	// MaxBatch is the number of requests that the member last reported as running while
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -101,6 +101,10 @@
 	UncachedTokens int64
 	// Speed is the speed of the member relative to the others, 1 for equal.
 	Speed float64
+	// PrefillRate is the prefill rate of the member that the estimate uses, in tokens a second;
+	// IsRateMeasured is set if it was measured for the model.
+	PrefillRate    float64
+	IsRateMeasured bool
 	// IsLastResort is set if the member's zone gets only what no open zone can take.
 	IsLastResort bool
 
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -68,6 +68,10 @@
 	// Speed returns the speed of a member incarnation relative to the other members; nil means
 	// that all are equal.
 	Speed func(member string, incarnation uint64) float64
+	// PrefillRateOf returns the measured prefill rate of a model on a member incarnation, in
+	// tokens a second; false if it is not measured. It is called with the router's lock held. Nil
+	// means that none is measured.
+	PrefillRateOf func(member string, incarnation uint64, model string) (float64, bool)
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
 	// ZoneUse returns the use that may be made of the members of a zone; nil means that all
@@ -264,6 +268,8 @@
 		PendingTokens:      chosen.candidate.PendingTokens,
 		UncachedTokens:     max(request.PromptTokens-chosen.candidate.CachedTokens, 0),
 		Speed:              chosen.candidate.speed(),
+		PrefillRate:        chosen.candidate.PrefillRate,
+		IsRateMeasured:     chosen.candidate.IsRateMeasured,
 		IsLastResort:       chosen.zoneUse == ZoneLastResort,
 		router:             r,
 		inFlight: &inFlightRequest{
--- a/internal/aubsite/objective.go
+++ b/internal/aubsite/objective.go
@@ -1,6 +1,9 @@
 package aubsite
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // IsDeferrable reports whether the route's objective is at least spread times the shortest
 // objective of the routes to one of its services: other requests there are more urgent. It is
@@ -47,3 +50,32 @@
 		shortest[service] = d
 	}
 }
+
+// DeferrableCheck tells whether a configuration has routes that are deferrable by a spread. It keeps
+// the answer for the configuration that was asked for last. It is safe for concurrent use.
+type DeferrableCheck struct {
+	spread float64
+	last   atomic.Pointer[checkedSite]
+}
+
+// checkedSite is a configuration and whether it has deferrable routes.
+type checkedSite struct {
+	site          *Site
+	hasDeferrable bool
+}
+
+// NewDeferrableCheck returns a check for the spread.
+func NewDeferrableCheck(spread float64) *DeferrableCheck { return &DeferrableCheck{spread: spread} }
+
+// Has reports whether the configuration has deferrable routes; false if it or the check is nil.
+func (c *DeferrableCheck) Has(site *Site) bool {
+	if c == nil || c.spread <= 0 || site == nil {
+		return false
+	}
+	last := c.last.Load()
+	if last == nil || last.site != site {
+		last = &checkedSite{site: site, hasDeferrable: site.HasDeferrableRoutes(c.spread)}
+		c.last.Store(last)
+	}
+	return last.hasDeferrable
+}
--- a/internal/aubspeed/aggregator.go
+++ b/internal/aubspeed/aggregator.go
@@ -81,10 +81,11 @@
 	engine Engine
 }
 
-// relayCounter holds the last number of streams that a relay has reported.
+// relayCounter holds the last numbers of streams and prefill samples that a relay has reported.
 type relayCounter struct {
 	incarnation uint64
 	streams     int64
+	prefills    int64
 	receivedAt  time.Time
 }
 
@@ -101,11 +102,15 @@
 	// speeds is the last result of Speeds, computed at computedAt.
 	speeds     []*aubwire.EngineSpeed
 	computedAt time.Time
+	prefills   *prefillRates
 }
 
 // NewAggregator returns an aggregator without reports.
 func NewAggregator(common aubcommon.Common) *Aggregator {
-	return &Aggregator{common: common.WithPart("speed"), engines: make(map[Engine]*engineRates), counters: make(map[counterKey]relayCounter)}
+	return &Aggregator{
+		common: common.WithPart("speed"), engines: make(map[Engine]*engineRates),
+		counters: make(map[counterKey]relayCounter), prefills: newPrefillRates(),
+	}
 }
 
 // AddReport adds the streams that a relay reports and has not reported before. Incarnation
@@ -121,14 +126,33 @@
 		if previous.incarnation != incarnation {
 			previous = relayCounter{}
 		}
-		a.counters[key] = relayCounter{incarnation: incarnation, streams: max(r.GetStreams(), previous.streams), receivedAt: now}
-		added := min(max(r.GetStreams()-previous.streams, 0), int64(len(r.GetRates())))
-		if added > 0 {
-			a.add(now, engine, r.GetService(), r.GetRates()[int64(len(r.GetRates()))-added:])
+		a.counters[key] = relayCounter{
+			incarnation: incarnation, streams: max(r.GetStreams(), previous.streams),
+			prefills: max(r.GetPrefillCount(), previous.prefills), receivedAt: now,
+		}
+		if added := newest(r.GetRates(), r.GetStreams()-previous.streams); len(added) > 0 {
+			a.add(now, engine, r.GetService(), added)
 		}
+		a.prefills.add(now, engine, r.GetService(), newest(r.GetPrefills(), r.GetPrefillCount()-previous.prefills))
 	}
 }
 
+// newest returns the last n values, or all if there are fewer.
+func newest[T any](values []T, n int64) []T {
+	return values[int64(len(values))-min(max(n, 0), int64(len(values))):]
+}
+
+// PrefillRates returns the measured prefill rates and their version, which changes with them;
+// it is 0 while there are none. The rates are shared and must not be changed.
+func (a *Aggregator) PrefillRates() (*aubwire.PrefillRates, uint64) {
+	now := a.common.Timer.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	rates, version := a.prefills.update(now, a.common.Log)
+	a.common.Metrics.Gauge("prefill_rates").Update(float64(len(rates.GetRates())))
+	return rates, version
+}
+
 // add adds streams of an engine; the caller holds mu.
 func (a *Aggregator) add(now time.Time, engine Engine, service string, rates []float32) {
 	stored := a.engines[engine]
--- a/internal/aubspeed/meter.go
+++ b/internal/aubspeed/meter.go
@@ -64,7 +64,10 @@
 	// rates are those of the last streams, by their ends.
 	rates   []streamRate
 	streams int64
-	lastAt  time.Time
+	// prefills are the last prefill samples, prefillCount is the number of all.
+	prefills     []measuredPrefill
+	prefillCount int64
+	lastAt       time.Time
 }
 
 // Meter counts the pauses of the streams that this instance has relayed.
@@ -91,16 +94,22 @@
 	now := m.common.Timer.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	stored := m.engine(now, engine, service)
+	stored.rates = append(stored.rates, streamRate{perSecond: rate, endedAt: now})
+	stored.rates = stored.rates[max(len(stored.rates)-maxReportedRates, 0):]
+	stored.streams++
+}
+
+// engine returns the totals of an engine, created on first use; the caller holds mu.
+func (m *Meter) engine(now time.Time, engine Engine, service string) *measured {
 	stored := m.engines[engine]
 	if stored == nil {
 		m.dropOld(now)
 		stored = &measured{service: service}
 		m.engines[engine] = stored
 	}
-	stored.rates = append(stored.rates, streamRate{perSecond: rate, endedAt: now})
-	stored.rates = stored.rates[max(len(stored.rates)-maxReportedRates, 0):]
-	stored.streams++
 	stored.lastAt = now
+	return stored
 }
 
 // dropOld removes the engines without a stream within meterRetention; the caller holds mu.
@@ -125,12 +134,13 @@
 				rates = append(rates, float32(r.perSecond))
 			}
 		}
-		if len(rates) == 0 {
+		prefills := e.recentPrefills(now)
+		if len(rates) == 0 && len(prefills) == 0 {
 			continue
 		}
 		reported = append(reported, &aubwire.EngineStreams{
 			Id: engine.ID, StartedMs: engine.StartedMs, Service: e.service,
-			Rates: rates, Streams: e.streams,
+			Rates: rates, Streams: e.streams, Prefills: prefills, PrefillCount: e.prefillCount,
 		})
 	}
 	return reported
--- a/internal/aubspeed/table.go
+++ b/internal/aubspeed/table.go
@@ -6,12 +6,14 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// Table holds the speeds that a control process has announced to this instance.
+// Table holds the speeds and prefill rates that a control process has announced to this instance.
 //
 // Lock order: mu is a leaf lock.
 type Table struct {
 	mu     sync.RWMutex
 	speeds map[Engine]float64
+	// prefillRates are in tokens a second.
+	prefillRates map[pair]float64
 }
 
 // NewTable returns an empty table.
@@ -40,3 +42,29 @@
 	}
 	return 1
 }
+
+// ReplacePrefillRates replaces all prefill rates.
+func (t *Table) ReplacePrefillRates(rates *aubwire.PrefillRates) {
+	next := make(map[pair]float64, len(rates.GetRates()))
+	for _, r := range rates.GetRates() {
+		if r.GetTokensPerSecond() > 0 {
+			next[pair{engine: Engine{ID: r.GetId(), StartedMs: r.GetStartedMs()}, model: r.GetModel()}] = r.GetTokensPerSecond()
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prefillRates = next
+}
+
+// PrefillRate returns the prefill rate of a model on an engine, in tokens a second. An engine
+// that is not measured has the model's rate times its speed; false if the model is not measured.
+func (t *Table) PrefillRate(engine Engine, model string) (float64, bool) {
+	t.mu.RLock()
+	perSecond, ok := t.prefillRates[pair{engine: engine, model: model}]
+	usual, hasUsual := t.prefillRates[pair{model: model}]
+	t.mu.RUnlock()
+	if ok {
+		return perSecond, true
+	}
+	return usual * t.Speed(engine), hasUsual
+}
