--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -73,6 +73,7 @@
 	demand         *aubrelay.DemandCounter
 	speedMeter     *aubspeed.Meter
 	speeds         *aubspeed.Table
+	deferrable     *aubsite.DeferrableCheck
 	loads          *aubmembership.LoadExchange
 	loadsStarted   atomic.Bool
 	// knownRelays is the number of relays that a control process last stated.
@@ -132,6 +133,7 @@
 	r.registry = aubregistry.NewRegistry(r.common, registrationTimeout(r.cfg))
 	r.demand = aubrelay.NewDemandCounter(r.common)
 	r.speedMeter, r.speeds = aubspeed.NewMeter(r.common), aubspeed.NewTable()
+	r.deferrable = aubsite.NewDeferrableCheck(r.cfg.Admission.ObjectiveSpread)
 	r.limiter = aublimit.NewSharedCounters(r.common, aublimit.CountersOpts{
 		Limits:  r.workspaceLimits,
 		Overrun: float64(r.cfg.Limits.Overrun),
@@ -162,6 +164,7 @@
 		Speed: func(backend string, incarnation uint64) float64 {
 			return r.speeds.Speed(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)})
 		},
+		PrefillRateOf: r.prefillRateOf,
 		RegionOf:      func(zone string) string { return r.cfg.Regions[zone] },
 		ZoneUse:       r.zoneUse,
 		PrefillRate:   relayPrefillRate,
@@ -226,6 +229,7 @@
 		Speeds:            r.speedMeter,
 		ObjectiveSpread:   r.cfg.Admission.ObjectiveSpread,
 		ZoneShare:         float64(r.cfg.Admission.ZoneShare),
+		Deferrable:        r.deferrable,
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		LoadAge:           r.loads.LoadAge,
 		KnownRelays:       func() int { return int(r.knownRelays.Load()) },
@@ -260,6 +264,15 @@
 	return s.ColdTime, s.ColdRate
 }
 
+// prefillRateOf returns the measured prefill rate of a model on a backend server, in tokens a
+// second; false if it is not measured or the configuration has no deferrable routes.
+func (r *relay) prefillRateOf(backend string, incarnation uint64, model string) (float64, bool) {
+	if !r.deferrable.Has(r.site.Site()) {
+		return 0, false
+	}
+	return r.speeds.PrefillRate(aubspeed.Engine{ID: backend, StartedMs: int64(incarnation)}, model)
+}
+
 // loadReporter returns a function that builds the load reports of this instance.
 func (r *relay) loadReporter(incarnation uint64) func() *aubwire.LoadReport {
 	return func() *aubwire.LoadReport {
@@ -283,6 +296,9 @@
 	r.knownRelays.Store(peers.GetInstances() + 1)
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.speeds.Replace(peers.GetSpeeds())
+	if peers.GetPrefillRates() != nil {
+		r.speeds.ReplacePrefillRates(peers.GetPrefillRates())
+	}
 	r.limiter.SetInstances(int(peers.GetInstances()) + 1)
 	r.throttle.SetInstances(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 }
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -73,6 +73,8 @@
 	// ZoneShare is the part of its objective by which a request may be expected to wait longer
 	// in the own zone than in another one, if the configuration has deferrable routes.
 	ZoneShare float64
+	// Deferrable tells whether the configuration has deferrable routes; nil means never.
+	Deferrable *aubsite.DeferrableCheck
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
 	// HasZoneDrains reports whether the drained zones are known; until then all requests are
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -36,7 +36,7 @@
 				continue
 			}
 		}
-		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > prefillRunLimit(choice.Speed)
+		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > h.prefillRunLimit(ex, choice)
 		if !exceedsPrefillRun || !h.common.Timer.Now().Before(waitDeadline) {
 			if err == nil && !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
 				// Another request has used up the rate limit since the choice.
@@ -50,12 +50,6 @@
 	}
 }
 
-// prefillRunLimit returns the number of prompt tokens that an engine of the speed may prefill
-// without a break. A slow engine's running responses pause longer for the same prompts.
-func prefillRunLimit(speed float64) int64 {
-	return int64(maxPrefillRunTokens * min(speed, 1))
-}
-
 // routeOrPlace picks a backend server with the router. If no backend server holds the
 // model or adapter, it requests a copy first and picks again.
 func (h *Handler) routeOrPlace(ctx context.Context, ex *exchange, request aubroute.Request) (aubroute.Choice, error) {
@@ -119,7 +113,7 @@
 // newRouteRequest returns the request to the router for a backend server.
 func (h *Handler) newRouteRequest(ex *exchange) aubroute.Request {
 	request := aubroute.Request{Exclude: ex.excludedBackends, PromptTokens: ex.call.PromptTokens, RetryBudget: ex.service, Software: ex.requiredSoftware, Regions: ex.regions}
-	if h.opts.ZoneShare > 0 && ex.site.HasDeferrableRoutes(h.opts.ObjectiveSpread) {
+	if h.opts.ZoneShare > 0 && h.opts.Deferrable.Has(ex.site) {
 		request.ZoneTolerance = time.Duration(h.opts.ZoneShare * float64(ex.route.Objective))
 	}
 	service, _ := ex.site.Service(ex.service)
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -49,6 +49,7 @@
 			ex.firstEventTime = now.Sub(started)
 			choice.FirstToken()
 			h.observeFirstEvent(ex, choice)
+			h.recordFirstEvent(ex, choice, ex.firstEventTime)
 		}
 		if !lastEventAt.IsZero() {
 			ex.maxEventGap = max(ex.maxEventGap, now.Sub(lastEventAt))
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -117,6 +117,10 @@
 	OwnPendingTokens int64
 	// ServiceTime is the mean duration of this instance's requests on the member; 0 if unknown.
 	ServiceTime time.Duration
+	// PrefillRate is the prefill rate of the member that the estimate uses, in tokens a second;
+	// IsRateMeasured is set if it was measured for the model.
+	PrefillRate    float64
+	IsRateMeasured bool
 	// IsLastResort is set if the member's zone gets only what no open zone can take.
 	IsLastResort bool
 
