Refuse for a missing grant with 503, not as if the rate were reached

Cause: an entry whose leader is not heard, or whose reply to a sync is late, refused after 500 ms with 429 rate_limited, because mapLimitError mapped every reason but the burst to it, and a wait that ended without a reply counted as the rate. Beside load that turned 8 of 60 responses of TestShutdownTruncatesNoResponse into 429 of a workspace far below its rate.

Change: a refusal names the rate only if the estimate of the central bucket says so. Otherwise the new reason not_granted, and cut_off, answer 503 allowance_not_granted, not run; an instance that leaves answers 503 shutting_down.

--- a/internal/aubentry/error_mapping.go
+++ b/internal/aubentry/error_mapping.go
@@ -55,10 +55,16 @@
 	if !errors.As(err, &refused) {
 		return refuse(problemTimeoutNotRun)
 	}
-	if refused.Reason == aublimit.ReasonBurst {
+	switch refused.Reason {
+	case aublimit.ReasonBurst:
 		return refuse(problemOverBurst)
+	case aublimit.ReasonCutOff, aublimit.ReasonNotGranted:
+		return refuse(problemNotGranted).WithRetryAfter(refused.RetryAfter)
+	case aublimit.ReasonStopped:
+		return refuse(problemShuttingDown).WithRetryAfter(refused.RetryAfter)
+	default:
+		return refuse(problemRateLimited).WithRetryAfter(refused.RetryAfter)
 	}
-	return refuse(problemRateLimited).WithRetryAfter(refused.RetryAfter)
 }
 
 func mapQueueError(err error) error {
--- a/internal/aubentry/problem.go
+++ b/internal/aubentry/problem.go
@@ -48,6 +48,7 @@
 	problemMalformedBody        = newProblemKind("malformed_body", http.StatusBadRequest, "The request body can't be read.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemInvalidRequest       = newProblemKind("invalid_request", http.StatusBadRequest, "The request is not valid.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemRateLimited          = newProblemKind("rate_limited", http.StatusTooManyRequests, "The workspace is over its rate.", aubapi.ExecutionNotRun, time.Second, openAIRateLimit)
+	problemNotGranted           = newProblemKind("allowance_not_granted", http.StatusServiceUnavailable, "The control quorum granted this instance no tokens of the workspace in time.", aubapi.ExecutionNotRun, time.Second, openAIServer)
 	problemOverBurst            = newProblemKind("over_burst", http.StatusBadRequest, "The request needs more tokens than the workspace's burst.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemOverloaded           = newProblemKind("overloaded", http.StatusServiceUnavailable, "The request would not start before its deadline.", aubapi.ExecutionNotRun, time.Second, openAIServer)
 	problemNoBackend            = newProblemKind("no_backend_server", http.StatusServiceUnavailable, "No backend server can run the request now.", aubapi.ExecutionNotRun, 2*time.Second, openAIServer)
--- a/internal/aublimit/error.go
+++ b/internal/aublimit/error.go
@@ -16,6 +16,9 @@
 	ReasonBurst Reason = "exceeds_burst"
 	// ReasonCutOff means that the leader can't be reached and the floor is used up.
 	ReasonCutOff Reason = "cut_off"
+	// ReasonNotGranted means that the leader granted no tokens in time, although the
+	// workspace is not known to exceed its rate.
+	ReasonNotGranted Reason = "not_granted"
 	// ReasonUnknown means that the workspace is not configured.
 	ReasonUnknown Reason = "unknown_workspace"
 	// ReasonStopped means that this instance no longer accepts reservations: it is
--- a/internal/aublimit/limiter_test.go
+++ b/internal/aublimit/limiter_test.go
@@ -71,3 +71,39 @@
 	qt.Assert(t, refused.Reason, qt.Equals, aublimit.ReasonStopped)
 	qt.Assert(t, log.table.HeldTokens("w"), qt.Equals, aublimit.HeldTokens{})
 }
+
+// TestRefusalNamesTheRateOnlyIfItIsReached guards against a workspace that is told to be over
+// its rate because the leader's reply is late.
+func TestRefusalNamesTheRateOnlyIfItIsReached(t *testing.T) {
+	clock := aubtimer.NewManual(time.Unix(0, 0))
+	source := newFakeSource(aubapi.Workspace{Name: "w", Rate: 1000, Burst: 1000}, aubapi.Workspace{Name: "v", Rate: 1000, Burst: 1000})
+	startedAt := clock.Now()
+	log := newFakeLog(source, aublimit.LeaseParams{FloorPerMille: -1}, func() time.Duration { return clock.Now().Sub(startedAt) })
+	l := aublimit.NewManualLimiter(aubcommon.NewCommon(clock), aublimit.LimiterOpts{Instance: "a", Zone: "z", Incarnation: 1, Source: source})
+	refusalOf := func(workspace string, tokens int64) aublimit.Reason {
+		_, waiting, err := l.TryReserve(workspace, tokens)
+		if err == nil {
+			qt.Assert(t, waiting, qt.IsNotNil)
+			clock.Advance(aublimit.DefaultMaxWait)
+			_, err = waiting.Expire()
+		}
+		var refused *aublimit.RefusedError
+		qt.Assert(t, err, qt.ErrorAs, &refused)
+		return refused.Reason
+	}
+	exchange := func() {
+		s, ok := l.PrepareSync()
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, s.HandleReply(log.commit(s.Body())), qt.IsNil)
+	}
+	qt.Assert(t, refusalOf("w", 10), qt.Equals, aublimit.ReasonCutOff)
+	_, _, err := l.TryReserve("w", 900)
+	qt.Assert(t, err, qt.IsNil)
+	exchange()
+	// The first workspace has used up its burst.
+	qt.Assert(t, refusalOf("w", 950), qt.Equals, aublimit.ReasonRate)
+	// The leader is heard, but grants nothing of the other workspace in time.
+	qt.Assert(t, refusalOf("v", 10), qt.Equals, aublimit.ReasonNotGranted)
+	clock.Advance(3 * time.Second)
+	qt.Assert(t, refusalOf("v", 10), qt.Equals, aublimit.ReasonCutOff)
+}
--- a/internal/aublimit/shortage.go
+++ b/internal/aublimit/shortage.go
@@ -23,11 +23,15 @@
 
 // shortageError returns the refusal for tokens that are not available.
 func (l *Limiter) shortageError(a *account, now time.Duration, tokens int64) error {
-	reason := ReasonRate
-	if !l.isTableReachable(now) {
-		reason = ReasonCutOff
+	delay := l.estimateDelay(a, now, tokens)
+	switch {
+	case !l.isTableReachable(now):
+		return refuse(ReasonCutOff, delay)
+	case delay <= 0:
+		// The central bucket holds the tokens, as far as is known here; the reply is late.
+		return refuse(ReasonNotGranted, delay)
 	}
-	return refuse(reason, l.estimateDelay(a, now, tokens))
+	return refuse(ReasonRate, delay)
 }
 
 // estimateDelay returns the estimated time until the tokens are available after
