Count crashes of one request in the order in which they happened

TestUnframedStreamOfACrashedBackendServerClearsNothing: a response without a frame is examined only if its fingerprint is already suspect. If the answer of the second backend server arrives before the first one's crash is noticed, as beside load, the second loss was not reported: a crash stayed counted although the server ran on (1, want 0), and a second crash was not counted (1, want 2). Change: a request that lost a connection before reports its later loss in any case, and only after the earlier one was examined.

--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
@@ -69,17 +70,28 @@
 	switch {
 	case isComplete && !result.isUnframed:
 		reportCompletion()
-	case isComplete && h.opts.Guard.HasSuspect(run.Fingerprints...):
-		// The end of the response may be that of the backend server.
-		h.opts.Crashes.AddLoss(choice.Member, InterruptedRequest{RequestID: ex.call.ID, Run: run, OnRunning: reportCompletion})
+	case isComplete && (len(ex.lostMembers) > 0 || h.opts.Guard.HasSuspect(run.Fingerprints...)):
+		// The end of the response may be that of the backend server. After a lost connection the
+		// fingerprints may become suspect only later.
+		h.reportLoss(ex, choice.Member, InterruptedRequest{RequestID: ex.call.ID, Run: run, OnRunning: reportCompletion})
 	case result.mayHaveArrived && result.failure == aubroute.FailureConnection && ctx.Err() == nil:
-		h.opts.Crashes.AddLoss(choice.Member, InterruptedRequest{RequestID: ex.call.ID, Run: run})
+		h.reportLoss(ex, choice.Member, InterruptedRequest{RequestID: ex.call.ID, Run: run})
 	default:
 		return
 	}
 	ex.isTrial = false
 }
 
+// reportLoss reports a lost connection after the request's earlier one.
+func (h *Handler) reportLoss(ex *exchange, member aubmembership.Member, request InterruptedRequest) {
+	if n := len(ex.lostMembers); n > 0 {
+		h.opts.Crashes.AddLossAfter(ex.lostMembers[n-1], member, request)
+	} else {
+		h.opts.Crashes.AddLoss(member, request)
+	}
+	ex.lostMembers = append(ex.lostMembers, member)
+}
+
 // logFailedAttempt logs an attempt that was not final.
 func (h *Handler) logFailedAttempt(ex *exchange, choice aubroute.Choice, result attemptResult, started time.Time) {
 	now := h.common.Timer.Now()
--- a/internal/aubrelay/crash.go
+++ b/internal/aubrelay/crash.go
@@ -57,6 +57,10 @@
 	startedMs int64
 }
 
+func incarnationOf(member aubmembership.Member) incarnation {
+	return incarnation{backend: member.Announcement.GetName(), startedMs: int64(member.Announcement.GetIncarnation())}
+}
+
 // connectionLoss is what is known of an incarnation since a connection to it was lost.
 type connectionLoss struct {
 	address    string
@@ -67,6 +71,8 @@
 	isQueued    bool
 	hasNewer    bool
 	interrupted []InterruptedRequest
+	// onExamined is called once the examination ends.
+	onExamined []func()
 }
 
 // CrashDetectorOpts configures a crash detector.
@@ -132,7 +138,7 @@
 // AddLoss records a lost connection to a backend server. It does nothing if the backend
 // server has announced its departure.
 func (d *CrashDetector) AddLoss(member aubmembership.Member, request InterruptedRequest) {
-	key := incarnation{backend: member.Announcement.GetName(), startedMs: int64(member.Announcement.GetIncarnation())}
+	key := incarnationOf(member)
 	if d.opts.Registry.Status(key.backend, key.startedMs) == aubregistry.StatusLeaving {
 		return
 	}
@@ -158,16 +164,37 @@
 	d.mu.Unlock()
 }
 
+// AddLossAfter is AddLoss once the loss of the request's earlier connection was examined, so that
+// the two count in the order in which they happened.
+func (d *CrashDetector) AddLossAfter(earlier, member aubmembership.Member, request InterruptedRequest) {
+	add := func() { d.AddLoss(member, request) }
+	d.mu.Lock()
+	loss := d.lossOf[incarnationOf(earlier)]
+	isPending := loss != nil && loss.isQueued
+	if isPending {
+		loss.onExamined = append(loss.onExamined, add)
+	}
+	d.mu.Unlock()
+	if !isPending {
+		add()
+	}
+}
+
 // probe examines a backend server until no connection to it was lost meanwhile.
 func (d *CrashDetector) probe(ctx context.Context, key incarnation) {
 	for {
 		d.mu.Lock()
 		loss := d.lossOf[key]
 		if loss == nil || !loss.hasNewer {
+			var onExamined []func()
 			if loss != nil {
 				loss.isQueued = false
+				onExamined, loss.onExamined = loss.onExamined, nil
 			}
 			d.mu.Unlock()
+			for _, call := range onExamined {
+				call()
+			}
 			return
 		}
 		loss.hasNewer = false
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubsite"
 )
@@ -58,6 +59,8 @@
 	maxEventGap time.Duration
 	// excludedBackends are the backend servers of earlier attempts.
 	excludedBackends []string
+	// lostMembers are the backend servers to which the request lost a connection, in order.
+	lostMembers []aubmembership.Member
 }
 
 // refusalError ends a request with a refusal. The cause err may be nil.
