Keep the registry of control processes over a restart of everything

Change: a control process with a disk writes what it knows of backend servers to its data folder every registry.snapshot_interval, and a departure at once. Relays route to them; a 421 or a refused connection ends the use of one, any message of the server itself replaces it, and a departure known to any process outweighs it. Written and used only if the confirmed configuration has deferrable routes.

Software versions: unconfirmed records note no version, take no streams that are bound to one, and a stream that begins at one is bound to its version only once the same incarnation has registered; until then it is broken off rather than resumed. The director gives unconfirmed engines no orders.

Not yet run with real processes.

--- a/internal/aubmembership/view.go
+++ b/internal/aubmembership/view.go
@@ -26,6 +26,9 @@
 	// ResidentsOutdated is true while the residents are those of an earlier announcement
 	// because pages of the newest list have not arrived yet.
 	ResidentsOutdated bool
+	// Unconfirmed is set if nothing was heard from the member itself since the start of the
+	// process that told of it; it may have been replaced.
+	Unconfirmed bool
 }
 
 // View is an immutable snapshot of all members at one time.
--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -212,7 +212,8 @@
 	known := make(map[string]bool)
 	d.mu.Lock()
 	for _, record := range records {
-		if record.GetState() != aubwire.BackendState_BACKEND_STATE_READY {
+		// The memory of an engine that has not registered since the start is not known.
+		if record.GetState() != aubwire.BackendState_BACKEND_STATE_READY || record.GetUnconfirmedMs() > 0 {
 			continue
 		}
 		known[record.GetId()] = true
--- /dev/null
+++ b/internal/aubprocess/control_snapshot.go
@@ -0,0 +1,41 @@
+package aubprocess
+
+import (
+	"path/filepath"
+
+	"github.com/auburndale/auburndale/internal/aubregistry"
+)
+
+// registrySnapshotFile is the name of the registry's snapshot in the data folder.
+const registrySnapshotFile = "registry_snapshot"
+
+// keepRegistrySnapshots writes snapshots of the registry and uses that of an earlier run, if the
+// settings say so.
+func (c *controller) keepRegistrySnapshots() {
+	interval := c.cfg.Registry.SnapshotInterval.Value()
+	if interval == 0 {
+		return
+	}
+	aubregistry.KeepSnapshots(c.ctx, c.common, aubregistry.SnapshotOpts{
+		Registry:   c.registry,
+		Process:    c.cfg.Name,
+		Path:       filepath.Join(c.cfg.Control.DataDir, registrySnapshotFile),
+		Interval:   interval,
+		Activation: c.snapshotActivation,
+	})
+}
+
+// snapshotActivation reports whether the newest configuration has deferrable routes. It is not
+// known before the state is confirmed and its configuration decoded: the log of an earlier run may
+// end with an older one.
+func (c *controller) snapshotActivation() aubregistry.Activation {
+	site := c.site.Site()
+	revision, _ := c.siteTable.Revision()
+	switch {
+	case !c.confirmed.Load(), site == nil, site.Number() != revision.GetNumber():
+		return aubregistry.ActivationUnknown
+	case site.HasDeferrableRoutes(c.watcher.Settings().Admission.ObjectiveSpread):
+		return aubregistry.ActivationOn
+	}
+	return aubregistry.ActivationOff
+}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -202,6 +202,7 @@
 	})
 	go c.followTable()
 	c.watchDrains()
+	c.keepRegistrySnapshots()
 }
 
 // followTable activates committed configurations in this process until it ends.
--- a/internal/aubregistry/cold.go
+++ b/internal/aubregistry/cold.go
@@ -35,13 +35,17 @@
 	return max(left-now.Sub(e.receivedAt), 0)
 }
 
-// agedRecord returns the record with the time now for which the backend server stays cold.
+// agedRecord returns the record with the times now for which the backend server stays cold and
+// for which an unconfirmed record may be used.
 func (e *entry) agedRecord(now time.Time) *aubwire.BackendRecord {
-	if e.record.GetColdRemainingMs() == 0 {
+	if e.record.GetColdRemainingMs() == 0 && !e.isUnconfirmed() {
 		return e.record
 	}
 	aged := cloneRecord(e.record)
 	aged.ColdRemainingMs = (e.coldLeft(now) + time.Millisecond - 1).Milliseconds()
+	if e.isUnconfirmed() {
+		aged.UnconfirmedMs = max(e.unconfirmedUntil.Sub(now).Milliseconds(), 1)
+	}
 	return aged
 }
 
--- a/internal/aubregistry/error.go
+++ b/internal/aubregistry/error.go
@@ -40,3 +40,21 @@
 func (e *NoConnectionError) Error() string {
 	return "no connection to control process " + e.Address + ": " + e.State
 }
+
+// SnapshotError means that a file holds no snapshot that this process can use.
+type SnapshotError struct {
+	Reason string
+	// Err is the cause; it may be nil.
+	Err error
+}
+
+// Error implements error.
+func (e *SnapshotError) Error() string {
+	if e.Err != nil {
+		return "snapshot " + e.Reason + ": " + e.Err.Error()
+	}
+	return "snapshot " + e.Reason
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Err }
--- a/internal/aubregistry/record.go
+++ b/internal/aubregistry/record.go
@@ -62,6 +62,6 @@
 func sameTopology(a, b *aubwire.BackendRecord) bool {
 	return a != nil && a.GetState() == b.GetState() && a.GetStartedMs() == b.GetStartedMs() &&
 		a.GetAddress() == b.GetAddress() && a.GetService() == b.GetService() && a.GetSoftware() == b.GetSoftware() &&
-		!isColdChange(a, b) && slices.Equal(a.GetUnloading(), b.GetUnloading()) &&
+		!isColdChange(a, b) && (a.GetUnconfirmedMs() > 0) == (b.GetUnconfirmedMs() > 0) && slices.Equal(a.GetUnloading(), b.GetUnloading()) &&
 		slices.EqualFunc(a.GetModels(), b.GetModels(), func(x, y *aubwire.ModelCopy) bool { return proto.Equal(x, y) })
 }
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -55,6 +55,11 @@
 	// isLocal is set if the newest change was made or received by this process itself, not
 	// merged from another control process.
 	isLocal bool
+	// unconfirmedUntil is when an unconfirmed record expires; zero for one that is from the
+	// backend server itself. heardAt is when the backend server had last been heard of, before
+	// the start of the process that kept the record.
+	unconfirmedUntil time.Time
+	heardAt          time.Time
 }
 
 // Registry holds the newest record of each backend server.
@@ -78,6 +83,11 @@
 	// if no registrations are received at all, this process is partitioned and the
 	// backend servers don't count as lost.
 	newestReceivedAt time.Time
+	// departures increases with every change of a record that is not ready.
+	departures uint64
+	// keepsDepartures is set if departures of backend servers that are not known are kept,
+	// because another process may offer unconfirmed records of them.
+	keepsDepartures bool
 	// observe is called with each registration that is applied; nil for none.
 	observe func(record *aubwire.BackendRecord)
 	// view is the cached view, built at viewAt.
@@ -118,9 +128,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stored := r.entries[id]
+	if stored == nil && r.keepsDepartures {
+		r.apply(&aubwire.BackendRecord{Id: id, StartedMs: startedMs, State: aubwire.BackendState_BACKEND_STATE_GONE}, true)
+	}
 	if stored == nil || startedMs != 0 && startedMs < stored.record.GetStartedMs() {
 		return r.version
 	}
+	if stored.isUnconfirmed() {
+		r.endUnconfirmed(stored)
+		return r.version
+	}
 	next := cloneRecord(stored.record)
 	next.State = aubwire.BackendState_BACKEND_STATE_GONE
 	next.Sequence++
@@ -156,10 +173,20 @@
 
 // apply merges one record; the caller holds mu.
 func (r *Registry) apply(record *aubwire.BackendRecord, isLocal bool) {
-	stored := r.entries[record.GetId()]
 	now := r.common.Timer.Now()
-	r.noteSoftware(softwareKey{service: record.GetService(), software: record.GetSoftware()}, now)
-	if stored != nil && !supersedes(record, stored.record) {
+	if record.GetUnconfirmedMs() > 0 {
+		r.applyUnconfirmed(record, isLocal, now)
+		return
+	}
+	stored := r.entries[record.GetId()]
+	if record.GetService() != "" {
+		r.noteSoftware(softwareKey{service: record.GetService(), software: record.GetSoftware()}, now)
+	}
+	if stored != nil && !supersedes(record, stored.record) && !stored.isConfirmedBy(record) {
+		if isUnnamedDeparture(record) && stored.isUnconfirmed() {
+			r.endUnconfirmed(stored)
+			return
+		}
 		r.mergeUnloading(stored, record)
 		r.mergeState(stored, record)
 		if isLocal && record.GetStartedMs() == stored.record.GetStartedMs() && record.GetSequence() == stored.record.GetSequence() {
@@ -183,6 +210,7 @@
 	if previous.GetStartedMs() != record.GetStartedMs() {
 		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
 	}
+	r.noteConfirmed(stored, record, now)
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
 	r.newestReceivedAt = now
 	if r.observe != nil {
@@ -277,6 +305,9 @@
 // mu.
 func (r *Registry) markChanged(e *entry) {
 	r.markRenewed(e)
+	if e.record.GetState() != aubwire.BackendState_BACKEND_STATE_READY {
+		r.departures++
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -287,7 +318,7 @@
 func (r *Registry) evictOutdated(now time.Time) {
 	for id, e := range r.entries {
 		isOutdated := now.Sub(e.receivedAt) > recordRetention
-		if isOutdated && (e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || len(r.entries) > maxRecords) {
+		if isOutdated && (r.isExpired(e) || e.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE || len(r.entries) > maxRecords) {
 			r.endLeaving(e)
 			delete(r.entries, id)
 		}
@@ -332,7 +363,7 @@
 	defer r.mu.Unlock()
 	zones := make(map[string]bool)
 	for _, e := range r.entries {
-		if zone := e.record.GetZone(); zone != "" {
+		if zone := e.record.GetZone(); zone != "" && !e.isUnconfirmed() {
 			zones[zone] = true
 		}
 	}
@@ -352,7 +383,7 @@
 		if !r.isPresent(e) {
 			continue
 		}
-		members = append(members, aubmembership.Member{Announcement: announcementOf(e.record), ReceivedAt: e.receivedAt})
+		members = append(members, aubmembership.Member{Announcement: announcementOf(e.record), ReceivedAt: e.receivedAt, Unconfirmed: e.isUnconfirmed()})
 	}
 	if len(members) != len(r.view.Members()) {
 		r.topologyVersion++
@@ -376,9 +407,10 @@
 }
 
 // isLost reports whether the backend server's registrations stopped while those of others
-// are received, or whether it is suspect; the caller holds mu.
+// are received, whether it is suspect, or whether its unconfirmed record has expired; the
+// caller holds mu.
 func (r *Registry) isLost(e *entry) bool {
-	return r.newestReceivedAt.Sub(e.receivedAt) > r.timeout || e.isSuspected && e.record.GetSequence() <= e.suspectSequence
+	return r.isExpired(e) || r.newestReceivedAt.Sub(e.receivedAt) > r.timeout || e.isSuspected && e.record.GetSequence() <= e.suspectSequence
 }
 
 // IncarnationStatus is what is known of one incarnation of a backend server.
@@ -401,7 +433,7 @@
 	defer r.mu.Unlock()
 	stored := r.entries[id]
 	switch {
-	case stored == nil:
+	case stored == nil, r.isExpired(stored):
 		return StatusLeaving
 	case stored.record.GetStartedMs() > startedMs, stored.isSuperseded:
 		return StatusEnded
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -21,6 +21,7 @@
 func (h *Handler) sendAttempt(ctx context.Context, ex *exchange, choice aubroute.Choice) attemptResult {
 	announcement := choice.Member.Announcement
 	ex.backendID, ex.software = announcement.GetName(), announcement.GetBackend().GetSoftware()
+	ex.backendStartedMs, ex.isUnconfirmed = int64(announcement.GetIncarnation()), choice.Member.Unconfirmed
 	ex.attempts++
 	choice.Started()
 	started := h.common.Timer.Now()
@@ -90,6 +91,7 @@
 		zap.String("software", ex.software),
 		zap.String("address", choice.Member.Announcement.GetAddress()),
 		zap.Uint64("backend_started_ms", choice.Member.Announcement.GetIncarnation()),
+		zap.Bool("unconfirmed", ex.isUnconfirmed),
 		zap.Int64("record_age_ms", now.Sub(choice.Member.ReceivedAt).Milliseconds()),
 		zap.Bool("not_run", result.outcome == outcomeNotRun),
 		zap.Int64("last_event", ex.lastEventID),
@@ -131,6 +133,9 @@
 	switch {
 	case decoded.NotRun:
 		h.dropMissingCopy(ex, decoded)
+		if decoded.Misdirected {
+			h.opts.Registry.RejectUnconfirmed(ex.call.ID, ex.backendID, ex.backendStartedMs)
+		}
 		return attemptResult{outcome: outcomeNotRun, failure: aubroute.FailureRefused, err: &statusError{status: resp.StatusCode}}
 	case decoded.CallID != ex.call.ID:
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &foreignResponseError{callID: decoded.CallID}}
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -48,6 +48,10 @@
 	// backendID is the backend server of the last attempt, software its software version.
 	backendID string
 	software  string
+	// backendStartedMs is when its incarnation started, isUnconfirmed is set if it had not
+	// registered since the start of the control process that told of it.
+	backendStartedMs int64
+	isUnconfirmed    bool
 	// requiredSoftware is the software version that the stream has begun at; none while it
 	// has no events.
 	requiredSoftware auboption.Option[string]
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -132,11 +132,15 @@
 	return nil
 }
 
-// recordStream notes the software version of a stream's first event, at which it must go on.
+// recordStream notes the software version of a stream's first event, at which it must go on. That
+// of an unconfirmed backend server is known only once it has registered.
 func (h *Handler) recordStream(ex *exchange) {
 	if _, isBound := ex.requiredSoftware.Get(); isBound {
 		return
 	}
+	if ex.isUnconfirmed && !h.opts.Registry.IsConfirmed(ex.backendID, ex.backendStartedMs) {
+		return
+	}
 	ex.requiredSoftware = auboption.Some(ex.software)
 	if ex.route.Resumable {
 		h.opts.Streams.Record(ex.call.ID, aubresume.Origin{Service: ex.service, Software: ex.software})
@@ -167,6 +171,8 @@
 	switch {
 	case lastResult.outcome == outcomeFailed && !ex.route.Repeatable():
 		return false
+	case h.isVersionUnknown(ex):
+		return false
 	case lastResult.outcome == outcomeFailed && ex.possibleRuns >= max(ex.route.MaxAttempts, 1):
 		return false
 	case ex.attempts-ex.possibleRuns >= maxUnrunAttempts:
@@ -177,6 +183,17 @@
 	return !lastResult.mayHaveArrived || h.opts.Router.AllowRetry(ex.service)
 }
 
+// isVersionUnknown reports whether a stream has begun at a software version that is not known, so
+// that no other backend server may go on with it.
+func (h *Handler) isVersionUnknown(ex *exchange) bool {
+	if !ex.isUnconfirmed || !ex.headerWritten {
+		return false
+	}
+	h.recordStream(ex)
+	_, isBound := ex.requiredSoftware.Get()
+	return !isBound
+}
+
 // giveUp ends a request after its last attempt. pickErr is set if no backend server was
 // found for another attempt.
 func (h *Handler) giveUp(ctx context.Context, ex *exchange, lastResult attemptResult, pickErr error) error {
--- a/internal/aubroute/collect.go
+++ b/internal/aubroute/collect.go
@@ -233,7 +233,8 @@
 	if !ok || member.Announcement.GetLeaving() || slices.Contains(request.Exclude, name) {
 		return memberCandidate{}, false
 	}
-	if software, isBound := request.Software.Get(); isBound && software != member.Announcement.GetBackend().GetSoftware() {
+	// An unconfirmed member may by now run another version.
+	if software, isBound := request.Software.Get(); isBound && (member.Unconfirmed || software != member.Announcement.GetBackend().GetSoftware()) {
 		return memberCandidate{}, false
 	}
 	if len(request.Regions) > 0 && !r.isInRegions(request.Regions, member.Announcement.GetZone()) {
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -110,6 +110,7 @@
 	HeartbeatInterval Duration `yaml:"heartbeat" doc:"Time between two registrations of a backend server."`
 	ActivationTimeout Duration `yaml:"activation_timeout" doc:"Time from the commit of a complete configuration in which every relay must have it in force. A relay that knows of a newer one for four fifths of it refuses all requests; empty means that it serves on."`
 	DrainTimeout      Duration `yaml:"drain_timeout" doc:"Time from the acknowledgement of an order to drain an availability zone in which requests to its backend servers must end to be sent. In the first half of it, the zone still gets what no other zone can take; 0s means 5s."`
+	SnapshotInterval  Duration `yaml:"snapshot_interval" doc:"Time between two snapshots of the registry in the data folder of a control process. After a restart their backend servers get requests before they have registered again. Used only for configurations with deferrable routes, see admission.objective_spread; 0s writes and uses none."`
 }
 
 // Platform holds the settings of the listeners for health checks and metrics.
