Exchange loads between availability zones as sums

Cause: every relay sends its loads and token counters to every other one, so that the bytes between zones grow with the square of the number of relays.

Change: above membership.direct_peers relays, or above admission.direct_peers where the configuration has deferrable routes, a relay sends its loads only to the relays of its zone. One relay of each zone sends the sums to the other zones, changes within 90 ms and everything every 500 ms, with the token counters of each relay. Receivers take the largest counter of a relay, so that several senders, overtaking and repetition count nothing twice. Each relay sends its own counters to each other one every second. Rate limits go directly as before. Bytes are counted by kind, direction and zone.

--- a/internal/aubmembership/load.go
+++ b/internal/aubmembership/load.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmetric"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -57,20 +58,28 @@
 	// Limits returns the rate limits to report: all, or those that changed since the last
 	// call. Nil reports none.
 	Limits func(isFull bool) []*aubwire.BackendLimit
+	// Zone is the availability zone of this process. IsZoned reports whether the exchange
+	// between zones is aggregated; nil means never.
+	Zone    string
+	IsZoned func() bool
 	// OnPeerLimits is called with the limits that a peer reports.
 	OnPeerLimits func(peer string, incarnation uint64, limits []*aubwire.BackendLimit)
 }
 
 // LoadExchange reports work in flight and token usage between instances within
 // milliseconds. Datagrams hold the changed values; a full report follows every
-// fullLoadInterval.
+// fullLoadInterval. While IsZoned holds, relays of other zones receive the sums of the zone
+// from one sender in it, see zoneSender.
 //
 // Lock order: no other lock is taken while mu is held.
 type LoadExchange struct {
 	common    aubcommon.Common
 	opts      LoadExchangeOpts
-	transport *transport
+	transport datagramTransport
 	counters  counters
+	bytes     *aubmetric.ByteCounters
+	// updates is what was last sent. Only the sending goroutine uses it.
+	updates sentUpdates
 	// changed requests a load update.
 	changed chan struct{}
 	done    chan struct{}
@@ -82,6 +91,33 @@
 	// peerTokensUsed holds the sum of all increases of the peers' counters, by
 	// workspace.
 	peerTokensUsed map[string]int64
+	// peersByID holds the peers by relayID.
+	peersByID map[uint32]*peerState
+	// workspaceNames holds the names of the workspaces by their hashes.
+	workspaceNames map[uint32]string
+	// zones holds the zone that the peer at an address states; peers that state none are not
+	// listed.
+	zones map[netip.AddrPort]string
+	// joined holds the addresses of peers of other zones that have no counters of this
+	// incarnation yet.
+	joined map[netip.AddrPort]bool
+	// zoneSums holds the sums of other zones, by zone and sender.
+	zoneSums map[string]map[string]*zoneSums
+	// isSender is set while this process sends the sums of its zone.
+	isSender bool
+}
+
+// datagramTransport sends datagrams.
+type datagramTransport interface {
+	send(to netip.AddrPort, data []byte) error
+}
+
+// sentUpdates is what an exchange has sent to its peers.
+type sentUpdates struct {
+	sequence   uint64
+	loads      map[string]Load
+	tokensUsed map[string]int64
+	zone       zoneSender
 }
 
 // peerState is the state reported by one peer.
@@ -94,21 +130,14 @@
 	// hasAllCounters is true once all counters of the peer are known: after a full
 	// report, or from the start for a restarted peer, whose counters begin at 0.
 	hasAllCounters bool
+	// zone is the zone that the peer states, empty if it sends its loads to all relays.
+	zone string
 }
 
 // NewLoadExchange listens and sends until ctx is done. Errors are those of the socket.
 func NewLoadExchange(ctx context.Context, common aubcommon.Common, opts LoadExchangeOpts) (*LoadExchange, error) {
-	common = common.WithPart("load")
-	x := &LoadExchange{
-		common:         common,
-		opts:           opts,
-		counters:       newCounters(common.Metrics),
-		changed:        make(chan struct{}, 1),
-		done:           make(chan struct{}),
-		peers:          make(map[string]*peerState),
-		peerTokensUsed: make(map[string]int64),
-	}
-	t, err := newTransport(ctx, common.Log, opts.Listen, x.receive)
+	x := newLoadExchange(common, opts)
+	t, err := newTransport(ctx, x.common.Log, opts.Listen, x.receive)
 	if err != nil {
 		return nil, oops.In("load").Wrapf(err, "listen on %s", opts.Listen)
 	}
@@ -123,6 +152,27 @@
 	return x, nil
 }
 
+// newLoadExchange returns an exchange without a transport.
+func newLoadExchange(common aubcommon.Common, opts LoadExchangeOpts) *LoadExchange {
+	common = common.WithPart("load")
+	return &LoadExchange{
+		common:         common,
+		opts:           opts,
+		counters:       newCounters(common.Metrics),
+		bytes:          aubmetric.NewByteCounters(common.Metrics, kindFull, kindDelta, kindCounters, kindLimits, kindZone, kindRejected),
+		changed:        make(chan struct{}, 1),
+		done:           make(chan struct{}),
+		peers:          make(map[string]*peerState),
+		peerTokensUsed: make(map[string]int64),
+		peersByID:      make(map[uint32]*peerState),
+		workspaceNames: make(map[uint32]string),
+		zones:          make(map[netip.AddrPort]string),
+		joined:         make(map[netip.AddrPort]bool),
+		zoneSums:       make(map[string]map[string]*zoneSums),
+		updates:        sentUpdates{zone: zoneSender{startedAt: common.Timer.Now()}},
+	}
+}
+
 // Done returns a channel that is closed once all goroutines have ended.
 func (x *LoadExchange) Done() <-chan struct{} { return x.done }
 
@@ -150,6 +200,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.peerAddresses = peers
+	maps.DeleteFunc(x.zones, func(address netip.AddrPort, _ string) bool { return !slices.Contains(peers, address) })
+	maps.DeleteFunc(x.joined, func(address netip.AddrPort, _ bool) bool { return !slices.Contains(peers, address) })
 }
 
 // PeerLoad returns the sum of the peers' work in flight on a backend server. Reports
@@ -160,12 +212,13 @@
 	defer x.mu.Unlock()
 	var sum Load
 	for _, peer := range x.peers {
-		if now.Sub(peer.receivedAt) > maxLoadAge {
+		if now.Sub(peer.receivedAt) > maxLoadAge || x.isInZoneSums(now, peer) {
 			continue
 		}
-		load := peer.loads[backend]
-		sum.Requests += load.Requests
-		sum.PrefillTokens += load.PrefillTokens
+		sum = sum.plus(peer.loads[backend])
+	}
+	for zone := range x.zoneSums {
+		sum = sum.plus(x.zoneLoad(now, zone, backend))
 	}
 	return sum
 }
@@ -200,9 +253,7 @@
 
 // run sends changed loads and counters when notified, and full reports on ticks.
 func (x *LoadExchange) run(ctx context.Context, ticks <-chan time.Time) {
-	var sequence uint64
-	sent := make(map[string]Load)
-	sentTokensUsed := make(map[string]int64)
+	var zoneDue <-chan time.Time
 	for {
 		isFull := false
 		select {
@@ -210,34 +261,56 @@
 			return
 		case <-ticks:
 			isFull = true
+		case <-zoneDue:
+			zoneDue = nil
 		case <-x.changed:
 			if aubtimer.Wait(ctx, x.common.Timer, x.sendPause()) != nil {
 				return
 			}
 		}
-		x.sendLimits(isFull)
-		loads := x.opts.Loads()
-		delta := deltaOf(sent, loads, isFull)
-		sent = loads
-		if x.opts.TokensUsed != nil {
-			tokensUsed := x.opts.TokensUsed()
-			delta.Uses = tokenUsesOf(sentTokensUsed, tokensUsed, isFull)
-			sentTokensUsed = tokensUsed
+		x.sendUpdates(isFull)
+		if delay, isDue := x.zoneDelay(); isDue && zoneDue == nil {
+			zoneDue = x.common.Timer.After(ctx, delay)
 		}
-		if !isFull && len(delta.GetLoads())+len(delta.GetUses()) == 0 {
-			continue
-		}
-		sequence++
-		delta.Instance, delta.Incarnation, delta.Sequence = x.opts.Instance, x.opts.Incarnation, sequence
-		x.send(&aubwire.Datagram{Load: delta})
 	}
 }
 
+// sendUpdates sends what changed since the previous call, or everything if isFull is set.
+func (x *LoadExchange) sendUpdates(isFull bool) {
+	x.sendLimits(isFull)
+	u := &x.updates
+	direct, remote := x.splitPeers()
+	// Peers that received sums until now have no loads of this process.
+	isFullDirect := isFull || u.zone.hasLost(remote)
+	loads := x.opts.Loads()
+	delta := deltaOf(u.loads, loads, isFullDirect)
+	u.loads = loads
+	var tokensUsed map[string]int64
+	if x.opts.TokensUsed != nil {
+		tokensUsed = x.opts.TokensUsed()
+		delta.Uses = tokenUsesOf(u.tokensUsed, tokensUsed, isFullDirect)
+		u.tokensUsed = tokensUsed
+	}
+	if isFullDirect || len(delta.GetLoads())+len(delta.GetUses()) > 0 {
+		x.sendDelta(direct, delta)
+	}
+	x.sendToZones(isFull, remote, loads, tokensUsed)
+}
+
+// sendDelta completes a delta and sends it.
+func (x *LoadExchange) sendDelta(peers []netip.AddrPort, delta *aubwire.LoadDelta) {
+	x.updates.sequence++
+	delta.Instance, delta.Incarnation, delta.Sequence = x.opts.Instance, x.opts.Incarnation, x.updates.sequence
+	if x.isZoned() {
+		delta.Zone = x.opts.Zone
+	}
+	x.send(peers, &aubwire.Datagram{Load: delta})
+}
+
 // sendPause returns the minimum time between two load updates.
 func (x *LoadExchange) sendPause() time.Duration {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return time.Duration(max(len(x.peerAddresses), 1)) * pausePerPeer
+	direct, _ := x.splitPeers()
+	return time.Duration(max(len(direct), 1)) * pausePerPeer
 }
 
 // deltaOf returns the loads that changed, with a zero load for those that ended. If
@@ -278,26 +351,29 @@
 	if x.opts.Limits == nil {
 		return
 	}
+	x.mu.Lock()
+	peers := x.peerAddresses
+	x.mu.Unlock()
 	for limits := range slices.Chunk(x.opts.Limits(isFull), maxDatagramLimits) {
-		x.send(&aubwire.Datagram{Limits: &aubwire.LimitDelta{Instance: x.opts.Instance, Incarnation: x.opts.Incarnation, Limits: limits}})
+		x.send(peers, &aubwire.Datagram{Limits: &aubwire.LimitDelta{Instance: x.opts.Instance, Incarnation: x.opts.Incarnation, Limits: limits}})
 	}
 }
 
-// send sends a datagram to all peers.
-func (x *LoadExchange) send(datagram *aubwire.Datagram) {
+// send sends a datagram to the peers.
+func (x *LoadExchange) send(peers []netip.AddrPort, datagram *aubwire.Datagram) {
 	encoded, err := EncodeDatagram(x.opts.Secret, datagram)
 	if err != nil {
 		x.counters.oversize.Inc(1)
 		return
 	}
-	x.mu.Lock()
-	peers := x.peerAddresses
-	x.mu.Unlock()
+	kind := kindOf(datagram)
 	for _, peer := range peers {
 		if err := x.transport.send(peer, encoded); err != nil {
 			// The next full report corrects the peer's state.
 			x.common.Log.Debug("Load datagram not sent.", zap.Stringer("peer", peer), zap.Error(err))
+			continue
 		}
+		x.bytes.Add(kind, aubmetric.Sent, x.peerZone(peer), len(encoded)+datagramOverheadBytes)
 	}
 }
 
@@ -305,16 +381,25 @@
 func (x *LoadExchange) receive(from netip.AddrPort, data []byte) {
 	x.counters.received(len(data))
 	d, err := DecodeDatagram(x.opts.Secret, data)
+	kind := kindRejected
+	if err == nil {
+		kind = kindOf(d)
+	}
+	x.bytes.Add(kind, aubmetric.Received, x.peerZone(from), len(data)+datagramOverheadBytes)
 	if err == nil && d.GetLimits() != nil && x.opts.OnPeerLimits != nil {
 		x.opts.OnPeerLimits(d.GetLimits().GetInstance(), d.GetLimits().GetIncarnation(), d.GetLimits().GetLimits())
 		return
 	}
-	if err != nil || d.GetLoad() == nil {
+	switch {
+	case err == nil && d.GetLoad() != nil:
+		x.applyDelta(from, d.GetLoad())
+	case err == nil && d.GetZoneLoads() != nil:
+		x.applyZoneLoads(d.GetZoneLoads())
+	default:
 		x.counters.rejected.Inc(1)
 		x.common.Log.Debug("Load datagram rejected.", zap.Stringer("from", from), zap.Error(err))
 		return
 	}
-	x.applyDelta(d.GetLoad())
 	if x.opts.OnPeerTokensUsed != nil {
 		x.opts.OnPeerTokensUsed(x.copyPeerTokensUsed())
 	}
@@ -328,25 +413,39 @@
 }
 
 // applyDelta applies a delta unless that or a later one has been applied.
-func (x *LoadExchange) applyDelta(delta *aubwire.LoadDelta) {
+func (x *LoadExchange) applyDelta(from netip.AddrPort, delta *aubwire.LoadDelta) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	peer := x.peers[delta.GetInstance()]
 	if peer == nil || peer.incarnation != delta.GetIncarnation() {
-		peer = newPeerState(peer, delta)
-		x.peers[delta.GetInstance()] = peer
+		previous := peer
+		if previous != nil {
+			// The peer has restarted and knows no counters.
+			delete(x.zones, from)
+		}
+		peer = newPeerState(previous, delta)
+		x.setPeer(delta.GetInstance(), previous, peer)
 	}
 	if delta.GetSequence() <= peer.sequence {
 		return
 	}
 	peer.sequence, peer.receivedAt = delta.GetSequence(), x.common.Timer.Now()
-	if delta.GetWhole() {
+	x.setZone(from, peer, delta.GetZone())
+	if delta.GetWhole() || delta.GetCountersOnly() {
 		clear(peer.loads)
 	}
 	for _, load := range delta.GetLoads() {
 		peer.loads[load.GetId()] = Load{Requests: int(load.GetInFlight()), PrefillTokens: load.GetPrefillTokens()}
 	}
+	for i, hash := range delta.GetUsedWorkspaces() {
+		if i < len(delta.GetUsedTokens()) {
+			x.applyCounter(peer, hash, delta.GetUsedTokens()[i])
+		}
+	}
 	for _, use := range delta.GetUses() {
+		if delta.GetZone() != "" {
+			x.learnNames([]string{use.GetWorkspace()})
+		}
 		x.peerTokensUsed[use.GetWorkspace()] += peer.updateTokensUsed(use)
 	}
 	peer.hasAllCounters = peer.hasAllCounters || delta.GetWhole()
@@ -366,6 +465,10 @@
 // is 0, because its tokens may have been used long ago.
 func (peer *peerState) updateTokensUsed(use *aubwire.TokenUse) int64 {
 	previous, isKnown := peer.tokensUsed[use.GetWorkspace()]
+	if peer.zone != "" && use.GetTokens() < previous {
+		// The counter arrives from several senders, also late.
+		return 0
+	}
 	peer.tokensUsed[use.GetWorkspace()] = use.GetTokens()
 	if !isKnown && !peer.hasAllCounters {
 		return 0
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -75,6 +75,7 @@
 	speeds         *aubspeed.Table
 	loads          *aubmembership.LoadExchange
 	loadsStarted   atomic.Bool
+	zoning         *loadZoning
 	handler        *aubrelay.Handler
 	callerServer   *http.Server
 }
@@ -170,6 +171,7 @@
 	}
 	r.router = router
 	r.drains = r.newDrainView()
+	r.zoning = newLoadZoning(r.cfg, r.site.Site)
 	incarnation := uint64(r.common.Timer.Now().UnixNano())
 	if r.loads, err = aubmembership.NewLoadExchange(r.ctx, r.common, aubmembership.LoadExchangeOpts{
 		Listen:           r.cfg.Membership.Listen.String(),
@@ -180,6 +182,8 @@
 		TokensUsed:       r.limiter.SpentTokens,
 		OnPeerTokensUsed: r.limiter.UpdatePeers,
 		Limits:           r.throttle.Report,
+		Zone:             r.cfg.Zone,
+		IsZoned:          r.zoning.isZoned,
 		OnPeerLimits: func(peer string, incarnation uint64, limits []*aubwire.BackendLimit) {
 			// Datagrams arrive before the exchange is assigned, which the throttle asks.
 			if r.loadsStarted.Load() {
@@ -273,6 +277,7 @@
 // updatePeers passes the addresses and the number of the other relays to the load
 // exchange, the router, which gets its part of the retry slack, and the limiter.
 func (r *relay) updatePeers(peers *aubwire.Peers) {
+	r.zoning.setRelays(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
 	r.speeds.Replace(peers.GetSpeeds())
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -64,6 +64,8 @@
 	Interval Duration  `yaml:"interval" doc:"Time between two announcements."`
 	Timeout  Duration  `yaml:"timeout" doc:"Time without an announcement after which a process counts as lost."`
 	Budget   Size      `yaml:"budget" doc:"Maximum number of bytes that the process sends per second."`
+
+	DirectPeers int `yaml:"direct_peers" doc:"Number of relays above which they exchange their loads between availability zones as sums; 0 means never."`
 }
 
 // Control holds the settings of the replicated state.
@@ -145,6 +147,7 @@
 // Admission holds the settings of admission by objective.
 type Admission struct {
 	ObjectiveSpread float64 `yaml:"objective_spread" doc:"Admission by objective is on for configurations in which the objectives of the routes to one service differ at least by this factor; 0 turns it off."`
+	DirectPeers     int     `yaml:"direct_peers" doc:"Number of relays above which they exchange their loads between availability zones as sums, while admission by objective is on; 0 means that only membership.direct_peers decides."`
 }
 
 // Placement holds the settings of the placement of models and adapters.
