Send only changes on registry streams of large fleets

Cause: each relay sends each control process its whole report every 250 ms, and receives every renewed registration whole and the addresses of all processes as often.

Change: in the fleets whose loads are exchanged as sums, reports list only changed loads, models and engine streams, with all of them every 2 s and first on a stream; a registration that differs only in its sequence becomes a renewal; addresses and peers are sent when they change and every 2 s. Loads still go to all control processes: a new leader plans from the demand that it counted itself. Rate limits, suspects and leaving backend servers stay whole in every report. The client counts bytes by kind and zone.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -212,6 +212,7 @@
 		OnLimits:     r.throttle.MergeStatements,
 		OnZoneDrains: r.drains.Merge,
 		Streams:      streams,
+		IsCompact:    r.zoning.isZoned,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubmetric"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -34,11 +36,20 @@
 	// are reported, maxReportedStreams limits those in one request.
 	streamReportDelay  = 20 * time.Millisecond
 	maxReportedStreams = 256
+	// grpcHeaderBytes is the size of the header that gRPC adds to each message.
+	grpcHeaderBytes = 5
 	// unlistedTimeout is how long the client tries to reach a control process that
 	// neither the settings nor another control process lists.
 	unlistedTimeout = 10 * time.Second
 )
 
+// Kinds of messages in the metrics.
+const (
+	kindRequest  = "registry_request"
+	kindReport   = "registry_report"
+	kindResponse = "registry_response"
+)
+
 // ClientOpts configures a client.
 type ClientOpts struct {
 	// Process is the name of this process. Relay is set if it sends requests to backend
@@ -75,6 +86,8 @@
 	// OnZoneDrains receives the drained zones that a control process states, with a time before
 	// their ages were determined; nil ignores them.
 	OnZoneDrains func(statement *aubwire.ZoneDrains, askedAt time.Time)
+	// IsCompact reports whether only changes are exchanged on the streams; nil means never.
+	IsCompact func() bool
 	// Streams holds the origins to report; nil reports none.
 	Streams *aubresume.Recorder
 }
@@ -89,6 +102,7 @@
 	ctx    context.Context
 	// startedAt is where sent_ms of the requests counts from.
 	startedAt time.Time
+	bytes     *aubmetric.ByteCounters
 
 	mu    sync.Mutex
 	links map[string]*controlLink
@@ -129,6 +143,7 @@
 		links:     make(map[string]*controlLink),
 		announced: make(chan struct{}),
 	}
+	c.bytes = aubmetric.NewByteCounters(c.common.Metrics, kindRequest, kindReport, kindResponse)
 	ticks := common.Timer.Subscribe(ctx, time.Second)
 	c.ensureLinks(opts.Seeds())
 	go func() {
@@ -295,7 +310,7 @@
 	responses := make(chan *aubwire.RegistryResponse)
 	requests := make(chan *aubwire.RegistryRequest, 1)
 	failed := make(chan error, 2)
-	go func() { failed <- c.transferMessages(ctx, conn, requests, responses) }()
+	go func() { failed <- c.transferMessages(ctx, link, conn, requests, responses) }()
 	return c.handleStream(ctx, link, conn, requests, responses, failed)
 }
 
@@ -322,6 +337,7 @@
 	lastReceivedAt := c.common.Timer.Now()
 	ackedVersion := uint64(0)
 	enqueueLatest(requests, c.newRequest(link, ackedVersion, true))
+	mirror := make(recordMirror)
 	streams := newStreamReport(c.opts.Streams)
 	streamsDue := c.common.Timer.After(ctx, streamReportDelay)
 	for {
@@ -335,7 +351,7 @@
 			if c.setConnected(link, conn) {
 				c.common.Log.Info("Control process reached.", zap.String("address", link.address))
 			}
-			c.handleResponse(link, resp)
+			c.handleResponse(link, resp, mirror)
 			if resp.GetUpdate() > ackedVersion {
 				ackedVersion = resp.GetUpdate()
 				enqueueLatest(requests, c.newRequest(link, ackedVersion, false))
@@ -372,7 +388,7 @@
 }
 
 // handleResponse applies the content of one response.
-func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse) {
+func (c *Client) handleResponse(link *controlLink, resp *aubwire.RegistryResponse, mirror recordMirror) {
 	// A relay serves once it knows a backend server; by then it must know what is blocked,
 	// limited and drained.
 	if c.opts.OnPoison != nil {
@@ -384,7 +400,7 @@
 	if drains := resp.GetZoneDrains(); drains != nil && c.opts.OnZoneDrains != nil {
 		c.opts.OnZoneDrains(drains, c.startedAt.Add(time.Duration(drains.GetHeardMs())*time.Millisecond))
 	}
-	c.opts.Registry.Merge(resp.GetRecords())
+	c.opts.Registry.Merge(mirror.expand(resp))
 	c.opts.Registry.MergeSoftware(resp.GetSoftware())
 	c.setAnnounced(link, resp)
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
@@ -432,13 +448,14 @@
 	if c.opts.OnZoneDrains != nil {
 		req.SentMs = c.common.Timer.Now().Sub(c.startedAt).Milliseconds()
 	}
+	req.Compact = c.opts.IsCompact != nil && c.opts.IsCompact()
 	req.WantsPeers = c.opts.OnPeers != nil && c.primary == link.address
 	return req
 }
 
 // transferMessages opens the stream and transfers the messages in both directions.
 func (c *Client) transferMessages(
-	ctx context.Context, conn grpc.ClientConnInterface,
+	ctx context.Context, link *controlLink, conn grpc.ClientConnInterface,
 	requests <-chan *aubwire.RegistryRequest, responses chan<- *aubwire.RegistryResponse,
 ) error {
 	stream, err := aubwire.NewRegistryClient(conn).Watch(ctx)
@@ -446,9 +463,16 @@
 		return err
 	}
 	go func() {
+		var compactor requestCompactor
 		for {
 			select {
 			case req := <-requests:
+				compactor.compact(req, c.common.Timer.Now())
+				kind := kindRequest
+				if req.GetReport() != nil {
+					kind = kindReport
+				}
+				c.bytes.Add(kind, aubmetric.Sent, c.peerZone(link), proto.Size(req)+grpcHeaderBytes)
 				if stream.Send(req) != nil {
 					// Recv below returns the cause.
 					return
@@ -463,6 +487,7 @@
 		if err != nil {
 			return err
 		}
+		c.bytes.Add(kindResponse, aubmetric.Received, c.peerZone(link), proto.Size(resp)+grpcHeaderBytes)
 		select {
 		case responses <- resp:
 		case <-ctx.Done():
@@ -471,6 +496,13 @@
 	}
 }
 
+// peerZone returns whether a control process is known to be in the own or in another zone.
+func (c *Client) peerZone(link *controlLink) aubmetric.PeerZone {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return aubmetric.PeerZoneOf(c.opts.Zone, link.zone)
+}
+
 // enqueueLatest queues a request and replaces one that is still queued. The new one keeps
 // the higher acknowledged version, the streams of both and, if it has no report, the
 // replaced one's.
--- a/internal/aubregistry/load.go
+++ b/internal/aubregistry/load.go
@@ -80,7 +80,10 @@
 		stored.models = make(map[ModelKey]ModelCount)
 	}
 	stored.receivedAt = now
-	stored.loads, stored.limits = report.GetLoads(), report.GetLimits()
+	if isFirst {
+		stored.loads = nil
+	}
+	stored.loads, stored.limits = applyLoads(stored.loads, report), report.GetLimits()
 	for _, m := range report.GetModels() {
 		l.addModel(stored, m, isFirst)
 	}
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -231,7 +231,7 @@
 }
 
 // watcher is the stream of one watching process. The server's mutex guards ackedVersion,
-// lastReceivedAt, heardMs and wantsPeers.
+// lastReceivedAt, heardMs, isCompact and wantsPeers.
 type watcher struct {
 	server  *Server
 	stream  grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]
@@ -256,6 +256,9 @@
 	heardMs    int64
 	// hasSentLimits is set once the known rate limits were sent.
 	hasSentLimits bool
+	// isCompact is set while the process accepts compact answers; the server's mutex guards it.
+	isCompact bool
+	compactor responseCompactor
 }
 
 // receive handles requests until the stream fails.
@@ -284,6 +287,7 @@
 	defer w.server.mu.Unlock()
 	w.lastReceivedAt = w.server.common.Timer.Now()
 	w.wantsPeers = req.GetWantsPeers()
+	w.isCompact = req.GetCompact()
 	w.heardMs = max(w.heardMs, req.GetSentMs())
 	if req.GetAcked() > w.ackedVersion {
 		w.ackedVersion = req.GetAcked()
@@ -312,6 +316,7 @@
 			resp.Software = w.server.opts.Registry.SoftwareSeen()
 		}
 		if isTickDue || len(records) > 0 || newest != w.announcedRevision || len(statuses) > 0 || drains != nil && drains.GetRevision()+1 != w.sentDrains {
+			w.compact(resp)
 			if err := w.stream.Send(resp); err != nil {
 				return err
 			}
@@ -341,6 +346,18 @@
 	}
 }
 
+// compact reduces an answer to what changed if the process accepts that.
+func (w *watcher) compact(resp *aubwire.RegistryResponse) {
+	w.server.mu.Lock()
+	isCompact := w.isCompact
+	w.server.mu.Unlock()
+	if !isCompact {
+		w.compactor.reset()
+		return
+	}
+	w.compactor.compact(resp, w.server.common.Timer.Now())
+}
+
 // poisonChanges returns the changes of the poison table that a relay has not been sent.
 func (w *watcher) poisonChanges() ([]*aubwire.PoisonStatus, uint64, <-chan struct{}) {
 	if !w.isRelay || w.server.opts.Poison == nil {
