--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -78,6 +78,7 @@
 	loadsStarted   atomic.Bool
 	// knownRelays is the number of relays that a control process last stated.
 	knownRelays  atomic.Int32
+	zoning       *loadZoning
 	handler      *aubrelay.Handler
 	callerServer *http.Server
 }
@@ -175,6 +176,7 @@
 	}
 	r.router = router
 	r.drains = r.newDrainView()
+	r.zoning = newLoadZoning(r.cfg, r.site.Site)
 	incarnation := uint64(r.common.Timer.Now().UnixNano())
 	if r.loads, err = aubmembership.NewLoadExchange(r.ctx, r.common, aubmembership.LoadExchangeOpts{
 		Listen:           r.cfg.Membership.Listen.String(),
@@ -185,6 +187,8 @@
 		TokensUsed:       r.limiter.SpentTokens,
 		OnPeerTokensUsed: r.limiter.UpdatePeers,
 		Limits:           r.throttle.Report,
+		Zone:             r.cfg.Zone,
+		IsZoned:          r.zoning.isZoned,
 		OnPeerLimits: func(peer string, incarnation uint64, limits []*aubwire.BackendLimit) {
 			// Datagrams arrive before the exchange is assigned, which the throttle asks.
 			if r.loadsStarted.Load() {
@@ -213,6 +217,7 @@
 		OnLimits:     r.throttle.MergeStatements,
 		OnZoneDrains: r.drains.Merge,
 		Streams:      streams,
+		IsCompact:    r.zoning.isZoned,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
 	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
@@ -292,6 +297,7 @@
 // updatePeers passes the addresses and the number of the other relays to the load
 // exchange, the router, which gets its part of the retry slack, and the limiter.
 func (r *relay) updatePeers(peers *aubwire.Peers) {
+	r.zoning.setRelays(int(max(peers.GetKnownInstances(), peers.GetInstances()+1)))
 	r.loads.SetPeers(peers.GetLoadAddresses())
 	r.knownRelays.Store(peers.GetInstances() + 1)
 	r.router.SetRetryBurst(relayRetryShare * float64(r.cfg.Routing.RetrySlack) / float64(peers.GetInstances()+1))
