--- a/internal/aubadmission/decide.go
+++ b/internal/aubadmission/decide.go
@@ -98,7 +98,7 @@
 
 // isIdle reports whether nothing waits on the server and a place is free.
 func (s Server) isIdle() bool {
-	return !(s.IsBlind && s.IsKnown) && s.PendingTokens == 0 && s.hasPlace() && (s.Slots > 0 || s.InFlight == 0)
+	return (!s.IsBlind || !s.IsKnown) && s.PendingTokens == 0 && s.hasPlace() && (s.Slots > 0 || s.InFlight == 0)
 }
 
 // hasPlace reports whether a request would run at once.
