--- a/internal/aubspeed/prefill_aggregator.go
+++ b/internal/aubspeed/prefill_aggregator.go
@@ -24,10 +24,10 @@
 	minModelSamples  = 20
 	minEngineSamples = 8
 	// maxFitPoints limits the points of one model's fit.
-	maxFitPoints = 512
+	maxFitPoints = 256
 	// pairWeight is the number of samples of a model on an engine at which their own deviation
 	// from the product of model and engine counts by half.
-	pairWeight = 128
+	pairWeight = 64
 	// fitRounds is the number of times that models and engines are fitted in turn at first.
 	fitRounds = 4
 	// maxFactor limits the factor of an engine upwards, its inverse downwards.
@@ -37,8 +37,9 @@
 	// confirmations is the number of computations in a row that must show a lower rate
 	// before it is announced: overload looks like a lower rate, but nothing like a higher one.
 	confirmations = 2
-	// prefillInterval is the time between two computations of the prefill rates.
-	prefillInterval = 2 * time.Second
+	// prefillInterval is the time between two computations of the prefill rates, which take 40 ms
+	// for 40 engines with 40 models.
+	prefillInterval = 4 * time.Second
 )
 
 // pair identifies a model on an engine; the zero engine stands for an engine of usual speed.
@@ -97,6 +98,8 @@
 	// on an engine with factor 1. They are the start of the next computation.
 	factors map[Engine]float64
 	lines   map[string]prefillLine
+	// constants are the seconds that the lines give a prompt without tokens.
+	constants map[string]float64
 
 	announced map[pair]*announcedRate
 	// version is increased with each change of announced; 0 while nothing was announced.
@@ -110,6 +113,7 @@
 	return &prefillRates{
 		orders: make(map[Engine]*engineOrder), samples: make(map[pair]*prefillSamples), factors: make(map[Engine]float64),
 		lines: make(map[string]prefillLine), announced: make(map[pair]*announcedRate),
+		constants: make(map[string]float64),
 	}
 }
 
@@ -198,6 +202,7 @@
 			if line, ok := r.lines[key.model]; ok && !scaled[key.model] {
 				scaled[key.model] = true
 				r.lines[key.model] = line.scaled(1 / middle)
+				r.constants[key.model] = r.lines[key.model].constants[0]
 			}
 		}
 	}
@@ -211,12 +216,13 @@
 		factor := r.factorOrOne(key.engine)
 		own := r.samples[key].points
 		for _, p := range own[max(len(own)-limit, 0):] {
-			p.seconds *= factor
+			p.seconds = p.seconds*factor + r.constants[p.after]
 			points = append(points, p)
 		}
 	}
 	if len(points) >= minModelSamples {
 		r.lines[model] = fitLine(points)
+		r.constants[model] = r.lines[model].constants[0]
 	}
 }
 
@@ -230,19 +236,20 @@
 // factorOf returns how much faster than the lines the pairs' first events come; false while there
 // are too few samples.
 func (r *prefillRates) factorOf(pairs []pair) (float64, bool) {
-	var ratios []float64
+	var ratios []weightedRatio
 	for _, key := range pairs {
 		if line, ok := r.lines[key.model]; ok {
 			for _, p := range r.samples[key].points {
-				ratios = append(ratios, p.seconds/line.at(p))
+				expected := line.at(p)
+				seconds := p.seconds + r.constants[p.after]/r.factorOrOne(key.engine)
+				ratios = append(ratios, weightedRatio{value: seconds / expected, weight: expected})
 			}
 		}
 	}
 	if len(ratios) < minEngineSamples {
 		return 1, false
 	}
-	slices.Sort(ratios)
-	return min(max(1/quantileOf(ratios, fitQuantile), 1/maxFactor), maxFactor), true
+	return min(max(1/weightedQuantile(ratios, factorQuantile), 1/maxFactor), maxFactor), true
 }
 
 // rates returns the rate of each measured model, and of each of its pairs on a measured engine.
@@ -290,6 +297,12 @@
 		changed = r.announce(key, rates[key], log) || changed
 	}
 	if changed {
+		// All rates are sent again, so that small changes cost nothing more.
+		for key, a := range r.announced {
+			if math.Abs(rates[key]/a.perSecond-1) <= rateStep {
+				a.perSecond = rates[key]
+			}
+		}
 		r.version++
 		r.wire = r.toWire()
 	}
@@ -306,6 +319,7 @@
 	switch {
 	case a.perSecond > 0 && perSecond < a.perSecond*(1-rateStep):
 		if a.lower++; a.lower < confirmations {
+			r.isChanged = true
 			return false
 		}
 	case perSecond <= a.perSecond*(1+rateStep):
--- a/internal/aubspeed/prefill_fit.go
+++ b/internal/aubspeed/prefill_fit.go
@@ -1,15 +1,17 @@
 package aubspeed
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
 
 const (
-	// fitQuantile is the share of the first events that may come earlier than the fitted time.
-	// Waiting, and tokens that are not cached as assumed, only lengthen the times, so that
-	// the early events show the engine's own rate.
-	fitQuantile = 0.3
+	// fitQuantile is the share of the times that may be shorter than the fitted line of a model,
+	// factorQuantile that of an engine. Unknown waiting, and tokens that are not cached as
+	// assumed, lengthen the times; only a first event before that was seen late shortens them.
+	fitQuantile    = 0.25
+	factorQuantile = 0.35
 	// fitSteps is the number of steps of the search for the slope; each narrows the range to
 	// goldenShare of it, all together to 0.1% of the slope.
 	fitSteps    = 18
@@ -25,9 +27,10 @@
 // prefillPoint is one prompt: its tokens and the seconds to its first event.
 type prefillPoint struct {
 	tokens, seconds float64
-	// waited is set if the seconds begin with the first event of the prompt before. They then
-	// don't contain the time of the first output tokens, which that one's contained as well.
-	waited bool
+	// after is the model of the prompt before if the seconds begin with that one's first event;
+	// empty if the prompt did not wait. The engine has then begun with it earlier: the first event
+	// holds output tokens that follow the prefill.
+	after string
 }
 
 // prefillLine is the expected time to the first event of a model.
@@ -45,10 +48,10 @@
 
 // group returns the index of the prompt's constant.
 func (p prefillPoint) group() int {
-	if p.waited {
-		return 1
+	if p.after == "" {
+		return 0
 	}
-	return 0
+	return 1
 }
 
 // scaled returns the line of an engine that takes the factor of the time.
@@ -132,3 +135,23 @@
 func quantileOf(sorted []float64, q float64) float64 {
 	return sorted[int(q*float64(len(sorted)-1)+0.5)]
 }
+
+// weightedRatio is a measured time divided by the expected one, which is its weight: waiting
+// changes the ratio of long prompts less.
+type weightedRatio struct{ value, weight float64 }
+
+// weightedQuantile returns the ratio below which the share q of the weights is. There is at least
+// one ratio; they are sorted in place.
+func weightedQuantile(ratios []weightedRatio, q float64) float64 {
+	slices.SortFunc(ratios, func(a, b weightedRatio) int { return cmp.Compare(a.value, b.value) })
+	var sum, below float64
+	for _, r := range ratios {
+		sum += r.weight
+	}
+	for _, r := range ratios {
+		if below += r.weight; below >= q*sum {
+			return r.value
+		}
+	}
+	return ratios[len(ratios)-1].value
+}
--- a/internal/aubspeed/prefill_order.go
+++ b/internal/aubspeed/prefill_order.go
@@ -55,12 +55,12 @@
 		done++
 		// Of a prompt that a later one has overtaken, a part may have been read before.
 		isInOrder := !e.startedAt.Before(o.last.startedAt)
-		from, waited := e.startedAt, o.last.seenAt.After(e.startedAt)
-		if waited {
-			from = o.last.seenAt
+		from, after := e.startedAt, ""
+		if o.last.seenAt.After(from) {
+			from, after = o.last.seenAt, o.last.model
 		}
 		if alone := e.seenAt.Sub(from); isInOrder && e.tokens >= minPrefillTokens && alone > 0 {
-			visit(e.model, prefillPoint{tokens: float64(e.tokens), seconds: alone.Seconds(), waited: waited})
+			visit(e.model, prefillPoint{tokens: float64(e.tokens), seconds: alone.Seconds(), after: after})
 		}
 		o.last = e
 	}
