Let a relay that starts wait for a certain statement of drained zones

Cause: a control process that is cut off or was suspended stated the drained zones that it knew as if they were certain, so that a relay which started then could open a zone that was drained meanwhile.

Change: a statement says how long ago at most a quorum confirmed the state (confirmed_ago_ms; control processes confirm every 250 ms, and once before their first statement). A relay without any statement takes one of up to 1 s at once. It waits 1 s for a certain one of another control process before it takes an older one, since it would otherwise refuse everything.

Not measured: a cut-off control process beside a starting relay with real processes.

--- a/internal/aubdrain/table.go
+++ b/internal/aubdrain/table.go
@@ -155,6 +155,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	statement := &aubwire.ZoneDrains{Revision: t.revision}
+	if !t.confirmedAt.IsZero() {
+		statement.ConfirmedAgoMs = proto.Int64(ceilMilliseconds(now.Sub(t.confirmedAt)))
+	}
 	for zone, o := range t.orders {
 		if !o.drained {
 			continue
--- a/internal/aubdrain/view.go
+++ b/internal/aubdrain/view.go
@@ -20,6 +20,15 @@
 // for its connection.
 const lastResortShare = 0.5
 
+const (
+	// maxCertainAge is the age of a statement up to which a relay without one takes it at once.
+	// A control process confirms its state every 250 ms, so an older state is that of one which is
+	// cut off, was suspended or is slow.
+	maxCertainAge = time.Second
+	// uncertainWait is how long a relay waits for a certain statement of another control process.
+	uncertainWait = time.Second
+)
+
 // Eligibility tells whether the backend servers of a zone may get requests.
 type Eligibility int
 
@@ -70,6 +79,8 @@
 	state atomic.Pointer[viewState]
 
 	mu sync.Mutex
+	// uncertainSince is when the first statement of uncertain age arrived; zero before.
+	uncertainSince time.Time
 	// changed is closed at the next change of the drained zones.
 	changed chan struct{}
 }
@@ -100,6 +111,10 @@
 		v.mu.Unlock()
 		return
 	}
+	if held == nil && v.awaitsCertainty(statement) {
+		v.mu.Unlock()
+		return
+	}
 	next := &viewState{revision: statement.GetRevision(), drains: make(map[string]viewDrain, len(statement.GetDrains())), statedAt: v.common.Timer.Now()}
 	for _, stated := range statement.GetDrains() {
 		next.drains[stated.GetZone()] = held.merge(stated, askedAt)
@@ -114,6 +129,28 @@
 	}
 }
 
+// awaitsCertainty reports whether a first statement is left out because its sender may be cut off
+// and another control process may know better; the caller holds mu. Without any other the relay
+// takes it after uncertainWait, since it would otherwise refuse everything.
+func (v *View) awaitsCertainty(statement *aubwire.ZoneDrains) bool {
+	age := time.Duration(statement.GetConfirmedAgoMs()) * time.Millisecond
+	if age <= maxCertainAge {
+		return false
+	}
+	now := v.common.Timer.Now()
+	isFirst := v.uncertainSince.IsZero()
+	if isFirst {
+		v.uncertainSince = now
+	}
+	waited := now.Sub(v.uncertainSince)
+	isWaiting := waited < uncertainWait
+	if isFirst || !isWaiting {
+		v.common.Log.Warn("Statement of drained zones is not certain.", zap.Uint64("revision", statement.GetRevision()),
+			zap.Int64("confirmed_ago_ms", age.Milliseconds()), zap.Int64("waited_ms", waited.Milliseconds()), zap.Bool("is_taken", !isWaiting))
+	}
+	return isWaiting
+}
+
 // merge returns the drain that a control process states, with the latest time before its
 // commit that any has stated. The state may be nil.
 func (s *viewState) merge(stated *aubwire.ZoneDrain, askedAt time.Time) viewDrain {
--- a/internal/aubdrain/view_test.go
+++ b/internal/aubdrain/view_test.go
@@ -138,3 +138,34 @@
 	}
 	qt.Assert(t, logs.FilterMessage("Requests run in a drained zone.").All()[0].ContextMap()["requests"], qt.Equals, int64(3))
 }
+
+// TestRelayWithoutStatementAwaitsACertainOne guards against a control process that is cut off and
+// opens a zone which was drained meanwhile to a relay that starts, and against a relay that serves
+// nothing since it reaches no other control process.
+func TestRelayWithoutStatementAwaitsACertainOne(t *testing.T) {
+	uncertain := func() *aubwire.ZoneDrains {
+		s := statement(0, 0, 0)
+		s.ConfirmedAgoMs = proto.Int64(1001)
+		return s
+	}
+	certain := statement(5, 5, time.Hour)
+	certain.ConfirmedAgoMs = proto.Int64(1000)
+
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	view := aubdrain.NewView(aubcommon.NewCommon(timer), aubdrain.ViewOpts{})
+	view.Merge(uncertain(), timer.Now())
+	timer.Advance(900 * time.Millisecond)
+	view.Merge(uncertain(), timer.Now())
+	qt.Assert(t, view.HasStatement(), qt.IsFalse)
+	view.Merge(certain, timer.Now())
+	qt.Assert(t, view.Eligibility("a", timer.Now()), qt.Equals, aubdrain.EligibilityClosed)
+	timer.Advance(time.Minute)
+	view.Merge(uncertain(), timer.Now())
+	qt.Assert(t, view.Eligibility("a", timer.Now()), qt.Equals, aubdrain.EligibilityClosed)
+
+	alone := aubdrain.NewView(aubcommon.NewCommon(timer), aubdrain.ViewOpts{})
+	alone.Merge(uncertain(), timer.Now())
+	timer.Advance(time.Second)
+	alone.Merge(uncertain(), timer.Now())
+	qt.Assert(t, alone.Eligibility("a", timer.Now()), qt.Equals, aubdrain.EligibilityOpen)
+}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -236,6 +236,8 @@
 func (c *controller) awaitReady() {
 	for c.ctx.Err() == nil {
 		if err := c.replica.WaitReady(c.ctx); err == nil {
+			// The first statement of drained zones is certain to relays.
+			c.confirmDrains()
 			c.confirmed.Store(true)
 			c.health.ready.Store(true)
 			c.common.Log.Info("Control process is ready.", zap.Any("status", c.replica.Status()))
