Let replicas vote at once after an outage that outlasted every lease

Cause: the log of a restart of everything shows 0.4 s without any message, as no replica votes for an election timeout after its start, and up to 0.1 s of the random delay after it. The wait protects a leader's lease that may depend on an acknowledgement from before the start.

Change: while the configuration has deferrable routes, a replica keeps in its data folder until when it may have acknowledged a leader, on the monotonic clock of the machine's boot, extended before the acknowledgement. A replica whose record is an election timeout old when it starts votes at once and repeats its pre-vote every 1/8 to 1/4 of a timeout. A regular end removes the record. Without a record all is as before.

--- a/internal/aubconsensus/election.go
+++ b/internal/aubconsensus/election.go
@@ -71,6 +71,7 @@
 	}
 	n.leaderContactAt = n.now()
 	n.resetElectionDeadline()
+	n.keepContact()
 }
 
 // startPreVote asks the voters whether this member could win an election,
@@ -80,6 +81,7 @@
 	n.leaderID = ""
 	n.preVotes = map[string]bool{n.self.GetDiskId(): true}
 	n.resetElectionDeadline()
+	n.repeatPreVoteEarly()
 	if n.log.membership().hasQuorum(n.hasPreVote) {
 		n.startElection(false)
 		return
--- a/internal/aubconsensus/leader.go
+++ b/internal/aubconsensus/leader.go
@@ -126,6 +126,8 @@
 	if now.Sub(l.broadcastAt) >= n.opts.Heartbeat {
 		l.broadcastPending = true
 	}
+	// A leader acknowledges no other, but a record from before its election may be missing.
+	n.keepContact()
 	n.tickTransfer(now)
 }
 
--- a/internal/aubconsensus/node.go
+++ b/internal/aubconsensus/node.go
@@ -57,6 +57,12 @@
 	// lease depends on that.
 	leaderContactAt time.Time
 	startedAt       time.Time
+	// contactUntil is the end of the contact record that this run has written; zero for none.
+	// isContactCleared is set once this run has removed the record.
+	contactUntil     time.Time
+	isContactCleared bool
+	// startsEarly is set if the contact with a leader was known to be over at the start.
+	startsEarly bool
 	// preVotes holds the disk ids that granted the current pre-vote.
 	preVotes map[string]bool
 	// votes holds the disk ids that granted a vote in the term; it is nil unless this
@@ -130,11 +136,8 @@
 	}
 	n.commit = n.log.snapIndex
 	n.applied = n.log.snapIndex
-	// The leader may still hold a lease that depends on a message acknowledged
-	// before the restart.
 	n.startedAt = n.now()
-	n.leaderContactAt = n.startedAt
-	n.resetElectionDeadline()
+	n.loadContact()
 	if n.isSoleVoter() {
 		n.electionDeadline = n.now()
 	}
@@ -247,6 +250,7 @@
 		n.common.Log.Error("Replica stopped after a failure of its storage or state machine.", zap.Error(err))
 	}
 	n.failPendingProposals()
+	n.closeContact(err == nil)
 	// The disk is closed before done, because a caller that waits for done may
 	// open the data folder next.
 	_ = n.opts.Disk.Close()
--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -101,6 +101,11 @@
 	// KeepEntries is the number of entries kept before a snapshot for slow
 	// followers.
 	KeepEntries uint64
+	// Contacts keeps the time of the last contact with a leader over a restart, so that a member
+	// need not wait for an election timeout before it votes; nil keeps none. It is extended while
+	// KeepsContacts returns true.
+	Contacts      ContactRecord
+	KeepsContacts func() bool
 	// Rand draws the election timeouts; nil means a generator with a random
 	// seed.
 	Rand *rand.Rand
--- a/internal/aubcontrol/opts.go
+++ b/internal/aubcontrol/opts.go
@@ -41,6 +41,9 @@
 	// ApplyTimeout limits an Apply or Confirm whose context has no deadline;
 	// zero means 10 s.
 	ApplyTimeout time.Duration
+	// KeepsContacts reports whether the time of the last contact with a leader is kept over a
+	// restart, so that the replica may vote at once after an outage; nil means never.
+	KeepsContacts func() bool
 }
 
 // Status is a replica's view of itself and its site.
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -60,6 +60,11 @@
 	if opts.ElectionTimeout == 0 {
 		opts.ElectionTimeout = aubconsensus.DefaultElectionTimeout
 	}
+	contacts, err := openContacts(opts)
+	if err != nil {
+		_ = disk.Close()
+		return nil, &StorageError{Err: err}
+	}
 	node, err := aubconsensus.NewNode(ctx, common, aubconsensus.Opts{
 		Self:            aubconsensus.Peer{Name: opts.Member, Address: opts.Address},
 		Voters:          toConsensusPeers(opts.Voters),
@@ -71,9 +76,14 @@
 		Machine:         machine,
 		ElectionTimeout: opts.ElectionTimeout,
 		Heartbeat:       opts.Heartbeat,
+		Contacts:        contacts,
+		KeepsContacts:   opts.KeepsContacts,
 	})
 	if err != nil {
 		_ = disk.Close()
+		if contacts != nil {
+			_ = contacts.Close()
+		}
 		return nil, &StorageError{Err: err}
 	}
 	r := &Replica{
@@ -87,6 +97,15 @@
 	return r, nil
 }
 
+// openContacts opens the contact record; nil if none is kept. A record of an earlier run that is not
+// kept up to date is removed.
+func openContacts(opts ReplicaOpts) (aubconsensus.ContactRecord, error) {
+	if opts.KeepsContacts == nil {
+		return nil, aubstore.RemoveContactFile(opts.DataDir)
+	}
+	return aubstore.OpenContactFile(opts.DataDir)
+}
+
 // Register registers the replica's services on a gRPC server.
 func (r *Replica) Register(s grpc.ServiceRegistrar) {
 	aubwire.RegisterControlServer(s, &controlService{replica: r})
--- a/internal/aubprocess/control_snapshot.go
+++ b/internal/aubprocess/control_snapshot.go
@@ -39,3 +39,12 @@
 	}
 	return aubregistry.ActivationOff
 }
+
+// keepsContacts returns the function that tells whether the replica keeps the time of its last
+// contact with a leader; nil if the settings turn deferrable routes off.
+func (c *controller) keepsContacts() func() bool {
+	if c.cfg.Admission.ObjectiveSpread == 0 {
+		return nil
+	}
+	return func() bool { return c.snapshotActivation() == aubregistry.ActivationOn }
+}
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -146,6 +146,7 @@
 		Dial:            c.transport.Dial,
 		Heartbeat:       c.cfg.Control.HeartbeatInterval.Value(),
 		ElectionTimeout: c.cfg.Control.ElectionTimeout.Value(),
+		KeepsContacts:   c.keepsContacts(),
 	})
 	if err != nil {
 		return err
