Bound what callers hold that do not read their responses

Cause: a plain response was written without a deadline, so a caller that reads nothing held its buffer of 1 MiB and a run at a backend server for as long as it liked; nothing bounded the sum over all callers.

Change: at relays whose configuration has deferrable routes, responses are written in parts of 4 KiB, each within caller.write_timeout (template: 2 s, at least the pause objective of the route). Bytes that callers have not accepted count against caller.max_unread (template: 24 MiB); near the bound the responses without progress for the longest time end first. Other deployments are served as before, streams with the deadline of 5 s for an event.

The platform's templates name no memory limit, so the bound is a fixed size.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -229,6 +229,9 @@
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
 		Dial: DialBackend,
+		Writes: aubrelay.WriteOpts{
+			Timeout: r.cfg.Caller.WriteTimeout.Value(), MaxUnread: r.cfg.Caller.MaxUnread.Bytes(), ObjectiveSpread: r.cfg.Admission.ObjectiveSpread,
+		},
 	})
 	return nil
 }
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -111,9 +111,12 @@
 func (h *Handler) finish(ex *exchange, err error) {
 	var refusedErr *refusalError
 	var disconnected *disconnectedError
+	var slow *slowCallerError
 	outcome := "answered"
 	switch {
 	case err == nil:
+	case errors.As(err, &slow):
+		outcome = "caller_too_slow"
 	case errors.As(err, &disconnected):
 		outcome = "caller_left"
 	case ex.headerWritten:
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -407,6 +407,11 @@
 
 // newRelayFixtureWithSoftware starts a relay and backend servers with the software versions.
 func newRelayFixtureWithSoftware(t *testing.T, versions map[string]string) *relayFixture {
+	return newRelayFixtureWithWrites(t, versions, aubrelay.WriteOpts{})
+}
+
+// newRelayFixtureWithWrites also bounds what slow callers hold.
+func newRelayFixtureWithWrites(t *testing.T, versions map[string]string, writes aubrelay.WriteOpts) *relayFixture {
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	fixture := &relayFixture{
 		t: t, backends: make(map[string]*backend), site: &siteSource{site: newSite(t)},
@@ -448,7 +453,7 @@
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dial, OnCrash: guard.ReportCrash,
 		}),
-		Dial: fixture.dial,
+		Dial: fixture.dial, Writes: writes,
 	})
 	fixture.server = httptest.NewServer(fixture.handler)
 	t.Cleanup(fixture.server.Close)
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -79,6 +79,8 @@
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Writes bounds what slow callers hold.
+	Writes WriteOpts
 }
 
 // Handler serves the HTTP requests of callers.
@@ -87,8 +89,11 @@
 	opts      HandlerOpts
 	transport http.RoundTripper
 	metrics   metrics
-	inFlight  atomic.Int64
-	startedAt time.Time
+	unread    *unreadBytes
+	// activation is that of the configuration of the last response.
+	activation atomic.Pointer[siteActivation]
+	inFlight   atomic.Int64
+	startedAt  time.Time
 	// shutdownAt is when the process shuts down; nil before Drain.
 	shutdownAt atomic.Pointer[time.Time]
 }
@@ -102,6 +107,7 @@
 		transport: newTransport(opts.Dial),
 		startedAt: common.Timer.Now(),
 		metrics:   newMetrics(common.Metrics),
+		unread:    newUnreadBytes(opts.Writes.MaxUnread),
 	}
 }
 
--- a/internal/aubrelay/plain.go
+++ b/internal/aubrelay/plain.go
@@ -46,6 +46,9 @@
 	ex.status = resp.status
 	ex.headerWritten = true
 	ex.writer.WriteHeader(resp.status)
+	if writer := h.newCallerWriter(ex); writer.isBounded() {
+		return writer.writePlain(resp)
+	}
 	if _, err := ex.writer.Write(resp.body); err != nil {
 		return &disconnectedError{err: err}
 	}
@@ -58,6 +61,20 @@
 	return nil
 }
 
+// writePlain writes the buffered part of a response and the remainder.
+func (w *callerWriter) writePlain(resp *plainResponse) error {
+	if err := w.write(resp.body, false); err != nil {
+		return &disconnectedError{err: err}
+	}
+	if resp.isComplete {
+		return nil
+	}
+	if err := w.copyFrom(resp.remainder); err != nil {
+		return &incompleteResponseError{err: err}
+	}
+	return nil
+}
+
 // copyHeader copies all but the hop-by-hop headers.
 func copyHeader(to, from http.Header) {
 	header := from.Clone()
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -26,7 +26,7 @@
 // events, so that another backend server can resume a stream that fails.
 func (h *Handler) relayStream(ex *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) attemptResult {
 	events := newEventReader(resp.Body)
-	controller := http.NewResponseController(ex.writer)
+	writer := h.newCallerWriter(ex)
 	var lastEventAt time.Time
 	var pauses aubspeed.Pauses
 	defer func() { h.recordPauses(ex, choice, &pauses) }()
@@ -56,11 +56,7 @@
 		lastEventAt = now
 		h.recordStream(ex)
 		h.writeStreamHeader(ex, resp)
-		_ = controller.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-		if _, err := ex.writer.Write(event.data); err != nil {
-			return attemptResult{outcome: outcomeFinal, failure: aubroute.FailureCanceled, err: &disconnectedError{err: err}}
-		}
-		if err := controller.Flush(); err != nil {
+		if err := writer.writeEvent(event.data); err != nil {
 			return attemptResult{outcome: outcomeFinal, failure: aubroute.FailureCanceled, err: &disconnectedError{err: err}}
 		}
 		if event.hasID {
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -93,7 +93,8 @@
 	MaxBody        Size     `yaml:"max_body" doc:"Maximum size of a request body."`
 	RequestTimeout Duration `yaml:"request_timeout" doc:"Maximum duration of a request."`
 	QueueTimeout   Duration `yaml:"queue_timeout" doc:"Maximum time that a request waits for a backend server."`
-	WriteTimeout   Duration `yaml:"write_timeout" doc:"Maximum time that a caller may take to accept one part of a response."`
+	WriteTimeout   Duration `yaml:"write_timeout" doc:"Maximum time that a caller may take to accept one part of a response. At a relay it applies only to configurations with deferrable routes, see admission.objective_spread, and is not below the pause objective of the route."`
+	MaxUnread      Size     `yaml:"max_unread" doc:"Maximum number of bytes of responses in a relay that callers have not accepted; the slowest responses are ended first. It applies like write_timeout at a relay; 0B sets no bound."`
 }
 
 // Admin holds the settings of the listener for operators.
