--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -232,7 +232,6 @@
 		Guard:             guard,
 		Throttle:          r.throttle,
 		Speeds:            r.speedMeter,
-		ObjectiveSpread:   r.cfg.Admission.ObjectiveSpread,
 		ZoneShare:         float64(r.cfg.Admission.ZoneShare),
 		Deferrable:        r.deferrable,
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
@@ -244,6 +243,9 @@
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
 		Dial: DialBackend,
+		Writes: aubrelay.WriteOpts{
+			Timeout: r.cfg.Caller.WriteTimeout.Value(), MaxUnread: r.cfg.Caller.MaxUnread.Bytes(),
+		},
 	})
 	return nil
 }
--- a/internal/aubrelay/admission.go
+++ b/internal/aubrelay/admission.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -39,8 +38,6 @@
 	estimator *aubadmission.Estimator
 	kinds     *aubadmission.Kinds
 	queue     *aubadmission.Queue
-	// active is the last configuration seen; it is looked through once.
-	active atomic.Pointer[activeAdmission]
 
 	drainOnce sync.Once
 	// draining is closed when the process shuts down.
@@ -50,12 +47,6 @@
 	waits tally.Histogram
 }
 
-// activeAdmission says whether a configuration asks for admission by objective.
-type activeAdmission struct {
-	site *aubsite.Site
-	isOn bool
-}
-
 func newAdmitter(common aubcommon.Common) *admitter {
 	return &admitter{
 		estimator: aubadmission.NewEstimator(common.Timer),
@@ -69,16 +60,6 @@
 
 func (a *admitter) drain() { a.drainOnce.Do(func() { close(a.draining) }) }
 
-// isOn reports whether the configuration asks for admission by objective.
-func (a *admitter) isOn(site *aubsite.Site, spread float64) bool {
-	active := a.active.Load()
-	if active == nil || active.site != site {
-		active = &activeAdmission{site: site, isOn: site.HasDeferrableRoutes(spread)}
-		a.active.Store(active)
-	}
-	return active.isOn
-}
-
 // admission is the state of one request that is admitted by its objective.
 type admission struct {
 	kind    aubadmission.Kind
@@ -100,10 +81,10 @@
 // objective.
 func (h *Handler) startAdmission(ex *exchange) {
 	if ex.admission != nil || ex.mayHaveRun || ex.route.Objective <= 0 || ex.lastEventID != NoEventID ||
-		!h.admitter.isOn(ex.site, h.opts.ObjectiveSpread) {
+		!h.opts.Deferrable.Has(ex.site) {
 		return
 	}
-	isDeferrable := ex.site.IsDeferrable(ex.route, h.opts.ObjectiveSpread)
+	isDeferrable := h.opts.Deferrable.IsDeferrable(ex.site, ex.route)
 	kind := aubadmission.Kind{
 		Revision: ex.site.Number(), Route: ex.route.Name, Service: ex.service, Priority: priorityOf(ex),
 		Objective: ex.route.Objective, IsDeferrable: isDeferrable, Timeout: ex.call.Timeout,
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -425,6 +425,11 @@
 
 // newRelayFixtureWithSoftware starts a relay and backend servers with the software versions.
 func newRelayFixtureWithSoftware(t *testing.T, versions map[string]string) *relayFixture {
+	return newRelayFixtureWithWrites(t, versions, aubrelay.WriteOpts{})
+}
+
+// newRelayFixtureWithWrites also bounds what slow callers hold.
+func newRelayFixtureWithWrites(t *testing.T, versions map[string]string, writes aubrelay.WriteOpts) *relayFixture {
 	common := aubcommon.NewCommon(aubtimer.NewReal())
 	fixture := &relayFixture{
 		t: t, backends: make(map[string]*backend), site: &siteSource{site: newSite(t, routeTimeout)},
@@ -459,15 +464,15 @@
 		CopyRequester: aubrelay.NewCopyRequester(common, fixture.registry, func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
 			return nil, errors.New("no control process")
 		}),
-		Guard:           guard,
-		RegionOf:        func(zone string) string { return fixture.regions[zone] },
-		ObjectiveSpread: 8,
-		Throttle:        throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
+		Guard:      guard,
+		RegionOf:   func(zone string) string { return fixture.regions[zone] },
+		Deferrable: aubsite.NewDeferrableCheck(8),
+		Throttle:   throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
 		Streams: aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dialToExamine, OnCrash: guard.ReportCrash,
 		}),
-		Dial: fixture.dial,
+		Dial: fixture.dial, Writes: writes,
 	})
 	fixture.server = httptest.NewServer(fixture.handler)
 	t.Cleanup(fixture.server.Close)
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -68,12 +68,10 @@
 	Throttle *aubthrottle.Throttle
 	// Speeds measures the speed of engines by their streams; nil measures none.
 	Speeds *aubspeed.Meter
-	// ObjectiveSpread is the ratio of objectives from which a route is deferrable, 0 for none.
-	ObjectiveSpread float64
 	// ZoneShare is the part of its objective by which a request may be expected to wait longer
 	// in the own zone than in another one, if the configuration has deferrable routes.
 	ZoneShare float64
-	// Deferrable tells whether the configuration has deferrable routes; nil means never.
+	// Deferrable tells which routes are deferrable; nil means none.
 	Deferrable *aubsite.DeferrableCheck
 	// RegionOf returns the region of a zone, empty if it has none. Nil means that no zone has one.
 	RegionOf func(zone string) string
@@ -90,6 +88,8 @@
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Writes bounds what slow callers hold.
+	Writes WriteOpts
 }
 
 // Handler serves the HTTP requests of callers.
@@ -99,6 +99,7 @@
 	transport http.RoundTripper
 	metrics   metrics
 	admitter  *admitter
+	unread    *unreadBytes
 	inFlight  atomic.Int64
 	startedAt time.Time
 	// shutdownAt is when the process shuts down; nil before Drain.
@@ -115,6 +116,7 @@
 		transport: newTransport(opts.Dial),
 		startedAt: common.Timer.Now(),
 		metrics:   newMetrics(common.Metrics),
+		unread:    newUnreadBytes(opts.Writes.MaxUnread),
 	}
 }
 
--- a/internal/aubsite/objective.go
+++ b/internal/aubsite/objective.go
@@ -79,3 +79,8 @@
 	}
 	return last.hasDeferrable
 }
+
+// IsDeferrable reports whether the route of the configuration is deferrable by the spread.
+func (c *DeferrableCheck) IsDeferrable(site *Site, route Route) bool {
+	return c != nil && site.IsDeferrable(route, c.spread)
+}
