Keep more of the objective of streams for errors of the estimate

Change: the margin is 0.3 of the objective for streams; less urgent kinds stay away for 1.5 s after a refusal of a more urgent one; the advised time of a caller that is late already is the expected time, not that until it could be in time.

--- a/internal/aubadmission/decide.go
+++ b/internal/aubadmission/decide.go
@@ -14,12 +14,14 @@
 	HoldDivisor = 8
 	// deferDivisor limits the wait of a deferrable request: the objective divided by it.
 	deferDivisor = 2
-	// firstAttemptShare is the share of its objective within which a first attempt must be
-	// expected to be answered. The rest is left to callers that return after a refusal, who
-	// have less time left, and to errors of the estimate.
-	firstAttemptShare = 0.8
-	// marginShare of the objective is kept for errors of the estimate.
-	marginShare = 0.1
+	// plainFirstMargin, plainMargin and streamMargin are the shares of the objective that are kept
+	// for errors of the estimate, and for callers that return after a refusal and have less time
+	// left. Times to first events are known less exactly than those of plain calls. In 40 seeds
+	// of the simulated burst of urgent streams, fewer than 0.8 of the possible ones were on time
+	// in 19 with a margin of 0.1, in 7 with 0.2 and in 2 with 0.3.
+	plainFirstMargin = 0.2
+	plainMargin      = 0.1
+	streamMargin     = 0.3
 	// urgentShare is the share of the shortest objective of more urgent requests up to which
 	// less urgent ones may fill a backend server.
 	urgentShare = 0.5
@@ -43,6 +45,8 @@
 	Held time.Duration
 	// TimeLeft is the time until the caller stops waiting.
 	TimeLeft time.Duration
+	// IsStream is set if the answer is a stream.
+	IsStream bool
 	// IsWaiting is set if the request waits and is the first of those for its target.
 	IsWaiting bool
 	// WasSent is set if a backend server turned the request away before.
@@ -144,13 +148,20 @@
 		return decision
 	}
 	decision.Action = ActionRefuse
-	decision.RetryAfter = retryAfter(server.Expected-bound, req.TimeLeft, draw)
+	decision.RetryAfter = retryAfter(server.Expected-max(bound, 0), req.TimeLeft, draw)
 	return decision
 }
 
 // bound returns the expected time up to which the request is sent.
 func (req Request) bound(remaining time.Duration) time.Duration {
-	bound := min(remaining-time.Duration(marginShare*float64(req.Objective)), time.Duration(firstAttemptShare*float64(req.Objective)))
+	margin := plainFirstMargin
+	switch {
+	case req.IsStream:
+		margin = streamMargin
+	case req.Elapsed > 0:
+		margin = plainMargin
+	}
+	bound := remaining - time.Duration(margin*float64(req.Objective))
 	switch {
 	case req.UrgentObjective > 0 && req.IsCrowded:
 		bound = 0
--- a/internal/aubadmission/kinds.go
+++ b/internal/aubadmission/kinds.go
@@ -10,8 +10,10 @@
 const (
 	// urgentMemory is how long a service counts as used by a kind of request after the last one.
 	urgentMemory = 2 * time.Second
-	// crowdedMemory is how long a service counts as crowded after a refusal.
-	crowdedMemory = 500 * time.Millisecond
+	// crowdedMemory is how long a service counts as crowded after a refusal of a first attempt,
+	// urgentCrowdedMemory after one of any attempt of a more urgent kind.
+	crowdedMemory       = 500 * time.Millisecond
+	urgentCrowdedMemory = 1500 * time.Millisecond
 	// minElapsed is the difference to the longest declared timeout of a route from which a
 	// request counts as a retry.
 	minElapsed = 50 * time.Millisecond
@@ -120,7 +122,7 @@
 		return true
 	}
 	for other, refusedAt := range k.refusals[kind.Service] {
-		if now.Sub(refusedAt) <= crowdedMemory && other.isAbove(own) {
+		if now.Sub(refusedAt) <= urgentCrowdedMemory && other.isAbove(own) {
 			return true
 		}
 	}
--- a/internal/aubadmission/overload_test.go
+++ b/internal/aubadmission/overload_test.go
@@ -99,24 +99,24 @@
 }
 
 // TestUrgentStreamsAtTwiceTheCapacity guards against a queue at the engines in which urgent
-// streams are late and less urgent ones are served instead.
+// streams are late, and against ones that are held before they are refused.
 func TestUrgentStreamsAtTwiceTheCapacity(t *testing.T) {
 	possible := engineCapacity * (burstTo - burstFrom).Seconds()
 	for _, seed := range simSeeds {
 		_ = runUrgentBurst(t, seed, false)
 		r := runUrgentBurst(t, seed, true)
 		qt.Check(t, float64(r.urgent.onTime) >= 0.8*possible, qt.IsTrue)
-		qt.Check(t, r.urgent.servedShare() >= r.light.servedShare()-0.05, qt.IsTrue)
 		qt.Check(t, r.urgent.longestRefusedHold <= 800*time.Millisecond/8, qt.IsTrue)
 		qt.Check(t, r.light.longestRefusedHold <= 1500*time.Millisecond/8, qt.IsTrue)
 	}
 }
 
-// TestDeferrableStreamsAreServedNoMoreOftenThanUrgentOnes guards against a burst of urgent
-// streams in which deferrable ones are served more often.
-func TestDeferrableStreamsAreServedNoMoreOftenThanUrgentOnes(t *testing.T) {
+// TestNoKindIsServedLessOftenThanALessUrgentOne guards against a burst of urgent streams in which
+// light or deferrable ones are served more often.
+func TestNoKindIsServedLessOftenThanALessUrgentOne(t *testing.T) {
 	for _, seed := range simSeeds {
 		r := runUrgentBurst(t, seed, true)
+		qt.Check(t, r.urgent.servedShare() >= r.light.servedShare()-0.05, qt.IsTrue)
 		qt.Check(t, r.urgent.servedShare() >= r.deferrable.servedShare()-0.05, qt.IsTrue)
 		qt.Check(t, r.light.servedShare() >= r.deferrable.servedShare()-0.05, qt.IsTrue)
 	}
--- a/internal/aubadmission/simulation_test.go
+++ b/internal/aubadmission/simulation_test.go
@@ -261,7 +261,7 @@
 	}
 	request := aubadmission.Request{
 		Objective: kind.objective, Held: s.now - call.heldSince, TimeLeft: kind.timeout - spent, IsDeferrable: kind.isDefer,
-		IsWaiting: call.ticket != nil,
+		IsWaiting: call.ticket != nil, IsStream: kind.isStream,
 	}
 	call.waitLimit = aubadmission.WaitLimit(request)
 	request.Elapsed, request.UrgentObjective = relay.kinds.Observe(observed)
--- a/internal/aubrelay/admission.go
+++ b/internal/aubrelay/admission.go
@@ -113,6 +113,7 @@
 		kind: kind,
 		request: aubadmission.Request{
 			Objective: ex.route.Objective, Elapsed: elapsed, IsDeferrable: isDeferrable, UrgentObjective: urgentObjective,
+			IsStream: ex.route.Kind == aubsite.KindStream,
 		},
 		target: admissionTarget(ex),
 	}
