Fit prefill rates independently of the order of models

Cause: the fit of a model used constants that the same round had changed for other models, in random order, and the fit of engines took each engine's factor as 1 when it corrected prompts that waited. First events that were reported late moved the order back, and events were kept where no relay asks for rates.

Change: constants and factors change after each round; late events are left out; events are evaluated as they arrive. One quantile for models and engines.

--- a/internal/aubroute/router_test.go
+++ b/internal/aubroute/router_test.go
@@ -127,3 +127,30 @@
 	}
 	qt.Assert(t, order, qt.DeepEquals, []string{"w1", "w2", "w3", "w1", "w2", "w3"})
 }
+
+// TestMeasuredPrefillRateReplacesTheAssumed guards against estimates by the assumed rate for a model
+// that is measured, and against a measured rate that is multiplied by the speed again.
+func TestMeasuredPrefillRateReplacesTheAssumed(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	source := &fakeSource{timer: timer}
+	source.report("measured", "z", func(a *aubwire.Announcement) { a.Backend.PrefillRate = 0 })
+	router, err := aubroute.NewRouter(aubcommon.NewCommon(timer), aubroute.RouterOpts{
+		Zone: "z", Source: source, PrefillRate: 40000, Rand: rand.New(rand.NewPCG(1, 1)),
+		Speed: func(string, uint64) float64 { return 0.5 },
+		PrefillRateOf: func(member string, incarnation uint64, model string) (float64, bool) {
+			return 10000, member == "measured" && incarnation == 1 && model == "m"
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	choice, err := router.Pick(aubroute.Request{Model: "m", PromptTokens: 5000})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, choice.IsRateMeasured, qt.IsTrue)
+	qt.Assert(t, choice.PrefillRate, qt.Equals, 10000.0)
+	qt.Assert(t, choice.ExpectedFirstToken, qt.Equals, 500*time.Millisecond)
+
+	source.report("measured", "z", func(a *aubwire.Announcement) { a.Incarnation, a.Backend.PrefillRate = 2, 0 })
+	choice, err = router.Pick(aubroute.Request{Model: "m", PromptTokens: 5000})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, choice.IsRateMeasured, qt.IsFalse)
+	qt.Assert(t, choice.PrefillRate, qt.Equals, 20000.0)
+}
--- a/internal/aubspeed/prefill_aggregator.go
+++ b/internal/aubspeed/prefill_aggregator.go
@@ -128,27 +128,32 @@
 		r.orders[engine] = order
 	}
 	order.add(now, reported)
+	// Rates may never be asked for at this process.
+	r.evaluateEngine(now, engine, order)
 }
 
 // evaluate turns the first events into samples.
 func (r *prefillRates) evaluate(now time.Time) {
 	for engine, order := range r.orders {
-		if now.Sub(order.last.seenAt) > prefillRetention && len(order.pending) == 0 {
+		if r.evaluateEngine(now, engine, order); len(order.pending) == 0 && now.Sub(order.last.seenAt) > prefillRetention {
 			delete(r.orders, engine)
 		}
-		order.evaluate(now, func(model string, p prefillPoint) {
-			key := pair{engine: engine, model: model}
-			stored := r.samples[key]
-			if stored == nil {
-				stored = &prefillSamples{service: order.service}
-				r.samples[key] = stored
-			}
-			stored.add(now, p)
-			r.isChanged = true
-		})
 	}
 }
 
+func (r *prefillRates) evaluateEngine(now time.Time, engine Engine, order *engineOrder) {
+	order.evaluate(now, func(model string, p prefillPoint) {
+		key := pair{engine: engine, model: model}
+		stored := r.samples[key]
+		if stored == nil {
+			stored = &prefillSamples{service: order.service}
+			r.samples[key] = stored
+		}
+		stored.add(now, p)
+		r.isChanged = true
+	})
+}
+
 // compute fits models and engines in turn and returns the pairs' new rates.
 func (r *prefillRates) compute(now time.Time) map[pair]float64 {
 	for key, s := range r.samples {
@@ -171,6 +176,9 @@
 		for model, pairs := range byModel {
 			r.fitModel(model, pairs)
 		}
+		for model, line := range r.lines {
+			r.constants[model] = line.constants[0]
+		}
 		r.fitEngines(byEngine)
 	}
 	return r.rates()
@@ -179,22 +187,23 @@
 // fitEngines sets the factors of the engines from the lines, and scales both so that the median
 // factor of a service is 1.
 func (r *prefillRates) fitEngines(byEngine map[Engine][]pair) {
-	r.factors = make(map[Engine]float64)
+	factors := make(map[Engine]float64)
 	ofService := make(map[string][]float64)
 	for engine, pairs := range byEngine {
 		if factor, ok := r.factorOf(pairs); ok {
-			r.factors[engine] = factor
+			factors[engine] = factor
 			service := r.samples[pairs[0]].service
 			ofService[service] = append(ofService[service], factor)
 		}
 	}
+	r.factors = factors
 	scaled := make(map[string]bool)
 	for engine, pairs := range byEngine {
-		factors := ofService[r.samples[pairs[0]].service]
-		if len(factors) == 0 {
+		measured := ofService[r.samples[pairs[0]].service]
+		if len(measured) == 0 {
 			continue
 		}
-		middle := median(factors)
+		middle := median(measured)
 		if factor, ok := r.factors[engine]; ok {
 			r.factors[engine] = factor / middle
 		}
@@ -222,7 +231,6 @@
 	}
 	if len(points) >= minModelSamples {
 		r.lines[model] = fitLine(points)
-		r.constants[model] = r.lines[model].constants[0]
 	}
 }
 
@@ -249,7 +257,7 @@
 	if len(ratios) < minEngineSamples {
 		return 1, false
 	}
-	return min(max(1/weightedQuantile(ratios, factorQuantile), 1/maxFactor), maxFactor), true
+	return min(max(1/weightedQuantile(ratios, fitQuantile), 1/maxFactor), maxFactor), true
 }
 
 // rates returns the rate of each measured model, and of each of its pairs on a measured engine.
--- a/internal/aubspeed/prefill_fit.go
+++ b/internal/aubspeed/prefill_fit.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// fitQuantile is the share of the times that may be shorter than the fitted line of a model,
-	// factorQuantile that of an engine. Unknown waiting, and tokens that are not cached as
-	// assumed, lengthen the times; only a first event before that was seen late shortens them.
-	fitQuantile    = 0.25
-	factorQuantile = 0.35
+	// fitQuantile is the share of the times that may be shorter than those fitted for a model or
+	// an engine. Unknown waiting, and tokens that are not cached as assumed, lengthen the times;
+	// only a first event before that was seen late shortens them.
+	fitQuantile = 0.25
 	// fitSteps is the number of steps of the search for the slope; each narrows the range to
 	// goldenShare of it, all together to 0.1% of the slope.
 	fitSteps    = 18
--- a/internal/aubspeed/prefill_order.go
+++ b/internal/aubspeed/prefill_order.go
@@ -53,6 +53,10 @@
 			break
 		}
 		done++
+		if e.seenAt.Before(o.last.seenAt) {
+			// It was reported after later ones were evaluated.
+			continue
+		}
 		// Of a prompt that a later one has overtaken, a part may have been read before.
 		isInOrder := !e.startedAt.Before(o.last.startedAt)
 		from, after := e.startedAt, ""
