--- a/internal/aubmembership/zone_load_test.go
+++ b/internal/aubmembership/zone_load_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -518,3 +519,42 @@
 		})
 	}
 }
+
+// TestSumsOverSockets guards against sums that wait for a timer which the sending goroutine
+// does not serve.
+func TestSumsOverSockets(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	addresses := []string{"127.0.0.1:41741", "127.0.0.1:41742", "127.0.0.1:41743"}
+	var requests atomic.Int32
+	var exchanges []*aubmembership.LoadExchange
+	defer func() {
+		cancel()
+		for _, x := range exchanges {
+			<-x.Done()
+		}
+	}()
+	for i, zone := range []string{"a", "a", "b"} {
+		x, err := aubmembership.NewLoadExchange(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubmembership.LoadExchangeOpts{
+			Listen: addresses[i], Secret: []byte("s"), Instance: fmt.Sprintf("r%d", i), Incarnation: 1, Zone: zone, IsZoned: func() bool { return true },
+			Loads: func() map[string]aubmembership.Load {
+				if n := int(requests.Load()); i == 1 && n > 0 {
+					return map[string]aubmembership.Load{"e1": {Requests: n}}
+				}
+				return nil
+			},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		exchanges = append(exchanges, x)
+		x.SetPeers(slices.Delete(slices.Clone(addresses), i, i+1))
+	}
+	time.Sleep(2 * time.Second)
+	for n := range int32(40) {
+		requests.Store(n + 1)
+		exchanges[1].NotifyLoadChanged()
+		time.Sleep(5 * time.Millisecond)
+	}
+	changedAt := time.Now()
+	awaitCondition(t, "the sums reach the other zone", func() bool { return exchanges[2].PeerLoad("e1").Requests == 40 })
+	t.Logf("after %v", time.Since(changedAt))
+	qt.Assert(t, exchanges[0].PeerLoad("e1").Requests, qt.Equals, 40)
+}
