Tell relays of withdrawn drains of zones that they missed

Cause: a relay that was cut off during a whole drain, or started after its withdrawal, saw no difference between two statements and took the zone's backend servers for warm, though they may have become cold meanwhile.

Change: a statement names the withdrawals of the last two minutes with a lower bound of their age. A relay that did not know the withdrawal takes the zone for cold from then on, once. Where no cold time is configured nothing changes.

Measured: TestRelayThatMissedADrainLearnsOfItsWithdrawal on the manual timer; packages aubdrain, aubregistry and aubprocess pass. Not measured: a relay that is cut off during a drain with real processes.

--- a/internal/aubdrain/table.go
+++ b/internal/aubdrain/table.go
@@ -19,6 +19,10 @@
 // TableName is the name of the replicated table.
 const TableName = "zone_drains"
 
+// withdrawalRetention is how long withdrawals are stated: as long as aubthrottle.MaxColdTime, after
+// which no backend server of the zone counts as cold.
+const withdrawalRetention = 2 * time.Minute
+
 // maxZones limits the zones with an order, so that the table and its statements stay small.
 const maxZones = 256
 
@@ -37,6 +41,8 @@
 	// notBefore is a time before the commit of the order; zero if none is known. It is not
 	// replicated.
 	notBefore time.Time
+	// appliedAt is a time after the commit of the order. It is not replicated.
+	appliedAt time.Time
 }
 
 // Table is the replicated table of drained zones.
@@ -84,7 +90,7 @@
 	case !isHeld && len(t.orders) >= maxZones && !t.evictWithdrawn():
 		return resultRefused
 	}
-	t.orders[command.GetZone()] = order{drained: command.GetDrained(), index: cmd.Index, notBefore: t.notBefore(cmd.Index)}
+	t.orders[command.GetZone()] = order{drained: command.GetDrained(), index: cmd.Index, notBefore: t.notBefore(cmd.Index), appliedAt: t.timer.Now()}
 	t.revision = cmd.Index
 	t.notify()
 	return resultAccepted
@@ -160,6 +166,10 @@
 	}
 	for zone, o := range t.orders {
 		if !o.drained {
+			// After a restart notBefore is unknown, and old withdrawals are left out.
+			if now.Sub(o.notBefore) < withdrawalRetention {
+				statement.Withdrawals = append(statement.Withdrawals, &aubwire.ZoneWithdrawal{Zone: zone, Index: o.index, MinAgeMs: now.Sub(o.appliedAt).Milliseconds()})
+			}
 			continue
 		}
 		stated := &aubwire.ZoneDrain{Zone: zone, Index: o.index}
--- a/internal/aubdrain/view.go
+++ b/internal/aubdrain/view.go
@@ -1,6 +1,7 @@
 package aubdrain
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,9 @@
 	// Timeout is the time from the acknowledgement of an order to its full effect; 0 means
 	// DefaultTimeout.
 	Timeout time.Duration
-	// OnWithdrawn is called for each zone whose drain was withdrawn, with the time at which
-	// this process learned of it; nil for none.
+	// OnWithdrawn is called for each zone whose drain was withdrawn, with a time after the
+	// withdrawal: that at which this process learned of it, or an earlier one if it did not know
+	// the drain. Nil for none.
 	OnWithdrawn func(zone string, since time.Time)
 }
 
@@ -122,13 +124,26 @@
 	v.state.Store(next)
 	withdrawn := v.notifyChange(held, next)
 	v.mu.Unlock()
+	if v.opts.OnWithdrawn == nil {
+		return
+	}
 	for _, zone := range withdrawn {
-		if v.opts.OnWithdrawn != nil {
-			v.opts.OnWithdrawn(zone, next.statedAt)
+		v.opts.OnWithdrawn(zone, next.statedAt)
+	}
+	for _, w := range statement.GetWithdrawals() {
+		if _, isDrained := next.drains[w.GetZone()]; isDrained || held.knows(w) || slices.Contains(withdrawn, w.GetZone()) {
+			continue
 		}
+		v.common.Log.Info("Drain of a zone was withdrawn unnoticed.", zap.String("zone", w.GetZone()), zap.Uint64("index", w.GetIndex()), zap.Int64("min_age_ms", w.GetMinAgeMs()))
+		v.opts.OnWithdrawn(w.GetZone(), next.statedAt.Add(-time.Duration(w.GetMinAgeMs())*time.Millisecond))
 	}
 }
 
+// knows reports whether the state is of the withdrawal or later. The state may be nil.
+func (s *viewState) knows(w *aubwire.ZoneWithdrawal) bool {
+	return s != nil && s.revision >= w.GetIndex()
+}
+
 // awaitsCertainty reports whether a first statement is left out because its sender may be cut off
 // and another control process may know better; the caller holds mu. Without any other the relay
 // takes it after uncertainWait, since it would otherwise refuse everything.
--- a/internal/aubdrain/view_test.go
+++ b/internal/aubdrain/view_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
 	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -169,3 +170,46 @@
 	alone.Merge(uncertain(), timer.Now())
 	qt.Assert(t, alone.Eligibility("a", timer.Now()), qt.Equals, aubdrain.EligibilityOpen)
 }
+
+// TestRelayThatMissedADrainLearnsOfItsWithdrawal guards against a relay that was cut off during a
+// whole drain, or started after it, and takes the zone's backend servers for warm.
+func TestRelayThatMissedADrainLearnsOfItsWithdrawal(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(1000, 0))
+	table := aubdrain.NewTable(timer)
+	apply := func(index uint64, drained bool) {
+		body, err := proto.Marshal(&aubwire.ZoneDrainCommand{Zone: "a", Drained: drained})
+		qt.Assert(t, err, qt.IsNil)
+		table.Apply(aubcontrol.Command{Index: index, Body: body})
+	}
+	withdrawals := map[string][]time.Time{}
+	newView := func(name string) *aubdrain.View {
+		return aubdrain.NewView(aubcommon.NewCommon(timer), aubdrain.ViewOpts{OnWithdrawn: func(_ string, since time.Time) {
+			withdrawals[name] = append(withdrawals[name], since)
+		}})
+	}
+	merge := func(views ...*aubdrain.View) {
+		statement, _ := table.Statement()
+		for _, v := range views {
+			v.Merge(statement, timer.Now())
+		}
+	}
+	inTouch, cutOff, late, started := newView("in touch"), newView("cut off"), newView("late"), newView("started")
+	merge(inTouch, cutOff)
+	table.Confirmed(timer.Now(), 4)
+	apply(5, true)
+	merge(inTouch)
+	timer.Advance(6 * time.Second)
+	table.Confirmed(timer.Now(), 5)
+	apply(6, false)
+	withdrawnAt := timer.Now()
+	merge(inTouch)
+	timer.Advance(time.Second)
+	// Each learns of it once.
+	for range 2 {
+		merge(inTouch, cutOff, started)
+	}
+	timer.Advance(2 * time.Minute)
+	merge(late)
+	want := []time.Time{withdrawnAt}
+	qt.Assert(t, withdrawals, qt.DeepEquals, map[string][]time.Time{"in touch": want, "cut off": want, "started": want})
+}
