--- a/internal/aubmembership/zone_load_test.go
+++ b/internal/aubmembership/zone_load_test.go
@@ -526,7 +526,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	addresses := []string{"127.0.0.1:41741", "127.0.0.1:41742", "127.0.0.1:41743"}
 	var requests atomic.Int32
-	var exchanges []*aubmembership.LoadExchange
+	exchanges := make([]*aubmembership.LoadExchange, 0, len(addresses))
 	defer func() {
 		cancel()
 		for _, x := range exchanges {
