Refuse to go on with a stream of an unconfirmed backend server

A stream that began at one had no recorded origin until then; if it broke and its caller took it up, the only registered version was taken for its own, although the server may have started with another one meanwhile.

Change: such a stream is recorded with an unknown version at its first event, and is refused (503, not run) when it is taken up.

Measured: the new test got 200 before, from another server; 503 and no run now.

--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -125,7 +125,7 @@
 	if errors.As(err, &unknown) {
 		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeUnknownStream, RetryAfter: unknown.RetryAfter}, err: err}
 	}
-	if !slices.Contains(services, origin.Service) {
+	if origin.Software == aubresume.UnknownSoftware || !slices.Contains(services, origin.Service) {
 		return newRefusal(http.StatusServiceUnavailable, CodeUnknownStream, 0)
 	}
 	ex.service, ex.requiredSoftware = origin.Service, auboption.Some(origin.Software)
@@ -139,6 +139,11 @@
 		return
 	}
 	if ex.isUnconfirmed && !h.opts.Registry.IsConfirmed(ex.backendID, ex.backendStartedMs) {
+		if ex.route.Resumable {
+			// The caller may take the stream up before the version is known. Without this record
+			// the only version that is known by then would be taken for it.
+			h.opts.Streams.Record(ex.call.ID, aubresume.Origin{Service: ex.service, Software: aubresume.UnknownSoftware})
+		}
 		return
 	}
 	ex.requiredSoftware = auboption.Some(ex.software)
--- a/internal/aubrelay/software_version_test.go
+++ b/internal/aubrelay/software_version_test.go
@@ -142,3 +142,28 @@
 		qt.Assert(t, fixture.ranAt(id), qt.DeepEquals, []string{began})
 	}
 }
+
+// TestStreamOfAnUnconfirmedBackendServerIsNotJoined guards against a stream that began at a
+// backend server which may have another version than before a restart of everything: its only
+// registered version must not be taken for that of the stream.
+func TestStreamOfAnUnconfirmedBackendServerIsNotJoined(t *testing.T) {
+	fixture := newRelayFixtureWithSoftware(t, map[string]string{"b1": "v1", "b2": "v1"})
+	fixture.coverage = aubresume.CoverageAll
+	record := func(id string, startedMs, unconfirmedMs int64) *aubwire.BackendRecord {
+		return &aubwire.BackendRecord{
+			Id: id, Service: "s", Address: fixture.backends[id].server.Listener.Addr().String(), StartedMs: startedMs, Sequence: 1,
+			State: aubwire.BackendState_BACKEND_STATE_READY, Software: "v1", UnconfirmedMs: unconfirmedMs,
+		}
+	}
+	fixture.registry.Deregister("b1", 1)
+	fixture.registry.Deregister("b2", 2)
+	fixture.registry.Merge([]*aubwire.BackendRecord{record("b1", 10, 3000)})
+	fixture.setBehaviors(truncateStream)
+	begun := fixture.call(http.MethodPost, "/stream/x", "begun", nil)
+	qt.Assert(t, begun.isBroken, qt.IsTrue)
+	qt.Assert(t, fixture.ranAt("begun"), qt.DeepEquals, []string{"b1"})
+	fixture.registry.Merge([]*aubwire.BackendRecord{record("b2", 20, 0)})
+	result := fixture.call(http.MethodPost, "/stream/x", "taken", takeUp("begun", 1))
+	qt.Assert(t, result.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, fixture.ranAt("taken"), qt.HasLen, 0)
+}
--- a/internal/aubresume/recorder.go
+++ b/internal/aubresume/recorder.go
@@ -27,6 +27,10 @@
 	Software string
 }
 
+// UnknownSoftware is the version of an origin whose backend server had not registered since a
+// restart of everything when the stream began. No other backend server may go on with it.
+const UnknownSoftware = "?"
+
 // record is the origin of one stream.
 type record struct {
 	id         string
