--- a/internal/aubprocess/control_snapshot.go
+++ b/internal/aubprocess/control_snapshot.go
@@ -16,13 +16,17 @@
 	if interval == 0 {
 		return
 	}
-	aubregistry.KeepSnapshots(c.ctx, c.common, aubregistry.SnapshotOpts{
+	done := aubregistry.KeepSnapshots(c.ctx, c.common, aubregistry.SnapshotOpts{
 		Registry:   c.registry,
 		Process:    c.cfg.Name,
 		Path:       filepath.Join(c.cfg.Control.DataDir, registrySnapshotFile),
 		Interval:   interval,
 		Activation: c.snapshotActivation,
 	})
+	c.group.Go(func() error {
+		<-done
+		return nil
+	})
 }
 
 // snapshotActivation reports whether the newest configuration has deferrable routes. It is not
--- a/internal/aubregistry/snapshot.go
+++ b/internal/aubregistry/snapshot.go
@@ -71,12 +71,15 @@
 }
 
 // KeepSnapshots uses the snapshot of an earlier run once snapshots are on, as unconfirmed records
-// that expire unconfirmedLifetime after this call, and writes snapshots until ctx ends.
-func KeepSnapshots(ctx context.Context, common aubcommon.Common, opts SnapshotOpts) {
+// that expire unconfirmedLifetime after this call, and writes snapshots until ctx ends. The channel
+// is closed once the last write has ended.
+func KeepSnapshots(ctx context.Context, common aubcommon.Common, opts SnapshotOpts) <-chan struct{} {
 	w := &snapshotWriter{common: common.WithPart("registry_snapshot"), opts: opts}
 	opts.Registry.keepDepartures()
 	startedAt := common.Timer.Now()
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
 		if !w.awaitActivation(ctx) {
 			return
 		}
@@ -85,6 +88,7 @@
 		}
 		w.run(ctx)
 	}()
+	return done
 }
 
 // awaitActivation waits until it is known whether snapshots are on. It returns false if ctx ends
--- a/internal/aubregistry/snapshot_test.go
+++ b/internal/aubregistry/snapshot_test.go
@@ -30,10 +30,11 @@
 // keepSnapshots starts the snapshots of a registry in the folder.
 func keepSnapshots(t *testing.T, timer *aubtimer.Manual, registry *aubregistry.Registry, dir string, activation aubregistry.Activation) {
 	waiting := timer.Waiting()
-	aubregistry.KeepSnapshots(t.Context(), aubcommon.NewCommon(timer), aubregistry.SnapshotOpts{
+	done := aubregistry.KeepSnapshots(t.Context(), aubcommon.NewCommon(timer), aubregistry.SnapshotOpts{
 		Registry: registry, Process: "c1", Path: filepath.Join(dir, "snapshot"), Interval: snapshotInterval,
 		Activation: func() aubregistry.Activation { return activation },
 	})
+	t.Cleanup(func() { <-done })
 	eventually(t, func() bool { return timer.Waiting() > waiting })
 }
 
@@ -265,10 +266,11 @@
 		timer := aubtimer.NewManual(time.Unix(100, 0))
 		dir := saveSnapshot(t, timer, func(r *aubregistry.Registry) { r.Register(record("i1", "a:1", 1, 5, ready)) })
 		r := aubregistry.NewRegistry(aubcommon.NewCommon(timer), 4*time.Second)
-		aubregistry.KeepSnapshots(t.Context(), aubcommon.NewCommon(timer), aubregistry.SnapshotOpts{
+		done := aubregistry.KeepSnapshots(t.Context(), aubcommon.NewCommon(timer), aubregistry.SnapshotOpts{
 			Registry: r, Process: "c2", Path: filepath.Join(dir, "snapshot"), Interval: snapshotInterval,
 			Activation: func() aubregistry.Activation { return aubregistry.ActivationOn },
 		})
+		t.Cleanup(func() { <-done })
 		time.Sleep(20 * time.Millisecond)
 		qt.Assert(t, usable(r), qt.HasLen, 0)
 	})
