--- a/internal/aubregistry/snapshot.go
+++ b/internal/aubregistry/snapshot.go
@@ -9,6 +9,7 @@
 	"hash/crc32"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -51,8 +52,7 @@
 	Registry *Registry
 	// Process is the name of this process. The snapshot of another one is not used.
 	Process string
-	// Path is that of the file. It is replaced by a rename, without a sync: one that a power
-	// loss damages is ignored.
+	// Path is that of the file. It is replaced by a rename.
 	Path string
 	// Interval is the time between two snapshots. A departure is written at once.
 	Interval time.Duration
@@ -135,10 +135,7 @@
 func (w *snapshotWriter) write(records []*aubwire.SnapshotRecord) {
 	data, left, err := encodeSnapshot(w.opts.Process, w.common.Timer.Now(), records)
 	if err == nil {
-		temporary := w.opts.Path + ".tmp"
-		if err = os.WriteFile(temporary, data, 0o600); err == nil {
-			err = os.Rename(temporary, w.opts.Path)
-		}
+		err = replaceFile(w.opts.Path, data)
 	}
 	if err != nil && !w.hasFailed {
 		w.common.Log.Warn("Snapshot of the registry not written.", zap.Int("bytes", len(data)), zap.Error(err))
@@ -150,6 +147,28 @@
 	w.common.Metrics.Gauge("bytes").Update(float64(len(data)))
 }
 
+// replaceFile replaces the file by one with the data. Both the file and its folder are synced, because
+// an outage of all instances is mostly a loss of power.
+func replaceFile(path string, data []byte) error {
+	temporary := path + ".tmp"
+	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return err
+	}
+	folder, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
 // restore offers the records of the file until the time given. A file that is missing, damaged,
 // too large or of another process changes nothing.
 func (w *snapshotWriter) restore(until time.Time) {
