--- a/review/cases/late_refusal.go
+++ b/review/cases/late_refusal.go
@@ -17,10 +17,8 @@
 	// The disruption comes latePeriods times, latePeriod apart.
 	latePeriods = 10
 	latePeriod  = 6 * time.Second
-	// Each worker has 6 places. The clients keep so many of them taken that a few requests in a
-	// hundred find a full worker.
-	latePlaces   = 6
-	lateClients  = 24
+	// The clients keep so many places taken that a few requests in a hundred find a full worker.
+	lateClients  = 34
 	lateWorkTime = 30 * time.Millisecond
 	latePause    = 50 * time.Millisecond
 )
@@ -30,7 +28,8 @@
 func playLateRefusal(ctx context.Context, s *site, withTrouble bool) ([]string, error) {
 	workers := []*worker{newWorker(0, plainService), newWorker(1, plainService)}
 	for _, w := range workers {
-		w.places, w.workTime = latePlaces, lateWorkTime
+		w.limit()
+		w.workTime = lateWorkTime
 	}
 	workers[0].repeatShare, workers[0].repeatsTo = lateShare, repeatToOther
 	if err := s.start(ctx, workers, plainConfiguration); err != nil {
@@ -58,7 +57,7 @@
 const (
 	// The clients keep so many places of the only worker of their service taken that a few requests
 	// in a hundred find it full.
-	sameClients  = 9
+	sameClients  = 14
 	samePause    = 12 * time.Millisecond
 	sameWorkTime = 15 * time.Millisecond
 )
@@ -68,7 +67,8 @@
 func playRepeatedRefusal(ctx context.Context, s *site, withTrouble bool) ([]string, error) {
 	workers := []*worker{newWorker(0, plainService), newWorker(1, otherService)}
 	for _, w := range workers {
-		w.places, w.workTime = latePlaces, sameWorkTime
+		w.limit()
+		w.workTime = sameWorkTime
 	}
 	workers[0].repeatShare, workers[0].repeatsTo = lateShare, repeatToSame
 	if err := s.start(ctx, workers, plainConfiguration); err != nil {
--- a/review/cases/worker.go
+++ b/review/cases/worker.go
@@ -45,8 +45,9 @@
 	service string
 	address string
 	site    *site
-	// places is the number of requests that run or wait at once; further ones are rejected as
-	// the pages say of a full worker. 0 means any number.
+	// slots is the number of requests that run at once, places that of those that run or wait;
+	// further ones are rejected as the pages say of a full worker.
+	slots  chan struct{}
 	places int
 	// workTime is how long a request runs.
 	workTime time.Duration
@@ -59,7 +60,7 @@
 	// repeatsTo limits the repeated answers to connections on which a certain attempt comes next.
 	repeatsTo repeatTarget
 
-	running atomic.Int64
+	held atomic.Int64
 	// engine is nil for a plain service.
 	engine *engine
 
@@ -71,13 +72,27 @@
 	lost     int
 }
 
+// Sizes of a worker of a plain service.
+const (
+	workerSlots = 6
+	workerQueue = 3
+	// unlimitedSlots is for workers that never are full in a case.
+	unlimitedSlots = 64
+)
+
 func newWorker(index int, service string) *worker {
 	return &worker{
 		index: index, service: service, runs: make(map[string]int),
+		slots: make(chan struct{}, unlimitedSlots), places: unlimitedSlots,
 		id: fmt.Sprintf("i-%d-%08x", index, rand.Uint32()),
 	}
 }
 
+// limit gives the worker the slots and the queue of a small site.
+func (w *worker) limit() {
+	w.slots, w.places = make(chan struct{}, workerSlots), workerSlots+workerQueue
+}
+
 // start serves and registers until ctx ends.
 func (w *worker) start(ctx context.Context, s *site) error {
 	w.site, w.address = s, s.address(firstWorkerHost+w.index, portWorker)
@@ -103,7 +118,7 @@
 func (w *worker) register(ctx context.Context, born int64) {
 	for seq := 1; ctx.Err() == nil; seq++ {
 		registration := map[string]any{
-			"service": w.service, "address": w.address, "zone": "sul-a", "version": "v1", "slots": 6,
+			"service": w.service, "address": w.address, "zone": "sul-a", "version": "v1", "slots": cap(w.slots),
 			"state": "ready", "cold_left_ms": 0, "born": born, "seq": seq,
 		}
 		if w.engine != nil {
@@ -173,13 +188,15 @@
 	case w.engine != nil && req.URL.Path == "/order":
 		return w.engine.order(w, body)
 	}
-	if running := w.running.Add(1); w.places > 0 && running > int64(w.places) {
-		w.running.Add(-1)
+	if held := w.held.Add(1); held > int64(w.places) {
+		w.held.Add(-1)
 		w.count(&w.refusals)
 		w.site.rec.add("%s is full and rejects %s", w.id, attempt)
 		return "HTTP/1.1 503 Service Unavailable\r\n" + headerAttempt + ": " + attempt + "\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	}
-	defer w.running.Add(-1)
+	defer w.held.Add(-1)
+	w.slots <- struct{}{}
+	defer func() { <-w.slots }()
 	w.mu.Lock()
 	w.runs[attempt]++
 	w.mu.Unlock()
