--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -29,6 +29,9 @@
 	status int
 	header http.Header
 	body   string
+	// wasSent is set once all bytes of the request were written, took is the time from then on.
+	wasSent bool
+	took    time.Duration
 }
 
 // client is a stand-in client that keeps its connection. Each attempt has its own id and is sent
@@ -41,8 +44,10 @@
 	// extra holds further header lines, with their ends.
 	extra string
 	body  string
-	conn  net.Conn
-	read  *bufio.Reader
+	// isOnce is set if each request gets a connection of its own.
+	isOnce bool
+	conn   net.Conn
+	read   *bufio.Reader
 }
 
 func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -83,10 +88,12 @@
 	}
 	c.rec.add("client sends %s to %s", res.attempt, c.front)
 	if _, err := io.WriteString(c.conn, c.request(res.attempt)); err == nil {
+		sentAt := time.Now()
 		res = c.receive(res)
+		res.wasSent, res.took = true, time.Since(sentAt)
 	}
 	c.rec.add("client has the answer to %s: status %d, seal %q, %d bytes", res.attempt, res.status, res.header.Get(headerSeal), len(res.body))
-	if res.status == 0 || res.header.Get("Connection") == "close" {
+	if c.isOnce || res.status == 0 || res.header.Get("Connection") == "close" {
 		c.disconnect()
 	}
 	return res
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -34,6 +34,7 @@
 	"unreadable-model": playUnreadableModel,
 	"encoded-slash":    playEncodedSlash,
 	"retired-model":    playRetiredModel,
+	"planned-stop":     playPlannedStop,
 	"late-refusal":     playLateRefusal,
 	"repeated-refusal": playRepeatedRefusal,
 	"idempotency-key":  playIdempotencyKey,
--- a/review/cases/site.go
+++ b/review/cases/site.go
@@ -226,6 +226,18 @@
 	return true
 }
 
+// signal sends a signal to a process that the case started.
+func (s *site) signal(name string, sig syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.processes {
+		if p.name == name {
+			s.rec.add("%s gets signal %s", name, sig)
+			_ = p.cmd.Process.Signal(sig)
+		}
+	}
+}
+
 // stop ends all processes that the case started, by their ids, and removes its folder.
 func (s *site) stop() {
 	s.stopOnce.Do(func() {
