--- a/review/cases/configuration.go
+++ b/review/cases/configuration.go
@@ -7,6 +7,7 @@
 	otherService = "dele69a"
 	pathConfirm  = "/confirm/2f"
 	pathRead     = "/read/2f"
+	pathDraft    = "/draft/2f"
 )
 
 // plainConfiguration has an unsafe and a safe route to a plain service, and a second plain service.
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -23,8 +25,61 @@
 	loading string
 	// seq is the number of orders accepted.
 	seq int64
-	// overcommits lists the orders that exceed the memory.
+	// overcommits lists the orders that exceed the memory; the worker crashes at the first one.
 	overcommits []string
+	// crashed is closed when the worker crashes.
+	crashed chan struct{}
+}
+
+const (
+	// A stream has streamEvents events, eventPause apart.
+	streamEvents = 30
+	eventPause   = 100 * time.Millisecond
+)
+
+// serveStream runs a request and writes the events of its stream. It returns false if the
+// connection ends before the stream does.
+func (e *engine) serveStream(w *worker, conn net.Conn, req *http.Request) bool {
+	attempt := req.Header.Get(headerAttempt)
+	e.mu.Lock()
+	isHeld := e.models[req.Header.Get("X-Auburndale-Model")]
+	e.mu.Unlock()
+	if req.Header.Get(headerInstance) != w.id || !isHeld {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerAttempt, attempt)
+		return err == nil
+	}
+	w.mu.Lock()
+	w.runs[attempt]++
+	w.mu.Unlock()
+	w.site.rec.add("%s runs %s", w.id, attempt)
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		headerAttempt, attempt, headerSeal, w.id); err != nil {
+		return false
+	}
+	for i := range streamEvents {
+		select {
+		case <-e.crashed:
+			w.site.rec.add("%s has crashed; its stream of %s breaks off after %d events", w.id, attempt, i)
+			return false
+		case <-time.After(eventPause):
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, attempt)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// hasCrashed reports whether the worker has crashed.
+func (e *engine) hasCrashed() bool {
+	select {
+	case <-e.crashed:
+		return true
+	default:
+		return false
+	}
 }
 
 // orderBody is the body of an order.
@@ -84,7 +139,8 @@
 	status := e.apply(o)
 	w.site.rec.add("%s is ordered by %s (fence %d): %s of %s, status %d; %.0f of %.0f MB are taken, by %v and %q",
 		w.id, o.Holder, o.Fence, o.Operation, o.Model, status, e.usedMB(), e.weightsMB, slices.Sorted(maps.Keys(e.models)), e.loading)
-	if used := e.usedMB(); used > e.weightsMB {
+	if used := e.usedMB(); used > e.weightsMB && !e.hasCrashed() {
+		close(e.crashed)
 		e.overcommits = append(e.overcommits, fmt.Sprintf("LIMIT: %s is ordered to load %s beside %v: %.0f of %.0f MB", w.id, o.Model, slices.Sorted(maps.Keys(e.models)), used, e.weightsMB))
 	}
 	return jsonAnswer(status, struct{}{})
--- a/review/cases/retired_model.go
+++ b/review/cases/retired_model.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
 const (
 	// A worker holds two of three models; a third one does not fit beside them.
 	retiredWorkers   = 2
+	draftClients     = 6
 	retiredWeightsMB = 200000
 	retiredModelMB   = 72700
 	retiredLoadTime  = 800 * time.Millisecond
@@ -35,7 +38,7 @@
 	for i := range retiredWorkers {
 		w := newWorker(i, otherService)
 		w.engine = &engine{
-			weightsMB: retiredWeightsMB, loadTime: retiredLoadTime, models: map[string]bool{"daka510000": true, "rada7437b5": true},
+			weightsMB: retiredWeightsMB, loadTime: retiredLoadTime, models: map[string]bool{"daka510000": true, "rada7437b5": true}, crashed: make(chan struct{}),
 			sizes: map[string]float64{"daka510000": retiredModelMB, "rada7437b5": retiredModelMB, "ravo486f6a": retiredModelMB},
 		}
 		workers = append(workers, w)
@@ -43,6 +46,9 @@
 	if err := s.start(ctx, workers, engineConfiguration); err != nil {
 		return nil, err
 	}
+	var results []result
+	var group sync.WaitGroup
+	group.Go(func() { results = newDraftLoad(s).run(ctx, retiredCalm+retiredWatch) })
 	time.Sleep(retiredCalm)
 	next := strings.Replace(engineConfiguration, `"version":7`, `"version":9`, 1)
 	if withTrouble {
@@ -52,12 +58,25 @@
 		return nil, err
 	}
 	s.rec.add("new configuration acknowledged")
-	time.Sleep(retiredWatch)
+	group.Wait()
 	var violations []string
 	for _, w := range workers {
 		w.engine.mu.Lock()
 		violations = append(violations, w.engine.overcommits...)
 		w.engine.mu.Unlock()
 	}
+	s.rec.add("answers by status: %v (0: the stream broke off)", countStatuses(results))
 	return violations, nil
 }
+
+// newDraftLoad returns clients that ask for streams of a model which stays in the configuration.
+func newDraftLoad(s *site) load {
+	clients := make([]*client, 0, draftClients)
+	for i := range draftClients {
+		clients = append(clients, &client{
+			rec: s.rec, front: s.front(i % machineCount), method: http.MethodPost, path: pathDraft,
+			extra: "X-Auburndale-Model: rada7437b5\r\nX-Auburndale-Token-Count: 1000,30\r\n", body: "{}",
+		})
+	}
+	return load{clients: clients, pause: eventPause}
+}
--- a/review/cases/worker.go
+++ b/review/cases/worker.go
@@ -116,7 +116,7 @@
 
 // register repeats the registration, at any control process.
 func (w *worker) register(ctx context.Context, born int64) {
-	for seq := 1; ctx.Err() == nil; seq++ {
+	for seq := 1; ctx.Err() == nil && (w.engine == nil || !w.engine.hasCrashed()); seq++ {
 		registration := map[string]any{
 			"service": w.service, "address": w.address, "zone": "sul-a", "version": "v1", "slots": cap(w.slots),
 			"state": "ready", "cold_left_ms": 0, "born": born, "seq": seq,
@@ -138,43 +138,60 @@
 	}
 }
 
+// repeatedAnswer is an answer that comes once more before the next one; empty for none.
+type repeatedAnswer struct {
+	attempt string
+	text    string
+}
+
 // serve answers the requests of one connection, one at a time.
 func (w *worker) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	// repeated is the answer that comes once more before the next one.
-	repeated, repeatedID := "", ""
+	var repeated repeatedAnswer
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		if err != nil {
+		if err != nil || w.engine != nil && w.engine.hasCrashed() {
 			return
 		}
-		isSame := repeatedID == req.Header.Get(headerAttempt)
-		if repeated != "" && isSame == (w.repeatsTo == repeatToSame) {
-			w.count(&w.repeats)
-			w.site.rec.add("%s sends its answer to %s again, where that to %s is due", w.id, repeatedID, req.Header.Get(headerAttempt))
-			if _, err := io.WriteString(conn, repeated); err != nil {
+		if w.engine != nil && req.URL.Path == pathDraft {
+			if !w.engine.serveStream(w, conn, req) {
 				return
 			}
+			continue
 		}
-		repeated = ""
-		answer := w.answer(req, body)
-		if answer == "" {
+		if !w.repeat(conn, req, repeated) {
 			return
 		}
-		if _, err := io.WriteString(conn, answer); err != nil {
+		answer := w.answer(req, body)
+		if _, err := io.WriteString(conn, answer); err != nil || answer == "" {
 			return
 		}
+		repeated = repeatedAnswer{}
 		if w.isTrouble.Load() && rand.Float64() < w.repeatShare {
-			repeated, repeatedID = answer, req.Header.Get(headerAttempt)
+			repeated = repeatedAnswer{attempt: req.Header.Get(headerAttempt), text: answer}
 		}
 	}
 }
 
+// repeat sends an earlier answer of the connection once more before the answer to the request, if the
+// case wants it in the place of this one. It returns false if the connection has ended.
+func (w *worker) repeat(conn net.Conn, req *http.Request, repeated repeatedAnswer) bool {
+	attempt := req.Header.Get(headerAttempt)
+	isSame := repeated.attempt == attempt
+	if repeated.text == "" || isSame != (w.repeatsTo == repeatToSame) {
+		return true
+	}
+	w.count(&w.repeats)
+	w.site.rec.add("%s sends its answer to %s again, where that to %s is due", w.id, repeated.attempt, attempt)
+	_, err := io.WriteString(conn, repeated.text)
+	return err == nil
+}
+
 // answer runs or rejects a request and returns the bytes of the answer; none if it is lost.
 func (w *worker) answer(req *http.Request, body []byte) string {
 	attempt := req.Header.Get(headerAttempt)
