Believe a response only of the request that it names

Cause: the relay looked at "not run" before it compared the ids, so a late copy of a refusal of another request was believed. It took departures, rate limits and quiet times from responses without an id as well. A copy of the refusal of the very request that is sent again bears its id, so there the connection decides; which one is used was net/http's choice.

Change: a response counts only for the request that it names, whatever its status. A pool of the relay's own over http.ClientConn keeps a connection only after a complete response to its own request, and never sends a request on a connection that has carried it. A request of which nothing was written to an idle connection that had ended is sent on another one.

Tests, all failing before: TestLateRefusalOfAnotherRequestIsNotBelieved (8 of 8 cases), TestRefusalRepeatedToItsOwnRequestIsNotBelieved (2 of 2), TestConnectionWithAForeignResponseIsNotReused. The fixture's refusals now name their request, as the wire protocol demands of each response; without that they would be refused as foreign, which the first test checks.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -220,7 +220,7 @@
 		IsCompact:    r.zoning.isZoned,
 	})
 	guard := aubpoison.NewGuard(r.ctx, r.common, poison, r.registryClient.ApplyPoison)
-	r.handler = aubrelay.NewHandler(r.common, aubrelay.HandlerOpts{
+	r.handler = aubrelay.NewHandler(r.ctx, r.common, aubrelay.HandlerOpts{
 		Protocol:          r.adapter.Protocol,
 		Site:              r.site,
 		ActivationTimeout: time.Duration(activationShare * float64(r.cfg.Registry.ActivationTimeout.Value())),
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,16 +36,16 @@
 		Priority:    priorityOf(ex),
 		LastEventID: ex.lastEventID,
 	}
-	var gotConn atomic.Bool
-	resp, err := h.transport.RoundTrip(h.newAttemptRequest(ctx, ex, announcement.GetAddress(), attempt, &gotConn))
+	resp, conn, mayHaveArrived, err := h.roundTrip(ctx, ex, announcement.GetAddress(), attempt)
 	var result attemptResult
 	if err != nil {
-		result = h.noResponseResult(ctx, choice, gotConn.Load(), err)
+		result = h.noResponseResult(ctx, choice, mayHaveArrived, err)
 	} else {
 		result = h.handleResponse(ex, choice, resp, started)
 		result.isUnframed = isUnframed(resp)
 		result.mayHaveArrived = true
 		_ = resp.Body.Close()
+		h.release(conn, result)
 	}
 	if result.outcome != outcomeNotRun {
 		ex.mayHaveRun = true
@@ -123,9 +122,9 @@
 
 // noResponseResult returns the result of an attempt without a response and marks
 // a backend server that refused the connection as suspect.
-func (h *Handler) noResponseResult(ctx context.Context, choice aubroute.Choice, gotConn bool, err error) attemptResult {
-	result := attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, mayHaveArrived: gotConn, err: err}
-	if !gotConn {
+func (h *Handler) noResponseResult(ctx context.Context, choice aubroute.Choice, mayHaveArrived bool, err error) attemptResult {
+	result := attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, mayHaveArrived: mayHaveArrived, err: err}
+	if !mayHaveArrived {
 		result.outcome = outcomeNotRun
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -137,10 +136,24 @@
 	return result
 }
 
+// release gives a connection back after a response. The response to this request may follow that
+// to another one, so the connection is closed then.
+func (h *Handler) release(conn *backendConn, result attemptResult) {
+	var foreign *foreignResponseError
+	if errors.As(result.err, &foreign) {
+		conn.close()
+		return
+	}
+	h.conns.give(conn)
+}
+
 // handleResponse checks that a response belongs to the request and is signed, and
-// writes it to the caller.
+// writes it to the caller. Whatever a response says, it says of the request that it names.
 func (h *Handler) handleResponse(ex *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) attemptResult {
 	decoded := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header)
+	if decoded.CallID != ex.call.ID {
+		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &foreignResponseError{callID: decoded.CallID, status: resp.StatusCode}}
+	}
 	h.observeAdvice(ex, choice, decoded)
 	switch {
 	case decoded.NotRun:
@@ -149,8 +162,6 @@
 			h.opts.Registry.RejectUnconfirmed(ex.call.ID, ex.backendID, ex.backendStartedMs)
 		}
 		return attemptResult{outcome: outcomeNotRun, failure: aubroute.FailureRefused, err: &statusError{status: resp.StatusCode}}
-	case decoded.CallID != ex.call.ID:
-		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &foreignResponseError{callID: decoded.CallID}}
 	case resp.StatusCode < http.StatusMultipleChoices && !decoded.Signed:
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unsignedResponseError{}}
 	case ex.route.Kind == aubsite.KindStream && resp.StatusCode == http.StatusOK:
@@ -159,24 +170,21 @@
 	return h.relayPlain(ex, choice, resp, started)
 }
 
-// observeAdvice passes on what a response says of the requests that its backend server
-// wants. Only a response that is certainly the backend server's own ends a limit. Nothing is
-// taken from one that belongs to another request: its sender may be gone.
+// observeAdvice passes on what a response to the request says of the requests that its backend
+// server wants. Only a signed one ends a limit.
 func (h *Handler) observeAdvice(ex *exchange, choice aubroute.Choice, decoded BackendResponse) {
-	if decoded.Misdirected || decoded.CallID != ex.call.ID && decoded.CallID != "" {
+	if decoded.Misdirected {
 		return
 	}
 	_, isLimited := decoded.RateLimit.Get()
-	isOwn := decoded.Signed && decoded.CallID == ex.call.ID
 	backend := throttledBackend(choice)
-	if isLimited || isOwn {
+	if isLimited || decoded.Signed {
 		h.opts.Throttle.Observe(ex.call.ID, backend, decoded.RateLimit)
 	}
 	if decoded.RetryAfter > 0 {
 		h.opts.Throttle.ObserveQuiet(ex.call.ID, backend, decoded.RetryAfter)
 	}
-	// Only an answer to this request may end the cold; any may say that it lasts.
-	if left, _ := decoded.ColdLeft.Get(); isOwn || left > 0 {
+	if left, _ := decoded.ColdLeft.Get(); decoded.Signed || left > 0 {
 		h.opts.Throttle.ObserveCold(ex.call.ID, backend, decoded.ColdLeft)
 	}
 	if decoded.Leaving {
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -8,12 +8,15 @@
 // Error implements error.
 func (e *statusError) Error() string { return fmt.Sprintf("backend server answered %d", e.status) }
 
-// foreignResponseError is a response that names another request.
-type foreignResponseError struct{ callID string }
+// foreignResponseError is a response that names another request or none.
+type foreignResponseError struct {
+	callID string
+	status int
+}
 
 // Error implements error.
 func (e *foreignResponseError) Error() string {
-	return fmt.Sprintf("answer belongs to request %q", e.callID)
+	return fmt.Sprintf("answer with status %d belongs to request %q", e.status, e.callID)
 }
 
 // unsignedResponseError is a successful response without the backend server's signature.
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -61,6 +61,8 @@
 	firstEventTime time.Duration
 	// maxEventGap is the longest time between two events of a stream.
 	maxEventGap time.Duration
+	// usedConns are the connections on which the request may have been sent.
+	usedConns []*backendConn
 	// excludedBackends are the backend servers of earlier attempts.
 	excludedBackends []string
 	// admission is nil unless requests are admitted by their objectives.
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -83,9 +83,11 @@
 	}
 }
 
-func (testProtocol) DecodeResponse(_ int, header http.Header) aubrelay.BackendResponse {
+func (testProtocol) DecodeResponse(status int, header http.Header) aubrelay.BackendResponse {
+	isMisdirected := status == http.StatusMisdirectedRequest
 	resp := aubrelay.BackendResponse{
-		CallID: header.Get(headerID), Signed: header.Get(headerSigned) != "", NotRun: header.Get(headerNotRun) != "",
+		CallID: header.Get(headerID), Signed: header.Get(headerSigned) != "",
+		NotRun: isMisdirected || header.Get(headerNotRun) != "", Misdirected: isMisdirected,
 	}
 	if limit, err := strconv.ParseFloat(header.Get(headerRateLimit), 64); err == nil {
 		resp.RateLimit = auboption.Some(limit)
@@ -183,8 +185,10 @@
 	return stream.String()
 }
 
-// refuseNotRun states that the request did not run.
-func refuseNotRun(_ *backend, w http.ResponseWriter, _ *http.Request) {
+// refuseNotRun states that the request did not run. Backend servers name the request in each
+// response.
+func refuseNotRun(_ *backend, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerID, r.Header.Get(headerID))
 	w.Header().Set(headerNotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -458,7 +462,7 @@
 	fixture.hasZoneDrains.Store(true)
 	fixture.poison = aubpoison.NewTable()
 	guard := aubpoison.NewGuard(t.Context(), common, fixture.poison, newApplyFunc(fixture.poison))
-	fixture.handler = aubrelay.NewHandler(common, aubrelay.HandlerOpts{
+	fixture.handler = aubrelay.NewHandler(t.Context(), common, aubrelay.HandlerOpts{
 		Protocol: testProtocol{}, Site: fixture.site, ActivationTimeout: activationTimeout, Registry: fixture.registry, Router: router, Demand: aubrelay.NewDemandCounter(common),
 		Limiter: aublimit.NewSharedCounters(common, aublimit.CountersOpts{Limits: func(string) (int64, int64, bool) { return 1, 1, true }}),
 		CopyRequester: aubrelay.NewCopyRequester(common, fixture.registry, func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -96,7 +96,7 @@
 type Handler struct {
 	common    aubcommon.Common
 	opts      HandlerOpts
-	transport http.RoundTripper
+	conns     *connPool
 	metrics   metrics
 	admitter  *admitter
 	unread    *unreadBytes
@@ -106,14 +106,15 @@
 	shutdownAt atomic.Pointer[time.Time]
 }
 
-// NewHandler returns a handler with its own connections to backend servers.
-func NewHandler(common aubcommon.Common, opts HandlerOpts) *Handler {
+// NewHandler returns a handler with its own connections to backend servers, which end with ctx unless a
+// request uses them.
+func NewHandler(ctx context.Context, common aubcommon.Common, opts HandlerOpts) *Handler {
 	common = common.WithPart("relay")
 	return &Handler{
 		common:    common,
 		opts:      opts,
 		admitter:  newAdmitter(common),
-		transport: newTransport(opts.Dial),
+		conns:     newConnPool(ctx, common.Timer, opts.Dial),
 		startedAt: common.Timer.Now(),
 		metrics:   newMetrics(common.Metrics),
 		unread:    newUnreadBytes(opts.Writes.MaxUnread),
--- a/internal/aubrelay/select_test.go
+++ b/internal/aubrelay/select_test.go
@@ -41,7 +41,7 @@
 				}
 				return &aubwire.PlaceResponse{Backend: "b"}, nil
 			}
-			h := NewHandler(common, HandlerOpts{CopyRequester: NewCopyRequester(common, registry, place)})
+			h := NewHandler(t.Context(), common, HandlerOpts{CopyRequester: NewCopyRequester(common, registry, place)})
 			ex := &exchange{service: "s", call: Call{Model: "m", Adapter: "a1"}, route: aubsite.Route{Objective: test.objective}}
 			startedAt := time.Now()
 			err := h.awaitCopy(context.Background(), ex)
