Keep foreign registrations from displacing backend servers

Cause: the registry asked only which of two records is later. An entry for a service that no configuration names took the place of the backend server whose id or address it bore, and kept the clock of losses going where only it was heard.

Change: a record of a service that the configuration doesn't name never displaces one of a service that it names, at control processes and relays; the other way round it always does. It doesn't count for losses.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -158,6 +158,7 @@
 
 func (c *controller) startRegistry() {
 	c.registry = aubregistry.NewRegistry(c.common, registrationTimeout(c.cfg))
+	c.registry.KnowServices(c.site.NamesService)
 	c.loads = aubregistry.NewLoadAggregator(c.common)
 	c.director = auborder.NewDirector(c.ctx, c.common, auborder.DirectorOpts{
 		Holder:     c.cfg.Name,
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -132,6 +132,7 @@
 func (r *relay) newComponents() error {
 	r.site = aubsite.NewActiveSite(r.common, r.adapter.DecodeSite)
 	r.registry = aubregistry.NewRegistry(r.common, registrationTimeout(r.cfg))
+	r.registry.KnowServices(r.site.NamesService)
 	r.demand = aubrelay.NewDemandCounter(r.common)
 	r.speedMeter, r.speeds = aubspeed.NewMeter(r.common), aubspeed.NewTable()
 	r.deferrable = aubsite.NewDeferrableCheck(r.cfg.Admission.ObjectiveSpread)
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -90,6 +90,8 @@
 	keepsDepartures bool
 	// observe is called with each registration that is applied; nil for none.
 	observe func(record *aubwire.BackendRecord)
+	// isService reports whether the configuration names a service; nil if that is not known.
+	isService func(name string) bool
 	// view is the cached view, built at viewAt.
 	view   aubmembership.View
 	viewAt time.Time
@@ -179,10 +181,13 @@
 		return
 	}
 	stored := r.entries[record.GetId()]
+	if r.displacesNamed(record, stored) {
+		return
+	}
 	if record.GetService() != "" {
 		r.noteSoftware(softwareKey{service: record.GetService(), software: record.GetSoftware()}, now)
 	}
-	if stored != nil && !supersedes(record, stored.record) && !stored.isConfirmedBy(record) {
+	if stored != nil && !supersedes(record, stored.record) && !stored.isConfirmedBy(record) && !r.outranks(record, stored.record) {
 		if isUnnamedDeparture(record) && stored.isUnconfirmed() {
 			r.endUnconfirmed(stored)
 			return
@@ -212,7 +217,9 @@
 	}
 	r.noteConfirmed(stored, record, now)
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
-	r.newestReceivedAt = now
+	if r.isNamed(record) {
+		r.newestReceivedAt = now
+	}
 	if r.observe != nil {
 		r.observe(record)
 	}
@@ -279,7 +286,7 @@
 			other.record.GetState() == aubwire.BackendState_BACKEND_STATE_GONE {
 			continue
 		}
-		if other.record.GetStartedMs() > record.GetStartedMs() {
+		if other.record.GetStartedMs() > record.GetStartedMs() && !r.outranks(record, other.record) {
 			return false
 		}
 		other.isSuperseded = other.record.GetState() == aubwire.BackendState_BACKEND_STATE_READY
--- /dev/null
+++ b/internal/aubregistry/service.go
@@ -0,0 +1,42 @@
+package aubregistry
+
+import "github.com/auburndale/auburndale/internal/aubwire"
+
+// KnowServices sets a function that reports whether the configuration names a service. Other writers
+// may leave registrations for services that it doesn't name; these never displace a backend server of
+// one that it names. The function is called with the registry's lock held.
+func (r *Registry) KnowServices(isService func(name string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isService = isService
+}
+
+// isNamed reports whether the record is of a service that the configuration names, or that is not
+// known; the caller holds mu.
+func (r *Registry) isNamed(record *aubwire.BackendRecord) bool {
+	return r.isService == nil || r.isService(record.GetService())
+}
+
+// outranks reports whether only the record, and not the stored one, is of a service that the
+// configuration names; the caller holds mu.
+func (r *Registry) outranks(record, stored *aubwire.BackendRecord) bool {
+	return r.isNamed(record) && !r.isNamed(stored)
+}
+
+// displacesNamed reports whether a record of a service that the configuration doesn't name has the id
+// or the address of a backend server that is in use; stored is the entry with its id, or nil. The caller
+// holds mu.
+func (r *Registry) displacesNamed(record *aubwire.BackendRecord, stored *entry) bool {
+	if record.GetService() == "" || r.isNamed(record) {
+		return false
+	}
+	if stored != nil && r.isPresent(stored) && r.isNamed(stored.record) {
+		return true
+	}
+	for _, other := range r.entries {
+		if other.record.GetAddress() == record.GetAddress() && r.isPresent(other) && r.isNamed(other.record) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/aubsite/active_site.go
+++ b/internal/aubsite/active_site.go
@@ -54,6 +54,16 @@
 	return a.site
 }
 
+// NamesService reports whether the active configuration names the service; true before the first one.
+func (a *ActiveSite) NamesService(name string) bool {
+	site := a.Site()
+	if site == nil {
+		return true
+	}
+	_, ok := site.Service(name)
+	return ok
+}
+
 // Announce records the number of the newest committed revision as a control process
 // knows it.
 func (a *ActiveSite) Announce(newest uint64) {
