State software versions as confirmed only behind a read barrier

What could happen: a relay at which a caller takes up a stream without naming its begin goes on at the only version that most control processes state. Their answers counted once their state had been confirmed since their start, however long ago: one that had been suspended, and a follower that had not applied the last commits, lacked a version that was committed, and the stream went on at another one. Reported by other operators.

Change: a control process that doesn't know the origin waits for a read barrier, 120 ms at most, before it states the committed versions. Without one its answer doesn't count.

--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -188,6 +188,7 @@
 		Streams:     aubresume.NewTable(c.common.Timer),
 		Zone:        c.cfg.Zone,
 		Confirmed:   c.confirmed.Load,
+		Barrier:     c.awaitCommitted,
 		Addresses:   c.controlAddresses,
 
 		Software:       c.software,
@@ -207,6 +208,12 @@
 	c.keepRegistrySnapshots()
 }
 
+// awaitCommitted returns once the tables hold all that was committed before the call.
+func (c *controller) awaitCommitted(ctx context.Context) error {
+	_, err := c.replica.Confirm(ctx)
+	return err
+}
+
 // followTable activates committed configurations in this process until it ends.
 func (c *controller) followTable() {
 	for {
--- /dev/null
+++ b/internal/aubregistry/current_test.go
@@ -0,0 +1,53 @@
+package aubregistry_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubresume"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
+
+// commitSoftware applies a software version of the service s to the table.
+func commitSoftware(t *testing.T, table *aubresume.SoftwareTable, software string) {
+	body, err := proto.Marshal(&aubwire.SoftwareCommand{Registered: []*aubwire.SoftwareVersion{{Service: "s", Software: software}}})
+	qt.Assert(t, err, qt.IsNil)
+	table.Apply(aubcontrol.Command{Body: body})
+}
+
+// TestStreamVersionsAreThoseCommittedBefore guards against a control process that was suspended or cut off
+// and states the only software version that it knows, although another one was committed.
+func TestStreamVersionsAreThoseCommittedBefore(t *testing.T) {
+	control := newControlProcess(t, aubcommon.NewCommon(aubtimer.NewReal()))
+	commitSoftware(t, control.software, "v1")
+	find := func() *aubwire.FindStreamResponse {
+		resp, err := control.server.FindStream(t.Context(), &aubwire.FindStreamRequest{Services: []string{"s"}})
+		qt.Assert(t, err, qt.IsNil)
+		return resp
+	}
+	control.barrier = func(context.Context) error {
+		commitSoftware(t, control.software, "v2")
+		return nil
+	}
+	resp := find()
+	qt.Assert(t, resp.GetConfirmed(), qt.IsTrue)
+	qt.Assert(t, resp.GetSoftware(), qt.HasLen, 2)
+	control.barrier = func(context.Context) error { return errors.New("no leader") }
+	qt.Assert(t, find().GetConfirmed(), qt.IsFalse)
+	control.barrier = func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	startedAt := time.Now()
+	qt.Assert(t, find().GetConfirmed(), qt.IsFalse)
+	// Relays wait for 200 ms.
+	qt.Assert(t, time.Since(startedAt) < 190*time.Millisecond, qt.IsTrue)
+}
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -15,6 +15,7 @@
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubspeed"
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -25,6 +26,9 @@
 	// streamTimeout is the time without a received message after which either end closes
 	// a stream.
 	streamTimeout = 1500 * time.Millisecond
+	// barrierTimeout limits the wait for the newest committed state. It is shorter than the time for
+	// which callers wait for the origin of a stream.
+	barrierTimeout = 120 * time.Millisecond
 )
 
 // Placer finds copies of models and adapters and has missing ones loaded.
@@ -79,6 +83,9 @@
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
 	// the process. No revision is announced or sent and no drained zones are stated before.
 	Confirmed func() bool
+	// Barrier returns once this process has applied all that was committed before the call, or an
+	// error if that is not known. Nil means that it always has.
+	Barrier func(ctx context.Context) error
 	// Addresses returns the addresses of all known control processes.
 	Addresses func() []string
 }
@@ -120,13 +127,33 @@
 	return s.opts.ApplyPoison(ctx, command)
 }
 
-// FindStream implements aubwire.RegistryServer.
-func (s *Server) FindStream(_ context.Context, req *aubwire.FindStreamRequest) (*aubwire.FindStreamResponse, error) {
+// FindStream implements aubwire.RegistryServer. Software versions are stated as confirmed only if they
+// include all that were committed before the call: this process may have been suspended or cut off, or
+// not yet have applied what a majority holds.
+func (s *Server) FindStream(ctx context.Context, req *aubwire.FindStreamRequest) (*aubwire.FindStreamResponse, error) {
+	if origin := s.opts.Streams.Find(req.GetId()); origin != nil {
+		return &aubwire.FindStreamResponse{Origin: origin, Confirmed: s.opts.Confirmed(), Software: s.opts.Software.Seen(req.GetServices())}, nil
+	}
+	confirmed := s.opts.Confirmed() && s.awaitBarrier(ctx)
 	return &aubwire.FindStreamResponse{
-		Origin: s.opts.Streams.Find(req.GetId()), Confirmed: s.opts.Confirmed(), Software: s.opts.Software.Seen(req.GetServices()),
+		Origin: s.opts.Streams.Find(req.GetId()), Confirmed: confirmed, Software: s.opts.Software.Seen(req.GetServices()),
 	}, nil
 }
 
+// awaitBarrier reports whether this process has applied all that was committed before the call.
+func (s *Server) awaitBarrier(ctx context.Context) bool {
+	if s.opts.Barrier == nil {
+		return true
+	}
+	ctx, cancel := aubtimer.WithTimeout(ctx, s.common.Timer, barrierTimeout)
+	defer cancel()
+	err := s.opts.Barrier(ctx)
+	if err != nil {
+		s.common.Log.Info("Software versions are not confirmed.", zap.Error(err))
+	}
+	return err == nil
+}
+
 // Register applies a registration that this process received directly and returns the version
 // of the registry that includes it. The software version of a backend server that is ready is
 // committed first, so that no stream begins at a version that a restart of all processes would
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -56,6 +56,8 @@
 	grpc      *grpc.Server
 	software  *aubresume.SoftwareTable
 	confirmed atomic.Bool
+	// barrier returns once the software table holds all that was committed.
+	barrier func(ctx context.Context) error
 }
 
 func newControlProcess(t *testing.T, common aubcommon.Common) *controlProcess {
@@ -70,7 +72,13 @@
 		Software: c.software,
 		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{},
 		ZoneDrains: c.drains,
-		Confirmed:  c.confirmed.Load, Addresses: func() []string { return []string{"c1"} },
+		Barrier: func(ctx context.Context) error {
+			if c.barrier == nil {
+				return nil
+			}
+			return c.barrier(ctx)
+		},
+		Confirmed: c.confirmed.Load, Addresses: func() []string { return []string{"c1"} },
 	})
 	aubwire.RegisterRegistryServer(c.grpc, c.server)
 	go func() { _ = c.grpc.Serve(c.listener) }()
