Take up no streams at a relay whose records may be outdated

Cause: what a relay had last heard of a backend server counted as its present state, also after a cut or a suspension, when the backend server had started again under its id. Responses that had waited in a socket meanwhile looked new.

Change: the age of a response follows from the request that it names. A stream is bound only to an incarnation that is still the newest known.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -238,6 +238,7 @@
 		RegionOf:          func(zone string) string { return r.cfg.Regions[zone] },
 		LoadAge:           r.loads.LoadAge,
 		KnownRelays:       func() int { return int(r.knownRelays.Load()) },
+		IsCurrent:         r.registryClient.IsCurrent,
 		Streams:           aubresume.NewResolver(r.common, streams, r.registryClient.FindStream, r.registry.SoftwareVersions),
 		HasZoneDrains:     r.drains.HasStatement,
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -38,6 +38,8 @@
 	maxReportedStreams = 256
 	// grpcHeaderBytes is the size of the header that gRPC adds to each message.
 	grpcHeaderBytes = 5
+	// currentTimeout is the age up to which the records of a control process count as current.
+	currentTimeout = 4 * reportInterval
 	// unlistedTimeout is how long the client tries to reach a control process that
 	// neither the settings nor another control process lists.
 	unlistedTimeout = 10 * time.Second
@@ -123,6 +125,9 @@
 	connected bool
 	// lastReceivedAt is when the last response was received.
 	lastReceivedAt time.Time
+	// currentAt is a time at or after which the control process made the newest response that was
+	// applied; zero if it is not known. A response may have waited here while this process was suspended.
+	currentAt time.Time
 	// isWithoutDisk is set if the control process has no disk. It only tells addresses and
 	// never counts as connected.
 	isWithoutDisk bool
@@ -278,7 +283,7 @@
 	hasChanged := link.connected != (conn != nil)
 	link.conn, link.connected = conn, conn != nil
 	if !link.connected {
-		link.newestRevision = 0
+		link.newestRevision, link.currentAt = 0, time.Time{}
 	}
 	if !link.connected && c.primary == link.address {
 		c.primary = ""
@@ -397,11 +402,15 @@
 	if len(resp.GetLimits()) > 0 && c.opts.OnLimits != nil {
 		c.opts.OnLimits(link.address, resp.GetLimits())
 	}
+	askedAt := c.startedAt.Add(time.Duration(resp.GetZoneDrains().GetHeardMs()) * time.Millisecond)
 	if drains := resp.GetZoneDrains(); drains != nil && c.opts.OnZoneDrains != nil {
-		c.opts.OnZoneDrains(drains, c.startedAt.Add(time.Duration(drains.GetHeardMs())*time.Millisecond))
+		c.opts.OnZoneDrains(drains, askedAt)
 	}
 	c.opts.Registry.Merge(mirror.expand(resp))
 	c.opts.Registry.MergeSoftware(resp.GetSoftware())
+	if resp.GetZoneDrains() != nil {
+		c.setCurrent(link, askedAt)
+	}
 	c.setAnnounced(link, resp)
 	if peers := resp.GetPeers(); peers != nil && c.opts.OnPeers != nil {
 		c.opts.OnPeers(peers)
@@ -409,6 +418,32 @@
 	c.ensureLinks(resp.GetControlAddresses())
 }
 
+func (c *Client) setCurrent(link *controlLink, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	link.currentAt = at
+}
+
+// IsCurrent reports whether the records of this process include what most of the known control processes
+// had currentTimeout ago. A process that is cut off or was suspended may know an outdated incarnation of
+// a backend server.
+func (c *Client) IsCurrent() bool {
+	now := c.common.Timer.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current, known := 0, 0
+	for _, link := range c.links {
+		if link.isWithoutDisk {
+			continue
+		}
+		known++
+		if link.connected && now.Sub(link.currentAt) <= currentTimeout {
+			current++
+		}
+	}
+	return 2*current > known
+}
+
 // setAnnounced stores and passes on the newest revision of a control process, and stores
 // its zone.
 func (c *Client) setAnnounced(link *controlLink, resp *aubwire.RegistryResponse) {
--- a/internal/aubregistry/current_test.go
+++ b/internal/aubregistry/current_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
+	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
@@ -51,3 +52,30 @@
 	// Relays wait for 200 ms.
 	qt.Assert(t, time.Since(startedAt) < 190*time.Millisecond, qt.IsTrue)
 }
+
+// TestSuspendedProcessIsNotCurrent guards against a process that takes what arrived before it stood still
+// for the newest registrations.
+func TestSuspendedProcessIsNotCurrent(t *testing.T) {
+	control := newControlProcess(t, aubcommon.NewCommon(aubtimer.NewReal()))
+	timer := aubtimer.NewManual(time.Unix(100, 0))
+	common := aubcommon.NewCommon(timer)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
+		Process: "r1", Relay: true, Seeds: func() []string { return []string{"c1"} }, Dial: control.dial,
+		Registry: aubregistry.NewRegistry(common, time.Minute), OnZoneDrains: func(*aubwire.ZoneDrains, time.Time) {},
+	})
+	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
+	step := func() bool {
+		timer.Advance(50 * time.Millisecond)
+		return client.IsCurrent()
+	}
+	await(t, "the process is current", step)
+	timer.Advance(5 * time.Second)
+	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
+	await(t, "the process is current again", step)
+	control.grpc.Stop()
+	await(t, "the process is cut off", func() bool { return !step() })
+	time.Sleep(pollInterval)
+	qt.Assert(t, step(), qt.IsFalse)
+}
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -300,6 +300,8 @@
 	regions map[string]string
 	// hasZoneDrains is set once the relay knows the drained zones.
 	hasZoneDrains atomic.Bool
+	// isOutdated is set while the relay may not know the newest incarnations.
+	isOutdated atomic.Bool
 	// bytesRead counts what the relay has read from backend servers.
 	bytesRead atomic.Int64
 	// examineDelay, in nanoseconds, delays the crash detector.
@@ -472,7 +474,8 @@
 		RegionOf:   func(zone string) string { return fixture.regions[zone] },
 		Deferrable: aubsite.NewDeferrableCheck(8),
 		Throttle:   throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
-		Streams: aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
+		IsCurrent: func() bool { return !fixture.isOutdated.Load() },
+		Streams:   aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
 		Crashes: aubrelay.NewCrashDetector(t.Context(), common, aubrelay.CrashDetectorOpts{
 			Registry: fixture.registry, Dial: fixture.dialToExamine, OnCrash: guard.ReportCrash,
 		}),
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -84,6 +84,9 @@
 	KnownRelays func() int
 	// Streams finds and records where streams began.
 	Streams *aubresume.Resolver
+	// IsCurrent reports whether the registry holds the newest incarnations of the backend servers; nil
+	// means always.
+	IsCurrent func() bool
 	// Crashes receives the lost connections to backend servers.
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -116,6 +116,9 @@
 		ex.service = drawService(ex.route)
 		return nil
 	}
+	if !h.isCurrent() {
+		return newRefusal(http.StatusServiceUnavailable, CodeUnknownStream, defaultRetryAfter)
+	}
 	services := make([]string, 0, len(ex.route.Targets))
 	for _, target := range ex.route.Targets {
 		services = append(services, target.Service)
@@ -132,26 +135,35 @@
 	return nil
 }
 
-// recordStream notes the software version of a stream's first event, at which it must go on. That
-// of an unconfirmed backend server is known only once it has registered.
+// recordStream notes the software version of a stream's first event, at which it must go on, once it
+// is known.
 func (h *Handler) recordStream(ex *exchange) {
 	if _, isBound := ex.requiredSoftware.Get(); isBound {
 		return
 	}
-	if ex.isUnconfirmed && !h.opts.Registry.IsConfirmed(ex.backendID, ex.backendStartedMs) {
-		if ex.route.Resumable {
-			// The caller may take the stream up before the version is known. Without this record
-			// the only version that is known by then would be taken for it.
-			h.opts.Streams.Record(ex.call.ID, aubresume.Origin{Service: ex.service, Software: aubresume.UnknownSoftware})
-		}
-		return
+	origin := aubresume.Origin{Service: ex.service, Software: ex.software}
+	isKnown := h.isSoftwareKnown(ex)
+	if isKnown {
+		ex.requiredSoftware = auboption.Some(ex.software)
+	} else {
+		// The caller may take the stream up before the version is known. Without this record
+		// the only version that is known by then would be taken for it.
+		origin.Software = aubresume.UnknownSoftware
 	}
-	ex.requiredSoftware = auboption.Some(ex.software)
 	if ex.route.Resumable {
-		h.opts.Streams.Record(ex.call.ID, aubresume.Origin{Service: ex.service, Software: ex.software})
+		h.opts.Streams.Record(ex.call.ID, origin)
 	}
 }
 
+// isSoftwareKnown reports whether the software version of the backend server that runs the request is
+// certainly that of its record. An unconfirmed one may have started again with another version, and so
+// may any other one under its id while this process hears of no registrations.
+func (h *Handler) isSoftwareKnown(ex *exchange) bool {
+	return h.isCurrent() && h.opts.Registry.IsConfirmed(ex.backendID, ex.backendStartedMs)
+}
+
+func (h *Handler) isCurrent() bool { return h.opts.IsCurrent == nil || h.opts.IsCurrent() }
+
 // admitSuspect returns an *aubpoison.BlockedError if the request may crash its backend
 // server. It is called before each attempt, because the attempt before may have done so.
 func (h *Handler) admitSuspect(ctx context.Context, ex *exchange) error {
@@ -189,14 +201,14 @@
 }
 
 // isVersionUnknown reports whether a stream has begun at a software version that is not known, so
-// that no other backend server may go on with it.
+// that no other backend server may go on with it, or those of the others are not known now.
 func (h *Handler) isVersionUnknown(ex *exchange) bool {
-	if !ex.isUnconfirmed || !ex.headerWritten {
+	if ex.route.Kind != aubsite.KindStream || !ex.headerWritten {
 		return false
 	}
 	h.recordStream(ex)
 	_, isBound := ex.requiredSoftware.Get()
-	return !isBound
+	return !isBound || !h.isCurrent()
 }
 
 // giveUp ends a request after its last attempt. pickErr is set if no backend server was
--- a/internal/aubresume/recorder.go
+++ b/internal/aubresume/recorder.go
@@ -27,6 +27,11 @@
 	Software string
 }
 
+// replaces reports whether the origin says more than the known one of the same stream.
+func (o Origin) replaces(known Origin) bool {
+	return known.Software == UnknownSoftware && o.Software != UnknownSoftware
+}
+
 // UnknownSoftware is the version of an origin whose backend server had not registered since a
 // restart of everything when the stream began. No other backend server may go on with it.
 const UnknownSoftware = "?"
@@ -59,13 +64,14 @@
 	return &Recorder{timer: timer, byID: make(map[string]Origin), changed: make(chan struct{})}
 }
 
-// Record adds the origin of a stream that began with the call.
+// Record adds the origin of a stream that began with the call. The first one counts, unless its
+// software version is unknown and that of a later one is not.
 func (r *Recorder) Record(callID string, origin Origin) {
 	now := r.timer.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropOld(now)
-	if _, ok := r.byID[callID]; ok {
+	if known, ok := r.byID[callID]; ok && !origin.replaces(known) {
 		return
 	}
 	r.records = append(r.records, record{id: callID, origin: origin, recordedAt: now})
--- a/internal/aubresume/recorder_test.go
+++ b/internal/aubresume/recorder_test.go
@@ -53,6 +53,22 @@
 	qt.Assert(t, table.Find("1").GetSoftware(), qt.Equals, "v1")
 }
 
+// TestKnownVersionReplacesUnknown guards against streams that can't be taken up because their version
+// was not known at their first event.
+func TestKnownVersionReplacesUnknown(t *testing.T) {
+	timer := aubtimer.NewManual(time.Unix(0, 0))
+	r, table := aubresume.NewRecorder(timer), aubresume.NewTable(timer)
+	for _, software := range []string{aubresume.UnknownSoftware, "v1", aubresume.UnknownSoftware, "v2"} {
+		r.Record("1", aubresume.Origin{Service: "s", Software: software})
+		table.Add([]*aubwire.StreamOrigin{{Id: "1", Service: "s", Software: software}})
+	}
+	origin, _ := r.Find("1")
+	qt.Assert(t, origin.Software, qt.Equals, "v1")
+	qt.Assert(t, table.Find("1").GetSoftware(), qt.Equals, "v1")
+	origins, _, _ := r.Since(0, 100)
+	qt.Assert(t, origins[len(origins)-1].GetSoftware(), qt.Equals, "v1")
+}
+
 func TestNewCoverage(t *testing.T) {
 	for _, test := range []struct {
 		answered, all int
--- a/internal/aubresume/table.go
+++ b/internal/aubresume/table.go
@@ -24,7 +24,8 @@
 	return &Table{timer: timer, byID: make(map[string]Origin)}
 }
 
-// Add stores reported origins. The first one of a stream counts.
+// Add stores reported origins. The first one of a stream counts, unless its software version is
+// unknown and that of a later one is not.
 func (t *Table) Add(origins []*aubwire.StreamOrigin) {
 	if len(origins) == 0 {
 		return
@@ -33,10 +34,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, reported := range origins {
-		if _, ok := t.byID[reported.GetId()]; ok {
+		origin := Origin{Service: reported.GetService(), Software: reported.GetSoftware()}
+		if known, ok := t.byID[reported.GetId()]; ok && !origin.replaces(known) {
 			continue
 		}
-		origin := Origin{Service: reported.GetService(), Software: reported.GetSoftware()}
 		t.records = append(t.records, record{id: reported.GetId(), origin: origin, recordedAt: now})
 		t.byID[reported.GetId()] = origin
 	}
