Show that the transport repeats no request

Cause: net/http's transport sends such a request again by itself when a reused connection ends before a response.

--- a/internal/aubrelay/late_response_test.go
+++ b/internal/aubrelay/late_response_test.go
@@ -93,3 +93,23 @@
 		qt.Assert(t, result.body, qt.Equals, fmt.Sprint("answer to ", i))
 	}
 }
+
+// TestLostResponseIsNotRepeatedByTheTransport guards against a request without a body that net/http sends
+// again by itself after a lost response, because of its method or its idempotency key.
+func TestLostResponseIsNotRepeatedByTheTransport(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodOptions, http.MethodTrace, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			fixture := newRelayFixture(t, "b1")
+			withoutBody := func(r *http.Request) {
+				r.Body, r.ContentLength = http.NoBody, 0
+				r.Header.Set("Idempotency-Key", "k1")
+			}
+			// The first request leaves a connection that is used again.
+			fixture.setBehaviors(respondOK, dropResponse)
+			qt.Assert(t, fixture.call(method, "/write/x", "first", withoutBody).status, qt.Equals, http.StatusOK)
+			result := fixture.call(method, "/write/x", "second", withoutBody)
+			qt.Assert(t, fixture.countRuns("second"), qt.Equals, 1)
+			qt.Assert(t, result.status, qt.Equals, http.StatusBadGateway)
+		})
+	}
+}
