Count resident models by the size they were loaded with

Cause: the size of a resident model was taken from the newest configuration, which states none for a dropped model and too little for one that shrank.

Change: control processes note the sizes that configurations state. A model keeps its largest size until no engine holds it or may be loading it, and an engine with a model of unknown size has no free memory. Models that the configuration doesn't list, which were never unloaded, are unloaded first where another one lacks a copy.

--- a/internal/auborder/director.go
+++ b/internal/auborder/director.go
@@ -84,6 +84,8 @@
 	copyRequestedAt map[string]time.Time
 	// regionRequests holds, by model, when callers limited to certain regions last waited.
 	regionRequests map[string][]regionRequest
+	// sizes holds, by service and model, the largest size of a model that engines may hold.
+	sizes map[string]map[string]modelSize
 }
 
 // NewDirector returns a director that plans until ctx ends.
@@ -140,6 +142,7 @@
 		demandMeter:     newDemandMeter(),
 		copyRequestedAt: make(map[string]time.Time),
 		regionRequests:  make(map[string][]regionRequest),
+		sizes:           make(map[string]map[string]modelSize),
 	}
 }
 
@@ -151,11 +154,16 @@
 	d.demandMeter.observe(now, d.opts.Loads.Demand())
 	mayOrder := d.checkLeadership(now)
 	d.mu.Unlock()
-	if !mayOrder || site == nil {
+	if site == nil {
 		return
 	}
 	for _, service := range site.Services() {
-		if service.Engine != nil {
+		if service.Engine == nil {
+			continue
+		}
+		// Only a process that has seen earlier configurations knows what they stated.
+		d.noteSizes(service)
+		if mayOrder {
 			d.planService(ctx, now, service)
 		}
 	}
@@ -184,6 +192,7 @@
 	for _, e := range engines {
 		d.runNextStep(ctx, e)
 	}
+	d.forgetSizes(service, engines)
 	for _, move := range Plan(d.snapshot(now, service, engines)) {
 		if e := engines[move.Engine]; e != nil {
 			d.startMove(ctx, e, move)
--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,8 @@
 	counts map[string]int64
 	// delayed holds the registration records that have not arrived yet.
 	delayed []delayedRecord
+	site    *aubsite.Site
+	common  aubcommon.Common
 }
 
 // delayedRecord is a registration record that arrives after some steps.
@@ -76,6 +79,7 @@
 		loads:    aubregistry.NewLoadAggregator(common),
 		counts:   make(map[string]int64),
 		drains:   aubdrain.NewTable(timer),
+		site:     site, common: common,
 	}
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
@@ -86,18 +90,34 @@
 	for i := range 2 {
 		leadership := &fakeLeadership{}
 		s.leaderships = append(s.leaderships, leadership)
-		s.directors = append(s.directors, newDirector(common, DirectorOpts{
-			Holder: fmt.Sprintf("c%d", i), Engine: s.fleet, Leadership: leadership, Registry: s.registry, Loads: s.loads,
-			Site: func() *aubsite.Site { return site }, Drains: s.drains.Drains, Interval: testInterval, Handover: 3 * time.Second,
-			Forward: func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
-				return nil, errNoResponse
-			},
-		}))
+		s.directors = append(s.directors, s.newDirector(fmt.Sprintf("c%d", i), leadership))
 	}
 	s.leaderships[0].term = 1
 	return s
 }
 
+func (s *directorSite) newDirector(holder string, leadership *fakeLeadership) *Director {
+	return newDirector(s.common, DirectorOpts{
+		Holder: holder, Engine: s.fleet, Leadership: leadership, Registry: s.registry, Loads: s.loads,
+		Site: func() *aubsite.Site { return s.site }, Drains: s.drains.Drains, Interval: testInterval, Handover: 3 * time.Second,
+		Forward: func(context.Context, *aubwire.PlaceRequest) (*aubwire.PlaceResponse, error) {
+			return nil, errNoResponse
+		},
+	})
+}
+
+// changeModels activates a configuration with the models that change returns.
+func (s *directorSite) changeModels(t interface{ Fatal(args ...any) }, change func(models []aubsite.Model) []aubsite.Model) {
+	service, _ := s.site.Service(testService)
+	engine := *service.Engine
+	engine.Models = change(slices.Clone(engine.Models))
+	site, err := aubsite.New(aubsite.Spec{Number: s.site.Number() + 1, Services: []aubsite.Service{{Name: testService, Engine: &engine}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.site = site
+}
+
 // register sends the registration records of all engines, which arrive after the number
 // of steps that delay returns.
 func (s *directorSite) register(delay func() int) {
--- a/internal/auborder/engine_state.go
+++ b/internal/auborder/engine_state.go
@@ -206,14 +206,22 @@
 	}
 }
 
-// freeMegabytes returns the memory that nothing takes or may take.
-func (e *engineState) freeMegabytes(engine *aubsite.Engine, models map[string]aubsite.Model) float64 {
+// freeMegabytes returns the memory that nothing takes or may take; none if a model's size is not known.
+func (e *engineState) freeMegabytes(engine *aubsite.Engine, sizes map[string]modelSize) float64 {
 	free := engine.Megabytes
 	for name, resident := range e.models {
-		free -= models[name].Megabytes + float64(len(resident.adapters))*models[name].AdapterMegabytes
+		size, isKnown := sizes[name]
+		if !isKnown {
+			return 0
+		}
+		free -= size.megabytes + float64(len(resident.adapters))*size.adapterMegabytes
 	}
 	if name := e.uncertainLoad(); name != "" {
-		free -= models[name].Megabytes
+		size, isKnown := sizes[name]
+		if !isKnown {
+			return 0
+		}
+		free -= size.megabytes
 	}
 	return free
 }
@@ -237,10 +245,10 @@
 }
 
 // view returns the engine as the planner sees it; the caller holds mu.
-func (e *engineState) view(engine *aubsite.Engine, models map[string]aubsite.Model, load int) EngineView {
+func (e *engineState) view(engine *aubsite.Engine, sizes map[string]modelSize, load int) EngineView {
 	v := EngineView{
 		ID: e.record.GetId(), Megabytes: engine.Megabytes, Load: load,
-		FreeMegabytes: e.freeMegabytes(engine, models),
+		FreeMegabytes: e.freeMegabytes(engine, sizes),
 		Models:        make(map[string]CopyState, len(e.models)),
 		CachedWeights: make(map[string]bool),
 		Busy:          e.operation != nil || !e.stateKnown,
--- a/internal/auborder/fake_test.go
+++ b/internal/auborder/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	id       string
 	capacity float64
 	sizes    map[string]float64
+	// held holds the sizes of copies that were loaded when sizes were others.
+	held     map[string]float64
 	slots    int
 	sequence int64
 	// models holds the adapters of each loaded model.
@@ -37,9 +40,20 @@
 	return &fakeEngine{id: id, rnd: rand.New(rand.NewPCG(seed, uint64(len(id)))), capacity: capacity, slots: slots, sizes: sizes, models: make(map[string]map[string]bool)}
 }
 
+// resize changes the size that copies of a model take from now on.
+func (f *fakeEngine) resize(model string, megabytes float64) {
+	f.held = map[string]float64{model: f.sizes[model]}
+	f.sizes = maps.Clone(f.sizes)
+	f.sizes[model] = megabytes
+}
+
 func (f *fakeEngine) used() (megabytes float64, adapters int) {
 	for name, adapterSet := range f.models {
-		megabytes += f.sizes[name]
+		size, isHeld := f.held[name]
+		if !isHeld {
+			size = f.sizes[name]
+		}
+		megabytes += size
 		adapters += len(adapterSet)
 	}
 	if f.loading != "" {
@@ -64,6 +78,7 @@
 		return OutcomeAlreadyDone
 	case order.Action == ActionUnload:
 		delete(f.models, order.Model)
+		delete(f.held, order.Model)
 	case adapters != nil:
 		return OutcomeAlreadyDone
 	default:
--- a/internal/auborder/place.go
+++ b/internal/auborder/place.go
@@ -55,10 +55,11 @@
 
 // placeInService handles a request for a model or adapter of the service.
 func (d *Director) placeInService(ctx context.Context, now time.Time, service aubsite.Service, req *aubwire.PlaceRequest) *aubwire.PlaceResponse {
-	model, ok := modelsOf(service.Engine)[req.GetModel()]
-	if !ok {
+	i := slices.IndexFunc(service.Engine.Models, func(m aubsite.Model) bool { return m.Name == req.GetModel() })
+	if i < 0 {
 		return &aubwire.PlaceResponse{}
 	}
+	model := service.Engine.Models[i]
 	holders := d.holders(service, model.Name)
 	if req.Software != nil {
 		holders = slices.DeleteFunc(holders, func(e *engineState) bool { return e.record.GetSoftware() != req.GetSoftware() })
@@ -240,7 +241,7 @@
 	if _, isResident := resident.adapters[adapter]; isResident {
 		return adapterResident
 	}
-	if e.freeMegabytes(engine, modelsOf(engine)) < model.AdapterMegabytes {
+	if e.freeMegabytes(engine, d.modelSizes(e.record.GetService())) < model.AdapterMegabytes {
 		return adapterRefused
 	}
 	if e.adapterCount() >= engine.AdapterSlots {
--- a/internal/auborder/plan.go
+++ b/internal/auborder/plan.go
@@ -445,12 +445,9 @@
 	return tokenRate / float64(p.ready[model]-1)
 }
 
-// engineWithVictim returns an engine and the model to unload from it for m: a copy
-// whose loss costs least.
+// engineWithVictim returns an engine and the model to unload from it for m: one that the configuration
+// no longer lists, or a copy whose loss costs least if m is in use.
 func (p *planBuilder) engineWithVictim(m ModelView) (EngineView, string, bool) {
-	if !m.isInUse() {
-		return EngineView{}, "", false
-	}
 	tokenRates := make(map[string]float64, len(p.snapshot.Models))
 	for _, other := range p.snapshot.Models {
 		tokenRates[other.Name] = other.TokenRate
@@ -463,11 +460,20 @@
 		}
 		minCost := math.Inf(1)
 		for model, state := range e.Models {
-			if state != CopyReady || !p.canLoseCopy(model, tokenRates[model], demandRate) {
+			if state != CopyReady {
 				continue
 			}
-			cost := p.copyLossCost(model, tokenRates[model])
-			if cost*minEvictionRatio < demandRate && (cost < minCost || cost == minCost && model < victims[e.ID]) {
+			tokenRate, isListed := tokenRates[model]
+			cost := 0.0
+			if isListed {
+				if !m.isInUse() || !p.canLoseCopy(model, tokenRate, demandRate) {
+					continue
+				}
+				if cost = p.copyLossCost(model, tokenRate); cost*minEvictionRatio >= demandRate {
+					continue
+				}
+			}
+			if cost < minCost || cost == minCost && model < victims[e.ID] {
 				minCost = cost
 				victims[e.ID] = model
 			}
--- a/internal/auborder/snapshot.go
+++ b/internal/auborder/snapshot.go
@@ -12,7 +12,7 @@
 
 // snapshot collects the input of the planner.
 func (d *Director) snapshot(now time.Time, service aubsite.Service, engines map[string]*engineState) Snapshot {
-	models := modelsOf(service.Engine)
+	sizes := d.modelSizes(service.Name)
 	loads := d.opts.Loads.InFlight()
 	limits := d.rateLimits(service)
 	drains := d.drains()
@@ -32,7 +32,7 @@
 	d.mu.Unlock()
 	for id, e := range engines {
 		e.mu.Lock()
-		view := e.view(service.Engine, models, loads[id])
+		view := e.view(service.Engine, sizes, loads[id])
 		if limit, isLimited := limits[id]; isLimited {
 			view.RateLimit, view.LimitedFor = auboption.Some(limit.perSecond), limit.endsIn
 		}
@@ -92,11 +92,3 @@
 	mean := sum.Seconds() / float64(max(len(engine.Models), 1))
 	return max(int(math.Round(engine.LoadsPerSecond*mean)), 1)
 }
-
-func modelsOf(engine *aubsite.Engine) map[string]aubsite.Model {
-	models := make(map[string]aubsite.Model, len(engine.Models))
-	for _, m := range engine.Models {
-		models[m.Name] = m
-	}
-	return models
-}
