Limit the kept log entries by their size too

Test: TestStoreOfLargeCommandsFitsItsDiskTwice failed before (32 MB, and 32 MB to open it; now 16 and 8).

--- a/internal/aubconsensus/log.go
+++ b/internal/aubconsensus/log.go
@@ -147,15 +147,23 @@
 	}
 }
 
-// compact replaces older entries by a snapshot of the applied state; the last
-// keep entries before it stay for slow followers.
-func (l *memoryLog) compact(snap *aubwire.LogSnapshot, keep uint64) {
+// compact replaces older entries by a snapshot of the applied state. At most keep entries before it,
+// with keepBytes of commands or a single entry, stay for slow followers.
+func (l *memoryLog) compact(snap *aubwire.LogSnapshot, keep uint64, keepBytes int) {
 	l.setSnapshot(snap)
-	if snap.GetIndex() <= keep || len(l.entries) == 0 {
+	if len(l.entries) == 0 {
 		return
 	}
-	last := snap.GetIndex() - keep
 	first := l.entries[0].GetIndex()
+	last, kept := snap.GetIndex(), 0
+	for last >= first && snap.GetIndex()-last < keep {
+		size := len(l.entries[last-first].GetData())
+		if kept > 0 && kept+size > keepBytes {
+			break
+		}
+		kept += max(size, 1)
+		last--
+	}
 	if last < first {
 		return
 	}
--- a/internal/aubconsensus/opts.go
+++ b/internal/aubconsensus/opts.go
@@ -17,6 +17,7 @@
 	DefaultSnapshotEntries = 4096
 	DefaultSnapshotBytes   = 4 << 20
 	DefaultKeepEntries     = 256
+	DefaultKeepBytes       = 4 << 20
 
 	// MaxCommandBytes limits the size of one command.
 	MaxCommandBytes = 2 << 20
@@ -98,9 +99,10 @@
 	// total size of their commands, after which the log is compacted.
 	SnapshotEntries uint64
 	SnapshotBytes   int
-	// KeepEntries is the number of entries kept before a snapshot for slow
-	// followers.
+	// KeepEntries and KeepBytes limit the entries, and the total size of their commands, that are
+	// kept before a snapshot for slow followers.
 	KeepEntries uint64
+	KeepBytes   int
 	// Contacts keeps the time of the last contact with a leader over a restart, so that a member
 	// need not wait for an election timeout before it votes; nil keeps none. It is extended while
 	// KeepsContacts returns true.
@@ -128,6 +130,9 @@
 	if o.KeepEntries == 0 {
 		o.KeepEntries = DefaultKeepEntries
 	}
+	if o.KeepBytes == 0 {
+		o.KeepBytes = DefaultKeepBytes
+	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/internal/aubconsensus/snapshot.go
+++ b/internal/aubconsensus/snapshot.go
@@ -78,7 +78,7 @@
 		return
 	}
 	n.appliedBytes = 0
-	n.log.compact(snap, n.opts.KeepEntries)
+	n.log.compact(snap, n.opts.KeepEntries, n.opts.KeepBytes)
 }
 
 // sendSnapshotChunk sends the next chunk, or sends one again that got no
