Abort the connection of a caller that half-closed it

Cause: the handler returned without writing, which net/http answers with an empty 200.

Change: the handler aborts the connection if a caller has left without a response.

--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -113,7 +113,7 @@
 }
 
 // finish writes the refusal of a failed request and records its outcome. It aborts
-// the connection of an incomplete response, so that the caller can't mistake it for a
+// the connection of an incomplete response, or of none, so that the caller can't mistake it for a
 // complete one.
 func (h *Handler) finish(ex *exchange, err error) {
 	var refusedErr *refusalError
@@ -138,7 +138,10 @@
 		h.opts.Protocol.WriteRefusal(ex.writer, ex.call.ID, Refusal{Status: http.StatusBadGateway, Code: CodeBackendFailed})
 	}
 	h.recordOutcome(ex, outcome, err)
-	if ex.headerWritten && err != nil {
+	isUnanswered := disconnected != nil && !ex.headerWritten
+	if err != nil && (ex.headerWritten || isUnanswered) {
+		// Without a panic net/http would end the response, or send an empty one with status 200: a caller
+		// that has closed only its sending side still reads.
 		panic(http.ErrAbortHandler)
 	}
 }
