Look routes up by the path as it was sent

Cause: routes were looked up by the decoded path. Change: they are looked up by the path of the request line.

--- a/internal/aubrelay/caller_test.go
+++ b/internal/aubrelay/caller_test.go
@@ -34,3 +34,13 @@
 		_ = conn.Close()
 	}
 }
+
+// TestRoutesMatchThePathAsItWasSent guards against a request that a route runs whose prefix begins only
+// the decoded path.
+func TestRoutesMatchThePathAsItWasSent(t *testing.T) {
+	fixture := newRelayFixture(t, "b1")
+	result := fixture.call(http.MethodGet, "/read%2Fx", "1", nil)
+	qt.Assert(t, result.status, qt.Equals, http.StatusNotFound)
+	qt.Assert(t, fixture.countRuns("1"), qt.Equals, 0)
+	qt.Assert(t, fixture.call(http.MethodGet, "/read/x%2Fy", "2", nil).status, qt.Equals, http.StatusOK)
+}
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -197,7 +198,7 @@
 	if err != nil {
 		return &refusalError{refusal: Refusal{Status: http.StatusBadRequest, Code: CodeInvalidRequest}, err: err}
 	}
-	route, ok := ex.site.Route(hostOf(ex.request), ex.request.URL.Path)
+	route, ok := ex.site.Route(hostOf(ex.request), sentPath(ex.request))
 	if !ok {
 		return h.deny(ex, http.StatusNotFound, CodeNoRoute)
 	}
@@ -245,6 +246,16 @@
 	return r.Host
 }
 
+// sentPath returns the path as the caller sent it. A decoded path may begin with a prefix that the sent
+// one does not begin with.
+func sentPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // readBody buffers the complete body, so that later attempts can send it again, and sets
 // the fingerprints.
 func (h *Handler) readBody(ex *exchange) error {
