Limit the prefix hashes of one request

Change: at most 4,096 blocks, 2 million tokens, more than any engine keeps. Test: TestPrefixHashesAreLimited; before, it had 23,437,503 hashes to make.

--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -20,6 +20,9 @@
 	// PrefixBlockTokens is the number of prompt tokens covered by one prefix hash of the
 	// router.
 	PrefixBlockTokens = 512
+	// maxPrefixBlocks limits the prefix hashes of one request. No engine keeps a prompt of as many
+	// tokens.
+	maxPrefixBlocks = 4096
 	// maxUnrunAttempts limits the attempts at one request in which it did not run.
 	maxUnrunAttempts = 5
 	// defaultPriority is the priority that backend servers assume if none is set.
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -148,7 +148,7 @@
 
 // prefixHashes returns one rolling hash for each block of PrefixBlockTokens tokens. The
 // hash covers the model and the adapter, because engines don't share cached prefixes
-// between them.
+// between them. Callers may declare any number of tokens, so there are at most maxPrefixBlocks.
 func prefixHashes(call Call) []uint64 {
 	var hash maphash.Hash
 	hash.SetSeed(prefixSeed)
@@ -157,6 +157,9 @@
 	for _, part := range call.Prompt {
 		_, _ = hash.WriteString(part.ID)
 		for range max(part.Tokens/PrefixBlockTokens, 1) {
+			if len(prefixes) == maxPrefixBlocks {
+				return prefixes
+			}
 			_ = hash.WriteByte(0)
 			prefixes = append(prefixes, hash.Sum64())
 		}
--- a/internal/aubrelay/select_test.go
+++ b/internal/aubrelay/select_test.go
@@ -51,3 +51,12 @@
 		})
 	}
 }
+
+// TestPrefixHashesAreLimited guards against a caller that declares a prompt of so many tokens that its
+// hashes fill the memory.
+func TestPrefixHashesAreLimited(t *testing.T) {
+	call := Call{Prompt: []PromptPart{{ID: "a", Tokens: 1024}, {ID: "b", Tokens: 12_000_000_000}, {ID: "c", Tokens: 512}}}
+	qt.Assert(t, prefixHashes(call), qt.HasLen, maxPrefixBlocks)
+	call.Prompt[1].Tokens = 512
+	qt.Assert(t, prefixHashes(call), qt.HasLen, 4)
+}
