Log why a relay goes on with no stream, and which entries are ignored

A refusal or an end because the relay's registrations may be outdated names that as its cause, and a registration for an unknown service that bears the id or address of a backend server in use leaves a line. The relay's send returns an error of its own if nothing was sent, in place of a third result.

--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -182,6 +182,7 @@
 	}
 	stored := r.entries[record.GetId()]
 	if r.displacesNamed(record, stored) {
+		r.logIgnored(record, isLocal)
 		return
 	}
 	if record.GetService() != "" {
--- a/internal/aubregistry/service.go
+++ b/internal/aubregistry/service.go
@@ -1,6 +1,10 @@
 package aubregistry
 
-import "github.com/auburndale/auburndale/internal/aubwire"
+import (
+	"go.uber.org/zap"
+
+	"github.com/auburndale/auburndale/internal/aubwire"
+)
 
 // KnowServices sets a function that reports whether the configuration names a service. Other writers
 // may leave registrations for services that it doesn't name; these never displace a backend server of
@@ -40,3 +44,13 @@
 	}
 	return false
 }
+
+// logIgnored logs a registration that this process received directly and ignores.
+func (r *Registry) logIgnored(record *aubwire.BackendRecord, isLocal bool) {
+	if !isLocal {
+		return
+	}
+	r.common.Log.Warn("Registration for an unknown service ignored: a backend server in use has its id or address.",
+		zap.String("backend_server", record.GetId()), zap.String("service", record.GetService()), zap.String("address", record.GetAddress()),
+		zap.Int64("started_ms", record.GetStartedMs()), zap.Int64("sequence", record.GetSequence()))
+}
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -36,10 +36,10 @@
 		Priority:    priorityOf(ex),
 		LastEventID: ex.lastEventID,
 	}
-	resp, conn, mayHaveArrived, err := h.roundTrip(ctx, ex, announcement.GetAddress(), attempt)
+	resp, conn, err := h.roundTrip(ctx, ex, announcement.GetAddress(), attempt)
 	var result attemptResult
 	if err != nil {
-		result = h.noResponseResult(ctx, choice, mayHaveArrived, err)
+		result = h.noResponseResult(ctx, choice, err)
 	} else {
 		result = h.handleResponse(ex, choice, resp, started)
 		result.isUnframed = isUnframed(resp)
@@ -122,10 +122,11 @@
 
 // noResponseResult returns the result of an attempt without a response and marks
 // a backend server that refused the connection as suspect.
-func (h *Handler) noResponseResult(ctx context.Context, choice aubroute.Choice, mayHaveArrived bool, err error) attemptResult {
-	result := attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, mayHaveArrived: mayHaveArrived, err: err}
-	if !mayHaveArrived {
-		result.outcome = outcomeNotRun
+func (h *Handler) noResponseResult(ctx context.Context, choice aubroute.Choice, err error) attemptResult {
+	result := attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, mayHaveArrived: true, err: err}
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		result.outcome, result.mayHaveArrived = outcomeNotRun, false
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		h.opts.Registry.MarkSuspect(choice.Member.Announcement.GetName(), int64(choice.Member.Announcement.GetIncarnation()))
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -8,6 +8,21 @@
 // Error implements error.
 func (e *statusError) Error() string { return fmt.Sprintf("backend server answered %d", e.status) }
 
+// unsentError means that nothing of a request was sent.
+type unsentError struct{ err error }
+
+// Error implements error.
+func (e *unsentError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *unsentError) Unwrap() error { return e.err }
+
+// outdatedError means that this process may not know the newest incarnations of the backend servers.
+type outdatedError struct{}
+
+// Error implements error.
+func (e *outdatedError) Error() string { return "registrations of backend servers may be outdated" }
+
 // foreignResponseError is a response that names another request or none.
 type foreignResponseError struct {
 	callID string
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -105,6 +105,9 @@
 			return lastResult.err
 		}
 		if ctx.Err() != nil || !h.mayRetry(ex, lastResult) {
+			if ex.headerWritten && !h.isCurrent() {
+				lastResult.err = errors.Join(lastResult.err, &outdatedError{})
+			}
 			return h.giveUp(ctx, ex, lastResult, nil)
 		}
 		ex.excludedBackends = append(ex.excludedBackends, ex.backendID)
@@ -120,7 +123,7 @@
 		return nil
 	}
 	if !h.isCurrent() {
-		return newRefusal(http.StatusServiceUnavailable, CodeUnknownStream, defaultRetryAfter)
+		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeUnknownStream, RetryAfter: defaultRetryAfter}, err: &outdatedError{}}
 	}
 	services := make([]string, 0, len(ex.route.Targets))
 	for _, target := range ex.route.Targets {
--- a/internal/aubrelay/transport.go
+++ b/internal/aubrelay/transport.go
@@ -42,26 +42,25 @@
 	return req.WithContext(ctx)
 }
 
-// roundTrip sends the request of one attempt on a connection that has not carried the
-// exchange before. The connection is nil if there was none, and the response is nil if the
-// error is not; mayHaveArrived is set unless nothing was sent.
-func (h *Handler) roundTrip(ctx context.Context, ex *exchange, address string, attempt Attempt) (resp *http.Response, conn *backendConn, mayHaveArrived bool, err error) {
+// roundTrip sends the request of one attempt on a connection that has not carried the exchange before,
+// and returns that connection with the response. The error is *unsentError if nothing was sent.
+func (h *Handler) roundTrip(ctx context.Context, ex *exchange, address string, attempt Attempt) (*http.Response, *backendConn, error) {
 	for {
 		conn, err := h.conns.take(ctx, address, ex.usedConns)
 		if err != nil {
-			return nil, nil, false, err
+			return nil, nil, &unsentError{err: err}
 		}
 		ex.usedConns = append(ex.usedConns, conn)
 		resp, err := conn.client.RoundTrip(h.newAttemptRequest(ctx, ex, address, attempt))
 		if err == nil {
-			return resp, conn, true, nil
+			return resp, conn, nil
 		}
 		conn.close()
 		if !conn.sent.endUnsent() {
-			return nil, conn, true, err
+			return nil, nil, err
 		}
 		if !conn.isReused || ctx.Err() != nil {
-			return nil, conn, false, err
+			return nil, nil, &unsentError{err: err}
 		}
 		// The backend server had closed the idle connection.
 	}
