Await what a control process tells each seed without a disk

Cause, by reading the test: the control process calls n1 and n2 on links of their own, and the relay learns of it from whichever it called first, so the relay may have its registration before n1 was called. The test asked n1 at that moment. It now waits, as for the other conditions, and asks n2 as well, which it did not before. directory.go is unchanged in this landing.

--- a/internal/aubregistry/directory_test.go
+++ b/internal/aubregistry/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,7 +66,10 @@
 	})
 	control.registry.Register(record("i1", "a:1", 1, 1, ready))
 	await(t, "the relay receives a registration", func() bool { return len(registry.Records()) == 1 })
-	qt.Assert(t, directories["n1"].Addresses(), qt.DeepEquals, []string{"c1"})
+	for name, directory := range directories {
+		// The relay may have heard of the control process from the other one, which it called first.
+		await(t, name+" knows the control process", func() bool { return slices.Equal(directory.Addresses(), []string{"c1"}) })
+	}
 	qt.Assert(t, relay.ConnectedCount(), qt.Equals, 1)
 	qt.Assert(t, relay.RespondingAddresses(time.Second), qt.DeepEquals, []string{"c1"})
 	resp, err := relay.Place(ctx, &aubwire.PlaceRequest{})
