Keep a leader's contact record from its election on

What callers saw: after a full outage a majority could wait for an election timeout although nothing else had to be waited for.

Cause: a leader wrote its contact record with its first tick. Followers follow it before that. Killed in between, it had no record, so that after the restart it refused all pre-votes for a whole election timeout, as after an unknown contact.

Change: the record is written when the leadership begins, before any follower can hear of it.

--- a/internal/aubconsensus/contact_test.go
+++ b/internal/aubconsensus/contact_test.go
@@ -118,6 +118,33 @@
 	}
 }
 
+// TestLeaderKeepsItsContactBeforeItIsFollowed guards against a leader that is killed before its first
+// tick and then waits for an election timeout, because it has no contact record.
+func TestLeaderKeepsItsContactBeforeItIsFollowed(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3, seed)
+			records := make(map[string]*contactRecord)
+			for _, name := range c.names() {
+				records[name] = &contactRecord{}
+			}
+			c.changeOpts = func(opts *aubconsensus.Opts) {
+				opts.Contacts, opts.KeepsContacts = records[opts.Self.Name], func() bool { return true }
+			}
+			for _, name := range c.names() {
+				c.restart(name)
+			}
+			for !c.hasFollowedLeader() {
+				time.Sleep(heartbeat / 1000)
+			}
+			for _, name := range c.names() {
+				_, isSet := records[name].Age()
+				qt.Check(t, isSet, qt.IsTrue, qt.Commentf("seed %d: %s", seed, name))
+			}
+		})
+	}
+}
+
 // TestRestartedMemberWaitsForTheLease guards against a vote of a restarted replica while a leader
 // may hold a lease that depends on what the replica acknowledged before.
 func TestRestartedMemberWaitsForTheLease(t *testing.T) {
--- a/internal/aubconsensus/leader.go
+++ b/internal/aubconsensus/leader.go
@@ -54,6 +54,9 @@
 	n.syncProgress()
 	n.common.Metrics.Counter("elections_won").Inc(1)
 	n.common.Log.Info("Leadership begins.", zap.Uint64("term", n.term))
+	// A leader acknowledges no other, but it may be killed before its first tick, and a record from before
+	// its election may be missing.
+	n.keepContact()
 	n.appendAsLeader(aubwire.EntryKind_ENTRY_KIND_EMPTY, nil)
 }
 
@@ -126,7 +129,6 @@
 	if now.Sub(l.broadcastAt) >= n.opts.Heartbeat {
 		l.broadcastPending = true
 	}
-	// A leader acknowledges no other, but a record from before its election may be missing.
 	n.keepContact()
 	n.tickTransfer(now)
 }
