Refuse more entries of other writers, and commit no versions of theirs

An entry without a start is ignored if others of its service state theirs. Versions of services that the configuration doesn't name are neither committed nor told to others.

--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -92,6 +92,8 @@
 	observe func(record *aubwire.BackendRecord)
 	// isService reports whether the configuration names a service; nil if that is not known.
 	isService func(name string) bool
+	// statesStart holds the services of which a backend server has stated its start.
+	statesStart map[string]bool
 	// view is the cached view, built at viewAt.
 	view   aubmembership.View
 	viewAt time.Time
@@ -110,6 +112,7 @@
 		entries: make(map[string]*entry),
 
 		softwareSeen: make(map[softwareKey]time.Time),
+		statesStart:  make(map[string]bool),
 		changed:      make(chan struct{}),
 	}
 }
@@ -181,7 +184,7 @@
 		return
 	}
 	stored := r.entries[record.GetId()]
-	if r.displacesNamed(record, stored) {
+	if r.lacksStart(record, stored) || r.displacesNamed(record, stored) {
 		r.logIgnored(record, isLocal)
 		return
 	}
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -157,10 +157,11 @@
 // Register applies a registration that this process received directly and returns the version
 // of the registry that includes it. The software version of a backend server that is ready is
 // committed first, so that no stream begins at a version that a restart of all processes would
-// forget. A departure is not delayed; the leader commits its version later. The error is
-// *aubresume.CommitError.
+// forget. A departure is not delayed; the leader commits its version later. Versions of services that
+// the configuration doesn't name take no room in the replicated table: other writers may state any
+// number of them. The error is *aubresume.CommitError.
 func (s *Server) Register(ctx context.Context, record *aubwire.BackendRecord) (uint64, error) {
-	if record.GetState() == aubwire.BackendState_BACKEND_STATE_READY {
+	if record.GetState() == aubwire.BackendState_BACKEND_STATE_READY && s.opts.Registry.NamesService(record.GetService()) {
 		if err := s.opts.EnsureSoftware(ctx, record.GetService(), record.GetSoftware()); err != nil {
 			return 0, err
 		}
--- a/internal/aubregistry/service.go
+++ b/internal/aubregistry/service.go
@@ -15,6 +15,13 @@
 	r.isService = isService
 }
 
+// NamesService reports whether the configuration names the service, or is not known.
+func (r *Registry) NamesService(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isService == nil || r.isService(name)
+}
+
 // isNamed reports whether the record is of a service that the configuration names, or that is not
 // known; the caller holds mu.
 func (r *Registry) isNamed(record *aubwire.BackendRecord) bool {
@@ -45,12 +52,27 @@
 	return false
 }
 
+// lacksStart reports whether the record is of a backend server that is not known and states no start,
+// although others of its service state theirs; stored is the entry with its id, or nil. It notes the
+// services whose backend servers do. The caller holds mu.
+func (r *Registry) lacksStart(record *aubwire.BackendRecord, stored *entry) bool {
+	service := record.GetService()
+	if service == "" || !r.isNamed(record) {
+		return false
+	}
+	if record.GetStartedMs() != 0 {
+		r.statesStart[service] = true
+		return false
+	}
+	return r.statesStart[service] && (stored == nil || stored.record.GetStartedMs() != 0)
+}
+
 // logIgnored logs a registration that this process received directly and ignores.
 func (r *Registry) logIgnored(record *aubwire.BackendRecord, isLocal bool) {
 	if !isLocal {
 		return
 	}
-	r.common.Log.Warn("Registration for an unknown service ignored: a backend server in use has its id or address.",
+	r.common.Log.Warn("Registration ignored: it is for an unknown service and bears the id or address of a backend server in use, or it lacks a start.",
 		zap.String("backend_server", record.GetId()), zap.String("service", record.GetService()), zap.String("address", record.GetAddress()),
 		zap.Int64("started_ms", record.GetStartedMs()), zap.Int64("sequence", record.GetSequence()))
 }
--- a/internal/aubregistry/service_test.go
+++ b/internal/aubregistry/service_test.go
@@ -1,13 +1,16 @@
 package aubregistry_test
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -83,3 +86,64 @@
 	qt.Assert(t, r.Status("i1", 1), qt.Equals, aubregistry.StatusRunning)
 	qt.Assert(t, usable(r), qt.Contains, "i1")
 }
+
+// TestForeignVersionsAreNotCommitted guards against other writers whose software versions fill the
+// replicated table, so that those of backend servers find no room.
+func TestForeignVersionsAreNotCommitted(t *testing.T) {
+	r, _ := newRegistry()
+	r.KnowServices(func(name string) bool { return name == "s" })
+	var committed []string
+	s := aubregistry.NewServer(aubcommon.NewCommon(aubtimer.NewReal()), aubregistry.ServerOpts{
+		Registry: r,
+		EnsureSoftware: func(_ context.Context, service, software string) error {
+			committed = append(committed, service+" "+software)
+			return nil
+		},
+	})
+	foreign, own := foreignRecord("x", "a:9", 1, 1, ready), record("i1", "a:1", 1, 1, ready)
+	foreign.Software, own.Software = "v9", "v1"
+	for _, registered := range []*aubwire.BackendRecord{foreign, own} {
+		_, err := s.Register(t.Context(), registered)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, committed, qt.DeepEquals, []string{"s v1"})
+	// The leader commits what it has seen as well.
+	qt.Assert(t, r.SoftwareSeen(), qt.HasLen, 1)
+	qt.Assert(t, r.SoftwareSeen()[0].GetService(), qt.Equals, "s")
+	// It counts once a configuration names its service.
+	r.KnowServices(func(string) bool { return true })
+	qt.Assert(t, r.SoftwareSeen(), qt.HasLen, 2)
+}
+
+// TestRegistrationWithoutStartIsIgnored guards against an entry of another writer that lacks the start
+// which all backend servers of its service state.
+func TestRegistrationWithoutStartIsIgnored(t *testing.T) {
+	for _, isMerged := range []bool{false, true} {
+		r, _ := newRegistry()
+		r.KnowServices(func(name string) bool { return name == "s" || name == "old" })
+		apply := func(record *aubwire.BackendRecord) {
+			if isMerged {
+				r.Merge([]*aubwire.BackendRecord{record})
+			} else {
+				r.Register(record)
+			}
+		}
+		apply(record("i1", "a:1", 2, 1, ready))
+		apply(record("x", "a:9", 0, 1, ready))
+		qt.Check(t, usable(r), qt.DeepEquals, []string{"i1"})
+		// Backend servers of another service state none.
+		old := record("i2", "a:2", 0, 1, ready)
+		old.Service = "old"
+		apply(old)
+		qt.Check(t, usable(r), qt.HasLen, 2)
+		// One that was known before others stated theirs still counts.
+		next := record("i3", "a:3", 5, 1, ready)
+		next.Service = "old"
+		apply(next)
+		leaving := record("i2", "a:2", 0, 2, draining)
+		leaving.Service = "old"
+		apply(leaving)
+		qt.Check(t, usable(r), qt.HasLen, 2)
+		qt.Check(t, usable(r), qt.Not(qt.Contains), "i2")
+	}
+}
--- a/internal/aubregistry/software.go
+++ b/internal/aubregistry/software.go
@@ -31,7 +31,8 @@
 	return versions
 }
 
-// SoftwareSeen returns the versions of all services with the ages of their last registrations.
+// SoftwareSeen returns the versions of all services that the configuration names, with the ages of
+// their last registrations.
 func (r *Registry) SoftwareSeen() []*aubwire.SoftwareSeen {
 	now := r.common.Timer.Now()
 	r.mu.Lock()
@@ -42,6 +43,9 @@
 			delete(r.softwareSeen, key)
 			continue
 		}
+		if r.isService != nil && !r.isService(key.service) {
+			continue
+		}
 		seen = append(seen, &aubwire.SoftwareSeen{Service: key.service, Software: key.software, SeenAgoMs: now.Sub(seenAt).Milliseconds()})
 	}
 	return seen
