Report the demand for configured models and adapters only

What could happen: a relay counted each model and adapter that callers named, kept them for good and reported those of the last two seconds to the control processes in one message. Names of 16 kB would fill the memory of a relay, and 1,500 of them in two seconds the largest message, which ends the stream that carries the demand for all other models.

Change: only models and adapters that the configuration lists are counted. TestDemandIsReportedForConfiguredModels failed before.

--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -102,10 +102,11 @@
 	}
 }
 
-// recordDemand counts a request for a model once, regardless of its number of attempts.
+// recordDemand counts a request for a model once, regardless of its number of attempts. Callers may name
+// any number of models and adapters; only those of the configuration are reported.
 func (h *Handler) recordDemand(ex *exchange) {
 	service, _ := ex.site.Service(ex.service)
-	if service.Engine != nil && ex.call.Model != "" {
+	if service.Lists(ex.call.Model, ex.call.Adapter) {
 		h.opts.Demand.Add(aubregistry.ModelName(ex.service, ex.call.Model), ex.call)
 	}
 }
--- a/internal/aubrelay/select_test.go
+++ b/internal/aubrelay/select_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +61,30 @@
 	call.Prompt[1].Tokens = 512
 	qt.Assert(t, prefixHashes(call), qt.HasLen, 4)
 }
+
+// TestDemandIsReportedForConfiguredModels guards against callers whose names of models fill the memory of
+// a relay and the report that carries the demand for all others.
+func TestDemandIsReportedForConfiguredModels(t *testing.T) {
+	common := aubcommon.NewCommon(aubtimer.NewReal())
+	site, err := aubsite.New(aubsite.Spec{Number: 1, Services: []aubsite.Service{
+		{Name: "s", Engine: &aubsite.Engine{Models: []aubsite.Model{{Name: "m", Adapters: 2}}}}, {Name: "plain"},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	demand := NewDemandCounter(common)
+	h := NewHandler(t.Context(), common, HandlerOpts{Demand: demand})
+	for _, call := range []Call{
+		{Model: "m"}, {Model: "m", Adapter: "a2"},
+		{Model: ""}, {Model: "caf\xe9"}, {Model: strings.Repeat("x", 16000)},
+		{Model: "m", Adapter: "a3"}, {Model: "m", Adapter: "a0"}, {Model: "m", Adapter: "a02"}, {Model: "m", Adapter: "2"}, {Model: "m", Adapter: "a"},
+	} {
+		for _, service := range []string{"s", "plain"} {
+			h.recordDemand(&exchange{service: service, site: site, call: call})
+		}
+	}
+	uses := make(map[string]bool)
+	for _, use := range demand.Report() {
+		uses[use.GetModel()+" "+use.GetAdapter()] = true
+	}
+	name := aubregistry.ModelName("s", "m")
+	qt.Assert(t, uses, qt.DeepEquals, map[string]bool{name + " ": true, name + " a2": true})
+}
--- a/internal/aubsite/spec.go
+++ b/internal/aubsite/spec.go
@@ -3,7 +3,12 @@
 // workspaces with keys and limits. A revision replaces the previous one completely.
 package aubsite
 
-import "time"
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
 
 // RouteKind determines whether the requests of a route may run more than once.
 type RouteKind int
@@ -57,6 +62,9 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// adapterPrefix begins the names of adapters.
+const adapterPrefix = "a"
+
 // Model is a language model that engines can load.
 type Model struct {
 	Name string
@@ -98,6 +106,23 @@
 	Engine *Engine
 }
 
+// Lists reports whether the configuration lists the model, and the adapter if one is named, for the
+// service's engines.
+func (s Service) Lists(model, adapter string) bool {
+	if s.Engine == nil {
+		return false
+	}
+	i := slices.IndexFunc(s.Engine.Models, func(m Model) bool { return m.Name == model })
+	return i >= 0 && (adapter == "" || s.Engine.Models[i].hasAdapter(adapter))
+}
+
+// hasAdapter reports whether the model has the adapter.
+func (m Model) hasAdapter(name string) bool {
+	text, _ := strings.CutPrefix(name, adapterPrefix)
+	n, err := strconv.Atoi(text)
+	return err == nil && n >= 1 && n <= m.Adapters && name == adapterPrefix+strconv.Itoa(n)
+}
+
 // HasColdRate reports whether the backend servers are cold after a start.
 func (s Service) HasColdRate() bool { return s.ColdTime > 0 && s.ColdRate > 0 }
 
