Count what came before a suspension as outdated

Change: the relay compares the steady clock with the time since boot, which counts suspensions. After one, a control process counts as current only once it has answered a request that was made since. A process that is merely held up between the two readings is not taken for suspended.

TestSuspendedProcessIsNotCurrent has the case and failed without the comparison; TestSuspensionIsNoticed plays suspensions beside delays on a manual clock.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -204,6 +204,7 @@
 	streams := aubresume.NewRecorder(r.common.Timer)
 	r.registryClient = aubregistry.NewClient(r.ctx, r.common, aubregistry.ClientOpts{
 		Process:      r.cfg.Name,
+		SinceBoot:    aubtimer.SinceBoot,
 		Relay:        true,
 		LoadAddress:  r.cfg.Membership.Listen.String(),
 		Zone:         r.cfg.Zone,
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -92,6 +92,9 @@
 	IsCompact func() bool
 	// Streams holds the origins to report; nil reports none.
 	Streams *aubresume.Recorder
+	// SinceBoot returns the time since the start of the machine, including that in which it was
+	// suspended, or false if it is not known; nil if it never is.
+	SinceBoot func() (time.Duration, bool)
 }
 
 // Client keeps a stream open to every control process and merges the received records
@@ -105,6 +108,8 @@
 	// startedAt is where sent_ms of the requests counts from.
 	startedAt time.Time
 	bytes     *aubmetric.ByteCounters
+	// suspensions notices that this process was suspended.
+	suspensions *aubtimer.SuspensionWatch
 
 	mu    sync.Mutex
 	links map[string]*controlLink
@@ -147,6 +152,8 @@
 		startedAt: common.Timer.Now(),
 		links:     make(map[string]*controlLink),
 		announced: make(chan struct{}),
+
+		suspensions: aubtimer.NewSuspensionWatch(common.Timer, opts.SinceBoot),
 	}
 	c.bytes = aubmetric.NewByteCounters(c.common.Metrics, kindRequest, kindReport, kindResponse)
 	ticks := common.Timer.Subscribe(ctx, time.Second)
@@ -426,9 +433,9 @@
 
 // IsCurrent reports whether the records of this process include what most of the known control processes
 // had currentTimeout ago. A process that is cut off or was suspended may know an outdated incarnation of
-// a backend server.
+// a backend server: after a suspension only what was asked for since then counts.
 func (c *Client) IsCurrent() bool {
-	now := c.common.Timer.Now()
+	now, resumedAt := c.common.Timer.Now(), c.suspensions.ResumedAt()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current, known := 0, 0
@@ -437,7 +444,7 @@
 			continue
 		}
 		known++
-		if link.connected && now.Sub(link.currentAt) <= currentTimeout {
+		if link.connected && now.Sub(link.currentAt) <= currentTimeout && !link.currentAt.Before(resumedAt) {
 			current++
 		}
 	}
--- a/internal/aubregistry/current_test.go
+++ b/internal/aubregistry/current_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,8 +55,9 @@
 }
 
 // TestSuspendedProcessIsNotCurrent guards against a process that takes what arrived before it stood still
-// for the newest registrations.
+// for the newest registrations, also where its steady clock stood still too.
 func TestSuspendedProcessIsNotCurrent(t *testing.T) {
+	var suspended atomic.Int64
 	control := newControlProcess(t, aubcommon.NewCommon(aubtimer.NewReal()))
 	timer := aubtimer.NewManual(time.Unix(100, 0))
 	common := aubcommon.NewCommon(timer)
@@ -64,6 +66,9 @@
 	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
 		Process: "r1", Relay: true, Seeds: func() []string { return []string{"c1"} }, Dial: control.dial,
 		Registry: aubregistry.NewRegistry(common, time.Minute), OnZoneDrains: func(*aubwire.ZoneDrains, time.Time) {},
+		SinceBoot: func() (time.Duration, bool) {
+			return timer.Now().Sub(time.Unix(0, 0)) + time.Duration(suspended.Load()), true
+		},
 	})
 	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
 	step := func() bool {
@@ -74,6 +79,9 @@
 	timer.Advance(5 * time.Second)
 	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
 	await(t, "the process is current again", step)
+	suspended.Add(int64(5 * time.Second))
+	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
+	await(t, "the process is current after a suspension that its clock doesn't show", step)
 	control.grpc.Stop()
 	await(t, "the process is cut off", func() bool { return !step() })
 	time.Sleep(pollInterval)
