--- a/internal/aubrelay/select_test.go
+++ b/internal/aubrelay/select_test.go
@@ -73,9 +73,16 @@
 	demand := NewDemandCounter(common)
 	h := NewHandler(t.Context(), common, HandlerOpts{Demand: demand})
 	for _, call := range []Call{
-		{Model: "m"}, {Model: "m", Adapter: "a2"},
-		{Model: ""}, {Model: "caf\xe9"}, {Model: strings.Repeat("x", 16000)},
-		{Model: "m", Adapter: "a3"}, {Model: "m", Adapter: "a0"}, {Model: "m", Adapter: "a02"}, {Model: "m", Adapter: "2"}, {Model: "m", Adapter: "a"},
+		{Model: "m"},
+		{Model: "m", Adapter: "a2"},
+		{Model: ""},
+		{Model: "caf\xe9"},
+		{Model: strings.Repeat("x", 16000)},
+		{Model: "m", Adapter: "a3"},
+		{Model: "m", Adapter: "a0"},
+		{Model: "m", Adapter: "a02"},
+		{Model: "m", Adapter: "2"},
+		{Model: "m", Adapter: "a"},
 	} {
 		for _, service := range []string{"s", "plain"} {
 			h.recordDemand(&exchange{service: service, site: site, call: call})
