Take a place at a backend server before the request is sent

Callers saw urgent requests wait at a backend server behind deferrable ones whose place was taken already. Cause: a relay chose a backend server, decided by its load, and counted the request as in flight only when it was sent. All requests between these steps saw the same free slot; one that had waited left the queue before it was counted, so the next one saw its slot as free, too.

The relay now takes the place first and decides again if it started other requests there since the choice. The place is given back if the rate limit admits no further request.

--- a/internal/aubrelay/admission_test.go
+++ b/internal/aubrelay/admission_test.go
@@ -121,6 +121,43 @@
 	group.Wait()
 }
 
+// TestSimultaneousRequestsShareFreeSlots guards against requests that are sent to the same free slot
+// because each of them saw the backend server before the others were sent. Urgent ones then wait there
+// behind deferrable ones.
+func TestSimultaneousRequestsShareFreeSlots(t *testing.T) {
+	const callers = 12
+	fixture := newAdmissionFixture(t)
+	blocked := make(chan struct{})
+	fixture.setBehaviors(repeated(func(b *backend, w http.ResponseWriter, r *http.Request) {
+		<-blocked
+		respondOK(b, w, r)
+	}, callers)...)
+	var measured atomic.Int64
+	allMeasured := make(chan struct{})
+	onMeasure := func() {
+		if measured.Add(1) == callers {
+			close(allMeasured)
+		}
+		<-allMeasured
+	}
+	fixture.onMeasure.Store(&onMeasure)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			result := fixture.call(http.MethodGet, "/deferrable/x", fmt.Sprintf("d-%d", i), nil)
+			qt.Check(t, result.status, qt.Equals, http.StatusOK)
+		})
+	}
+	<-allMeasured
+	time.Sleep(100 * time.Millisecond)
+	fixture.backends["b1"].mu.Lock()
+	sent := len(fixture.backends["b1"].requests)
+	fixture.backends["b1"].mu.Unlock()
+	qt.Check(t, sent, qt.Equals, admissionSlots)
+	close(blocked)
+	group.Wait()
+}
+
 // TestWaitEndsWithTheCallerAndTheProcess guards against requests that wait on after their caller
 // has left or although the process shuts down.
 func TestWaitEndsWithTheCallerAndTheProcess(t *testing.T) {
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -308,6 +308,9 @@
 	examineDelay atomic.Int64
 	// examined counts the dials of the crash detector.
 	examined atomic.Int64
+	// onMeasure is called between the choice of a backend server and the decision whether it has
+	// room; nil for none.
+	onMeasure atomic.Pointer[func()]
 }
 
 // countingConn adds the bytes that are read from a connection to a counter.
@@ -473,6 +476,7 @@
 		Guard:      guard,
 		RegionOf:   func(zone string) string { return fixture.regions[zone] },
 		Deferrable: aubsite.NewDeferrableCheck(8),
+		LoadAge:    fixture.loadAge,
 		Throttle:   throttle, HasZoneDrains: fixture.hasZoneDrains.Load,
 		IsCurrent: func() bool { return !fixture.isOutdated.Load() },
 		Streams:   aubresume.NewResolver(common, aubresume.NewRecorder(common.Timer), fixture.findStream, fixture.registry.SoftwareVersions),
@@ -486,6 +490,14 @@
 	return fixture
 }
 
+// loadAge is the LoadAge of a relay without others.
+func (fixture *relayFixture) loadAge() (time.Duration, bool) {
+	if onMeasure := fixture.onMeasure.Load(); onMeasure != nil {
+		(*onMeasure)()
+	}
+	return 0, true
+}
+
 func (fixture *relayFixture) findStream(_ context.Context, callID string, _ []string) aubresume.Answer {
 	return aubresume.Answer{Origin: fixture.streams[callID], Coverage: fixture.coverage, Software: fixture.committed}
 }
--- a/internal/aubrelay/metrics.go
+++ b/internal/aubrelay/metrics.go
@@ -12,15 +12,18 @@
 	firstEvent tally.Histogram
 	duration   tally.Histogram
 	retries    tally.Counter
+	// takenPlaces counts choices that were repeated because other requests took the place.
+	takenPlaces tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 	return metrics{
-		scope:      scope,
-		firstEvent: scope.Histogram("first_event_seconds", buckets),
-		duration:   scope.Histogram("request_seconds", buckets),
-		retries:    scope.Counter("retries"),
+		scope:       scope,
+		firstEvent:  scope.Histogram("first_event_seconds", buckets),
+		duration:    scope.Histogram("request_seconds", buckets),
+		retries:     scope.Counter("retries"),
+		takenPlaces: scope.Counter("taken_places"),
 	}
 }
 
--- a/internal/aubrelay/select.go
+++ b/internal/aubrelay/select.go
@@ -38,8 +38,7 @@
 		}
 		exceedsPrefillRun := err == nil && choice.PendingTokens > 0 && choice.PendingTokens+choice.UncachedTokens > h.prefillRunLimit(ex, choice)
 		if !exceedsPrefillRun || !h.common.Timer.Now().Before(waitDeadline) {
-			if err == nil && !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
-				// Another request has used up the rate limit since the choice.
+			if err == nil && !h.claim(ex, choice) {
 				continue
 			}
 			return choice, err
@@ -50,6 +49,20 @@
 	}
 }
 
+// claim takes a place and a send of the rate limit at the chosen backend server; false if other
+// requests took them since the choice.
+func (h *Handler) claim(ex *exchange, choice aubroute.Choice) bool {
+	if ex.admission != nil && !choice.Reserve() {
+		h.metrics.takenPlaces.Inc(1)
+		return false
+	}
+	if !h.opts.Throttle.Take(ex.call.ID, throttledBackend(choice)) {
+		choice.Cancel()
+		return false
+	}
+	return true
+}
+
 // routeOrPlace picks a backend server with the router. If no backend server holds the
 // model or adapter, it requests a copy first and picks again.
 func (h *Handler) routeOrPlace(ctx context.Context, ex *exchange, request aubroute.Request) (aubroute.Choice, error) {
--- a/internal/aubroute/request.go
+++ b/internal/aubroute/request.go
@@ -97,7 +97,8 @@
 }
 
 // Choice is the member chosen for a request. The caller reports the progress of the
-// request with Started, FirstToken and Finished, each at most once and in this order.
+// request with Started, FirstToken and Finished, each at most once and in this order. Where the
+// load of the member decides whether the request is sent, Reserve comes before Started.
 type Choice struct {
 	Member aubmembership.Member
 	// ExpectedFirstToken is the expected time to first token.
@@ -128,6 +129,13 @@
 	inFlight *inFlightRequest
 }
 
+// Reserve counts the request as one in flight on the member. It does nothing and returns false if
+// this instance started others there since the choice, whose load does not contain them.
+func (c Choice) Reserve() bool { return c.router.reserve(c) }
+
+// Cancel ends the reservation of a request that is not sent.
+func (c Choice) Cancel() { c.router.cancel(c) }
+
 // Started reports that the request is sent to the member.
 func (c Choice) Started() { c.router.started(c) }
 
--- a/internal/aubroute/router.go
+++ b/internal/aubroute/router.go
@@ -286,6 +286,7 @@
 			expected:       assumed,
 			prefixes:       request.PrefixHashes,
 			budget:         request.RetryBudget,
+			startsBefore:   chosen.state.starts,
 		},
 	}
 }
@@ -300,11 +301,30 @@
 	r.budgetOf(c.inFlight.budget).AddRequest(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.inFlight.startedAt = now
-	c.inFlight.state.start(c.inFlight)
+	c.inFlight.state.start(now, c.inFlight)
 	r.notifyChange()
 }
 
+func (r *Router) reserve(c Choice) bool {
+	now := r.common.Timer.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.inFlight.state.starts != c.inFlight.startsBefore {
+		return false
+	}
+	c.inFlight.state.start(now, c.inFlight)
+	r.notifyChange()
+	return true
+}
+
+func (r *Router) cancel(c Choice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.inFlight.state.finish(c.inFlight) {
+		r.notifyChange()
+	}
+}
+
 func (r *Router) notifyChange() {
 	if r.opts.OnLoadChange != nil {
 		r.opts.OnLoadChange()
--- a/internal/aubroute/router_test.go
+++ b/internal/aubroute/router_test.go
@@ -114,6 +114,33 @@
 	qt.Assert(t, picked, qt.DeepEquals, map[string]int{"w1": 5, "w2": 5})
 }
 
+// TestReservationFailsOnceTheLoadHasGrown guards against requests that are sent by a load which does
+// not contain the requests that were sent since the choice.
+func TestReservationFailsOnceTheLoadHasGrown(t *testing.T) {
+	r, source := newRouter(t, aubroute.PolicyExpectedFirstToken)
+	source.report("w1", "a", nil)
+	pick := func(wantInFlight int) aubroute.Choice {
+		c, err := r.Pick(aubroute.Request{Model: "m"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.InFlight, qt.Equals, wantInFlight)
+		return c
+	}
+	first, second := pick(0), pick(0)
+	qt.Assert(t, first.Reserve(), qt.IsTrue)
+	qt.Assert(t, second.Reserve(), qt.IsFalse)
+	third := pick(1)
+	first.Started()
+	qt.Assert(t, third.Reserve(), qt.IsTrue)
+	third.Cancel()
+	fourth := pick(1)
+	first.Finished(goodOutcome(""))
+	qt.Assert(t, fourth.Reserve(), qt.IsTrue)
+	fourth.Started()
+	pick(1)
+	fourth.Finished(goodOutcome(""))
+	pick(0)
+}
+
 func TestRoundRobinChoosesMembersInOrder(t *testing.T) {
 	r, source := newRouter(t, aubroute.PolicyRoundRobin)
 	for _, name := range []string{"w1", "w2", "w3"} {
--- a/internal/aubroute/state.go
+++ b/internal/aubroute/state.go
@@ -25,6 +25,8 @@
 	prefixes []uint64
 	// budget is the name of the retry budget.
 	budget string
+	// startsBefore is memberState.starts at the choice.
+	startsBefore uint64
 	// element is the position in memberState.inFlight; nil before the start and after
 	// the end.
 	element *list.Element
@@ -38,6 +40,8 @@
 	health      Health
 	// inFlight holds the *inFlightRequest of the member in order of start.
 	inFlight list.List
+	// starts counts the requests that were ever in flight.
+	starts uint64
 	// cacheEpoch is increased to invalidate all blocks recorded for the member in the
 	// prefix table.
 	cacheEpoch uint64
@@ -84,7 +88,15 @@
 	s.serviceTime += (duration - s.serviceTime) / serviceTimeDivisor
 }
 
-func (s *memberState) start(request *inFlightRequest) { request.element = s.inFlight.PushBack(request) }
+// start adds the request to the requests in flight; it does nothing if the request is among them.
+func (s *memberState) start(now time.Time, request *inFlightRequest) {
+	if request.element != nil {
+		return
+	}
+	s.starts++
+	request.startedAt = now
+	request.element = s.inFlight.PushBack(request)
+}
 
 // finish removes the request from the requests in flight; false if it is not among
 // them.
