Log and count responses that belong to no request

What was missing: net/http writes 'Unsolicited response received on idle HTTP channel' to the standard error stream, without the backend server and the request, and only when its own pool sees the bytes first.

Change: the relay's connections to backend servers read responses themselves (http.ReadResponse) and watch a connection while it is idle. Bytes that no request awaits close it, before another request is sent there. A line names the backend server, the request that the bytes name, the one that was awaited and the outcome; relay_unsolicited_responses counts them by outcome. Other lines of the standard library's log become lines of the part library.

--- a/internal/aubcli/role.go
+++ b/internal/aubcli/role.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aublog"
@@ -55,6 +56,12 @@
 			if err != nil {
 				return err
 			}
+			// net/http writes some warnings to the log of the standard library.
+			restoreLog, err := zap.RedirectStdLogAt(common.Log.Named("library"), zap.WarnLevel)
+			if err != nil {
+				return err
+			}
+			defer restoreLog()
 			return run(ctx, common, aubsettings.NewWatcher(ctx, common, *file, cfg, reload))
 		},
 	}
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -45,7 +45,7 @@
 		result.isUnframed = isUnframed(resp)
 		result.mayHaveArrived = true
 		_ = resp.Body.Close()
-		h.release(conn, result)
+		h.release(ex, conn, resp, result)
 	}
 	if result.outcome != outcomeNotRun {
 		ex.mayHaveRun = true
@@ -139,9 +139,10 @@
 
 // release gives a connection back after a response. The response to this request may follow that
 // to another one, so the connection is closed then.
-func (h *Handler) release(conn *backendConn, result attemptResult) {
+func (h *Handler) release(ex *exchange, conn *backendConn, resp *http.Response, result attemptResult) {
 	var foreign *foreignResponseError
 	if errors.As(result.err, &foreign) {
+		h.unsolicited.record(conn, unsolicitedResponse{outcome: unsolicitedFailed, status: resp.StatusCode, header: resp.Header, awaited: ex.call.ID})
 		conn.close()
 		return
 	}
--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -1,188 +1,259 @@
 package aubrelay
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
-	"slices"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubheader"
-	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
 const (
-	// idleConnTimeout is shorter than that of backend servers, so that they don't close a
-	// connection that is about to be reused.
-	idleConnTimeout = 8 * time.Second
-	// idleCheckInterval is the time between two searches for connections that were idle for
-	// idleConnTimeout.
-	idleCheckInterval = time.Second
-	// maxIdlePerBackend limits the idle connections to one backend server.
-	maxIdlePerBackend = 32
 	// connBufferBytes is the size of a connection's read buffer and of its write buffer.
 	connBufferBytes = 2 << 10
+	// inlineBodyBytes is the length of a request body up to which a request is written before its
+	// response is read. A backend server may answer a longer one before it has read it.
+	inlineBodyBytes = 8 << 10
+	// maxInformational limits the informational responses before a response.
+	maxInformational = 5
+	// unwrittenTimeout is how long a response is awaited after a failed write. It may have been sent
+	// before the backend server closed the connection.
+	unwrittenTimeout = 500 * time.Millisecond
+	// maxCarriedIDs limits the requests that a connection remembers.
+	maxCarriedIDs = 64
 )
 
-// dialFunc opens a connection.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// interruptTime is a deadline that has passed.
+var interruptTime = time.Unix(1, 0)
 
-// connPool holds the idle connections to backend servers. A backend server may send a response
-// a second time, in the place of a later one. Therefore a connection is reused only after
-// a complete response that names its request, and never for a request that it has carried.
-//
-// Lock order: mu is a leaf lock.
-type connPool struct {
-	timer     aubtimer.Service
-	dial      dialFunc
-	transport *http.Transport
-
-	mu sync.Mutex
-	// idle holds the idle connections by address in the order of their last use.
-	idle map[string][]*backendConn
-	// isClosed is set once the pool keeps no more connections.
-	isClosed bool
-}
-
-// backendConn is a connection to a backend server. One request at a time uses it.
+// backendConn is an HTTP/1 connection to a backend server. One request at a time uses it; while none
+// does, a goroutine waits for its end and for bytes that no request has asked for.
 type backendConn struct {
-	client  *http.ClientConn
-	sent    *sentMarker
 	address string
+	log     *unsolicitedLog
+	conn    *sentMarker
+	head    *headReader
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	// backendID is the backend server that the last request was meant for.
+	backendID string
+	// carried holds the ids of the last requests on the connection.
+	carried []string
 	// isReused is set if it has carried a request before the current one.
 	isReused  bool
 	idleSince time.Time
-}
 
-func (c *backendConn) close() { _ = c.client.Close() }
+	// written is closed once the request was written without an error.
+	written chan struct{}
+	// stopClose keeps the end of the request's context from closing the connection. It reports false if
+	// that has begun.
+	stopClose func() bool
+	response  *responseBody
 
-// newConnPool returns a pool that closes its idle connections when ctx ends. It requests no
-// compression, follows no redirects and sends no request again by itself.
-func newConnPool(ctx context.Context, timer aubtimer.Service, dial dialFunc) *connPool {
-	p := &connPool{
-		timer: timer, dial: dial, idle: make(map[string][]*backendConn),
-		transport: &http.Transport{
-			DialContext:        dialedConn,
-			DisableCompression: true,
-			ReadBufferSize:     connBufferBytes,
-			WriteBufferSize:    connBufferBytes,
+	// idle starts a watch of the idle connection; watched receives whether it is still usable.
+	idle    chan struct{}
+	watched chan bool
+	closed  chan struct{}
+	// closeOnce guards closed.
+	closeOnce sync.Once
+}
 
-			MaxResponseHeaderBytes: aubheader.MaxResponseBytes,
-		},
+// newBackendConn returns a connection that is watched while it is idle, until it is closed.
+func newBackendConn(conn net.Conn, address string, log *unsolicitedLog) *backendConn {
+	sent := &sentMarker{Conn: conn}
+	head := &headReader{reader: conn, left: aubheader.MaxResponseBytes}
+	c := &backendConn{
+		address: address, log: log, conn: sent, head: head,
+		reader: bufio.NewReaderSize(head, connBufferBytes), writer: bufio.NewWriterSize(sent, connBufferBytes),
+		idle: make(chan struct{}, 1), watched: make(chan bool, 1), closed: make(chan struct{}),
 	}
-	ticks := timer.Subscribe(ctx, idleCheckInterval)
 	go func() {
 		for {
 			select {
-			case <-ticks:
-				p.closeIdle(timer.Now().Add(-idleConnTimeout))
-			case <-ctx.Done():
-				p.close()
+			case <-c.idle:
+			case <-c.closed:
 				return
 			}
+			_, err := c.reader.Peek(1)
+			isQuiet := errors.Is(err, os.ErrDeadlineExceeded)
+			if !isQuiet {
+				c.recordLeftover()
+				c.close()
+			}
+			c.watched <- isQuiet
 		}
 	}()
-	return p
+	return c
 }
 
-// dialedConnKey is the key of a context value that holds the connection of a new client.
-type dialedConnKey struct{}
+// close closes the connection.
+func (c *backendConn) close() {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		_ = c.conn.Close()
+	})
+}
 
-// dialedConn returns the connection in ctx.
-func dialedConn(ctx context.Context, _, _ string) (net.Conn, error) {
-	conn, ok := ctx.Value(dialedConnKey{}).(*sentMarker)
-	if !ok {
-		return nil, net.ErrClosed
+func (c *backendConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
 	}
-	return conn, nil
 }
 
-// take returns an idle or else a new connection to the address, but none of the excluded ones.
-func (p *connPool) take(ctx context.Context, address string, excluded []*backendConn) (*backendConn, error) {
-	if conn := p.takeIdle(address, excluded); conn != nil {
-		return conn, nil
+// startWatch begins to watch the connection while it is idle.
+func (c *backendConn) startWatch() {
+	c.isReused = true
+	c.idle <- struct{}{}
+}
+
+// stopWatch ends the watch. It reports whether the connection is open and has received nothing.
+func (c *backendConn) stopWatch() bool {
+	_ = c.conn.SetReadDeadline(interruptTime)
+	select {
+	case isQuiet := <-c.watched:
+		if !isQuiet {
+			return false
+		}
+	case <-c.closed:
+		return false
 	}
-	netConn, err := p.dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
+	c.conn.begin()
+	return c.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// recordLeftover records the bytes that were received although no request awaits a response.
+func (c *backendConn) recordLeftover() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if len(buffered) == 0 {
+		return
 	}
-	sent := &sentMarker{Conn: netConn}
-	client, err := p.transport.NewClientConn(context.WithValue(ctx, dialedConnKey{}, sent), "http", address)
-	if err != nil {
-		_ = netConn.Close()
-		return nil, err
+	unsolicited := unsolicitedResponse{outcome: unsolicitedClosed, start: buffered}
+	if resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(buffered)), nil); err == nil {
+		unsolicited.status, unsolicited.header = resp.StatusCode, resp.Header
+		_ = resp.Body.Close()
 	}
-	return &backendConn{client: client, sent: sent, address: address}, nil
+	c.log.record(c, unsolicited)
 }
 
-// takeIdle returns the last used idle connection that is still open; nil if there is none.
-func (p *connPool) takeIdle(address string, excluded []*backendConn) *backendConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := p.idle[address]
-	for i := len(conns) - 1; i >= 0; i-- {
-		conn := conns[i]
-		if slices.Contains(excluded, conn) {
-			continue
-		}
-		conns = slices.Delete(conns, i, i+1)
-		p.idle[address] = conns
-		if conn.client.Reserve() == nil {
-			conn.isReused = true
-			conn.sent.begin()
-			return conn
-		}
+// roundTrip sends a request and returns the response to it. The end of the request's context closes
+// the connection. On an error the caller must close it.
+func (c *backendConn) roundTrip(req *http.Request, backendID, callID string) (*http.Response, error) {
+	c.backendID = backendID
+	c.carried = append(c.carried[max(0, len(c.carried)-maxCarriedIDs+1):], callID)
+	c.stopClose = context.AfterFunc(req.Context(), c.close)
+	c.written = make(chan struct{})
+	if req.ContentLength <= inlineBodyBytes {
+		c.write(req)
+	} else {
+		go func() { c.write(req) }()
 	}
-	return nil
+	return c.readResponse(req)
 }
 
-// give returns a connection whose response was read. It closes one whose response or request
-// is not complete.
-func (p *connPool) give(conn *backendConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := p.idle[conn.address]
-	if p.isClosed || conn.client.Available() == 0 || len(conns) >= maxIdlePerBackend {
-		conn.close()
-		return
+// write writes the request. After an error only a response that was sent before it is awaited.
+func (c *backendConn) write(req *http.Request) {
+	err := req.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	conn.idleSince = p.timer.Now()
-	p.idle[conn.address] = append(conns, conn)
-}
-
-// closeIdle closes the connections that were last used before the time given, and drops those
-// that the backend servers have closed.
-func (p *connPool) closeIdle(before time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, conns := range p.idle {
-		conns = slices.DeleteFunc(conns, func(conn *backendConn) bool {
-			isOld := conn.idleSince.Before(before)
-			if isOld {
-				conn.close()
-			}
-			return isOld || conn.client.Err() != nil
-		})
-		if len(conns) == 0 {
-			delete(p.idle, address)
+	switch {
+	case err == nil:
+		close(c.written)
+	case c.conn.endUnsent():
+		c.close()
+	default:
+		_ = c.conn.SetReadDeadline(time.Now().Add(unwrittenTimeout))
+	}
+}
+
+// isWritten reports whether the whole request was written.
+func (c *backendConn) isWritten() bool {
+	select {
+	case <-c.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// readResponse reads the next response that is not informational.
+func (c *backendConn) readResponse(req *http.Request) (*http.Response, error) {
+	c.head.left = aubheader.MaxResponseBytes
+	for range maxInformational + 1 {
+		resp, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		p.idle[address] = conns
+		c.head.left = math.MaxInt64
+		c.response = &responseBody{reader: resp.Body, keepsConn: !resp.Close && resp.StatusCode >= http.StatusOK}
+		c.response.isComplete.Store(resp.Body == http.NoBody)
+		resp.Body = c.response
+		return resp, nil
 	}
+	return nil, &informationalError{count: maxInformational + 1}
 }
 
-// close closes the idle connections, and each connection that is given back later.
-func (p *connPool) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.isClosed = true
-	for _, conns := range p.idle {
-		for _, conn := range conns {
-			conn.close()
-		}
+// finish ends the use of the connection by a request whose response was read. It reports whether the
+// connection can carry another request; otherwise the caller must close it.
+func (c *backendConn) finish() bool {
+	isKept := c.stopClose() && c.isWritten() && c.response.keepsConn && c.response.isComplete.Load() && !c.isClosed()
+	if isKept && c.reader.Buffered() > 0 {
+		c.recordLeftover()
+		return false
 	}
-	clear(p.idle)
+	return isKept
+}
+
+// responseBody is the body of a response. Closing it neither reads the rest nor closes the connection.
+type responseBody struct {
+	reader io.Reader
+	// keepsConn is set if the backend server keeps the connection open after the response.
+	keepsConn bool
+	// isComplete is set once the whole body was read.
+	isComplete atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(data []byte) (int, error) {
+	n, err := b.reader.Read(data)
+	if errors.Is(err, io.EOF) {
+		b.isComplete.Store(true)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error { return nil }
+
+// headReader limits the bytes of the headers before a response's body.
+type headReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader. Beyond the limit the error is *headSizeError.
+func (r *headReader) Read(data []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &headSizeError{bytes: aubheader.MaxResponseBytes}
+	}
+	n, err := r.reader.Read(data[:min(int64(len(data)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // sentMarker is a connection that notes whether a part of the current request may have been
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -59,3 +59,19 @@
 
 // Error implements error.
 func (e *eventSizeError) Error() string { return fmt.Sprintf("event of more than %d bytes", e.bytes) }
+
+// headSizeError is a response whose headers are above the size limit.
+type headSizeError struct{ bytes int }
+
+// Error implements error.
+func (e *headSizeError) Error() string {
+	return fmt.Sprintf("header of the answer has more than %d bytes", e.bytes)
+}
+
+// informationalError is a response that does not come after many informational ones.
+type informationalError struct{ count int }
+
+// Error implements error.
+func (e *informationalError) Error() string {
+	return fmt.Sprintf("%d informational answers without a final one", e.count)
+}
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -18,6 +18,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
@@ -289,6 +292,8 @@
 	server   *httptest.Server
 	site     *siteSource
 	handler  *aubrelay.Handler
+	logs     *observer.ObservedLogs
+	scope    tally.TestScope
 	poison   *aubpoison.Table
 	// streams holds the origins that control processes know, coverage is how many of them
 	// answer.
@@ -439,9 +444,11 @@
 
 // newRelayFixtureWithWrites also bounds what slow callers hold.
 func newRelayFixtureWithWrites(t *testing.T, versions map[string]string, writes aubrelay.WriteOpts) *relayFixture {
-	common := aubcommon.NewCommon(aubtimer.NewReal())
+	core, logs := observer.New(zap.InfoLevel)
+	scope := tally.NewTestScope("", nil)
+	common := aubcommon.NewCommon(aubtimer.NewReal()).WithLog(zap.New(core)).WithMetrics(scope)
 	fixture := &relayFixture{
-		t: t, backends: make(map[string]*backend), site: &siteSource{site: newSite(t, routeTimeout)},
+		t: t, logs: logs, scope: scope, backends: make(map[string]*backend), site: &siteSource{site: newSite(t, routeTimeout)},
 		registry: aubregistry.NewRegistry(common, time.Minute),
 	}
 	for i, name := range slices.Sorted(maps.Keys(versions)) {
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -98,14 +98,16 @@
 
 // Handler serves the HTTP requests of callers.
 type Handler struct {
-	common    aubcommon.Common
-	opts      HandlerOpts
-	conns     *connPool
-	metrics   metrics
-	admitter  *admitter
-	unread    *unreadBytes
-	inFlight  atomic.Int64
-	startedAt time.Time
+	common  aubcommon.Common
+	opts    HandlerOpts
+	conns   *connPool
+	metrics metrics
+	// unsolicited records the responses that belong to no request.
+	unsolicited *unsolicitedLog
+	admitter    *admitter
+	unread      *unreadBytes
+	inFlight    atomic.Int64
+	startedAt   time.Time
 	// shutdownAt is when the process shuts down; nil before Drain.
 	shutdownAt atomic.Pointer[time.Time]
 }
@@ -114,14 +116,16 @@
 // request uses them.
 func NewHandler(ctx context.Context, common aubcommon.Common, opts HandlerOpts) *Handler {
 	common = common.WithPart("relay")
+	unsolicited := newUnsolicitedLog(common, opts.Protocol)
 	return &Handler{
-		common:    common,
-		opts:      opts,
-		admitter:  newAdmitter(common),
-		conns:     newConnPool(ctx, common.Timer, opts.Dial),
-		startedAt: common.Timer.Now(),
-		metrics:   newMetrics(common.Metrics),
-		unread:    newUnreadBytes(opts.Writes.MaxUnread),
+		common:      common,
+		opts:        opts,
+		admitter:    newAdmitter(common),
+		conns:       newConnPool(ctx, common.Timer, opts.Dial, unsolicited),
+		unsolicited: unsolicited,
+		startedAt:   common.Timer.Now(),
+		metrics:     newMetrics(common.Metrics),
+		unread:      newUnreadBytes(opts.Writes.MaxUnread),
 	}
 }
 
--- a/internal/aubrelay/transport.go
+++ b/internal/aubrelay/transport.go
@@ -51,12 +51,15 @@
 			return nil, nil, &unsentError{err: err}
 		}
 		ex.usedConns = append(ex.usedConns, conn)
-		resp, err := conn.client.RoundTrip(h.newAttemptRequest(ctx, ex, address, attempt))
+		resp, err := conn.roundTrip(h.newAttemptRequest(ctx, ex, address, attempt), attempt.Backend, ex.call.ID)
 		if err == nil {
 			return resp, conn, nil
 		}
 		conn.close()
-		if !conn.sent.endUnsent() {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		if !conn.conn.endUnsent() {
 			return nil, nil, err
 		}
 		if !conn.isReused || ctx.Err() != nil {
