Read on behind the copy of an earlier response

What callers saw: a request that may run once ran and its caller got 502, because a backend server sent the response to an earlier request of the connection once more before its own, which was dropped with the connection ("Not mended" in docs/incidents/2026-12-05-late-refusals-believed.md).

Cause: a response that names another request failed the request, wherever its own response was.

Change: if the response names an earlier request of the connection and the request can't be sent again, it is skipped, logged and counted, and the next one is read, at most four times. Requests that may be repeated still go elsewhere at once. Why this is safe: what is delivered still has to name the request; nothing is sent. The connection carries no further request.

Evidence: TestResponseBehindALateCopyIsDelivered (copies of 200, 500 and 503, with and without a body) failed in 6 of 6 cases with 502 before and passes.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	unwrittenTimeout = 500 * time.Millisecond
 	// maxCarriedIDs limits the requests that a connection remembers.
 	maxCarriedIDs = 64
+	// maxSkippedBytes limits the body of a response that is skipped.
+	maxSkippedBytes = 64 << 10
 )
 
 // interruptTime is a deadline that has passed.
@@ -48,6 +51,8 @@
 	backendID string
 	// carried holds the ids of the last requests on the connection.
 	carried []string
+	// hasSkipped is set once a response to an earlier request was skipped.
+	hasSkipped bool
 	// isReused is set if it has carried a request before the current one.
 	isReused  bool
 	idleSince time.Time
@@ -208,10 +213,24 @@
 	return nil, &informationalError{count: maxInformational + 1}
 }
 
+// hasCarried reports whether an earlier request with the id was sent on the connection.
+func (c *backendConn) hasCarried(callID string) bool {
+	return callID != "" && slices.Contains(c.carried[:len(c.carried)-1], callID)
+}
+
+// skipBody reads the rest of the last response. It reports whether another response may follow.
+func (c *backendConn) skipBody() bool {
+	if !c.response.keepsConn {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, c.response, maxSkippedBytes)
+	return c.response.isComplete.Load() || errors.Is(err, io.EOF)
+}
+
 // finish ends the use of the connection by a request whose response was read. It reports whether the
 // connection can carry another request; otherwise the caller must close it.
 func (c *backendConn) finish() bool {
-	isKept := c.stopClose() && c.isWritten() && c.response.keepsConn && c.response.isComplete.Load() && !c.isClosed()
+	isKept := c.stopClose() && c.isWritten() && c.response.keepsConn && c.response.isComplete.Load() && !c.hasSkipped && !c.isClosed()
 	if isKept && c.reader.Buffered() > 0 {
 		c.recordLeftover()
 		return false
--- a/internal/aubrelay/late_response_test.go
+++ b/internal/aubrelay/late_response_test.go
@@ -113,3 +113,45 @@
 		})
 	}
 }
+
+// TestResponseBehindALateCopyIsDelivered guards against a request that ran and whose caller gets an error, because the
+// response to an earlier request of the connection came once more before its own.
+func TestResponseBehindALateCopyIsDelivered(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		for _, text := range []string{"", "copy"} {
+			t.Run(fmt.Sprintf("%d, body %q", status, text), func(t *testing.T) {
+				fixture := newRelayFixture(t, "b1")
+				fixture.setBehaviors(respondAndRepeat(status, text))
+				fixture.call(http.MethodPost, "/write/x", "first", nil)
+				second := fixture.call(http.MethodPost, "/write/x", "second", nil)
+				qt.Check(t, fixture.countRuns("second"), qt.Equals, 1)
+				qt.Check(t, second.status, qt.Equals, http.StatusOK)
+				qt.Check(t, second.body, qt.Equals, "answer to second")
+				qt.Check(t, fixture.countUnsolicited("skipped"), qt.Equals, int64(1))
+			})
+		}
+	}
+}
+
+// respondAndRepeat answers a request, and runs the next one on its connection but sends the first response once more
+// before its own.
+func respondAndRepeat(status int, text string) behavior {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		first := responseTo(r.Header.Get(headerID), status, text)
+		fmt.Fprint(conn, first)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		next, err := http.ReadRequest(bufio.NewReader(buffered))
+		if err != nil {
+			return
+		}
+		b.recordRun(next)
+		id := next.Header.Get(headerID)
+		fmt.Fprint(conn, first+responseTo(id, http.StatusOK, "answer to "+id))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/aubrelay/transport.go
+++ b/internal/aubrelay/transport.go
@@ -9,6 +9,9 @@
 	"github.com/auburndale/auburndale/internal/aubheader"
 )
 
+// maxSkippedResponses limits the responses to earlier requests that are read in the place of one response.
+const maxSkippedResponses = 4
+
 // newAttemptBody returns the body of one attempt.
 func newAttemptBody(ex *exchange) io.ReadCloser {
 	if len(ex.body) == 0 {
@@ -51,7 +54,11 @@
 			return nil, nil, &unsentError{err: err}
 		}
 		ex.usedConns = append(ex.usedConns, conn)
-		resp, err := conn.roundTrip(h.newAttemptRequest(ctx, ex, address, attempt), attempt.Backend, ex.call.ID)
+		req := h.newAttemptRequest(ctx, ex, address, attempt)
+		resp, err := conn.roundTrip(req, attempt.Backend, ex.call.ID)
+		if err == nil {
+			resp, err = h.awaitOwnResponse(ex, conn, req, resp)
+		}
 		if err == nil {
 			return resp, conn, nil
 		}
@@ -68,3 +75,21 @@
 		// The backend server had closed the idle connection.
 	}
 }
+
+// awaitOwnResponse skips responses to earlier requests of the connection, which a backend server may send once more,
+// if the request can't be sent again.
+func (h *Handler) awaitOwnResponse(ex *exchange, conn *backendConn, req *http.Request, resp *http.Response) (*http.Response, error) {
+	for range maxSkippedResponses {
+		callID := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header).CallID
+		if ex.route.Repeatable() || callID == ex.call.ID || !conn.hasCarried(callID) || !conn.skipBody() {
+			return resp, nil
+		}
+		conn.hasSkipped = true
+		h.unsolicited.record(conn, unsolicitedResponse{outcome: unsolicitedSkipped, status: resp.StatusCode, header: resp.Header, awaited: ex.call.ID})
+		var err error
+		if resp, err = conn.readResponse(req); err != nil {
+			return nil, err
+		}
+	}
+	return resp, nil
+}
--- a/internal/aubrelay/unsolicited.go
+++ b/internal/aubrelay/unsolicited.go
@@ -18,6 +18,8 @@
 	// unsolicitedFailed means that it came in the place of the response to another request, which
 	// failed.
 	unsolicitedFailed unsolicitedOutcome = "request_failed"
+	// unsolicitedSkipped means that it came before the response to another request, which was awaited.
+	unsolicitedSkipped unsolicitedOutcome = "skipped"
 )
 
 // unsolicitedPrefixBytes limits what a log line shows of unsolicited bytes.
@@ -44,7 +46,7 @@
 
 func newUnsolicitedLog(common aubcommon.Common, protocol Protocol) *unsolicitedLog {
 	l := &unsolicitedLog{log: common.Log, protocol: protocol, counters: make(map[unsolicitedOutcome]tally.Counter)}
-	for _, outcome := range []unsolicitedOutcome{unsolicitedClosed, unsolicitedFailed} {
+	for _, outcome := range []unsolicitedOutcome{unsolicitedClosed, unsolicitedFailed, unsolicitedSkipped} {
 		l.counters[outcome] = common.Metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("unsolicited_responses")
 	}
 	return l
