Pass on no status that promises what the backend server does not state

What callers saw: 408, 429 or 503, which tell callers that a request did not run and may be sent again, for a request that may run once and had run (REFUSED; TWICE if the caller repeats it).

Cause: a backend server's status was passed on whatever it was.

Change: such a response to a request that may not be repeated ends with 502, without the backend server's signature. Requests that may be repeated are unchanged.

Evidence: TestStatusOfARequestThatMayHaveRunPromisesNothing failed in 6 of 6 cases (408, 429, 503 on two routes were passed on) and passes.

--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -164,6 +164,8 @@
 			h.opts.Registry.RejectUnconfirmed(ex.call.ID, ex.backendID, ex.backendStartedMs)
 		}
 		return attemptResult{outcome: outcomeNotRun, failure: aubroute.FailureRefused, err: &statusError{status: resp.StatusCode}}
+	case meansNotRun(resp.StatusCode) && !ex.route.Repeatable():
+		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unstatedRefusalError{status: resp.StatusCode}}
 	case resp.StatusCode < http.StatusMultipleChoices && !decoded.Signed:
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unsignedResponseError{}}
 	case ex.route.Kind == aubsite.KindStream && resp.StatusCode == http.StatusOK:
@@ -172,6 +174,12 @@
 	return h.relayPlain(ex, choice, resp, started)
 }
 
+// meansNotRun reports whether callers take the status for a promise that their request did not run.
+func meansNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest ||
+		status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // observeAdvice passes on what a response to the request says of the requests that its backend
 // server wants. Only a signed one ends a limit.
 func (h *Handler) observeAdvice(ex *exchange, choice aubroute.Choice, decoded BackendResponse) {
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -34,6 +34,15 @@
 	return fmt.Sprintf("answer with status %d belongs to request %q", e.status, e.callID)
 }
 
+// unstatedRefusalError is a response whose status promises callers that the request did not run, of a backend
+// server that does not state it.
+type unstatedRefusalError struct{ status int }
+
+// Error implements error.
+func (e *unstatedRefusalError) Error() string {
+	return fmt.Sprintf("backend server answered %d without stating that the request did not run", e.status)
+}
+
 // unsignedResponseError is a successful response without the backend server's signature.
 type unsignedResponseError struct{}
 
