Let a connection's own goroutine write long requests

Cause: goroutines are closures started in the constructor; the write of a long request was one of its own. An answer 101 counts as informational, since the relay asks for no upgrade. A connection remembers 16 ids instead of 64: an extra response follows soon.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -30,7 +30,7 @@
 	// before the backend server closed the connection.
 	unwrittenTimeout = 500 * time.Millisecond
 	// maxCarriedIDs limits the requests that a connection remembers.
-	maxCarriedIDs = 64
+	maxCarriedIDs = 16
 	// maxSkippedBytes limits the body of a response that is skipped.
 	maxSkippedBytes = 64 << 10
 )
@@ -39,7 +39,7 @@
 var interruptTime = time.Unix(1, 0)
 
 // backendConn is an HTTP/1 connection to a backend server. One request at a time uses it; while none
-// does, a goroutine waits for its end and for bytes that no request has asked for.
+// does, it waits for its end and for bytes that no request has asked for.
 type backendConn struct {
 	address string
 	log     *unsolicitedLog
@@ -64,8 +64,9 @@
 	stopClose func() bool
 	response  *responseBody
 
-	// idle starts a watch of the idle connection; watched receives whether it is still usable.
-	idle    chan struct{}
+	// tasks are done by the connection's goroutine: a watch while it is idle, or the write of a long request.
+	tasks chan func()
+	// watched receives whether the connection is still usable after a watch.
 	watched chan bool
 	closed  chan struct{}
 	// closeOnce guards closed.
@@ -79,22 +80,16 @@
 	c := &backendConn{
 		address: address, log: log, conn: sent, head: head,
 		reader: bufio.NewReaderSize(head, connBufferBytes), writer: bufio.NewWriterSize(sent, connBufferBytes),
-		idle: make(chan struct{}, 1), watched: make(chan bool, 1), closed: make(chan struct{}),
+		tasks: make(chan func(), 1), watched: make(chan bool, 1), closed: make(chan struct{}),
 	}
 	go func() {
 		for {
 			select {
-			case <-c.idle:
+			case task := <-c.tasks:
+				task()
 			case <-c.closed:
 				return
 			}
-			_, err := c.reader.Peek(1)
-			isQuiet := errors.Is(err, os.ErrDeadlineExceeded)
-			if !isQuiet {
-				c.recordLeftover()
-				c.close()
-			}
-			c.watched <- isQuiet
 		}
 	}()
 	return c
@@ -120,7 +115,15 @@
 // startWatch begins to watch the connection while it is idle.
 func (c *backendConn) startWatch() {
 	c.isReused = true
-	c.idle <- struct{}{}
+	c.tasks <- func() {
+		_, err := c.reader.Peek(1)
+		isQuiet := errors.Is(err, os.ErrDeadlineExceeded)
+		if !isQuiet {
+			c.recordLeftover()
+			c.close()
+		}
+		c.watched <- isQuiet
+	}
 }
 
 // stopWatch ends the watch. It reports whether the connection is open and has received nothing.
@@ -162,7 +165,7 @@
 	if req.ContentLength <= inlineBodyBytes {
 		c.write(req)
 	} else {
-		go func() { c.write(req) }()
+		c.tasks <- func() { c.write(req) }
 	}
 	return c.readResponse(req)
 }
@@ -201,11 +204,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		c.head.left = math.MaxInt64
-		c.response = &responseBody{reader: resp.Body, keepsConn: !resp.Close && resp.StatusCode >= http.StatusOK}
+		c.response = &responseBody{reader: resp.Body, keepsConn: !resp.Close}
 		c.response.isComplete.Store(resp.Body == http.NoBody)
 		resp.Body = c.response
 		return resp, nil
