Check a connection that is reused before its watch has begun

What callers saw: a request that may run once could go out on a connection that its backend server had closed, and end with 502; or it read bytes that belong to an earlier request.

Cause: a connection is watched only once it is given back, and the watch is ended by a read deadline that has passed. A read whose deadline has passed before it begins fails without a look at the socket, so a connection that is reused at once counted as quiet whatever had arrived, also while its response was written to a slow caller. net/http read on right after the response and saw it.

Change: before a connection is reused, its socket is checked without waiting.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -13,8 +13,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/auburndale/auburndale/internal/aubheader"
 )
 
@@ -138,7 +141,35 @@
 		return false
 	}
 	c.conn.begin()
-	return c.conn.SetReadDeadline(time.Time{}) == nil
+	if c.conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	if hasInput(c.conn.Conn) {
+		// The watch was ended before it began to read.
+		_, _ = c.reader.Peek(1)
+		c.recordLeftover()
+		return false
+	}
+	return true
+}
+
+// hasInput reports whether the peer has closed the connection or sent bytes that were not read.
+func hasInput(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	isQuiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		isQuiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err != nil || !isQuiet
 }
 
 // recordLeftover records the bytes that were received although no request awaits a response.
