Send no request whose caller has left before it is written

What callers saw: a backend server could start to run a request whose caller had left, or whose deadline had passed, while the relay opened a connection for it.

Cause: the end of the context closes the connection in another goroutine, and the request was written meanwhile. net/http looked at the context first.

Change: the connection looks at the context before it writes.

Evidence: TestEndedRequestIsNotSent: 199 of 200 requests were written; none now (3 runs).

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -189,6 +189,9 @@
 // roundTrip sends a request and returns the response to it. The end of the request's context closes
 // the connection. On an error the caller must close it.
 func (c *backendConn) roundTrip(req *http.Request, backendID, callID string) (*http.Response, error) {
+	if err := req.Context().Err(); err != nil {
+		return nil, err
+	}
 	c.backendID = backendID
 	c.carried = append(c.carried[max(0, len(c.carried)-maxCarriedIDs+1):], callID)
 	c.stopClose = context.AfterFunc(req.Context(), c.close)
--- a/internal/aubrelay/conn_pool_test.go
+++ b/internal/aubrelay/conn_pool_test.go
@@ -104,3 +104,26 @@
 		})
 	}
 }
+
+// TestEndedRequestIsNotSent guards against a request that a backend server starts to run although its caller has left.
+func TestEndedRequestIsNotSent(t *testing.T) {
+	f := newPoolFixture(t)
+	sent := 0
+	for range 200 {
+		conn, err := f.pool.take(t.Context(), f.address, nil)
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		resp, err := conn.roundTrip(f.newRequest(ctx), "b1", "1")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		qt.Assert(t, err, qt.IsNotNil)
+		conn.close()
+		if !conn.conn.endUnsent() {
+			sent++
+		}
+		_ = (<-f.accepted).Close()
+	}
+	qt.Assert(t, sent, qt.Equals, 0)
+}
