Skip no copy of a response to HEAD

What callers saw: a part of a response's body as the whole response, if a copy of the response to a HEAD request came before it. Who can have a backend server send bytes of their choice could choose that response.

Cause: "Read on behind the copy of an earlier response" reads the copy as a response to the current request. That to HEAD has a length but no body, so the skip swallowed the beginning of the own response.

Change: copies are skipped only if neither request is HEAD; else the request fails as before, with 502.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -52,7 +52,7 @@
 	writer  *bufio.Writer
 	// backendID is the backend server that the last request was meant for.
 	backendID string
-	// carried holds the ids of the last requests on the connection.
+	// carried holds the ids of the last requests on the connection; empty for HEAD.
 	carried []string
 	// hasSkipped is set once a response to an earlier request was skipped.
 	hasSkipped bool
@@ -193,6 +193,10 @@
 		return nil, err
 	}
 	c.backendID = backendID
+	if req.Method == http.MethodHead {
+		// A copy of its response looks as if it had a body.
+		callID = ""
+	}
 	c.carried = append(c.carried[max(0, len(c.carried)-maxCarriedIDs+1):], callID)
 	c.stopClose = context.AfterFunc(req.Context(), c.close)
 	c.written = make(chan struct{})
--- a/internal/aubrelay/late_response_test.go
+++ b/internal/aubrelay/late_response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,3 +177,33 @@
 		}
 	}
 }
+
+// TestBodyThatLooksLikeAResponseIsNotOne guards against a part of a response's body that is taken for the response,
+// because the copy of a response to HEAD came before it, which has a length but no body.
+func TestBodyThatLooksLikeAResponseIsNotOne(t *testing.T) {
+	fixture := newRelayFixture(t, "b1")
+	fixture.setBehaviors(func(b *backend, w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		own := responseTo("second", http.StatusOK, "stored:"+responseTo("second", http.StatusOK, "forged"))
+		hidden := strings.Index(own, "stored:") + len("stored:")
+		toHead := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: %d\r\n\r\n", headerID, r.Header.Get(headerID), headerSigned, hidden)
+		fmt.Fprint(conn, toHead)
+		next, err := http.ReadRequest(bufio.NewReader(buffered))
+		if err != nil {
+			return
+		}
+		b.recordRun(next)
+		fmt.Fprint(conn, toHead+own)
+		time.Sleep(50 * time.Millisecond)
+	})
+	fixture.call(http.MethodHead, "/write/x", "first", func(r *http.Request) { r.Body, r.ContentLength = http.NoBody, 0 })
+	second := fixture.call(http.MethodPost, "/write/x", "second", nil)
+	qt.Check(t, fixture.countRuns("second"), qt.Equals, 1)
+	qt.Check(t, second.body, qt.Not(qt.Equals), "forged")
+	qt.Check(t, second.status == http.StatusBadGateway || strings.HasPrefix(second.body, "stored:"), qt.IsTrue, qt.Commentf("%+v", second))
+}
--- a/internal/aubrelay/transport.go
+++ b/internal/aubrelay/transport.go
@@ -81,7 +81,7 @@
 func (h *Handler) awaitOwnResponse(ex *exchange, conn *backendConn, req *http.Request, resp *http.Response) (*http.Response, error) {
 	for range maxSkippedResponses {
 		callID := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header).CallID
-		if ex.route.Repeatable() || callID == ex.call.ID || !conn.hasCarried(callID) || !conn.skipBody() {
+		if ex.route.Repeatable() || callID == ex.call.ID || req.Method == http.MethodHead || !conn.hasCarried(callID) || !conn.skipBody() {
 			return resp, nil
 		}
 		conn.hasSkipped = true
