Query an engine's state and load on connections of their own

What callers saw: the copy of a load report as the answer to their request, with 200; an engine whose state was taken for empty, to which more can be loaded than fits.

Cause: reports of an engine name no request, but used the connections of generations and of each other, so the copy of a response was believed for where it arrived. platform/order.go has the same rule for the orders of the platform's engines ("docs/incidents/2026-12-05-late-refusals-believed.md"); this client was left out.

Change: every call of the control API has a connection of its own, as orders had.

Evidence: TestCopyOfAReportIsNoOtherResponse failed for the state (no boot id, no items) and for a generation (it received {"running":3}) and passes.

--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -45,7 +45,8 @@
 	// pooled reuses connections whose last response was read to its end.
 	pooled *http.Transport
 	// singleUse opens a connection for each request, so that net/http never sends
-	// a request again by itself, whatever its method and headers.
+	// a request again by itself, whatever its method and headers, and no copy of an
+	// earlier response arrives.
 	singleUse *http.Transport
 }
 
@@ -96,7 +97,7 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// NoRetry keeps net/http from sending the request a second time by itself.
+	// NoRetry opens a connection for the request, so that net/http does not send it a second time by itself.
 	NoRetry bool
 }
 
@@ -231,15 +232,17 @@
 		return &NotSentError{Err: err}
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
-	call := Call{Method: http.MethodPost, Path: path, Header: header, Body: body, NoRetry: true}
+	call := Call{Method: http.MethodPost, Path: path, Header: header, Body: body}
 	return c.doJSON(ctx, call, nil)
 }
 
 // doJSON sends a call within the client's timeout and decodes its JSON response;
-// a nil response skips decoding.
+// a nil response skips decoding. These responses name no request, so each has a connection
+// of its own, on which no copy of another response arrives.
 func (c *Client) doJSON(ctx context.Context, call Call, response any) error {
 	ctx, cancel := aubtimer.WithTimeout(ctx, c.timer, c.timeout)
 	defer cancel()
+	call.NoRetry = true
 	resp, err := c.Do(ctx, call)
 	if err != nil {
 		return err
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -166,3 +167,50 @@
 	}
 	qt.Assert(t, count(), qt.Equals, 0)
 }
+
+// TestCopyOfAReportIsNoOtherResponse guards against the copy of a report that is read as the engine's state, which then
+// looks empty, or as the answer of a generation.
+func TestCopyOfAReportIsNoOtherResponse(t *testing.T) {
+	bodies := map[string]string{
+		aubengine.PathLoadReport: `{"running":3}`,
+		aubengine.PathState:      `{"boot":"b1","items":[{"name":"m","memory_bytes":1,"state":"ready"}]}`,
+		"/v1/chat/completions":   `{"choices":[]}`,
+	}
+	// Each connection repeats its first response in the place of the second.
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		body := bodies[r.URL.Path]
+		for range 2 {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			if _, err := http.ReadRequest(buffered.Reader); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	newClient := func() *aubengine.Client {
+		client := aubengine.NewClient(t.Context(), aubcommon.NewCommon(aubtimer.NewReal()), aubengine.ClientOpts{URL: server.URL})
+		_, err := client.LoadReport(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		return client
+	}
+	t.Run("state", func(t *testing.T) {
+		state, err := newClient().State(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, state.Boot, qt.Equals, "b1")
+		qt.Check(t, state.Items, qt.HasLen, 1)
+	})
+	t.Run("generation", func(t *testing.T) {
+		resp, err := newClient().Do(t.Context(), aubengine.Call{Method: http.MethodPost, Path: "/v1/chat/completions"})
+		qt.Assert(t, err, qt.IsNil)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(body), qt.Equals, bodies["/v1/chat/completions"])
+	})
+}
