Keep that a call may have run when its retry does not

What callers saw: 503 with the execution `not_run`, and no charge, for a call that a backend server may have run, if no other backend server was left for the retry or the retry was turned away.

Cause: the entry answered with the outcome of the last attempt alone. The relay notes that a request may have run (`exchange.mayHaveRun`); the entry didn't. Only calls that may be repeated are affected: others aren't retried then.

Change: if the last attempt did not run, the outcome is that of the last one that may have.

--- a/internal/aubentry/attempt.go
+++ b/internal/aubentry/attempt.go
@@ -31,14 +31,19 @@
 		}
 	}()
 	var exclude []string
+	// earlier is the outcome of the last attempt that may have run; zero if none may have.
+	var earlier outcome
 	for attempt := uint32(1); ; attempt++ {
 		choice, err := h.pickBackend(ctx, ex, c, exclude)
 		if err != nil {
-			return outcome{err: err, execution: aubapi.ExecutionNotRun}
+			return finalOutcome(earlier, outcome{err: err, execution: aubapi.ExecutionNotRun})
 		}
 		o := h.runAttempt(ctx, ex, c, choice, attempt)
 		if o.err == nil || !h.mayRetry(ctx, ex, c, o, attempt) {
-			return o
+			return finalOutcome(earlier, o)
+		}
+		if o.execution != aubapi.ExecutionNotRun {
+			earlier = o
 		}
 		h.metrics.retries.Inc(1)
 		exclude = append(exclude, choice.Member.Announcement.GetName())
--- a/internal/aubentry/call.go
+++ b/internal/aubentry/call.go
@@ -104,6 +104,15 @@
 	tokens int64
 }
 
+// finalOutcome returns the outcome of a call by that of its last attempt. If that attempt did not run,
+// the call may still have run in an earlier one.
+func finalOutcome(earlier, last outcome) outcome {
+	if earlier.err != nil && last.err != nil && last.execution == aubapi.ExecutionNotRun {
+		return earlier
+	}
+	return last
+}
+
 // chargedTokens returns the tokens that the call is charged: none if it was not run,
 // the usage if it is known, else the reserved cost.
 func (o outcome) chargedTokens(c call) int64 {
--- a/internal/aubentry/call_test.go
+++ b/internal/aubentry/call_test.go
@@ -339,3 +339,18 @@
 	}
 	return total
 }
+
+// TestFailedRetryKeepsThatTheCallMayHaveRun guards against "not run" for a call that may have run, because no backend
+// server was left for its retry.
+func TestFailedRetryKeepsThatTheCallMayHaveRun(t *testing.T) {
+	f := newFixture(t, fixtureOpts{})
+	f.awaitBackends(t)
+	f.engines[0].SetFaults(aubstandin.Faults{CutAnswers: 1, ForgetAnswers: true})
+	resp, err := http.DefaultClient.Do(newRequest(t, f, http.MethodPost, chatPath, keyAlpha, chatBody("small", "")))
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close()
+	var problem aubapi.Problem
+	qt.Assert(t, json.NewDecoder(resp.Body).Decode(&problem), qt.IsNil)
+	qt.Check(t, problem.Execution, qt.Equals, aubapi.ExecutionMayHaveRun, qt.Commentf("%+v", problem))
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+}
