Take no success or redirection of an engine for a refusal

What was seen: an order that an engine answered with 202 or 302 counted as certainly not executed, so its memory was given to other models while the engine might load it.

Cause: every status below 500 but 200 was taken for the statement that nothing was executed.

Change: only 4xx counts as a refusal; the outcome of any other status is unknown.

Evidence: two new cases of TestOrderOutcomes, "accepted without a result" and "redirected", failed and pass.

--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -264,9 +264,8 @@
 	return nil
 }
 
-// readErrorResponse converts an error response into *RefusedError, or into
-// *UncertainError for a status of 500 and above: only a lower status means that
-// the engine executed nothing.
+// readErrorResponse converts a response without a result into *RefusedError if its status is that of
+// a client's error, else into *UncertainError: only such a status means that the engine executed nothing.
 func readErrorResponse(resp *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
@@ -281,7 +280,7 @@
 		Code:   envelope.Error.Code,
 		Detail: envelope.Error.Message,
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusBadRequest || resp.StatusCode >= http.StatusInternalServerError {
 		return &UncertainError{Err: refusedErr}
 	}
 	return refusedErr
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -56,6 +56,8 @@
 		{name: "succeeded", handler: respond(http.StatusOK, "{}"), want: outcomeSucceeded},
 		{name: "stale fence", handler: respond(http.StatusConflict, `{"error":{"code":"stale_fence"}}`), want: outcomeRefused},
 		{name: "refused without an error document", handler: respond(http.StatusBadRequest, "no"), want: outcomeRefused},
+		{name: "accepted without a result", handler: respond(http.StatusAccepted, "{}"), want: outcomeUncertain},
+		{name: "redirected", handler: respond(http.StatusFound, ""), want: outcomeUncertain},
 		{name: "gateway error", handler: respond(http.StatusBadGateway, `{"error":{}}`), want: outcomeUncertain},
 		{
 			name:    "connection aborted",
