Take nothing without an id for an event of a numbered stream

What callers saw: a stream had begun and broke off; the next backend server answered with 200 and a text (an HTML or JSON error, or the whole head of a response).

Cause: only events with ids were compared with the one before. Whatever ends with a blank line and has no id was passed on as an event.

Change: once a stream has an id, its own or that of the event that its caller took up, an event without one ends the attempt like one out of order. A blank line behind an event is still passed on. Streams without ids are unchanged.

--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -57,6 +57,14 @@
 	return fmt.Sprintf("event %d follows event %d", e.nextID, e.lastID)
 }
 
+// eventIDError is an event without an id in a stream whose events have ids.
+type eventIDError struct{ lastID int64 }
+
+// Error implements error.
+func (e *eventIDError) Error() string {
+	return fmt.Sprintf("event without an id follows event %d", e.lastID)
+}
+
 // emptyStreamError is a stream that ended with its connection before the first event.
 type emptyStreamError struct{}
 
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -38,8 +38,8 @@
 		if errors.Is(err, io.EOF) {
 			return h.finishStream(ex, resp)
 		}
-		if err == nil && event.hasID {
-			err = checkEventOrder(ex.lastEventID, event.id)
+		if err == nil && (!event.isBlank || lastEventAt.IsZero()) {
+			err = checkEvent(ex.lastEventID, event)
 		}
 		if err != nil {
 			return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, err: err}
@@ -101,11 +101,16 @@
 	return attemptResult{outcome: outcomeFinal}
 }
 
-// checkEventOrder returns an *eventOrderError unless nextID directly follows lastID or
-// lastID is NoEventID.
-func checkEventOrder(lastID, nextID int64) error {
-	if lastID != NoEventID && nextID != lastID+1 {
-		return &eventOrderError{lastID: lastID, nextID: nextID}
+// checkEvent returns an *eventIDError or an *eventOrderError unless the event directly follows the one with
+// lastID or lastID is NoEventID.
+func checkEvent(lastID int64, ev event) error {
+	switch {
+	case lastID == NoEventID:
+		return nil
+	case !ev.hasID:
+		return &eventIDError{lastID: lastID}
+	case ev.id != lastID+1:
+		return &eventOrderError{lastID: lastID, nextID: ev.id}
 	}
 	return nil
 }
@@ -115,6 +120,8 @@
 	data  []byte
 	id    int64
 	hasID bool
+	// isBlank is set if it consists of a blank line only.
+	isBlank bool
 }
 
 // eventReader splits a stream into events.
@@ -147,10 +154,11 @@
 			return event{}, err
 		}
 		line := ev.data[lineStart:]
-		lineStart = len(ev.data)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			ev.isBlank = lineStart == 0
 			return ev, nil
 		}
+		lineStart = len(ev.data)
 		ev.parseID(line)
 	}
 }
--- /dev/null
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -0,0 +1,125 @@
+package aubrelay_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubresume"
+)
+
+// Framings of a response.
+const (
+	framedByLength = "by length"
+	framedByChunks = "in chunks"
+	unframed       = "unframed"
+)
+
+// eventsText returns the events of a complete stream from one id up to another.
+func eventsText(from, to int) string {
+	var text strings.Builder
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return text.String()
+}
+
+// respondRaw returns a behavior that sends a signed response with the status, the framing and the body, and closes the
+// connection.
+func respondRaw(status int, framing, body string) behavior {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 %d Test\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n", status, headerID, r.Header.Get(headerID), headerSigned, b.id)
+		switch framing {
+		case framedByLength:
+			fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		case framedByChunks:
+			fmt.Fprint(conn, "Transfer-Encoding: chunked\r\n\r\n")
+			if body != "" {
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(body), body)
+			}
+			fmt.Fprint(conn, "0\r\n\r\n")
+		case unframed:
+			fmt.Fprint(conn, "\r\n"+body)
+		}
+	}
+}
+
+// inOrder returns a behavior that handles the first request of all backend servers with the first behavior, and all later
+// ones with the other.
+func inOrder(first, later behavior) behavior {
+	var hasBegun atomic.Bool
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if hasBegun.Swap(true) {
+			later(b, w, r)
+			return
+		}
+		first(b, w, r)
+	}
+}
+
+// errorResponse is a response in the place of events.
+const errorResponse = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror\n\n"
+
+// checkContinuation has every backend server send the response to a request to go on with a stream, of this relay and then
+// of the caller. The caller must receive no other bytes than the next events, and see that the stream is not complete.
+func checkContinuation(t *testing.T, status int, framing, body string) {
+	t.Helper()
+	fixture := newRelayFixture(t, "b1", "b2")
+	fixture.coverage = aubresume.CoverageAll
+	fixture.removeTimeouts()
+	response := respondRaw(status, framing, body)
+	always := slices.Repeat([]behavior{response}, 8)
+	fixture.setBehaviors(append([]behavior{inOrder(truncateStream, response)}, always...)...)
+	begun := fixture.call(http.MethodPost, "/stream/x", "begun", nil)
+	qt.Check(t, begun.status, qt.Equals, http.StatusOK)
+	qt.Check(t, begun.isBroken, qt.IsTrue)
+	qt.Check(t, isPartFrom(0, begun.body), qt.IsTrue, qt.Commentf("%.200q", begun.body))
+
+	fixture.setBehaviors(always...)
+	taken := fixture.call(http.MethodPost, "/stream/x", "taken", takeUp("", 1))
+	if taken.status == http.StatusOK {
+		qt.Check(t, taken.isBroken, qt.IsTrue, qt.Commentf("%.200q", taken.body))
+		qt.Check(t, taken.body != "" && isPartFrom(2, taken.body), qt.IsTrue, qt.Commentf("%.200q", taken.body))
+		return
+	}
+	isOwn := taken.status == http.StatusBadGateway || taken.status == http.StatusServiceUnavailable
+	isForwarded := taken.status == status && status >= http.StatusMultipleChoices && taken.header.Get(headerSigned) != ""
+	qt.Check(t, isForwarded || isOwn && taken.header.Get(headerSigned) == "", qt.IsTrue, qt.Commentf("status %d", taken.status))
+}
+
+// isPartFrom reports whether the text consists of events of a complete stream from the id on.
+func isPartFrom(from int, text string) bool {
+	for to := from; to <= finalEventID+1; to++ {
+		if text == eventsText(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestTextIsNoPartOfAStream guards against a success of the next backend server that is no event stream and is taken for
+// events.
+func TestTextIsNoPartOfAStream(t *testing.T) {
+	for name, body := range map[string]string{
+		"JSON": `{"error": 1}`, "JSON and blank lines": "{\n\n\"error\": 1}\n\n", "HTML": "<html>\n\n</html>\n\n",
+		"long text": strings.Repeat("text\n\n", 1<<18), "response": errorResponse, "response before events": errorResponse + eventsText(2, 5),
+		"response between events": eventsText(2, 4) + errorResponse + eventsText(4, 5), "text after events": eventsText(2, 4) + "Bad gateway\n\n",
+		"repeated event": eventsText(1, 5), "missing event": eventsText(3, 5), "from the start": completeStream(),
+		"events without ids": "data: 2\n\ndata: 3\n\n", "invalid id": "id: x\ndata: 2\n\n" + eventsText(2, 5),
+	} {
+		for _, framing := range []string{framedByLength, framedByChunks, unframed} {
+			t.Run(name+", "+framing, func(t *testing.T) { checkContinuation(t, http.StatusOK, framing, body) })
+		}
+	}
+}
