End no stream with an empty response

What callers saw: a stream had begun and broke off; the next backend server answered with 200 and no event. The stream ended as if it were complete.

Cause: a response that ends between events ended the stream, whether it had brought any event or not. Only one without a length and chunks was refused.

Change: a response to a request to go on that brings no event is a failed attempt. Without another backend server a begun stream is broken off, and a caller that took it up gets 502. A backend server that is asked to go on after the very last event may rightly answer with nothing; the relay can't tell this from a stream that lacks events, and neither status nor length tells which was the last. Such a stream, of which only the end was lost, is not completed. Streams that are asked for from the start are unchanged.

Evidence: TestEmptyResponseCompletesNoStream failed in 2 of 3 cases (by length, in chunks) and passes.

--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -65,11 +65,12 @@
 	return fmt.Sprintf("event without an id follows event %d", e.lastID)
 }
 
-// emptyStreamError is a stream that ended with its connection before the first event.
+// emptyStreamError is a stream that ended before its first event although one was due, or with its
+// connection.
 type emptyStreamError struct{}
 
 // Error implements error.
-func (e *emptyStreamError) Error() string { return "connection ended before the first event" }
+func (e *emptyStreamError) Error() string { return "stream ended before the first event" }
 
 // eventSizeError is an event above the size limit.
 type eventSizeError struct{ bytes int }
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -32,7 +32,7 @@
 	defer func() { h.recordPauses(ex, choice, &pauses) }()
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && isUnframed(resp) {
+		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && (isUnframed(resp) || ex.lastEventID != NoEventID) {
 			err = &emptyStreamError{}
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -123,3 +123,11 @@
 		}
 	}
 }
+
+// TestEmptyResponseCompletesNoStream guards against a stream that ends as if it were complete because the next backend server
+// sent no event.
+func TestEmptyResponseCompletesNoStream(t *testing.T) {
+	for _, framing := range []string{framedByLength, framedByChunks, unframed} {
+		t.Run(framing, func(t *testing.T) { checkContinuation(t, http.StatusOK, framing, "") })
+	}
+}
