Give no success without events to a caller that goes on with a stream

What callers saw: a caller took its stream up with the id of its last event; the backend server answered with a success other than 200, also one with an error's text as its body.

Cause: only 200 was read as a stream. Any other status was a plain response, which is passed on.

Change: a success other than 200 to a request to go on with a stream is a failed attempt; without another backend server the caller gets 502. Errors still reach such a caller as they are. A stream that is under way has always gone on elsewhere after any status but 200; now it does so before the body of that response is read, which could take up to the route's timeout.

Evidence: TestErrorIsNoPartOfAStream (13 statuses, 6 bodies up to 1.5 MiB, 3 framings; the relay goes on itself, or its caller) failed in 54 of 234 cases, those with 201, 204 and 206 to a caller, and passes. TestErrorInThePlaceOfAStreamIsForwarded passed before: the first answer of a stream still reaches the caller unchanged.

--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -168,8 +168,13 @@
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unstatedRefusalError{status: resp.StatusCode}}
 	case resp.StatusCode < http.StatusMultipleChoices && !decoded.Signed:
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unsignedResponseError{}}
-	case ex.route.Kind == aubsite.KindStream && resp.StatusCode == http.StatusOK:
+	case ex.route.Kind != aubsite.KindStream:
+		return h.relayPlain(ex, choice, resp, started)
+	case resp.StatusCode == http.StatusOK:
 		return h.relayStream(ex, choice, resp, started)
+	case ex.headerWritten || ex.lastEventID != NoEventID && resp.StatusCode < http.StatusMultipleChoices:
+		// The caller has a part of the stream, which goes on with its next event only.
+		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &statusError{status: resp.StatusCode}}
 	}
 	return h.relayPlain(ex, choice, resp, started)
 }
--- a/internal/aubrelay/plain.go
+++ b/internal/aubrelay/plain.go
@@ -21,13 +21,9 @@
 	choice.FirstToken()
 	h.observeAnswer(ex, choice, resp.StatusCode)
 	plain := &plainResponse{status: resp.StatusCode, header: resp.Header, body: body, remainder: resp.Body, isComplete: len(body) < maxBufferedBytes}
-	if resp.StatusCode >= http.StatusInternalServerError && plain.isComplete && !ex.headerWritten {
+	if resp.StatusCode >= http.StatusInternalServerError && plain.isComplete {
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, response: plain, err: &statusError{status: resp.StatusCode}}
 	}
-	if ex.headerWritten {
-		// The caller has received the header and a part of a stream.
-		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &statusError{status: resp.StatusCode}}
-	}
 	return attemptResult{outcome: outcomeFinal, err: h.writeResponse(ex, plain)}
 }
 
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -108,6 +108,40 @@
 	return false
 }
 
+// TestErrorIsNoPartOfAStream guards against a stream that goes on with the error of the next backend server, or ends as if it
+// were complete.
+func TestErrorIsNoPartOfAStream(t *testing.T) {
+	for _, status := range []int{201, 204, 206, 301, 304, 400, 404, 409, 421, 429, 500, 502, 503} {
+		for _, body := range []string{"", `{"error": 1}`, "<html>\n\n</html>\n\n", eventsText(2, 5), errorResponse, strings.Repeat("text\n\n", 1<<18)} {
+			for _, framing := range []string{framedByLength, framedByChunks, unframed} {
+				t.Run(fmt.Sprintf("%d, %.6q, %s", status, body, framing), func(t *testing.T) {
+					checkContinuation(t, status, framing, body)
+				})
+			}
+		}
+	}
+}
+
+// TestErrorInThePlaceOfAStreamIsForwarded guards against an answer to the first send of a stream, or to a plain request with the
+// id of an event, that is taken for one to go on with a stream.
+func TestErrorInThePlaceOfAStreamIsForwarded(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/stream-once/x", "/read/x", "/write/x"} {
+		for _, status := range []int{201, 206, 301, 400, 404, 409, 500, 502} {
+			fixture := newRelayFixture(t, "b1", "b2")
+			response := respondRaw(status, framedByLength, errorResponse)
+			fixture.setBehaviors(response, response)
+			change := takeUp("", 1)
+			if strings.HasPrefix(path, "/stream") {
+				change = nil
+			}
+			result := fixture.call(http.MethodPost, path, "1", change)
+			qt.Check(t, result.status, qt.Equals, status, qt.Commentf("%s", path))
+			qt.Check(t, result.body, qt.Equals, errorResponse)
+			qt.Check(t, result.header.Get(headerSigned) != "", qt.IsTrue)
+		}
+	}
+}
+
 // TestTextIsNoPartOfAStream guards against a success of the next backend server that is no event stream and is taken for
 // events.
 func TestTextIsNoPartOfAStream(t *testing.T) {
