Begin no stream without ids again

What callers saw: a stream whose events had no ids broke off and went on with the events of a second run from the start (ORDER).

Cause: a stream may go on at another backend server where its route allows it, after the id of its last event. Without one the request was sent as the first time, behind the events that the caller had.

Change: such a stream is broken off.

Evidence: TestStreamWithoutIDsIsNotBegunAgain failed (the first event was followed by a whole second stream, ended as complete) and passes.

--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -194,6 +194,9 @@
 	switch {
 	case lastResult.outcome == outcomeFailed && !ex.route.Repeatable():
 		return false
+	case ex.headerWritten && ex.lastEventID == NoEventID:
+		// The caller has events without ids, after which no other backend server can go on.
+		return false
 	case h.isVersionUnknown(ex):
 		return false
 	case lastResult.outcome == outcomeFailed && ex.possibleRuns >= max(ex.route.MaxAttempts, 1):
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -165,3 +165,14 @@
 		t.Run(framing, func(t *testing.T) { checkContinuation(t, http.StatusOK, framing, "") })
 	}
 }
+
+// TestStreamWithoutIDsIsNotBegunAgain guards against a stream without ids that breaks off and goes on with a second run from the
+// start.
+func TestStreamWithoutIDsIsNotBegunAgain(t *testing.T) {
+	fixture := newRelayFixture(t, "b1", "b2")
+	fixture.setBehaviors(inOrder(respondRaw(http.StatusOK, unframed, "data: 0\n\nda"), respondOK), respondOK)
+	result := fixture.call(http.MethodPost, "/stream/x", "1", nil)
+	qt.Check(t, result.isBroken, qt.IsTrue)
+	qt.Check(t, result.body, qt.Equals, "data: 0\n\n")
+	qt.Check(t, fixture.countRuns("1"), qt.Equals, 1)
+}
