Pass on no event that holds the head of a response

What callers saw: a backend server broke off within an event and sent an error on the same connection, with its head.

Cause: an event ended at the next blank line, which was that of the head. With the length of the whole stream or none, and in a chunk, the framing doesn't show this.

Change: an event with an id is passed on only if its lines end alike and each is a field: a name of lower-case letters, digits and hyphens, or a comment. Header names in upper case, status lines and their CR LF among lines that end with LF are none. Not noticed is a head with lower-case names and LF, or in a stream with CR LF, that begins within the value of a field.

Evidence: TestResponseWithinAnEventIsNotForwarded failed in 12 of 12 cases and passes.

--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -65,6 +65,12 @@
 	return fmt.Sprintf("event without an id follows event %d", e.lastID)
 }
 
+// eventFormatError is an event with a line that is no field of the event stream format.
+type eventFormatError struct{ id int64 }
+
+// Error implements error.
+func (e *eventFormatError) Error() string { return fmt.Sprintf("event %d is malformed", e.id) }
+
 // emptyStreamError is a stream that ended before its first event although one was due, or with its
 // connection.
 type emptyStreamError struct{}
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -101,10 +101,12 @@
 	return attemptResult{outcome: outcomeFinal}
 }
 
-// checkEvent returns an *eventIDError or an *eventOrderError unless the event directly follows the one with
-// lastID or lastID is NoEventID.
+// checkEvent returns an *eventFormatError, an *eventIDError or an *eventOrderError unless the event is well formed
+// and directly follows the one with lastID. Without a lastID it may be any event, and any text without an id.
 func checkEvent(lastID int64, ev event) error {
 	switch {
+	case ev.hasID && ev.isMalformed:
+		return &eventFormatError{id: ev.id}
 	case lastID == NoEventID:
 		return nil
 	case !ev.hasID:
@@ -122,6 +124,9 @@
 	hasID bool
 	// isBlank is set if it consists of a blank line only.
 	isBlank bool
+	// isMalformed is set if its lines end differently or one of them is no field. A backend server that
+	// breaks off within an event may send the head of an error after it.
+	isMalformed bool
 }
 
 // eventReader splits a stream into events.
@@ -139,6 +144,7 @@
 // maxEventBytes, and those of the connection.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	var endsWithCR bool
 	lineStart := 0
 	for {
 		part, err := e.reader.ReadSlice('\n')
@@ -153,20 +159,26 @@
 		case err != nil:
 			return event{}, err
 		}
-		line := ev.data[lineStart:]
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		line, hasCR := bytes.CutSuffix(ev.data[lineStart:len(ev.data)-1], []byte("\r"))
+		ev.isMalformed = ev.isMalformed || lineStart > 0 && hasCR != endsWithCR
+		endsWithCR = hasCR
+		if len(line) == 0 {
 			ev.isBlank = lineStart == 0
 			return ev, nil
 		}
 		lineStart = len(ev.data)
-		ev.parseID(line)
+		ev.parseField(line)
 	}
 }
 
-// parseID sets the event's id if the line has a valid one.
-func (ev *event) parseID(line []byte) {
-	value, ok := bytes.CutPrefix(line, []byte("id:"))
-	if !ok {
+// parseField sets the event's id if the field is a valid one.
+func (ev *event) parseField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if !isFieldName(name) {
+		ev.isMalformed = true
+		return
+	}
+	if string(name) != "id" {
 		return
 	}
 	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
@@ -174,3 +186,13 @@
 		ev.id, ev.hasID = id, true
 	}
 }
+
+// isFieldName reports whether the name consists of lower-case letters, digits and hyphens. That of a comment is empty.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -166,6 +166,26 @@
 	}
 }
 
+// TestResponseWithinAnEventIsNotForwarded guards against the head of an error that a backend server sent after a part of an
+// event, with the blank line of which the event seemed complete.
+func TestResponseWithinAnEventIsNotForwarded(t *testing.T) {
+	for _, part := range []string{"id: 2\n", "id: 2\nda", "id: 2\ndata: 2\n", "id: 2\ndata: 2"} {
+		for framing, toCase := range map[string]func(string) string{framedByLength: strings.Clone, framedByChunks: strings.ToLower, unframed: strings.ToLower} {
+			t.Run(fmt.Sprintf("%q, %s", part, framing), func(t *testing.T) {
+				fixture := newRelayFixture(t, "b1", "b2")
+				fixture.removeTimeouts()
+				broken := respondRaw(http.StatusOK, framing, eventsText(0, 2)+part+toCase(errorResponse))
+				fixture.setBehaviors(inOrder(broken, respondOK), respondOK)
+				qt.Check(t, fixture.call(http.MethodPost, "/stream/x", "1", nil).body, qt.Equals, completeStream())
+				fixture.setBehaviors(broken)
+				result := fixture.call(http.MethodPost, "/stream-once/x", "2", nil)
+				qt.Check(t, result.isBroken, qt.IsTrue)
+				qt.Check(t, result.body, qt.Equals, eventsText(0, 2))
+			})
+		}
+	}
+}
+
 // TestStreamWithoutIDsIsNotBegunAgain guards against a stream without ids that breaks off and goes on with a second run from the
 // start.
 func TestStreamWithoutIDsIsNotBegunAgain(t *testing.T) {
--- a/internal/aubrelay/stream_test.go
+++ b/internal/aubrelay/stream_test.go
@@ -29,3 +29,20 @@
 	_, err = events.next()
 	qt.Assert(t, err, qt.Equals, io.EOF)
 }
+
+// TestEventFormat guards against well formed events that are taken for a response within an event.
+func TestEventFormat(t *testing.T) {
+	for text, isMalformed := range map[string]bool{
+		"x-weight-versions:3\nid: 4\ndata: HTTP/1.1 500 A\n\n":         false,
+		"id:4\r\nevent: a\r\ndata: b\r\n: comment\r\nretry: 5\r\n\r\n": false,
+		"id: 4\ndata\ndata: Content-Length: 5\n\n":                     false,
+		"id: 4\ndata: a\r\nb: 1\r\n\r\n":                               true,
+		"id: 4\nHTTP/1.1 500 A\n\n":                                    true,
+		"id: 4\nDate: 1\n\n":                                           true,
+	} {
+		ev, err := newEventReader(strings.NewReader(text)).next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, ev.id, qt.Equals, int64(4), qt.Commentf("%q", text))
+		qt.Check(t, ev.isMalformed, qt.Equals, isMalformed, qt.Commentf("%q", text))
+	}
+}
