State no length for a stream

Cause: a stream keeps the header of its first response, also the length that this stated. If the rest from the other backend server is longer, the stream seemed complete once it had reached that length.

Change: streams reach callers in chunks, whatever the framing of the backend server. The last chunk follows only a complete response.

Evidence: TestStreamIsNotAsLongAsItsFirstResponse failed (three of five events, not broken off) and passes.

--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -84,6 +84,8 @@
 		return
 	}
 	copyHeader(ex.writer.Header(), resp.Header)
+	// Another backend server may send the rest at another length.
+	ex.writer.Header().Del("Content-Length")
 	ex.headerWritten = true
 	ex.status = resp.StatusCode
 	ex.writer.WriteHeader(resp.StatusCode)
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -196,3 +196,17 @@
 	qt.Check(t, result.body, qt.Equals, "data: 0\n\n")
 	qt.Check(t, fixture.countRuns("1"), qt.Equals, 1)
 }
+
+// TestStreamIsNotAsLongAsItsFirstResponse guards against a stream that seems complete because it has reached the length that the
+// backend server stated which broke off.
+func TestStreamIsNotAsLongAsItsFirstResponse(t *testing.T) {
+	fixture := newRelayFixture(t, "b1", "b2")
+	later := "id: 2\ndata: 22222222222222222\n\n"
+	fixture.setBehaviors(inOrder(func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(eventsText(0, 2)+later)))
+		truncateStream(b, w, r)
+	}, respondRaw(http.StatusOK, framedByChunks, later+eventsText(3, 5))))
+	result := fixture.call(http.MethodPost, "/stream/x", "1", nil)
+	qt.Check(t, result.isBroken, qt.IsFalse)
+	qt.Check(t, result.body, qt.Equals, eventsText(0, 2)+later+eventsText(3, 5))
+}
