Continue an engine's answer with its events only

What callers saw, through agents: a streamed answer broke off and the engine answered the request for the rest with 200 and a JSON error, or with an event that holds an error. The caller found it in its stream, which ended as if it were complete.

Cause: a response to a request for the rest was read like a first one.

Change: once a stream has begun, only an event stream is read, and an event with an error in a resumed one counts as a failure. The agent asks again up to its bound, then the answer is incomplete. Errors that the engine sends in the answer itself are forwarded as before.

--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -41,6 +41,8 @@
 	tokens   int64
 	usage    usage
 	headSent bool
+	// isResumed is set once the engine was asked for the rest of the response.
+	isResumed bool
 	// refusedQueries and failedQueries count status queries since the last
 	// successful one.
 	refusedQueries int
@@ -122,6 +124,9 @@
 	if isEventStream(resp) {
 		return g.forwardEvents(resp)
 	}
+	if g.headSent {
+		return aubengine.ErrIncomplete
+	}
 	return g.forwardBody(resp)
 }
 
@@ -133,6 +138,7 @@
 // resume requests the events that follow those already read, unless the engine has
 // restarted: it may run other software now.
 func (g *generation) resume(ctx context.Context) (*http.Response, error) {
+	g.isResumed = true
 	state, err := g.agent.client.State(ctx)
 	if err != nil {
 		return nil, &aubengine.UncertainError{Err: err}
@@ -187,6 +193,9 @@
 		if err := g.checkChunkID(c); err != nil {
 			return err
 		}
+		if g.isResumed && len(c.Error) > 0 {
+			return aubengine.ErrIncomplete
+		}
 		if ok && c.Usage != nil {
 			g.usage = *c.Usage
 		}
