Forward no text among an engine's events

What callers saw, through agents: text in the middle of a streamed answer, such as the head of an error that an engine sent after a part of an event, and an end as if the answer were complete.

Cause: whatever ended with a blank line was forwarded as an event; only an id in its JSON was compared, if there was any.

Change: an event whose lines are not all fields or comments, or whose data is no JSON object, ends the connection to the engine; the agent asks for the rest from that event on. The check of lines moved from the relay to aubevent, which both use.

Evidence: TestHeadWithinAnAnswerIsNotForwarded failed in 4 of 4 cases, three added cases of TestErrorIsNoPartOfAnAnswer failed; both pass.

--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -190,6 +190,9 @@
 	raw := event.Raw
 	if !event.Done() {
 		c, ok := parseChunk(event.Data)
+		if event.Data != nil && !ok {
+			return aubengine.ErrNoEvent
+		}
 		if err := g.checkChunkID(c); err != nil {
 			return err
 		}
--- a/internal/aubagent/resume_test.go
+++ b/internal/aubagent/resume_test.go
@@ -58,6 +58,7 @@
 		events = "text/event-stream"
 		begun  = `data: {"id":"1","choices":[{"delta":{"content":"a"}}]}` + "\n\n"
 		done   = "data: [DONE]\n\n"
+		head   = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror\n\n"
 		object = `{"error":{"message":"overloaded"}}`
 	)
 	for _, test := range []struct {
@@ -71,6 +72,9 @@
 		{name: "JSON", status: 200, contentType: "application/json", body: object},
 		{name: "HTML", status: 200, contentType: "text/html", body: "<html>\n\n</html>\n\n" + done},
 		{name: "nothing", status: 200, contentType: events},
+		{name: "text", status: 200, contentType: events, body: "Bad gateway\n\n" + done},
+		{name: "text in an event", status: 200, contentType: events, body: "data: Bad gateway\n\n" + done},
+		{name: "head", status: 200, contentType: events, body: head + done},
 		{name: "error event", status: 200, contentType: events, body: "data: " + object + "\n\n" + done},
 		{name: "event of another answer", status: 200, contentType: events, body: `data: {"id":"2","choices":[]}` + "\n\n" + done},
 	} {
@@ -83,3 +87,19 @@
 		})
 	}
 }
+
+// TestHeadWithinAnAnswerIsNotForwarded guards against the head of an error in the middle of an answer, which the engine sent on the
+// connection of the answer.
+func TestHeadWithinAnAnswerIsNotForwarded(t *testing.T) {
+	const begun = `data: {"id":"1","choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+	for _, part := range []string{"", "da", `data: {"id":"1"`, `data: {"id":"1","choices":[]}` + "\n"} {
+		t.Run(part, func(t *testing.T) {
+			t.Parallel()
+			answer := begun + part + "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nerror\n\ndata: [DONE]\n\n"
+			f := newHandlerFixture(t, respondWith(http.StatusOK, "text/event-stream", answer, false), http.NotFound)
+			_, body, err := f.call(chatRequest("r", "m", "r", true))
+			checkExecution(t, err, aubapi.ExecutionMayHaveRun)
+			qt.Check(t, body, qt.Equals, begun)
+		})
+	}
+}
--- a/internal/aubengine/error.go
+++ b/internal/aubengine/error.go
@@ -40,6 +40,8 @@
 	// ErrIncomplete means that an answer was truncated: a stream ended without its
 	// end mark, or a body before its end.
 	ErrIncomplete = errors.New("answer ended before its end mark")
+	// ErrNoEvent means that an answer holds text that is no server-sent event of it.
+	ErrNoEvent = errors.New("text is no event")
 	// ErrEventTooLong means that a server-sent event exceeded MaxEventBytes.
 	ErrEventTooLong = errors.New("server-sent event too long")
 	// ErrAnswerMismatch means that an answer belongs to another request.
--- a/internal/aubengine/event.go
+++ b/internal/aubengine/event.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/auburndale/auburndale/internal/aubevent"
 )
 
 // MaxEventBytes is the maximum size of a server-sent event.
@@ -35,7 +37,7 @@
 }
 
 // Next returns the next event. It returns io.EOF if the stream ends between
-// events and ErrIncomplete if it ends within one.
+// events, ErrIncomplete if it ends within one and ErrNoEvent for other text.
 func (e *EventReader) Next() (Event, error) {
 	var ev Event
 	for {
@@ -44,6 +46,9 @@
 			return Event{}, streamEndError(err, len(ev.Raw))
 		}
 		line := bytes.TrimRight(ev.Raw[start:], "\r\n")
+		if len(line) > 0 && !aubevent.IsField(line) {
+			return Event{}, ErrNoEvent
+		}
 		if len(line) > 0 {
 			ev.Data = appendData(ev.Data, line)
 			continue
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/aubevent"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubspeed"
 )
@@ -175,12 +176,9 @@
 
 // parseField sets the event's id if the field is a valid one.
 func (ev *event) parseField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if !isFieldName(name) {
-		ev.isMalformed = true
-		return
-	}
-	if string(name) != "id" {
+	ev.isMalformed = ev.isMalformed || !aubevent.IsField(line)
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
 		return
 	}
 	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
@@ -188,13 +186,3 @@
 		ev.id, ev.hasID = id, true
 	}
 }
-
-// isFieldName reports whether the name consists of lower-case letters, digits and hyphens. That of a comment is empty.
-func isFieldName(name []byte) bool {
-	for _, c := range name {
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return true
-}
