Pass on no switch of protocols

What callers saw: 101 with the backend server's signature instead of a response.

Cause: the relay forwards no Upgrade, but passed on every status that is not informational, and 101 was counted among these.

Change: a final status below 200 is a failed attempt.

Evidence: TestSwitchOfProtocolsIsNoResponse failed on 4 of 4 routes (101) and passes. TestRefusalIsNoPartOfAStream (refusals, lost, foreign and unsigned responses in the middle of a stream) passed before.

--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -166,6 +166,9 @@
 		return attemptResult{outcome: outcomeNotRun, failure: aubroute.FailureRefused, err: &statusError{status: resp.StatusCode}}
 	case meansNotRun(resp.StatusCode) && !ex.route.Repeatable():
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unstatedRefusalError{status: resp.StatusCode}}
+	case resp.StatusCode < http.StatusOK:
+		// No request asks for another protocol.
+		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &statusError{status: resp.StatusCode}}
 	case resp.StatusCode < http.StatusMultipleChoices && !decoded.Signed:
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &unsignedResponseError{}}
 	case ex.route.Kind != aubsite.KindStream:
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -210,3 +210,30 @@
 	qt.Check(t, result.isBroken, qt.IsFalse)
 	qt.Check(t, result.body, qt.Equals, eventsText(0, 2)+later+eventsText(3, 5))
 }
+
+// TestRefusalIsNoPartOfAStream guards against a stream that ends as if it were complete because every other backend server refused
+// to go on with it, and against a response to another request in its place.
+func TestRefusalIsNoPartOfAStream(t *testing.T) {
+	for _, refuse := range []behavior{refuseNotRun, respondToAnother, respondUnsigned, dropResponse} {
+		fixture := newRelayFixture(t, "b1", "b2")
+		fixture.removeTimeouts()
+		always := slices.Repeat([]behavior{refuse}, 8)
+		fixture.setBehaviors(append([]behavior{inOrder(truncateStream, refuse)}, always...)...)
+		result := fixture.call(http.MethodPost, "/stream/x", "1", nil)
+		qt.Check(t, result.isBroken, qt.IsTrue)
+		qt.Check(t, result.body, qt.Equals, eventsText(0, 2))
+	}
+}
+
+// TestSwitchOfProtocolsIsNoResponse guards against a switch to a protocol that nobody asked for, which leaves the caller without a
+// response.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	for _, path := range []string{"/write/x", "/stream-once/x", "/read/x", "/stream/x"} {
+		fixture := newRelayFixture(t, "b1", "b2")
+		response := respondRaw(http.StatusSwitchingProtocols, unframed, "text")
+		fixture.setBehaviors(response, response)
+		result := fixture.call(http.MethodPost, path, "1", nil)
+		qt.Check(t, result.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s: %+v", path, result))
+		qt.Check(t, result.header.Get(headerSigned), qt.Equals, "")
+	}
+}
