Reset the connection of a broken response to HTTP/1.0

What callers saw: with HTTP/1.0, which some proxies use by default, a stream or a long response that broke off ended like a complete one.

Cause: without a length such a response ends with its connection, and the relay and the entry closed that in order. Callers of HTTP/1.1 see that the last chunk is missing.

Change: the connection of such a caller is reset.

--- a/internal/aubentry/handler.go
+++ b/internal/aubentry/handler.go
@@ -24,6 +24,7 @@
 	"github.com/auburndale/auburndale/internal/aubqueue"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubstate/aubquery"
+	"github.com/auburndale/auburndale/internal/aubtransport"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
@@ -167,7 +168,7 @@
 	h.metrics.countRefusal(refused)
 	h.logFailure(ex, refused, err)
 	if ex.responseStarted {
-		panic(http.ErrAbortHandler)
+		aubtransport.AbortResponse(ex.writer, ex.request)
 	}
 	if errors.Is(ex.request.Context().Err(), context.Canceled) {
 		return
--- a/internal/aubrelay/caller_test.go
+++ b/internal/aubrelay/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +45,30 @@
 	qt.Assert(t, fixture.countRuns("1"), qt.Equals, 0)
 	qt.Assert(t, fixture.call(http.MethodGet, "/read/x%2Fy", "2", nil).status, qt.Equals, http.StatusOK)
 }
+
+// TestBrokenResponseIsResetForHTTP10 guards against a response that broke off and seems complete to a caller without chunks,
+// for which it ends with the connection.
+func TestBrokenResponseIsResetForHTTP10(t *testing.T) {
+	long := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		b.setHeaders(w, r)
+		fmt.Fprint(w, strings.Repeat("x", 2<<20))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for path, fault := range map[string]behavior{"/stream-once/x": truncateStream, "/write/x": long} {
+		fixture := newRelayFixture(t, "b1")
+		fixture.removeTimeouts()
+		fixture.setBehaviors(fault)
+		conn, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: 127.0.0.1\r\n%s: 1\r\n%s: key\r\n\r\n", path, headerID, headerKey)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		qt.Assert(t, err, qt.IsNil)
+		defer resp.Body.Close()
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", path))
+	}
+}
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubsite"
+	"github.com/auburndale/auburndale/internal/aubtransport"
 )
 
 // exchange is the state of one caller's request until its response is complete. It is
@@ -142,7 +143,7 @@
 	if err != nil && (ex.headerWritten || isUnanswered) {
 		// Without a panic net/http would end the response, or send an empty one with status 200: a caller
 		// that has closed only its sending side still reads.
-		panic(http.ErrAbortHandler)
+		aubtransport.AbortResponse(ex.writer, ex.request)
 	}
 }
 
--- /dev/null
+++ b/internal/aubtransport/abort.go
@@ -0,0 +1,31 @@
+package aubtransport
+
+import (
+	"net"
+	"net/http"
+)
+
+// AbortResponse ends the handler of a response that can't be completed, and its connection or HTTP/2 stream. It panics with
+// http.ErrAbortHandler. For a caller of HTTP/1.0, which is sent no chunks, an orderly end of the connection would complete
+// the response, so that it is reset.
+func AbortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection of a response.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = encrypted.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
