--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -57,11 +57,26 @@
 	return fmt.Sprintf("event %d follows event %d", e.nextID, e.lastID)
 }
 
-// emptyStreamError is a stream that ended with its connection before the first event.
+// eventIDError is an event without an id in a stream whose events have ids.
+type eventIDError struct{ lastID int64 }
+
+// Error implements error.
+func (e *eventIDError) Error() string {
+	return fmt.Sprintf("event without an id follows event %d", e.lastID)
+}
+
+// eventFormatError is an event with a line that is no field of the event stream format.
+type eventFormatError struct{ id int64 }
+
+// Error implements error.
+func (e *eventFormatError) Error() string { return fmt.Sprintf("event %d is malformed", e.id) }
+
+// emptyStreamError is a stream that ended before its first event although one was due, or with its
+// connection.
 type emptyStreamError struct{}
 
 // Error implements error.
-func (e *emptyStreamError) Error() string { return "connection ended before the first event" }
+func (e *emptyStreamError) Error() string { return "stream ended before the first event" }
 
 // eventSizeError is an event above the size limit.
 type eventSizeError struct{ bytes int }
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/aubevent"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubspeed"
 )
@@ -32,14 +33,14 @@
 	defer func() { h.recordPauses(ex, choice, &pauses) }()
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && isUnframed(resp) {
+		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && (isUnframed(resp) || ex.lastEventID != NoEventID) {
 			err = &emptyStreamError{}
 		}
 		if errors.Is(err, io.EOF) {
 			return h.finishStream(ex, resp)
 		}
-		if err == nil && event.hasID {
-			err = checkEventOrder(ex.lastEventID, event.id)
+		if err == nil && (!event.isBlank || lastEventAt.IsZero()) {
+			err = checkEvent(ex.lastEventID, event)
 		}
 		if err != nil {
 			return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, err: err}
@@ -84,6 +85,8 @@
 		return
 	}
 	copyHeader(ex.writer.Header(), resp.Header)
+	// Another backend server may send the rest at another length.
+	ex.writer.Header().Del("Content-Length")
 	ex.headerWritten = true
 	ex.status = resp.StatusCode
 	ex.writer.WriteHeader(resp.StatusCode)
@@ -101,11 +104,18 @@
 	return attemptResult{outcome: outcomeFinal}
 }
 
-// checkEventOrder returns an *eventOrderError unless nextID directly follows lastID or
-// lastID is NoEventID.
-func checkEventOrder(lastID, nextID int64) error {
-	if lastID != NoEventID && nextID != lastID+1 {
-		return &eventOrderError{lastID: lastID, nextID: nextID}
+// checkEvent returns an *eventFormatError, an *eventIDError or an *eventOrderError unless the event is well formed
+// and directly follows the one with lastID. Without a lastID it may be any event, and any text without an id.
+func checkEvent(lastID int64, ev event) error {
+	switch {
+	case ev.hasID && ev.isMalformed:
+		return &eventFormatError{id: ev.id}
+	case lastID == NoEventID:
+		return nil
+	case !ev.hasID:
+		return &eventIDError{lastID: lastID}
+	case ev.id != lastID+1:
+		return &eventOrderError{lastID: lastID, nextID: ev.id}
 	}
 	return nil
 }
@@ -115,6 +125,11 @@
 	data  []byte
 	id    int64
 	hasID bool
+	// isBlank is set if it consists of a blank line only.
+	isBlank bool
+	// isMalformed is set if its lines end differently or one of them is no field. A backend server that
+	// breaks off within an event may send the head of an error after it.
+	isMalformed bool
 }
 
 // eventReader splits a stream into events.
@@ -132,6 +147,7 @@
 // maxEventBytes, and those of the connection.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	var endsWithCR bool
 	lineStart := 0
 	for {
 		part, err := e.reader.ReadSlice('\n')
@@ -146,17 +162,21 @@
 		case err != nil:
 			return event{}, err
 		}
-		line := ev.data[lineStart:]
-		lineStart = len(ev.data)
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		line, hasCR := bytes.CutSuffix(ev.data[lineStart:len(ev.data)-1], []byte("\r"))
+		ev.isMalformed = ev.isMalformed || lineStart > 0 && hasCR != endsWithCR
+		endsWithCR = hasCR
+		if len(line) == 0 {
+			ev.isBlank = lineStart == 0
 			return ev, nil
 		}
-		ev.parseID(line)
+		lineStart = len(ev.data)
+		ev.parseField(line)
 	}
 }
 
-// parseID sets the event's id if the line has a valid one.
-func (ev *event) parseID(line []byte) {
+// parseField sets the event's id if the field is a valid one.
+func (ev *event) parseField(line []byte) {
+	ev.isMalformed = ev.isMalformed || !aubevent.IsField(line)
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
