Look at a reused connection with a plain read

Cause: the check of a connection that is reused at once peeked at its socket (MSG_PEEK), a call that nothing else of the product makes; and it logged bytes only after one more read, which could wait. Change: it reads without waiting, and logs what it has read.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/auburndale/auburndale/internal/aubheader"
 )
 
@@ -144,42 +142,49 @@
 	if c.conn.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	if hasInput(c.conn.Conn) {
-		// The watch was ended before it began to read.
-		_, _ = c.reader.Peek(1)
-		c.recordLeftover()
-		return false
+	// The watch may have been ended before it began to read.
+	received, isOpen := readAvailable(c.conn.Conn)
+	if len(received) > 0 {
+		c.recordUnsolicited(received)
 	}
-	return true
+	return isOpen && len(received) == 0
 }
 
-// hasInput reports whether the peer has closed the connection or sent bytes that were not read.
-func hasInput(conn net.Conn) bool {
+// readAvailable returns what has been received on a connection, without waiting; isOpen is false if the peer has
+// closed it.
+func readAvailable(conn net.Conn) (received []byte, isOpen bool) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil, true
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return nil, false
 	}
-	isQuiet := false
+	var buffer [connBufferBytes]byte
+	n := 0
+	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isQuiet = errors.Is(err, unix.EAGAIN)
+		n, readErr = syscall.Read(int(fd), buffer[:])
 		return true
 	})
-	return err != nil || !isQuiet
+	if errors.Is(readErr, syscall.EAGAIN) {
+		return nil, err == nil
+	}
+	return buffer[:max(n, 0)], err == nil && n > 0
 }
 
 // recordLeftover records the bytes that were received although no request awaits a response.
 func (c *backendConn) recordLeftover() {
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	if len(buffered) == 0 {
-		return
+	if buffered, _ := c.reader.Peek(c.reader.Buffered()); len(buffered) > 0 {
+		c.recordUnsolicited(buffered)
 	}
-	unsolicited := unsolicitedResponse{outcome: unsolicitedClosed, start: buffered}
-	if resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(buffered)), nil); err == nil {
+}
+
+// recordUnsolicited records bytes that no request awaits.
+func (c *backendConn) recordUnsolicited(received []byte) {
+	unsolicited := unsolicitedResponse{outcome: unsolicitedClosed, start: received}
+	if resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(received)), nil); err == nil {
 		unsolicited.status, unsolicited.header = resp.StatusCode, resp.Header
 		_ = resp.Body.Close()
 	}
