Take a comment in a stream for no event

Cause: the check that each event of a numbered stream has an id broke streams off for a comment, which backend servers may send to keep a connection alive. Change: blank lines and comments have no fields and are passed on unchecked, but a stream goes on, and is complete, with its next event only. TestCommentsAreNoEvents failed (broken off behind two events) and passes; the continuation cases pass.

--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -39,7 +39,11 @@
 		if errors.Is(err, io.EOF) {
 			return h.finishStream(ex, resp)
 		}
-		if err == nil && (!event.isBlank || lastEventAt.IsZero()) {
+		if err == nil && event.isEmpty && lastEventAt.IsZero() && ex.lastEventID != NoEventID {
+			// A stream goes on with its next event only.
+			continue
+		}
+		if err == nil && !event.isEmpty {
 			err = checkEvent(ex.lastEventID, event)
 		}
 		if err != nil {
@@ -125,8 +129,8 @@
 	data  []byte
 	id    int64
 	hasID bool
-	// isBlank is set if it consists of a blank line only.
-	isBlank bool
+	// isEmpty is set if it has no fields: it consists of a blank line and comments.
+	isEmpty bool
 	// isMalformed is set if its lines end differently or one of them is no field. A backend server that
 	// breaks off within an event may send the head of an error after it.
 	isMalformed bool
@@ -146,7 +150,7 @@
 // event, io.ErrUnexpectedEOF if it ends within one, *eventSizeError for an event above
 // maxEventBytes, and those of the connection.
 func (e *eventReader) next() (event, error) {
-	var ev event
+	ev := event{isEmpty: true}
 	var endsWithCR bool
 	lineStart := 0
 	for {
@@ -166,7 +170,6 @@
 		ev.isMalformed = ev.isMalformed || lineStart > 0 && hasCR != endsWithCR
 		endsWithCR = hasCR
 		if len(line) == 0 {
-			ev.isBlank = lineStart == 0
 			return ev, nil
 		}
 		lineStart = len(ev.data)
@@ -176,6 +179,7 @@
 
 // parseField sets the event's id if the field is a valid one.
 func (ev *event) parseField(line []byte) {
+	ev.isEmpty = ev.isEmpty && line[0] == ':'
 	ev.isMalformed = ev.isMalformed || !aubevent.IsField(line)
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
--- a/internal/aubrelay/stream_continuation_test.go
+++ b/internal/aubrelay/stream_continuation_test.go
@@ -237,3 +237,17 @@
 		qt.Check(t, result.header.Get(headerSigned), qt.Equals, "")
 	}
 }
+
+// TestCommentsAreNoEvents guards against a stream that is broken off for a comment, or ends as if it were complete with one.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const comment = ": alive\n\n"
+	text := eventsText(0, 2) + comment + eventsText(2, finalEventID+1)
+	fixture := newRelayFixture(t, "b1", "b2")
+	fixture.setBehaviors(respondRaw(http.StatusOK, framedByChunks, text))
+	result := fixture.call(http.MethodPost, "/stream-once/x", "1", nil)
+	qt.Check(t, result.isBroken, qt.IsFalse)
+	qt.Check(t, result.body, qt.Equals, text)
+	for _, framing := range []string{framedByLength, framedByChunks, unframed} {
+		t.Run(framing, func(t *testing.T) { checkContinuation(t, http.StatusOK, framing, comment) })
+	}
+}
