Send heartbeats while a request body is sent to an agent

Callers saw "request body is not whole" (not run) for a body that was whole, and a request whose body stalled had no answer at its deadline.

While an agent received a body it sent no heartbeats, and the executor cut the connection after three of them without a frame; the resume then ended the request, since the rest of its body was lost. The other way round, an executor that waited for the next part of a body sent nothing and looked at neither its deadline nor an early refusal.

An agent's session now receives the body beside its heartbeats, and its caller timeout holds from the start. The executor sends acknowledgements while it waits for the body, and stops sending it at its outcome or at the end of its caller.

--- a/internal/aubagent/session.go
+++ b/internal/aubagent/session.go
@@ -23,6 +23,8 @@
 	stream executeStream
 	// nextSequence is the sequence number of the next frame to send.
 	nextSequence uint64
+	// receivesBody is set for the session that started the execution.
+	receivesBody bool
 	// wakeUp makes the sending goroutine call tick.
 	wakeUp    chan struct{}
 	startedAt time.Time
@@ -64,35 +66,28 @@
 	if refusal != nil {
 		return refuse(stream, key, refusal)
 	}
-	if created {
-		if err := a.receiveRequest(stream, exec); err != nil {
-			return err
-		}
-	}
-	return a.serveSession(stream, exec, 1)
+	return a.serveSession(&session{exec: exec, stream: stream, nextSequence: 1, receivesBody: created})
 }
 
 // receiveRequest receives the request's body and starts to run the execution in the
 // background.
-func (a *Agent) receiveRequest(stream executeStream, exec *execution) error {
-	if f := a.receiveBody(stream, exec); f != nil {
-		if exec.stopReceiving() {
-			exec.fail(f, a.common.Timer.Now())
+func (s *session) receiveRequest() {
+	if f := s.receiveBody(); f != nil {
+		if s.exec.stopReceiving() {
+			s.exec.fail(f, s.agent.common.Timer.Now())
 		}
-		return nil
+		return
 	}
-	if !exec.advance(phaseWaiting) {
-		return nil
+	if s.exec.advance(phaseWaiting) {
+		go s.agent.run(s.exec)
 	}
-	go a.run(exec)
-	return nil
 }
 
 // receiveBody receives the remaining parts of the request's body.
-func (a *Agent) receiveBody(stream executeStream, exec *execution) *failure {
-	start := exec.start
+func (s *session) receiveBody() *failure {
+	start := s.exec.start
 	for complete := start.GetBodyComplete(); !complete; {
-		message, err := stream.Recv()
+		message, err := s.receive()
 		if err != nil {
 			return notRun(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, "request body is not whole", 0)
 		}
@@ -102,7 +97,7 @@
 		body := message.GetBody()
 		start.Body = append(start.Body, body.GetData()...)
 		complete = body.GetLast()
-		if len(start.Body) > a.opts.MaxBodyBytes {
+		if len(start.Body) > s.agent.opts.MaxBodyBytes {
 			return notRun(aubwire.FailureReason_FAILURE_REASON_OVERLOADED, "request body is too long", 0)
 		}
 	}
@@ -126,7 +121,7 @@
 		exec.fail(f, a.common.Timer.Now())
 	}
 	a.common.Metrics.Counter("resumes").Inc(1)
-	return a.serveSession(stream, exec, resume.GetNextSequence())
+	return a.serveSession(&session{exec: exec, stream: stream, nextSequence: resume.GetNextSequence()})
 }
 
 // refuse sends a failure frame for an attempt that has no execution.
@@ -139,20 +134,17 @@
 	})
 }
 
-// serveSession sends the response's frames from the sequence number next on, until the
-// last one is acknowledged, the connection ends or a newer session replaces this one.
-func (a *Agent) serveSession(stream executeStream, exec *execution, next uint64) error {
-	ctx, cancel := context.WithCancel(stream.Context())
+// serveSession sends the response's frames from the session's next sequence number on,
+// until the last one is acknowledged, the connection ends or a newer session replaces this
+// one.
+func (a *Agent) serveSession(s *session) error {
+	exec := s.exec
+	ctx, cancel := context.WithCancel(s.stream.Context())
 	defer cancel()
-	s := &session{
-		agent:        a,
-		exec:         exec,
-		stream:       stream,
-		nextSequence: next,
-		wakeUp:       make(chan struct{}, 1),
-		startedAt:    a.common.Timer.Now(),
-		receiveDone:  make(chan struct{}),
-	}
+	s.agent = a
+	s.wakeUp = make(chan struct{}, 1)
+	s.startedAt = a.common.Timer.Now()
+	s.receiveDone = make(chan struct{})
 	s.lastSentAt = s.startedAt
 	id := exec.attach(cancel)
 	a.addSession(s)
@@ -166,15 +158,27 @@
 	return err
 }
 
-// receiveMessages handles the caller's acknowledgements and cancellations.
+// receive returns the caller's next message and records its time.
+func (s *session) receive() (*aubwire.ExecuteRequest, error) {
+	message, err := s.stream.Recv()
+	if err == nil {
+		s.lastReceivedNanos.Store(int64(s.agent.common.Timer.Now().Sub(s.startedAt)))
+	}
+	return message, err
+}
+
+// receiveMessages receives the request's body, if this session does, and handles the
+// caller's acknowledgements and cancellations.
 func (s *session) receiveMessages() {
 	defer close(s.receiveDone)
+	if s.receivesBody {
+		s.receiveRequest()
+	}
 	for {
-		message, err := s.stream.Recv()
+		message, err := s.receive()
 		if err != nil {
 			return
 		}
-		s.lastReceivedNanos.Store(int64(s.agent.common.Timer.Now().Sub(s.startedAt)))
 		switch m := message.GetMessage().(type) {
 		case *aubwire.ExecuteRequest_Ack:
 			s.exec.frames.ack(m.Ack.GetSequence())
--- a/internal/aubexecution/body.go
+++ b/internal/aubexecution/body.go
@@ -1,6 +1,7 @@
 package aubexecution
 
 import (
+	"context"
 	"errors"
 	"io"
 )
@@ -36,5 +37,31 @@
 	return chunk, false, nil
 }
 
+// bodyChunk is one chunk of a body, or the error that ended it.
+type bodyChunk struct {
+	data   []byte
+	isLast bool
+	err    error
+}
+
+// readChunks reads the chunks of a body up to the last one, an error or the end of ctx.
+func readChunks(ctx context.Context, body io.Reader) <-chan bodyChunk {
+	chunks := make(chan bodyChunk)
+	go func() {
+		for {
+			data, isLast, err := readChunk(body)
+			select {
+			case chunks <- bodyChunk{data: data, isLast: isLast, err: err}:
+			case <-ctx.Done():
+				return
+			}
+			if isLast || err != nil {
+				return
+			}
+		}
+	}()
+	return chunks
+}
+
 // errIncompleteBody is returned when reading the request body failed before its end.
 var errIncompleteBody = errors.New("request body is not whole")
--- a/internal/aubexecution/executor.go
+++ b/internal/aubexecution/executor.go
@@ -53,7 +53,7 @@
 	// Path is the path with its raw query.
 	Path   string
 	Header http.Header
-	// Body is read once; nil for none.
+	// Body is read once, until its end or an error; nil for none.
 	Body io.Reader
 	// Model is the name of the model or adapter; empty for plain services.
 	Model string
--- a/internal/aubexecution/writer.go
+++ b/internal/aubexecution/writer.go
@@ -12,7 +12,7 @@
 // cancellation or the last acknowledgement.
 func (c *connection) sendMessages(ctx context.Context, stream executeStream) {
 	r := c.response
-	if err := c.sendStartOrResume(stream); err != nil {
+	if err := c.sendStartOrResume(ctx, stream); err != nil {
 		// An unreadable request body ends the response. The reader gets all other errors.
 		if errors.Is(err, errIncompleteBody) {
 			c.sendFinal(stream, cancelMessage())
@@ -46,7 +46,7 @@
 }
 
 // sendStartOrResume sends the start on the first connection and a resume on later ones.
-func (c *connection) sendStartOrResume(stream executeStream) error {
+func (c *connection) sendStartOrResume(ctx context.Context, stream executeStream) error {
 	r := c.response
 	r.mu.Lock()
 	resume := r.startSent
@@ -60,27 +60,45 @@
 	if err := stream.Send(r.startMessage()); err != nil {
 		return err
 	}
-	return r.sendBodyRest(stream)
+	if r.bodyRest == nil {
+		return nil
+	}
+	return c.sendBodyRest(ctx, stream)
 }
 
-// sendBodyRest sends the chunks of the body after the first, which the start holds.
-func (r *Response) sendBodyRest(stream executeStream) error {
-	for last := r.bodyRest == nil; !last; {
-		chunk, isLast, err := readChunk(r.bodyRest)
-		if err != nil {
-			return errIncompleteBody
-		}
-		last = isLast
-		if last {
-			r.markBodySent()
-		}
-		body := &aubwire.ExecuteBody{Data: chunk, Last: last}
-		err = stream.Send(&aubwire.ExecuteRequest{Message: &aubwire.ExecuteRequest_Body{Body: body}})
-		if err != nil {
-			return err
+// sendBodyRest sends the chunks of the body after the first, which the start holds, and
+// acknowledgements while it waits for them. It stops early if the rest is not needed.
+func (c *connection) sendBodyRest(ctx context.Context, stream executeStream) error {
+	r := c.response
+	chunks := readChunks(ctx, r.bodyRest)
+	for {
+		select {
+		case chunk := <-chunks:
+			if chunk.err != nil {
+				return errIncompleteBody
+			}
+			if chunk.isLast {
+				r.markBodySent()
+			}
+			body := &aubwire.ExecuteBody{Data: chunk.data, Last: chunk.isLast}
+			err := stream.Send(&aubwire.ExecuteRequest{Message: &aubwire.ExecuteRequest_Body{Body: body}})
+			if err != nil || chunk.isLast {
+				return err
+			}
+		case <-c.ackRequested:
+			if r.hasOutcome() {
+				c.requestAck()
+				return nil
+			}
+			if err := stream.Send(ackMessage(r.ackSequence())); err != nil {
+				return err
+			}
+		case <-r.ctx.Done():
+			return nil
+		case <-ctx.Done():
+			return context.Cause(ctx)
 		}
 	}
-	return nil
 }
 
 func (r *Response) markBodySent() {
