Don't take a pause of the own process for the silence of the other side

Callers saw "request body is not whole" (FAILURE_REASON_INCOMPLETE) in place of the agent's own refusal, or a refusal for want of a backend server, on a machine that had not run the process for a while.

Executor and agent compared the clock with the time of the last message. After a pause of three heartbeats the first tick found every connection silent and closed it, although the messages lay in its buffers. A response resumes on another connection; a request body that was on its way is lost, and a start that was not read yet is never run.

Both now count the ticks since the last message. The timer drops ticks while the process doesn't run, so a pause counts for one. A silent peer is still found after the same time and a tick at most.

TestOwnPauseIsNotTheAgentsSilence and TestOwnPauseIsNotTheCallersSilence failed before (context deadline exceeded; "caller is silent") and pass in 3 of 3 runs; both packages pass under the race detector.

--- a/internal/aubagent/session.go
+++ b/internal/aubagent/session.go
@@ -26,11 +26,10 @@
 	// receivesBody is set for the session that started the execution.
 	receivesBody bool
 	// wakeUp makes the sending goroutine call tick.
-	wakeUp    chan struct{}
-	startedAt time.Time
-	// lastReceivedNanos is when the last message of the caller arrived, in
-	// nanoseconds since startedAt.
-	lastReceivedNanos atomic.Int64
+	wakeUp chan struct{}
+	// silentTicks counts the ticks since the caller's last message. Ticks are dropped while
+	// this process does not run, so that its own pause is no silence of the caller.
+	silentTicks atomic.Int64
 	// receiveDone is closed when the caller has closed its side of the stream.
 	receiveDone chan struct{}
 	lastSentAt  time.Time
@@ -143,9 +142,8 @@
 	defer cancel()
 	s.agent = a
 	s.wakeUp = make(chan struct{}, 1)
-	s.startedAt = a.common.Timer.Now()
 	s.receiveDone = make(chan struct{})
-	s.lastSentAt = s.startedAt
+	s.lastSentAt = a.common.Timer.Now()
 	id := exec.attach(cancel)
 	a.addSession(s)
 	go s.receiveMessages()
@@ -158,11 +156,11 @@
 	return err
 }
 
-// receive returns the caller's next message and records its time.
+// receive returns the caller's next message.
 func (s *session) receive() (*aubwire.ExecuteRequest, error) {
 	message, err := s.stream.Recv()
 	if err == nil {
-		s.lastReceivedNanos.Store(int64(s.agent.common.Timer.Now().Sub(s.startedAt)))
+		s.silentTicks.Store(0)
 	}
 	return message, err
 }
@@ -269,12 +267,13 @@
 // tick sends a heartbeat if one is due and returns an error if the caller is
 // unresponsive.
 func (s *session) tick() error {
-	now := s.agent.common.Timer.Now()
-	lastReceived := s.startedAt.Add(time.Duration(s.lastReceivedNanos.Load()))
-	if now.Sub(lastReceived) >= s.agent.opts.CallerTimeout {
+	opts := s.agent.opts
+	// The first tick may follow the last message at once.
+	silence := time.Duration(s.silentTicks.Add(1)-1) * opts.Heartbeat / ticksPerHeartbeat
+	if silence >= opts.CallerTimeout {
 		return status.Error(codes.Aborted, "caller is silent")
 	}
-	return s.sendHeartbeat(now)
+	return s.sendHeartbeat(s.agent.common.Timer.Now())
 }
 
 // sendHeartbeat sends a heartbeat if one is due.
--- a/internal/aubagent/session_test.go
+++ b/internal/aubagent/session_test.go
@@ -26,3 +26,26 @@
 	_, _, frameAdded, _ = frames.unackedFrom(s.nextSequence)
 	qt.Assert(t, errors.Is(s.waitAfterReceiveDone(t.Context(), frameAdded), io.EOF), qt.IsTrue)
 }
+
+// discardStream is a caller's stream whose frames nobody reads.
+type discardStream struct{ executeStream }
+
+// Send implements executeStream.
+func (discardStream) Send(*aubwire.ExecuteFrame) error { return nil }
+
+// TestOwnPauseIsNotTheCallersSilence guards against sessions that end because the agent's process did not run.
+func TestOwnPauseIsNotTheCallersSilence(t *testing.T) {
+	timer := aubtimer.NewManual(time.Now())
+	opts := AgentOpts{}.withDefaults()
+	s := &session{agent: &Agent{common: aubcommon.NewCommon(timer), opts: opts}, exec: &execution{}, stream: discardStream{}}
+	timer.Advance(time.Minute)
+	qt.Assert(t, s.tick(), qt.IsNil)
+
+	tickInterval := opts.Heartbeat / ticksPerHeartbeat
+	for range opts.CallerTimeout/tickInterval - 1 {
+		timer.Advance(tickInterval)
+		qt.Assert(t, s.tick(), qt.IsNil)
+	}
+	timer.Advance(tickInterval)
+	qt.Assert(t, s.tick(), qt.IsNotNil)
+}
--- a/internal/aubexecution/connection.go
+++ b/internal/aubexecution/connection.go
@@ -40,8 +40,9 @@
 	// ackRequested wakes the writer to send an acknowledgement.
 	ackRequested chan struct{}
 	startedAt    time.Time
-	// lastReceived is the time of the agent's last frame, in nanoseconds since startedAt.
-	lastReceived atomic.Int64
+	// silentTicks counts the ticks since the agent's last frame. Ticks are dropped while
+	// this process does not run, so that its own pause is no silence of the agent.
+	silentTicks atomic.Int64
 	// finalSentAt is the time at which sending the last message began, in
 	// nanoseconds since startedAt; 0 before that.
 	finalSentAt atomic.Int64
@@ -175,7 +176,7 @@
 		if err != nil {
 			return false, c.cause(ctx, err)
 		}
-		c.lastReceived.Store(int64(c.now().Sub(c.startedAt)))
+		c.silentTicks.Store(0)
 		more, err := c.response.receive(frame)
 		if err != nil {
 			return false, err
@@ -238,8 +239,9 @@
 // also the heartbeat to the agent.
 func (c *connection) tick(now time.Time) {
 	opts := c.response.executor.opts
-	lastReceived := c.startedAt.Add(time.Duration(c.lastReceived.Load()))
-	if now.Sub(lastReceived) >= opts.SilenceTimeout {
+	// The first tick may follow the last frame at once.
+	silence := time.Duration(c.silentTicks.Add(1)-1) * opts.Heartbeat / ticksPerHeartbeat
+	if silence >= opts.SilenceTimeout {
 		c.response.executor.common.Metrics.Counter("silent_connections").Inc(1)
 		c.response.executor.pool.drop(c.response.target.Address, c.conn)
 		c.cancel(errSilent)
--- a/internal/aubexecution/executor_test.go
+++ b/internal/aubexecution/executor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,26 +210,37 @@
 	}
 }
 
-func execute(t *testing.T, agent *fakeAgent) (string, error) {
+func execute(t *testing.T, agent aubwire.AgentServer) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	response, err := startExecution(ctx, t, agent, aubtimer.NewReal())
+	if err != nil {
+		return "", err
+	}
+	return readBody(ctx, response)
+}
+
+// startExecution serves the agent and starts to execute a request on it.
+func startExecution(ctx context.Context, t *testing.T, agent aubwire.AgentServer, timer aubtimer.Service) (*aubexecution.Response, error) {
+	t.Helper()
 	server := grpc.NewServer()
 	aubwire.RegisterAgentServer(server, agent)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	go func() { _ = server.Serve(listener) }()
-	defer server.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	executor := aubexecution.NewExecutor(ctx, aubcommon.NewCommon(aubtimer.NewReal()), aubexecution.ExecutorOpts{
+	t.Cleanup(server.Stop)
+	executor := aubexecution.NewExecutor(ctx, aubcommon.NewCommon(timer), aubexecution.ExecutorOpts{
 		Dial: func(address string) (*grpc.ClientConn, error) {
 			return grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 		},
 		Heartbeat: heartbeat,
 	})
 	target := aubexecution.Target{Address: listener.Addr().String()}
-	response, err := executor.Execute(ctx, target, aubexecution.Request{RequestID: requestID, Attempt: 1})
-	if err != nil {
-		return "", err
-	}
+	return executor.Execute(ctx, target, aubexecution.Request{RequestID: requestID, Attempt: 1})
+}
+
+// readBody reads the response to its end and closes it.
+func readBody(ctx context.Context, response *aubexecution.Response) (string, error) {
 	defer response.Close()
 	body := ""
 	for {
@@ -242,3 +254,39 @@
 		body += string(chunk)
 	}
 }
+
+// acknowledgedAgent sends the rest of its response once the head was acknowledged.
+type acknowledgedAgent struct {
+	aubwire.UnimplementedAgentServer
+	connections atomic.Int32
+}
+
+// Execute implements the agent's gRPC service.
+func (a *acknowledgedAgent) Execute(stream grpc.BidiStreamingServer[aubwire.ExecuteRequest, aubwire.ExecuteFrame]) error {
+	a.connections.Add(1)
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	if err := stream.Send(headFrame()); err != nil {
+		return err
+	}
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	return errors.Join(stream.Send(dataFrame(2, "a")), stream.Send(endFrame(3)))
+}
+
+// TestOwnPauseIsNotTheAgentsSilence guards against connections that are closed because the executor's process did not run.
+func TestOwnPauseIsNotTheAgentsSilence(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	timer := aubtimer.NewManual(time.Now())
+	agent := &acknowledgedAgent{}
+	response, err := startExecution(ctx, t, agent, timer)
+	qt.Assert(t, err, qt.IsNil)
+	timer.Advance(time.Minute)
+	body, err := readBody(ctx, response)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "a")
+	qt.Assert(t, agent.connections.Load(), qt.Equals, int32(1))
+}
