--- a/internal/aubagent/session.go
+++ b/internal/aubagent/session.go
@@ -23,12 +23,13 @@
 	stream executeStream
 	// nextSequence is the sequence number of the next frame to send.
 	nextSequence uint64
+	// receivesBody is set for the session that started the execution.
+	receivesBody bool
 	// wakeUp makes the sending goroutine call tick.
-	wakeUp    chan struct{}
-	startedAt time.Time
-	// lastReceivedNanos is when the last message of the caller arrived, in
-	// nanoseconds since startedAt.
-	lastReceivedNanos atomic.Int64
+	wakeUp chan struct{}
+	// silentTicks counts the ticks since the caller's last message. Ticks are dropped while
+	// this process does not run, so that its own pause is no silence of the caller.
+	silentTicks atomic.Int64
 	// receiveDone is closed when the caller has closed its side of the stream.
 	receiveDone chan struct{}
 	lastSentAt  time.Time
@@ -64,35 +65,28 @@
 	if refusal != nil {
 		return refuse(stream, key, refusal)
 	}
-	if created {
-		if err := a.receiveRequest(stream, exec); err != nil {
-			return err
-		}
-	}
-	return a.serveSession(stream, exec, 1)
+	return a.serveSession(&session{exec: exec, stream: stream, nextSequence: 1, receivesBody: created})
 }
 
 // receiveRequest receives the request's body and starts to run the execution in the
 // background.
-func (a *Agent) receiveRequest(stream executeStream, exec *execution) error {
-	if f := a.receiveBody(stream, exec); f != nil {
-		if exec.stopReceiving() {
-			exec.fail(f, a.common.Timer.Now())
+func (s *session) receiveRequest() {
+	if f := s.receiveBody(); f != nil {
+		if s.exec.stopReceiving() {
+			s.exec.fail(f, s.agent.common.Timer.Now())
 		}
-		return nil
+		return
 	}
-	if !exec.advance(phaseWaiting) {
-		return nil
+	if s.exec.advance(phaseWaiting) {
+		go s.agent.run(s.exec)
 	}
-	go a.run(exec)
-	return nil
 }
 
 // receiveBody receives the remaining parts of the request's body.
-func (a *Agent) receiveBody(stream executeStream, exec *execution) *failure {
-	start := exec.start
+func (s *session) receiveBody() *failure {
+	start := s.exec.start
 	for complete := start.GetBodyComplete(); !complete; {
-		message, err := stream.Recv()
+		message, err := s.receive()
 		if err != nil {
 			return notRun(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, "request body is not whole", 0)
 		}
@@ -102,7 +96,7 @@
 		body := message.GetBody()
 		start.Body = append(start.Body, body.GetData()...)
 		complete = body.GetLast()
-		if len(start.Body) > a.opts.MaxBodyBytes {
+		if len(start.Body) > s.agent.opts.MaxBodyBytes {
 			return notRun(aubwire.FailureReason_FAILURE_REASON_OVERLOADED, "request body is too long", 0)
 		}
 	}
@@ -126,7 +120,7 @@
 		exec.fail(f, a.common.Timer.Now())
 	}
 	a.common.Metrics.Counter("resumes").Inc(1)
-	return a.serveSession(stream, exec, resume.GetNextSequence())
+	return a.serveSession(&session{exec: exec, stream: stream, nextSequence: resume.GetNextSequence()})
 }
 
 // refuse sends a failure frame for an attempt that has no execution.
@@ -139,21 +133,17 @@
 	})
 }
 
-// serveSession sends the response's frames from the sequence number next on, until the
-// last one is acknowledged, the connection ends or a newer session replaces this one.
-func (a *Agent) serveSession(stream executeStream, exec *execution, next uint64) error {
-	ctx, cancel := context.WithCancel(stream.Context())
+// serveSession sends the response's frames from the session's next sequence number on,
+// until the last one is acknowledged, the connection ends or a newer session replaces this
+// one.
+func (a *Agent) serveSession(s *session) error {
+	exec := s.exec
+	ctx, cancel := context.WithCancel(s.stream.Context())
 	defer cancel()
-	s := &session{
-		agent:        a,
-		exec:         exec,
-		stream:       stream,
-		nextSequence: next,
-		wakeUp:       make(chan struct{}, 1),
-		startedAt:    a.common.Timer.Now(),
-		receiveDone:  make(chan struct{}),
-	}
-	s.lastSentAt = s.startedAt
+	s.agent = a
+	s.wakeUp = make(chan struct{}, 1)
+	s.receiveDone = make(chan struct{})
+	s.lastSentAt = a.common.Timer.Now()
 	id := exec.attach(cancel)
 	a.addSession(s)
 	go s.receiveMessages()
@@ -166,15 +156,27 @@
 	return err
 }
 
-// receiveMessages handles the caller's acknowledgements and cancellations.
+// receive returns the caller's next message.
+func (s *session) receive() (*aubwire.ExecuteRequest, error) {
+	message, err := s.stream.Recv()
+	if err == nil {
+		s.silentTicks.Store(0)
+	}
+	return message, err
+}
+
+// receiveMessages receives the request's body, if this session does, and handles the
+// caller's acknowledgements and cancellations.
 func (s *session) receiveMessages() {
 	defer close(s.receiveDone)
+	if s.receivesBody {
+		s.receiveRequest()
+	}
 	for {
-		message, err := s.stream.Recv()
+		message, err := s.receive()
 		if err != nil {
 			return
 		}
-		s.lastReceivedNanos.Store(int64(s.agent.common.Timer.Now().Sub(s.startedAt)))
 		switch m := message.GetMessage().(type) {
 		case *aubwire.ExecuteRequest_Ack:
 			s.exec.frames.ack(m.Ack.GetSequence())
@@ -265,12 +267,13 @@
 // tick sends a heartbeat if one is due and returns an error if the caller is
 // unresponsive.
 func (s *session) tick() error {
-	now := s.agent.common.Timer.Now()
-	lastReceived := s.startedAt.Add(time.Duration(s.lastReceivedNanos.Load()))
-	if now.Sub(lastReceived) >= s.agent.opts.CallerTimeout {
+	opts := s.agent.opts
+	// The first tick may follow the last message at once.
+	silence := time.Duration(s.silentTicks.Add(1)-1) * opts.Heartbeat / ticksPerHeartbeat
+	if silence >= opts.CallerTimeout {
 		return status.Error(codes.Aborted, "caller is silent")
 	}
-	return s.sendHeartbeat(now)
+	return s.sendHeartbeat(s.agent.common.Timer.Now())
 }
 
 // sendHeartbeat sends a heartbeat if one is due.
