Believe the outcome of a ticket only if it names the ticket

What operators could see: a ticket reported as accepted by the response to another one.

Cause: the client of the administration API took whatever outcome arrived as that of its ticket. Outcomes name their ticket; the number was not compared.

Change: the outcome of another ticket is an uncertain one, after which the ticket may be sent again.

Evidence: TestOutcomeOfAnotherTicketIsNotBelieved failed for both calls and passes. No such response was seen.

--- a/pkg/aubclient/client.go
+++ b/pkg/aubclient/client.go
@@ -62,16 +62,24 @@
 	if wait > 0 {
 		path += "?wait=" + url.QueryEscape(wait.String())
 	}
-	var outcome aubapi.TicketOutcome
-	err = c.call(ctx, http.MethodPut, path, body, &outcome)
-	return outcome, err
+	return c.callTicket(ctx, http.MethodPut, path, body, t.Number)
 }
 
 // Ticket returns the recorded outcome of a ticket.
 func (c *Client) Ticket(ctx context.Context, number uint64) (aubapi.TicketOutcome, error) {
+	return c.callTicket(ctx, http.MethodGet, "tickets/"+strconv.FormatUint(number, 10), nil, number)
+}
+
+// callTicket sends a request about a ticket and returns the outcome, which must name the ticket.
+func (c *Client) callTicket(ctx context.Context, method, path string, body []byte, number uint64) (aubapi.TicketOutcome, error) {
 	var outcome aubapi.TicketOutcome
-	err := c.call(ctx, http.MethodGet, "tickets/"+strconv.FormatUint(number, 10), nil, &outcome)
-	return outcome, err
+	if err := c.call(ctx, method, path, body, &outcome); err != nil {
+		return aubapi.TicketOutcome{}, err
+	}
+	if outcome.Number != number {
+		return aubapi.TicketOutcome{}, &UncertainError{Err: fmt.Errorf("outcome of ticket %d", outcome.Number)}
+	}
+	return outcome, nil
 }
 
 // Workspaces returns all workspaces in order of name.
