Open a connection for each call to a plain service

What callers saw: the response to another caller's request, with 200, through an agent, if a plain service sent a response once more (MIXED).

Cause: plain services need not name the request in their responses, and idempotent calls shared connections, so a copy was believed for where it arrived. Calls that may run once had a connection each already.

Change: each call to a plain service has a connection of its own; the service runs beside its agent. Engines name the request and keep the pooled connections.

--- a/internal/aubagent/run.go
+++ b/internal/aubagent/run.go
@@ -143,11 +143,12 @@
 		header.Set(aubengine.HeaderPriority, strconv.Itoa(int(start.GetPriority())))
 	}
 	return aubengine.Call{
-		Method:  start.GetMethod(),
-		Path:    start.GetPath(),
-		Header:  header,
-		Body:    start.GetBody(),
-		NoRetry: !start.GetIdempotent(),
+		Method: start.GetMethod(),
+		Path:   start.GetPath(),
+		Header: header,
+		Body:   start.GetBody(),
+		// Responses of plain services may name no request, so a copy of one could not be told from another.
+		NoRetry: !start.GetIdempotent() || !b.agent.opts.engine(),
 	}
 }
 
