Refuse requests that may outlast a shutdown, and answer those that do

Callers saw: in a planned stop of a relay, requests whose body ended late in the grace period were passed on, and at its end their connections were closed without an answer, among them requests that may run once. Requests that still ran then got no answer either.

Cause: only streams were judged, by their head, when it came. The arrival of the body was not, nor another send after a refusal by a backend server, and nothing ended the requests that were left when the process exited.

Change: Drain states when load balancers have noticed the shutdown and when it ends. Until the former a request is refused if its usual duration (a stream's tokens, a route's objective) is longer than what is left, as a refused caller may come back to the same instance; from then on if its timeout ends after the shutdown, because another instance can run it at once. That is decided with the head, again with the end of the body, and before another send of a request that has not run; one that was read in time keeps the first rule. At the end, 300 ms before the exit, requests get 504 ended_at_shutdown if they may have run and 503 otherwise, also while their body is read, and streams that have begun are broken off. Each response of the shutdown closes its connection.

--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -55,6 +55,9 @@
 	// exitMargin is the time reserved for the exit of the process before the platform
 	// kills it.
 	exitMargin = 150 * time.Millisecond
+	// responseMargin is the time before the exit in which callers receive the responses to
+	// requests that the shutdown ends.
+	responseMargin = 300 * time.Millisecond
 )
 
 // relay is one stateless instance that relays callers' requests to backend servers.
@@ -331,19 +334,25 @@
 }
 
 // drain shuts the relay down gracefully: it reports not ready, waits until load
-// balancers have noticed and then waits for the running requests, up to the time at
-// which the platform kills the process.
+// balancers have noticed and then waits for the running requests. Those that still run shortly
+// before the platform kills the process are ended with a response.
 func (r *relay) drain() {
 	r.health.ready.Store(false)
 	delay, timeout := r.cfg.Shutdown.Delay.Value(), r.cfg.Shutdown.Timeout.Value()
 	if grace := r.cfg.Shutdown.GracePeriod.Value(); grace > 0 {
-		timeout = min(timeout, grace-delay-exitMargin)
+		timeout = min(timeout, max(grace-delay-exitMargin, 0))
 	}
-	r.handler.Drain(r.common.Timer.Now().Add(delay + timeout))
-	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.InFlight()))
+	runTime := max(timeout-responseMargin, timeout/2)
+	now := r.common.Timer.Now()
+	r.handler.Drain(aubrelay.DrainOpts{NoticedAt: now.Add(delay), EndsAt: now.Add(delay + runTime)})
+	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.InFlight()),
+		zap.Int64("delay_ms", delay.Milliseconds()), zap.Int64("run_ms", runTime.Milliseconds()))
 	_ = aubtimer.Wait(r.ctx, r.common.Timer, delay)
 	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, timeout)
 	defer cancel()
+	running, stop := aubtimer.WithTimeout(ctx, r.common.Timer, runTime)
+	defer stop()
+	defer context.AfterFunc(running, r.handler.End)()
 	if err := r.callerServer.Shutdown(ctx); err != nil {
 		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", r.handler.InFlight()), zap.Error(err))
 	}
--- a/internal/aubrelay/admission_test.go
+++ b/internal/aubrelay/admission_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubrelay"
 	"github.com/auburndale/auburndale/internal/aubsite"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -177,8 +178,8 @@
 	time.Sleep(100 * time.Millisecond)
 	cancel()
 	qt.Check(t, (<-left).isBroken, qt.IsTrue)
-	fixture.handler.Drain(time.Now().Add(time.Second))
 	startedAt := time.Now()
+	fixture.handler.Drain(aubrelay.DrainOpts{NoticedAt: startedAt.Add(time.Second), EndsAt: startedAt.Add(time.Second)})
 	result := <-drained
 	qt.Check(t, time.Since(startedAt) < 200*time.Millisecond, qt.IsTrue)
 	qt.Check(t, result.status, qt.Equals, http.StatusServiceUnavailable)
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -34,6 +34,8 @@
 	isTrial   bool
 	startedAt time.Time
 	deadline  time.Time
+	// readAt is when the whole request had been read; zero before.
+	readAt time.Time
 
 	// headerWritten is set once the response header was written to the caller.
 	headerWritten bool
@@ -120,6 +122,9 @@
 	var disconnected *disconnectedError
 	var slow *slowCallerError
 	outcome := "answered"
+	if !ex.headerWritten {
+		h.closeConnection(ex)
+	}
 	switch {
 	case err == nil:
 	case errors.As(err, &slow):
--- a/internal/aubrelay/fixture_test.go
+++ b/internal/aubrelay/fixture_test.go
@@ -316,6 +316,8 @@
 	// onMeasure is called between the choice of a backend server and the decision whether it has
 	// room; nil for none.
 	onMeasure atomic.Pointer[func()]
+	// dialBackend replaces the dial of connections for requests; nil for that of a usual one.
+	dialBackend atomic.Pointer[func(ctx context.Context, network, address string) (net.Conn, error)]
 }
 
 // countingConn adds the bytes that are read from a connection to a counter.
@@ -332,6 +334,9 @@
 
 // dial opens a connection whose bytes are counted.
 func (fixture *relayFixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if dial := fixture.dialBackend.Load(); dial != nil {
+		return (*dial)(ctx, network, address)
+	}
 	conn, err := new(net.Dialer).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -44,10 +44,6 @@
 	// drainRetryAfter applies while this instance shuts down and another instance can
 	// serve the request immediately.
 	drainRetryAfter = 20 * time.Millisecond
-	// fullBatchFirstEvent is the time to the first event of a stream on an engine with a
-	// full batch, fullBatchTokenTime the time for each further token.
-	fullBatchFirstEvent = time.Second
-	fullBatchTokenTime  = 20 * time.Millisecond
 )
 
 // HandlerOpts configures a handler.
@@ -108,8 +104,7 @@
 	unread      *unreadBytes
 	inFlight    atomic.Int64
 	startedAt   time.Time
-	// shutdownAt is when the process shuts down; nil before Drain.
-	shutdownAt atomic.Pointer[time.Time]
+	shutdown    *shutdown
 }
 
 // NewHandler returns a handler with its own connections to backend servers, which end with ctx unless a
@@ -126,27 +121,10 @@
 		startedAt:   common.Timer.Now(),
 		metrics:     newMetrics(common.Metrics),
 		unread:      newUnreadBytes(opts.Writes.MaxUnread),
+		shutdown:    newShutdown(ctx),
 	}
 }
 
-// Drain makes the handler refuse new streams that may still run at shutdownAt, when the
-// process shuts down.
-// Requests that wait for room on an engine are refused at once.
-func (h *Handler) Drain(shutdownAt time.Time) {
-	h.shutdownAt.Store(&shutdownAt)
-	h.admitter.drain()
-}
-
-// mayOutlastProcess reports whether a stream may still run when the process shuts down.
-func (h *Handler) mayOutlastProcess(route aubsite.Route, call Call) bool {
-	shutdownAt := h.shutdownAt.Load()
-	if shutdownAt == nil || route.Kind != aubsite.KindStream {
-		return false
-	}
-	maxDuration := fullBatchFirstEvent + time.Duration(call.OutputTokens)*fullBatchTokenTime
-	return h.common.Timer.Now().Add(maxDuration).After(*shutdownAt)
-}
-
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -173,11 +151,14 @@
 	if err := h.admit(ex); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
+	ctx, cancel := h.shutdown.withRequest(ex.request.Context(), ex.deadline)
 	defer cancel()
 	if err := h.readBody(ex); err != nil {
 		return err
 	}
+	if err := h.refuseIfLate(ex); err != nil {
+		return err
+	}
 	reservation, err := h.reserve(ctx, ex)
 	if err != nil {
 		return err
@@ -207,11 +188,11 @@
 		return h.deny(ex, http.StatusNotFound, CodeNoRoute)
 	}
 	ex.route = route
-	if h.mayOutlastProcess(route, call) {
-		return newRefusal(http.StatusServiceUnavailable, CodeShuttingDown, drainRetryAfter)
-	}
 	ex.deadline = ex.startedAt.Add(timeoutOf(call, route))
 	ex.lastEventID = call.LastEventID
+	if err := h.refuseIfLate(ex); err != nil {
+		return err
+	}
 	if !ex.site.HasWorkspaces() {
 		return nil
 	}
@@ -261,17 +242,20 @@
 }
 
 // readBody buffers the complete body, so that later attempts can send it again, and sets
-// the fingerprints.
+// the fingerprints. The end of the process's shutdown ends the wait for it.
 func (h *Handler) readBody(ex *exchange) error {
+	defer h.shutdown.interruptRead(ex.writer)()
 	body, err := io.ReadAll(http.MaxBytesReader(ex.writer, ex.request.Body, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && h.shutdown.hasEnded():
+		return h.refuseLate(ex)
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0)
 	case err != nil:
 		return &disconnectedError{err: err}
 	}
-	ex.body = body
+	ex.body, ex.readAt = body, h.common.Timer.Now()
 	ex.fingerprint = aubpoison.Fingerprint(aubpoison.RequestDigest(ex.workspace.Name, ex.request.Method, ex.request.Host+ex.request.URL.RequestURI(), body))
 	ex.suspectFingerprints = append([]string{ex.fingerprint}, ex.call.partFingerprints()...)
 	return nil
--- a/internal/aubrelay/plain.go
+++ b/internal/aubrelay/plain.go
@@ -44,6 +44,7 @@
 // writeResponse writes a backend server's response to the caller.
 func (h *Handler) writeResponse(ex *exchange, resp *plainResponse) error {
 	copyHeader(ex.writer.Header(), resp.header)
+	h.closeConnection(ex)
 	ex.status = resp.status
 	ex.headerWritten = true
 	ex.writer.WriteHeader(resp.status)
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -114,6 +114,7 @@
 	CodeNoBackend             RefusalCode = "no_backend_server"
 	CodeOverloaded            RefusalCode = "overloaded"
 	CodeShuttingDown          RefusalCode = "shutting_down"
+	CodeEndedAtShutdown       RefusalCode = "ended_at_shutdown"
 	CodeBackendFailed         RefusalCode = "backend_failed"
 	CodeTimeout               RefusalCode = "timeout"
 	CodeBlocked               RefusalCode = "request_blocked"
--- a/internal/aubrelay/relay.go
+++ b/internal/aubrelay/relay.go
@@ -95,6 +95,8 @@
 		}
 		if ex.attempts == 0 {
 			h.recordDemand(ex)
+		} else if err := h.refuseIfLate(ex); err != nil {
+			return h.giveUp(ctx, ex, lastResult, err)
 		}
 		choice, err := h.selectBackend(ctx, ex)
 		if err != nil {
@@ -221,13 +223,18 @@
 // found for another attempt.
 func (h *Handler) giveUp(ctx context.Context, ex *exchange, lastResult attemptResult, pickErr error) error {
 	cause := errors.Join(lastResult.err, pickErr)
+	isEnded := h.endedByShutdown(ctx, ex)
 	switch {
-	case ex.request.Context().Err() != nil:
+	case ex.request.Context().Err() != nil && !isEnded:
 		return &disconnectedError{err: ex.request.Context().Err()}
 	case ex.headerWritten:
 		return &incompleteResponseError{err: cause}
 	case lastResult.response != nil:
 		return h.writeResponse(ex, lastResult.response)
+	case ex.mayHaveRun && isEnded:
+		return &refusalError{refusal: Refusal{Status: http.StatusGatewayTimeout, Code: CodeEndedAtShutdown}, err: cause}
+	case isEnded:
+		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeShuttingDown, RetryAfter: drainRetryAfter}, err: cause}
 	case ex.mayHaveRun && ctx.Err() != nil:
 		return &refusalError{refusal: Refusal{Status: http.StatusGatewayTimeout, Code: CodeTimeout}, err: cause}
 	case ex.mayHaveRun:
--- a/internal/aubrelay/relay_test.go
+++ b/internal/aubrelay/relay_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubrelay"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -322,7 +323,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			fixture := newRelayFixture(t, "b1")
-			fixture.handler.Drain(time.Now().Add(test.untilShutdown))
+			endsAt := time.Now().Add(test.untilShutdown)
+			fixture.handler.Drain(aubrelay.DrainOpts{NoticedAt: endsAt, EndsAt: endsAt})
 			result := fixture.call(http.MethodPost, test.path, "1", tokens(test.tokens))
 			qt.Assert(t, result.status, qt.Equals, test.status)
 			if test.status != http.StatusOK {
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -84,6 +84,7 @@
 		return
 	}
 	copyHeader(ex.writer.Header(), resp.Header)
+	h.closeConnection(ex)
 	ex.headerWritten = true
 	ex.status = resp.StatusCode
 	ex.writer.WriteHeader(resp.StatusCode)
