Answer requests that cross a shutdown on open connections

Callers saw: of a relay or an entry that shut down, connections that were closed or reset before any response, although a request had been sent on them; whether it ran they couldn't tell.

Cause: http.Server.Shutdown. It closes the listener at once, which resets the connections that wait to be accepted; it closes kept connections on which half of a head has arrived; and a server that shuts down drops the request that it reads next on any open connection without a response.

Change: callers' servers shut down in an order of their own. From the signal on each response closes its connection, so that callers move away by themselves. After the delay the listener accepts until no connection comes (at most 1 s), takes what waits and closes. Requests on the open connections are served or refused by the handler. Only when none runs and nothing was received for 8 checks, 160 ms, are the idle connections closed; the end of the timeout ends that earlier, as before.

--- a/internal/aubentry/handler.go
+++ b/internal/aubentry/handler.go
@@ -87,8 +87,10 @@
 	// objectives are the targets that the service levels are measured against.
 	objectives Objectives
 	metrics    metrics
-	draining   atomic.Bool
-	inFlight   atomic.Int64
+	// leaving is set when the process begins to shut down, draining when it refuses new requests.
+	leaving  atomic.Bool
+	draining atomic.Bool
+	inFlight atomic.Int64
 }
 
 // NewHandler returns a handler for the callers' listener.
@@ -103,6 +105,9 @@
 	defer h.inFlight.Add(-1)
 	ex := &exchange{writer: w, request: r, id: uuid.NewString(), arrivedAt: h.common.Timer.Now()}
 	w.Header().Set(headerRequestID, ex.responseRequestID())
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), h.bounds.RequestTimeout)
 	defer cancel()
 	h.finish(ex, h.serve(ctx, ex))
@@ -127,8 +132,14 @@
 	}
 }
 
+// Leave makes responses close their connections, so that callers open others to instances that stay.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // Drain makes the handler refuse new requests; those in progress continue.
-func (h *Handler) Drain() { h.draining.Store(true) }
+func (h *Handler) Drain() {
+	h.Leave()
+	h.draining.Store(true)
+}
 
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +46,7 @@
 	demand       *aubentry.DemandTracker
 	burnTracker  *aubburn.Tracker
 	handler      *aubentry.Handler
-	callerServer *http.Server
+	callerServer *httpServer
 	// draining is set when the entry begins to refuse new requests.
 	draining atomic.Bool
 }
@@ -284,6 +283,7 @@
 // back the leases.
 func (e *entry) drain() error {
 	e.health.ready.Store(false)
+	e.handler.Leave()
 	e.common.Log.Info("Entry leaves.")
 	_ = aubtimer.Wait(e.ctx, e.common.Timer, e.cfg.Shutdown.Delay.Value())
 	e.draining.Store(true)
@@ -292,9 +292,10 @@
 	ctx, cancel := context.WithTimeout(e.ctx, e.cfg.Shutdown.Timeout.Value())
 	defer cancel()
 	if e.callerServer != nil {
-		if err := e.callerServer.Shutdown(ctx); err != nil {
-			e.common.Log.Warn("Some requests did not finish.", zap.Int64("running", e.handler.InFlight()), zap.Error(err))
-		}
+		e.callerServer.shutdown(ctx)
+	}
+	if left := e.handler.InFlight(); left > 0 {
+		e.common.Log.Warn("Some requests did not finish.", zap.Int64("running", left))
 	}
 	e.releaseLeases(ctx)
 	return nil
--- a/internal/aubprocess/http.go
+++ b/internal/aubprocess/http.go
@@ -58,7 +58,7 @@
 }
 
 // serveHTTP listens and serves until the process ends. It returns nil without an address.
-func (p *process) serveHTTP(opts httpOpts) (*http.Server, error) {
+func (p *process) serveHTTP(opts httpOpts) (*httpServer, error) {
 	if opts.listen == "" {
 		return nil, nil
 	}
@@ -71,14 +71,15 @@
 		return nil, err
 	}
 	server := newHTTPServer(opts.handler, certs)
+	listening := newListeningServer(p.common.Timer, server, l)
 	p.group.Go(func() error {
 		if certs != nil {
-			return ignoreServerClosed(server.ServeTLS(l, "", ""))
+			return ignoreServerClosed(server.ServeTLS(listening.listener, "", ""))
 		}
-		return ignoreServerClosed(server.Serve(l))
+		return ignoreServerClosed(server.Serve(listening.listener))
 	})
 	context.AfterFunc(p.ctx, func() { _ = server.Close() })
-	return server, nil
+	return listening, nil
 }
 
 func newHTTPServer(handler http.Handler, certs *aubtransport.Certificates) *http.Server {
--- a/internal/aubprocess/process.go
+++ b/internal/aubprocess/process.go
@@ -84,13 +84,18 @@
 }
 
 // listen opens a TCP listener; setting is the path of the setting that errors name.
-func listen(ctx context.Context, setting string, address aubsettings.Address) (net.Listener, error) {
+func listen(ctx context.Context, setting string, address aubsettings.Address) (*net.TCPListener, error) {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, oops.In("process").Wrapf(err, "setting %s", setting)
 	}
-	return l, nil
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		_ = l.Close()
+		return nil, oops.In("process").Errorf("setting %s: no TCP address", setting)
+	}
+	return tcp, nil
 }
 
 func newCertificates(common aubcommon.Common, cfg aubsettings.TLS) (*aubtransport.Certificates, error) {
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -83,7 +82,7 @@
 	knownRelays  atomic.Int32
 	zoning       *loadZoning
 	handler      *aubrelay.Handler
-	callerServer *http.Server
+	callerServer *httpServer
 }
 
 // RunRelay runs a relay instance. The end of ctx starts a graceful shutdown.
@@ -353,8 +352,9 @@
 	running, stop := aubtimer.WithTimeout(ctx, r.common.Timer, runTime)
 	defer stop()
 	defer context.AfterFunc(running, r.handler.End)()
-	if err := r.callerServer.Shutdown(ctx); err != nil {
-		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", r.handler.InFlight()), zap.Error(err))
+	r.callerServer.shutdown(ctx)
+	if left := r.handler.InFlight(); left > 0 {
+		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", left))
 	}
 }
 
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -187,8 +187,8 @@
 
 // Shutdown holds the settings of the graceful shutdown.
 type Shutdown struct {
-	Delay       Duration `yaml:"delay" doc:"Time between reporting not ready and closing the listeners, in which load balancers stop sending requests."`
-	Timeout     Duration `yaml:"timeout" doc:"Maximum time that running requests get to finish."`
+	Delay       Duration `yaml:"delay" doc:"Time between reporting not ready and closing the listeners, in which load balancers stop sending requests. Listeners close up to 1s later, once no connection comes."`
+	Timeout     Duration `yaml:"timeout" doc:"Maximum time that running requests get to finish. A relay ends those that are left 300ms earlier, with a response."`
 	GracePeriod Duration `yaml:"grace" doc:"Time from the signal until the platform kills the process; 0s sets no bound."`
 }
 
