--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -55,6 +54,9 @@
 	// exitMargin is the time reserved for the exit of the process before the platform
 	// kills it.
 	exitMargin = 150 * time.Millisecond
+	// responseMargin is the time before the exit in which callers receive the responses to
+	// requests that the shutdown ends.
+	responseMargin = 300 * time.Millisecond
 )
 
 // relay is one stateless instance that relays callers' requests to backend servers.
@@ -80,7 +82,7 @@
 	knownRelays  atomic.Int32
 	zoning       *loadZoning
 	handler      *aubrelay.Handler
-	callerServer *http.Server
+	callerServer *httpServer
 }
 
 // RunRelay runs a relay instance. The end of ctx starts a graceful shutdown.
@@ -331,21 +333,28 @@
 }
 
 // drain shuts the relay down gracefully: it reports not ready, waits until load
-// balancers have noticed and then waits for the running requests, up to the time at
-// which the platform kills the process.
+// balancers have noticed and then waits for the running requests. Those that still run shortly
+// before the platform kills the process are ended with a response.
 func (r *relay) drain() {
 	r.health.ready.Store(false)
 	delay, timeout := r.cfg.Shutdown.Delay.Value(), r.cfg.Shutdown.Timeout.Value()
 	if grace := r.cfg.Shutdown.GracePeriod.Value(); grace > 0 {
-		timeout = min(timeout, grace-delay-exitMargin)
+		timeout = min(timeout, max(grace-delay-exitMargin, 0))
 	}
-	r.handler.Drain(r.common.Timer.Now().Add(delay + timeout))
-	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.InFlight()))
+	runTime := max(timeout-responseMargin, timeout/2)
+	now := r.common.Timer.Now()
+	r.handler.Drain(aubrelay.DrainOpts{NoticedAt: now.Add(delay), EndsAt: now.Add(delay + runTime)})
+	r.common.Log.Info("Relay leaves.", zap.Int64("running", r.handler.InFlight()),
+		zap.Int64("delay_ms", delay.Milliseconds()), zap.Int64("run_ms", runTime.Milliseconds()))
 	_ = aubtimer.Wait(r.ctx, r.common.Timer, delay)
 	ctx, cancel := aubtimer.WithTimeout(r.ctx, r.common.Timer, timeout)
 	defer cancel()
-	if err := r.callerServer.Shutdown(ctx); err != nil {
-		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", r.handler.InFlight()), zap.Error(err))
+	running, stop := aubtimer.WithTimeout(ctx, r.common.Timer, runTime)
+	defer stop()
+	defer context.AfterFunc(running, r.handler.End)()
+	r.callerServer.shutdown(ctx)
+	if left := r.handler.InFlight(); left > 0 {
+		r.common.Log.Warn("Some requests did not finish.", zap.Int64("running", left))
 	}
 }
 
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -35,6 +35,8 @@
 	isTrial   bool
 	startedAt time.Time
 	deadline  time.Time
+	// readAt is when the whole request had been read; zero before.
+	readAt time.Time
 
 	// headerWritten is set once the response header was written to the caller.
 	headerWritten bool
@@ -121,6 +123,9 @@
 	var disconnected *disconnectedError
 	var slow *slowCallerError
 	outcome := "answered"
+	if !ex.headerWritten {
+		h.closeConnection(ex)
+	}
 	switch {
 	case err == nil:
 	case errors.As(err, &slow):
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -91,6 +91,7 @@
 	copyHeader(ex.writer.Header(), resp.Header)
 	// Another backend server may send the rest at another length.
 	ex.writer.Header().Del("Content-Length")
+	h.closeConnection(ex)
 	ex.headerWritten = true
 	ex.status = resp.StatusCode
 	ex.writer.WriteHeader(resp.StatusCode)
