Take no head that holds another status line

What callers saw: a backend server stopped within the head of a success and sent an error on the same connection. The caller got 200 with the error's body and signature, framed as whole (MIXED).

Cause: the error's status line became the end of the status text or of a header's value, and the rest of its head completed the first one. A head that only ends early is noticed.

Change: a response whose status text or a header's value holds an HTTP/1 version and a status is a lost response, for relays and agents. A version with the name of a proxy, as in Via, is none. Within a plain body with a length this can't be told.

--- a/internal/aubagent/truncated_answer_test.go
+++ b/internal/aubagent/truncated_answer_test.go
@@ -86,3 +86,24 @@
 		}
 	}
 }
+
+// TestErrorWithinAHeadIsNoAnswer guards against a success with the body of an error, which the engine sent after a part of another
+// answer's head.
+func TestErrorWithinAHeadIsNoAnswer(t *testing.T) {
+	const rest = "Server: b\r\nContent-Length: 12\r\n\r\n{\"error\": 1}"
+	head := "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 12:00:00 GMT\r\n"
+	var length atomic.Int64
+	f := newHandlerFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			defer conn.Close()
+			fmt.Fprint(conn, head[:length.Load()]+"HTTP/1.1 500 Internal Server Error\r\n"+rest)
+		}
+	}, http.NotFound)
+	for n := 1; n < len(head); n += 4 {
+		length.Store(int64(n))
+		id := fmt.Sprint(n)
+		_, _, err := f.call(chatRequest(id, "m", id, false))
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q", head[:n]))
+		checkExecution(t, err, aubapi.ExecutionMayHaveRun)
+	}
+}
--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -116,6 +116,9 @@
 	}
 	if err == nil {
 		resp.Body = &responseBody{ReadCloser: resp.Body, client: c}
+		if aubheader.HasStatusLine(resp) {
+			return nil, &UncertainError{Err: errors.Join(ErrBrokenHead, resp.Body.Close())}
+		}
 		return resp, nil
 	}
 	if !gotConn.Load() {
--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -201,6 +201,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if aubheader.HasStatusLine(resp) {
+			return nil, &brokenHeadError{}
+		}
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
--- a/internal/aubrelay/truncated_response_test.go
+++ b/internal/aubrelay/truncated_response_test.go
@@ -93,3 +93,19 @@
 		}
 	}
 }
+
+// TestErrorWithinAHeadIsNoSuccess guards against a success with the body of an error, which a backend server sent after a part of
+// another response's head.
+func TestErrorWithinAHeadIsNoSuccess(t *testing.T) {
+	response := func(status string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nDate: Sat, 05 Dec 2026 12:00:00 GMT\r\n%s: 1\r\n%s: b\r\nContent-Length: 5\r\n\r\nerror", status, headerID, headerSigned)
+	}
+	success := response("200 OK")
+	for length := range strings.Index(success, "\r\n\r\n") {
+		fixture := newRelayFixture(t, "b1")
+		fixture.removeTimeouts()
+		fixture.setBehaviors(truncatedResponse(success[:length]+response("500 Internal Server Error"), false))
+		result := fixture.call(http.MethodPost, "/write/x", "1", nil)
+		qt.Check(t, result.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%q: %+v", success[:length], result))
+	}
+}
