Bound calls to engines by the timer service

TestUnresponsiveEngineDoesNotDelayOthers failed once with 5 orders (want 2) in 381 ms: it compared the time of eight cycles with the timeout of one call, 250 ms, and so measured the machine.

The calls' timeouts ran on the system clock while the rest of the director follows the timer service. They follow it too now, and the test lets its clock stand still during a cycle: a cycle that waits for the engine, however long, never ends and fails the test. It waits for the steps of the other engines in place of 1 ms. The two orders are asked for as before.

--- a/internal/auborder/director_test.go
+++ b/internal/auborder/director_test.go
@@ -27,6 +27,8 @@
 	testService  = "llm"
 	testInterval = 400 * time.Millisecond
 	testModels   = 6
+	// cyclesTimeLimit is the time after which cycles on the manual clock count as blocked.
+	cyclesTimeLimit = 20 * time.Second
 )
 
 // directorSite is a fleet of engines under two directors that lead alternately.
@@ -263,8 +265,24 @@
 	})
 }
 
+// awaitSteps waits until the steps of all engines but one have ended.
+func (s *directorSite) awaitSteps(except string) {
+	for _, e := range s.directors[0].allEngines() {
+		for e.record.GetId() != except && e.isStepRunning() {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
+// isStepRunning reports whether an order or a report is in progress.
+func (e *engineState) isStepRunning() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stepRunning
+}
+
 // TestUnresponsiveEngineDoesNotDelayOthers covers an engine that does not respond to
-// its order.
+// its order. The clock stands still during a cycle, so one that waits for the engine never ends.
 func TestUnresponsiveEngineDoesNotDelayOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newDirectorSite(t, 1, 6)
@@ -274,19 +292,26 @@
 		}
 		s.fleet.unresponsive = "e0"
 		ctx, cancel := context.WithCancel(context.Background())
-		start := time.Now()
-		for range 8 {
-			s.demand("m3", 40000)
-			s.demand("m4", 40000)
-			s.fleet.advance(testInterval)
-			s.directors[0].runCycle(ctx)
-			time.Sleep(time.Millisecond)
+		defer s.directors[0].tasks.Wait()
+		defer cancel()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 8 {
+				s.demand("m3", 40000)
+				s.demand("m4", 40000)
+				s.fleet.advance(testInterval)
+				s.directors[0].runCycle(ctx)
+				s.awaitSteps(s.fleet.unresponsive)
+			}
+		}()
+		select {
+		case <-done:
+		case <-time.After(cyclesTimeLimit):
+			t.Fatalf("a cycle waits for an unresponsive engine; %d orders were sent", s.fleet.orders())
 		}
-		orders, elapsed := s.fleet.orders(), time.Since(start)
-		cancel()
-		s.directors[0].tasks.Wait()
-		if orders < 2 || elapsed > engineCallTimeout {
-			t.Fatalf("%d orders were sent in %s while one engine was unresponsive", orders, elapsed)
+		if orders := s.fleet.orders(); orders < 2 {
+			t.Fatalf("%d orders were sent while one engine was unresponsive", orders)
 		}
 	})
 }
--- a/internal/auborder/execute.go
+++ b/internal/auborder/execute.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -104,7 +105,7 @@
 // pollReport reads the state of an engine whose sequence is not known or whose order
 // may be complete; the caller holds the engine's orderMu.
 func (d *Director) pollReport(ctx context.Context, e *engineState) {
-	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	ctx, cancel := aubtimer.WithTimeout(ctx, d.common.Timer, engineCallTimeout)
 	defer cancel()
 	e.mu.Lock()
 	record, polled := e.record, e.operation
@@ -197,7 +198,7 @@
 
 // attemptOrder sends the order once, and counts and logs the outcome.
 func (d *Director) attemptOrder(ctx context.Context, record *aubwire.BackendRecord, order Order) Outcome {
-	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	ctx, cancel := aubtimer.WithTimeout(ctx, d.common.Timer, engineCallTimeout)
 	defer cancel()
 	outcome, err := d.opts.Engine.Order(ctx, record, order)
 	d.common.Metrics.Tagged(map[string]string{"action": order.Action.String(), "outcome": outcome.String()}).Counter("orders").Inc(1)
