Don't wait for a leader that was replaced

Operators got 503 after 0.9 s for a change, or no answer to a read, from a control process that ran and knew the new leader.

A replica forwarded a command or a read to the leader that it knew at the start and waited for it for 2 s, longer than the 0.9 s in which the HTTP API answers. The attempt now ends once another replica is known to lead, and the next attempt goes there.

This may be what TestOddRegistrationsCostNothing saw; no log of the failed run shows it.

--- a/internal/aubcontrol/confirm.go
+++ b/internal/aubcontrol/confirm.go
@@ -63,6 +63,8 @@
 	if isLocal {
 		return r.node.ReadIndex(ctx)
 	}
+	ctx, cancelForward := r.untilSucceeded(ctx, leader)
+	defer cancelForward()
 	resp, err := r.pool.readIndex(ctx, leader.Address, true)
 	return resp.GetIndex(), err
 }
--- a/internal/aubcontrol/replica.go
+++ b/internal/aubcontrol/replica.go
@@ -12,6 +12,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubconsensus"
 	"github.com/auburndale/auburndale/internal/aubstore"
+	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
@@ -133,6 +134,8 @@
 	if req.GetForwarded() {
 		return nil, &NotCommittedError{Reason: "this replica does not lead"}
 	}
+	ctx, cancel := r.untilSucceeded(ctx, leader)
+	defer cancel()
 	if req.GetIssuedMs() == 0 {
 		if req.IssuedMs, err = r.leaderClock(ctx, leader); err != nil {
 			return nil, &NotCommittedError{Reason: "leader did not answer", Err: err}
@@ -147,6 +150,20 @@
 	return resp, err
 }
 
+// untilSucceeded returns a context that ends once another replica is known to lead: a leader
+// that was replaced may never answer.
+func (r *Replica) untilSucceeded(ctx context.Context, leader aubconsensus.Peer) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for aubtimer.Wait(ctx, r.common.Timer, retryInterval) == nil {
+			if next, isLocal, err := r.leader(); err == nil && (isLocal || next != leader) {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // leader returns the known leader and whether it is this replica.
 func (r *Replica) leader() (aubconsensus.Peer, bool, error) {
 	if err := r.node.Err(); err != nil {
--- a/internal/aubcontrol/replica_test.go
+++ b/internal/aubcontrol/replica_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -30,21 +32,60 @@
 	replica *aubcontrol.Replica
 	table   *journal
 	stop    func()
+	// isSilent is set while the instance receives nothing and answers no call.
+	isSilent atomic.Bool
+}
+
+// interceptUnary lets a silent instance answer no call.
+func (i *instance) interceptUnary(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	if i.isSilent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return handler(ctx, req)
+}
+
+// interceptStream lets a silent instance receive no message.
+func (i *instance) interceptStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	return handler(srv, &silencedStream{ServerStream: stream, instance: i})
+}
+
+// silencedStream is a stream to an instance that may be silent.
+type silencedStream struct {
+	grpc.ServerStream
+
+	instance *instance
+}
+
+// RecvMsg implements grpc.ServerStream.
+func (s *silencedStream) RecvMsg(m any) error {
+	for {
+		if err := s.ServerStream.RecvMsg(m); err != nil || !s.instance.isSilent.Load() {
+			return err
+		}
+	}
 }
 
 // testSite is a set of replicas on loopback addresses.
 type testSite struct {
-	t         testing.TB
-	dir       string
-	dial      aubcontrol.Dial
-	peers     []aubcontrol.Peer
-	instances map[string]*instance
+	t     testing.TB
+	dir   string
+	dial  aubcontrol.Dial
+	peers []aubcontrol.Peer
+	// electionTimeout is 0 for the default.
+	electionTimeout time.Duration
+	instances       map[string]*instance
 }
 
 func newSite(t testing.TB, names ...string) *testSite { return newSiteWith(t, dial, names...) }
 
 func newSiteWith(t testing.TB, dial aubcontrol.Dial, names ...string) *testSite {
-	s := &testSite{t: t, dir: t.TempDir(), dial: dial, instances: make(map[string]*instance)}
+	return startSite(&testSite{t: t, dir: t.TempDir(), dial: dial, instances: make(map[string]*instance)}, names...)
+}
+
+// startSite starts the replicas of a site.
+func startSite(s *testSite, names ...string) *testSite {
+	t := s.t
 	for _, name := range names {
 		s.peers = append(s.peers, aubcontrol.Peer{Name: name, Address: freeAddress(t)})
 	}
@@ -88,18 +129,21 @@
 		DataDir: filepath.Join(s.dir, name),
 		Tables:  []aubcontrol.Table{table, &counterTable{}},
 		Dial:    s.dial,
+
+		ElectionTimeout: s.electionTimeout,
+		Heartbeat:       s.electionTimeout / 10,
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	l, err := net.Listen("tcp", address)
 	qt.Assert(s.t, err, qt.IsNil)
-	server := grpc.NewServer()
+	i := &instance{replica: r, table: table}
+	server := grpc.NewServer(grpc.UnaryInterceptor(i.interceptUnary), grpc.StreamInterceptor(i.interceptStream))
 	r.Register(server)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = server.Serve(l)
 	}()
-	i := &instance{replica: r, table: table}
 	i.stop = func() {
 		server.Stop()
 		cancel()
@@ -154,3 +198,43 @@
 		})
 	}
 }
+
+// TestCommandDoesNotWaitForAReplacedLeader guards against commands and reads that wait for a leader that was replaced.
+func TestCommandDoesNotWaitForAReplacedLeader(t *testing.T) {
+	site := startSite(&testSite{
+		t: t, dir: t.TempDir(), dial: dial, electionTimeout: 150 * time.Millisecond, instances: make(map[string]*instance),
+	}, "a", "b", "c")
+	ctx := newContext(t)
+	var leader *instance
+	var followers []*instance
+	for _, p := range site.peers {
+		i := site.instances[p.Name]
+		_, err := i.replica.Apply(ctx, "journal", []byte("x"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for _, p := range site.peers {
+		i := site.instances[p.Name]
+		if _, isLeading := i.replica.Leading(); isLeading {
+			leader = i
+		} else {
+			followers = append(followers, i)
+		}
+	}
+	qt.Assert(t, followers, qt.HasLen, 2)
+	leader.isSilent.Store(true)
+	// An operator's call is given less than the time of an attempt.
+	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer cancel()
+	var group errgroup.Group
+	for _, i := range followers {
+		group.Go(func() error {
+			_, err := i.replica.Apply(ctx, "journal", []byte("y"))
+			return err
+		})
+		group.Go(func() error {
+			_, err := i.replica.Confirm(ctx)
+			return err
+		})
+	}
+	qt.Assert(t, group.Wait(), qt.IsNil)
+}
