Lose a disk in the learner test only once all replicas hold the log

TestLearnerWithoutLogIsNotPromoted failed now and then with no leader within 60 s. Its log, from a run that failed: replicas a and b commit the 60 values while c, which joins the cluster by its next Hello, has an empty log; a has compacted its log. The test then takes the disk of b.

The test is wrong: it takes away one of the two logs before there is a third. It waits now until every replica holds the last value.

--- a/internal/aubconsensus/membership_change_test.go
+++ b/internal/aubconsensus/membership_change_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -240,6 +241,13 @@
 	for i := range 60 {
 		c.commitValue("k", fmt.Sprint(i))
 	}
+	// A voter that joined late may need a snapshot as well.
+	for _, name := range c.names() {
+		c.eventually("replica "+name+" holds the log", func() bool {
+			replica, ok := c.replica(name)
+			return ok && strings.HasSuffix(replica.machine.get("k"), "59,")
+		})
+	}
 	wiped := c.randomReplica(c.waitLeader())
 	c.loseDisk(wiped, false)
 	c.network.setDropFilter(func(m *aubwire.ConsensusMessage) bool { return m.GetSnapshot() != nil })
