--- a/internal/aubrelay/reference.go
+++ b/internal/aubrelay/reference.go
@@ -23,6 +23,7 @@
 	{CodeNoBackend, http.StatusServiceUnavailable, "No backend server can run the request now."},
 	{CodeNoAllowedRegion, http.StatusServiceUnavailable, "The regions that route and workspace allow have none in common, or hold no backend server of the service."},
 	{CodeShuttingDown, http.StatusServiceUnavailable, "The instance shuts down before the request could end."},
+	{CodeEndedAtShutdown, http.StatusGatewayTimeout, "The instance shut down while a backend server may have run the request."},
 	{CodeBackendFailed, http.StatusBadGateway, "The backend server failed while it may have run the request."},
 	{CodeTimeout, http.StatusGatewayTimeout, "The deadline passed while a backend server may have run the request."},
 	{CodeBlocked, http.StatusServiceUnavailable, "The request or a part of its prompt was in flight when backend servers crashed."},
@@ -34,7 +35,7 @@
 // WriteRefusalReference writes a table of all refusals of a relay as Markdown.
 func WriteRefusalReference(w io.Writer) error {
 	var b strings.Builder
-	b.WriteString("\n## Relays of the users' platform\n\nThe body of a refusal is `{\"error\": CODE}`. `backend_failed` and `timeout` may have run, all others did not.\n\n")
+	b.WriteString("\n## Relays of the users' platform\n\nThe body of a refusal is `{\"error\": CODE}`. `backend_failed`, `timeout` and `ended_at_shutdown` may have run, all others did not.\n\n")
 	b.WriteString("| code | status | meaning |\n|---|---|---|\n")
 	for _, r := range refusalMeanings {
 		fmt.Fprintf(&b, "| `%s` | %d | %s |\n", r.code, r.status, r.meaning)
