Bound what callers make a process hold by one budget

Callers saw: a relay that was killed because it ran out of memory, and with it every request that it held. What clients sent was legal: heads of 16 KiB made of thousands of short lines, bodies of 4 MiB that stop one byte short, whole or in chunks, requests whose responses nobody reads, HTTP/2 streams without end; or heads over the limit and idle connections until no descriptor was left.

Cause: each request and connection was limited, all together were not. Nothing ended the wait for a body, connections and HTTP/2 streams had no number, and the configuration's limits were not read.

Large requests get three quarters, so that small ones find room. What is short is taken from the oldest request that is still being received or whose response is not accepted, at the earliest 250 ms or 1 s after it began; connections beyond their number take the place of the one that waits longest. Bodies arrive until the deadline of the request (408), limits of the configuration are in force for heads, bodies and idle time. Each refusal is given before a request is sent anywhere, so "not run" is true. The collector keeps the heap within 0.7 of the memory.

It works because the sum of all that callers hold has one bound, whatever they send.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 test:
 	scripts/test
+	scripts/crowd
 
 race:
 	scripts/race
--- /dev/null
+++ b/internal/aubbudget/conn_test.go
@@ -0,0 +1,250 @@
+package aubbudget
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubtimer"
+)
+
+// gateListener is a listener with a gate.
+type gateListener struct {
+	*net.TCPListener
+	gate *Gate
+}
+
+// Accept implements net.Listener.
+func (l *gateListener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.Admit(tcp); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// serverFixture is an HTTP server within a budget. Its handler reads the body and answers with its length.
+type serverFixture struct {
+	address string
+	budget  *Budget
+	gate    *Gate
+	// errors receives what reads of bodies fail with.
+	errors chan error
+}
+
+func newServerFixture(t *testing.T, machine Machine, connections int, limits Limits) *serverFixture {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	fixture := &serverFixture{budget: NewBudget(ctx, aubcommon.NewCommon(aubtimer.NewReal()), machine), errors: make(chan error, 16)}
+	fixture.gate = NewGate(fixture.budget, ListenerOpts{MaxConnections: connections, Limits: func() Limits { return limits }})
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	tcp, _ := l.(*net.TCPListener)
+	server := &http.Server{
+		Handler: NewHandler(fixture), ConnContext: ConnContext, ConnState: ObserveState,
+		ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+	}
+	go func() { _ = server.Serve(&gateListener{TCPListener: tcp, gate: fixture.gate}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	fixture.address = l.Addr().String()
+	return fixture
+}
+
+// ServeHTTP implements http.Handler.
+func (fixture *serverFixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := ReadBody(r.Body, r.ContentLength)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fixture.errors <- err
+		return
+	}
+	fmt.Fprint(w, len(data))
+}
+
+// exchange sends the text on a new connection and returns what comes until its end.
+func (fixture *serverFixture) exchange(t *testing.T, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", fixture.address)
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, text)
+	answer, err := io.ReadAll(conn)
+	qt.Assert(t, os.IsTimeout(err), qt.IsFalse, qt.Commentf("the connection stays open"))
+	return string(answer)
+}
+
+var testMachine = Machine{Memory: 200 << 20, Descriptors: 1024}
+
+// TestHeadsWithinTheLimit guards the limits of heads and the connections that they end.
+func TestHeadsWithinTheLimit(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 100, Limits{MaxHeadBytes: 1024, HeadTimeout: 300 * time.Millisecond, IdleTimeout: time.Second})
+	const begin = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 5\r\nX: "
+	fill := func(size int) string { return begin + strings.Repeat("x", size-len(begin)-4) + "\r\n\r\n" }
+	for _, test := range []struct{ name, text, want string }{
+		{"largest head", fill(1024) + "12345", "HTTP/1.1 200 "},
+		{"one byte more", fill(1025) + "12345", "HTTP/1.1 431 "},
+		{"head that stops", fill(1024)[:1000], ""},
+		{"line without end", strings.Repeat("x", 4096), "HTTP/1.1 431 "},
+		{"nothing", "", ""},
+		{"pipelined", strings.Replace(fill(900)+"12345", "Connection: close", "Connection: keep", 1) + fill(900) + "12345", "HTTP/1.1 200 "},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, fixture.exchange(t, test.text), qt.Matches, `(?s)`+strings.ReplaceAll(test.want, ".", `\.`)+".*")
+		})
+	}
+	qt.Assert(t, fixture.budget.heldAfterwards(), qt.Equals, int64(0))
+}
+
+// heldAfterwards returns what is held once handlers had time to end.
+func (b *Budget) heldAfterwards() int64 {
+	for range 100 {
+		b.mu.Lock()
+		used := b.used
+		b.mu.Unlock()
+		if used == 0 {
+			return 0
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// TestBodyHasATimeToArrive guards against bodies that never end.
+func TestBodyHasATimeToArrive(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 100, Limits{BodyTimeout: 200 * time.Millisecond})
+	qt.Assert(t, fixture.exchange(t, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n1234"), qt.Matches, `(?s)HTTP/1\.1 503 .*`)
+	var late *BodyTimeoutError
+	qt.Assert(t, <-fixture.errors, qt.ErrorAs, &late)
+}
+
+// TestRequestMayLastLongerThanItsBody guards against a deadline of the body that ends the request.
+func TestRequestMayLastLongerThanItsBody(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 100, Limits{HeadTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond, IdleTimeout: time.Second})
+	conn, err := net.Dial("tcp", fixture.address)
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	buffer := make([]byte, 4096)
+	for range 3 {
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n12345")
+		qt.Assert(t, err, qt.IsNil)
+		n, err := conn.Read(buffer)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(buffer[:n]), qt.Matches, `(?s)HTTP/1\.1 200 .*`)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// TestStalledBodyYields guards against stalled bodies that keep a whole one out.
+func TestStalledBodyYields(t *testing.T) {
+	fixture := newServerFixture(t, Machine{Memory: 5 << 20, Descriptors: 1024}, 100, Limits{})
+	fixture.budget.total = 1 << 20
+	stalled, err := net.Dial("tcp", fixture.address)
+	qt.Assert(t, err, qt.IsNil)
+	defer stalled.Close()
+	body := strings.Repeat("b", 500<<10)
+	text := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", len(body)) + body
+	_, err = io.WriteString(stalled, text[:len(text)-1])
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(2 * minEvictAge)
+	qt.Assert(t, fixture.exchange(t, text), qt.Matches, `(?s)HTTP/1\.1 200 .*`)
+	qt.Assert(t, isExhausted(<-fixture.errors), qt.IsTrue)
+	_ = stalled.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer := make([]byte, 12)
+	_, err = io.ReadFull(stalled, answer)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(answer), qt.Equals, "HTTP/1.1 503")
+}
+
+// TestIdleConnectionYields guards against idle connections that keep a new one out.
+func TestIdleConnectionYields(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 4, Limits{})
+	for range 10 {
+		conn, err := net.Dial("tcp", fixture.address)
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+	}
+	qt.Assert(t, fixture.exchange(t, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"), qt.Matches, `(?s)HTTP/1\.1 200 .*`)
+	fixture.gate.mu.Lock()
+	defer fixture.gate.mu.Unlock()
+	qt.Assert(t, len(fixture.gate.conns) <= 4, qt.IsTrue)
+}
+
+// FuzzEndOfHead compares the end of a head that arrives in pieces with that of one that arrives whole.
+func FuzzEndOfHead(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nA: b\r\n\r\nbody\n\n"), 3)
+	f.Add([]byte("GET / HTTP/1.1\nA: b\n\nbody"), 1)
+	f.Add([]byte("a\r\n\nb"), 2)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		size = max(1, size%16)
+		whole := endOfHead(data)
+		c := &Conn{phase: phaseHead}
+		sum := 0
+		for piece := range bytes.SplitSeq(bytes.Join(chunks(data, size), []byte{0}), []byte{0}) {
+			if c.phase != phaseHead || bytes.IndexByte(data, 0) >= 0 {
+				break
+			}
+			end, _ := c.scan(piece)
+			sum += end
+		}
+		if bytes.IndexByte(data, 0) < 0 && sum != whole {
+			t.Fatalf("end at %d in pieces of %d, %d whole", sum, size, whole)
+		}
+	})
+}
+
+// endOfHead returns the number of bytes up to the first empty line after another one, or of all.
+func endOfHead(data []byte) int {
+	for i, b := range data {
+		if b != '\n' {
+			continue
+		}
+		before := bytes.TrimSuffix(data[:i], []byte("\r"))
+		if bytes.HasSuffix(before, []byte("\n")) {
+			return i + 1
+		}
+	}
+	return len(data)
+}
+
+func chunks(data []byte, size int) [][]byte {
+	var parts [][]byte
+	for len(data) > size {
+		parts = append(parts, data[:size])
+		data = data[size:]
+	}
+	return append(parts, data)
+}
+
+func TestReadBody(t *testing.T) {
+	for _, size := range []int{0, 1, 511, 512, 513, 70000, 4 << 20} {
+		text := strings.Repeat("b", size)
+		for _, stated := range []int64{-1, int64(size)} {
+			data, err := ReadBody(iotest.HalfReader(strings.NewReader(text)), stated)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, string(data) == text, qt.IsTrue, qt.Commentf("%d bytes, %d stated", size, stated))
+			if stated > firstBufferBytes {
+				qt.Assert(t, cap(data) <= size+1, qt.IsTrue)
+			}
+		}
+	}
+}
--- a/internal/aubentry/body.go
+++ b/internal/aubentry/body.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 )
 
@@ -63,9 +63,19 @@
 
 // readBody reads the request body; one larger than limit bytes is refused.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	data, err := aubbudget.ReadBody(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit))
+	if err != nil && aubbudget.FromContext(r.Context()).HasUnreadBody() {
+		// net/http would wait for the rest of the body before it sends the response.
+		w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
+	var exhausted *aubbudget.ExhaustedError
+	var late *aubbudget.BodyTimeoutError
 	switch {
+	case errors.As(err, &exhausted):
+		return nil, refuse(problemMemoryExhausted)
+	case errors.As(err, &late):
+		return nil, refuse(problemBodyTimeout)
 	case errors.As(err, &tooLarge):
 		return nil, refuse(problemBodyTooLarge).WithDetail("At most %d bytes are allowed.", limit)
 	case err != nil:
--- a/internal/aubentry/problem.go
+++ b/internal/aubentry/problem.go
@@ -46,6 +46,8 @@
 	problemMethodNotAllowed     = newProblemKind("method_not_allowed", http.StatusMethodNotAllowed, "The method is not allowed at this path.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemBodyTooLarge         = newProblemKind("body_too_large", http.StatusRequestEntityTooLarge, "The request body is larger than allowed.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemMalformedBody        = newProblemKind("malformed_body", http.StatusBadRequest, "The request body can't be read.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
+	problemBodyTimeout          = newProblemKind("body_timeout", http.StatusRequestTimeout, "The request body did not arrive in time.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
+	problemMemoryExhausted      = newProblemKind("memory_exhausted", http.StatusServiceUnavailable, "Requests hold all memory that the instance has for them.", aubapi.ExecutionNotRun, time.Second, openAIServer)
 	problemInvalidRequest       = newProblemKind("invalid_request", http.StatusBadRequest, "The request is not valid.", aubapi.ExecutionNotRun, 0, openAIInvalidRequest)
 	problemRateLimited          = newProblemKind("rate_limited", http.StatusTooManyRequests, "The workspace is over its rate.", aubapi.ExecutionNotRun, time.Second, openAIRateLimit)
 	problemNotGranted           = newProblemKind("allowance_not_granted", http.StatusServiceUnavailable, "The control quorum granted this instance no tokens of the workspace in time.", aubapi.ExecutionNotRun, time.Second, openAIServer)
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -101,7 +101,8 @@
 	configs := aubsite.NewConfigurations(c.siteTable, c.replica, c.replica)
 	_, err := c.serveHTTP(httpOpts{
 		setting: "registry.listen", listen: c.cfg.Registry.Listen,
-		handler: c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer, c.zoneOrders()),
+		handler:        c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer, c.zoneOrders()),
+		maxConnections: c.budget.Machine().CallerConnections(),
 	})
 	if err != nil {
 		return err
--- a/internal/aubprocess/entry.go
+++ b/internal/aubprocess/entry.go
@@ -254,6 +254,8 @@
 		listen:  e.cfg.Caller.Listen,
 		tls:     e.cfg.Caller.TLS,
 		handler: e.handler,
+
+		maxConnections: e.budget.Machine().CallerConnections(),
 	})
 	e.callerServer = callers
 	return err
--- a/internal/aubprocess/http.go
+++ b/internal/aubprocess/http.go
@@ -1,6 +1,7 @@
 package aubprocess
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubsettings"
 	"github.com/auburndale/auburndale/internal/aubtransport"
 )
@@ -21,6 +23,14 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// defaultLimits apply where no configuration limits what clients send.
+func (p *process) defaultLimits() aubbudget.Limits {
+	return aubbudget.Limits{
+		MaxHeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		BodyTimeout: p.cfg.Caller.BodyTimeout.Value(),
+	}
+}
+
 // health serves the health checks of the process.
 type health struct {
 	ready atomic.Bool
@@ -55,6 +65,10 @@
 	listen  aubsettings.Address
 	tls     aubsettings.TLS
 	handler http.Handler
+	// maxConnections limits the connections; 0 means the number for listeners that serve few clients.
+	maxConnections int
+	// limits returns the limits of clients; nil means defaultLimits.
+	limits func() aubbudget.Limits
 }
 
 // serveHTTP listens and serves until the process ends. It returns nil without an address.
@@ -70,8 +84,16 @@
 	if err != nil {
 		return nil, err
 	}
-	server := newHTTPServer(opts.handler, certs)
-	listening := newListeningServer(p.common.Timer, server, l)
+	server := newHTTPServer(aubbudget.NewHandler(opts.handler), certs)
+	if opts.limits == nil {
+		opts.limits = p.defaultLimits
+	}
+	gate := aubbudget.NewGate(p.budget, aubbudget.ListenerOpts{
+		MaxConnections: cmp.Or(opts.maxConnections, p.budget.Machine().MinorConnections()),
+		Limits:         opts.limits,
+		IsEncrypted:    certs != nil,
+	})
+	listening := newListeningServer(p.common.Timer, server, newClosingListener(l, gate))
 	p.group.Go(func() error {
 		if certs != nil {
 			return ignoreServerClosed(server.ServeTLS(listening.listener, "", ""))
@@ -93,6 +115,12 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          aubbudget.MaxHTTP2Streams,
+			MaxReceiveBufferPerConnection: aubbudget.HTTP2BufferBytes,
+			MaxReceiveBufferPerStream:     aubbudget.HTTP2BufferBytes,
+		},
+		ConnContext: aubbudget.ConnContext,
 	}
 	if certs != nil {
 		server.TLSConfig = certs.ServerConfig()
--- a/internal/aubprocess/http_shutdown.go
+++ b/internal/aubprocess/http_shutdown.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
@@ -41,13 +42,14 @@
 	running map[net.Conn]bool
 }
 
-func newListeningServer(timer aubtimer.Service, server *http.Server, l *net.TCPListener) *httpServer {
-	s := &httpServer{server: server, timer: timer, listener: newClosingListener(l), running: make(map[net.Conn]bool)}
+func newListeningServer(timer aubtimer.Service, server *http.Server, l *closingListener) *httpServer {
+	s := &httpServer{server: server, timer: timer, listener: l, running: make(map[net.Conn]bool)}
 	server.ConnState = s.observeState
 	return s
 }
 
 func (s *httpServer) observeState(conn net.Conn, state http.ConnState) {
+	aubbudget.ObserveState(conn, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateActive {
@@ -96,6 +98,7 @@
 // closingListener is a TCP listener that closes without resetting connections that wait to be accepted.
 type closingListener struct {
 	*net.TCPListener
+	gate *aubbudget.Gate
 	// accepts counts the accepted connections, receipts these and the reads from them.
 	accepts, receipts atomic.Int64
 	isDraining        atomic.Bool
@@ -104,8 +107,8 @@
 	closeOnce       sync.Once
 }
 
-func newClosingListener(l *net.TCPListener) *closingListener {
-	return &closingListener{TCPListener: l, drained: make(chan struct{}), closed: make(chan struct{})}
+func newClosingListener(l *net.TCPListener, gate *aubbudget.Gate) *closingListener {
+	return &closingListener{TCPListener: l, gate: gate, drained: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // drain accepts the connections that wait and closes the socket. It returns when that is done or ctx ends.
@@ -120,13 +123,17 @@
 }
 
 func (l *closingListener) accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		l.accepts.Add(1)
+		l.receipts.Add(1)
+		if conn := l.gate.Admit(tcp); conn != nil {
+			return &receivingConn{Conn: conn, receipts: &l.receipts}, nil
+		}
 	}
-	l.accepts.Add(1)
-	l.receipts.Add(1)
-	return &receivingConn{TCPConn: conn, receipts: &l.receipts}, nil
 }
 
 // Accept implements net.Listener. After a drain it returns only when the listener is closed.
@@ -154,13 +161,17 @@
 
 // receivingConn counts what is read from it.
 type receivingConn struct {
-	*net.TCPConn
+	*aubbudget.Conn
+
 	receipts *atomic.Int64
 }
 
+// NetConn returns the connection within its limits.
+func (c *receivingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *receivingConn) Read(data []byte) (int, error) {
-	n, err := c.TCPConn.Read(data)
+	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.receipts.Add(1)
 	}
--- a/internal/aubprocess/http_shutdown_test.go
+++ b/internal/aubprocess/http_shutdown_test.go
@@ -13,6 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
+	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
@@ -31,7 +33,11 @@
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	tcp, _ := l.(*net.TCPListener)
-	fixture.server = newListeningServer(aubtimer.NewReal(), newHTTPServer(fixture, nil), tcp)
+	budget := aubbudget.NewBudget(t.Context(), aubcommon.NewCommon(aubtimer.NewReal()), aubbudget.DetectMachine())
+	gate := aubbudget.NewGate(budget, aubbudget.ListenerOpts{
+		MaxConnections: 100, Limits: func() aubbudget.Limits { return aubbudget.Limits{HeadTimeout: headerTimeout, IdleTimeout: idleTimeout} },
+	})
+	fixture.server = newListeningServer(aubtimer.NewReal(), newHTTPServer(aubbudget.NewHandler(fixture), nil), newClosingListener(tcp, gate))
 	t.Cleanup(func() { _ = fixture.server.server.Close() })
 	return fixture
 }
--- a/internal/aubprocess/process.go
+++ b/internal/aubprocess/process.go
@@ -9,9 +9,12 @@
 	"os"
 
 	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubmetric"
 	"github.com/auburndale/auburndale/internal/aubsettings"
@@ -26,8 +29,10 @@
 	transport  *aubtransport.Transport
 	grpcServer *grpc.Server
 	health     *health
-	secret     []byte
-	group      *errgroup.Group
+	// budget bounds what callers of all listeners hold.
+	budget *aubbudget.Budget
+	secret []byte
+	group  *errgroup.Group
 	// ctx is the context of all work of the process. It is canceled at the end of the
 	// shutdown.
 	ctx    context.Context
@@ -50,6 +55,12 @@
 	metrics := aubmetric.NewMetrics(common.Log, cfg.Name, cfg.Zone)
 	transport := aubtransport.NewTransport(certs)
 	common = common.WithMetrics(metrics.Scope)
+	machine := aubbudget.DetectMachine().WithMemory(cfg.Machine.Memory.Bytes()).WithDescriptors(cfg.Machine.Descriptors)
+	machine.LimitHeap()
+	common.Log.Info("Budget of the process is set.",
+		zap.Int64("memory_bytes", machine.Memory), zap.Int("descriptors", machine.Descriptors),
+		zap.Int64("request_bytes", machine.RequestBytes()), zap.Int64("response_bytes", machine.ResponseBytes()),
+		zap.Int("caller_connections", machine.CallerConnections()))
 	return &process{
 		common:     common,
 		cfg:        cfg,
@@ -57,6 +68,7 @@
 		transport:  transport,
 		grpcServer: transport.NewServer(common),
 		health:     newHealth(),
+		budget:     aubbudget.NewBudget(workCtx, common, machine),
 		secret:     secret,
 		group:      group,
 		ctx:        workCtx,
@@ -70,7 +82,8 @@
 	if err != nil {
 		return err
 	}
-	p.group.Go(func() error { return p.grpcServer.Serve(l) })
+	limited := netutil.LimitListener(l, p.budget.Machine().CallerConnections())
+	p.group.Go(func() error { return p.grpcServer.Serve(limited) })
 	context.AfterFunc(p.ctx, p.grpcServer.Stop)
 	return nil
 }
--- a/internal/aubprocess/relay.go
+++ b/internal/aubprocess/relay.go
@@ -1,6 +1,7 @@
 package aubprocess
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubdrain"
 	"github.com/auburndale/auburndale/internal/aublimit"
@@ -114,6 +116,7 @@
 	}
 	callers, err := r.serveHTTP(httpOpts{
 		setting: "caller.listen", listen: r.cfg.Caller.Listen, tls: r.cfg.Caller.TLS, handler: r.handler,
+		maxConnections: r.budget.Machine().CallerConnections(), limits: r.callerLimits,
 	})
 	if err != nil {
 		return err
@@ -247,7 +250,8 @@
 		Crashes: aubrelay.NewCrashDetector(r.ctx, r.common, aubrelay.CrashDetectorOpts{
 			Registry: r.registry, Dial: DialBackend, OnCrash: guard.ReportCrash,
 		}),
-		Dial: DialBackend,
+		Dial:          DialBackend,
+		ResponseBytes: r.budget.Machine().ResponseBytes(),
 		Writes: aubrelay.WriteOpts{
 			Timeout: r.cfg.Caller.WriteTimeout.Value(), MaxUnread: r.cfg.Caller.MaxUnread.Bytes(),
 		},
@@ -255,6 +259,18 @@
 	return nil
 }
 
+// callerLimits returns the limits of the active configuration.
+func (r *relay) callerLimits() aubbudget.Limits {
+	limits := r.defaultLimits()
+	if site := r.site.Site(); site != nil {
+		c := site.CallerLimits()
+		limits.MaxHeadBytes = cmp.Or(c.MaxHeadBytes, limits.MaxHeadBytes)
+		limits.HeadTimeout = cmp.Or(c.HeadTimeout, limits.HeadTimeout)
+		limits.IdleTimeout = cmp.Or(c.IdleTimeout, limits.IdleTimeout)
+	}
+	return limits
+}
+
 // workspaceLimits returns rate and burst of a workspace in the active configuration.
 func (r *relay) workspaceLimits(workspace string) (rate, burst int64, ok bool) {
 	site := r.site.Site()
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/auboption"
 	"github.com/auburndale/auburndale/internal/aubsite"
@@ -127,6 +128,10 @@
 	outcome := "answered"
 	if !ex.headerWritten {
 		h.closeConnection(ex)
+		if aubbudget.FromContext(ex.request.Context()).HasUnreadBody() {
+			// net/http would wait for the rest of the body before it sends the response.
+			ex.writer.Header().Set("Connection", "close")
+		}
 	}
 	switch {
 	case err == nil:
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -1,9 +1,9 @@
 package aubrelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aublimit"
 	"github.com/auburndale/auburndale/internal/aubpoison"
@@ -28,8 +29,10 @@
 	// defaultTimeout applies if the caller declares no timeout. The route's timeout
 	// limits it.
 	defaultTimeout = time.Minute
-	// maxBodyBytes limits a request body; it equals the platform's limit.
+	// maxBodyBytes limits a request body where the configuration does not; it equals the platform's limit.
 	maxBodyBytes = 4 << 20
+	// exhaustedRetryAfter applies while requests hold all memory for them.
+	exhaustedRetryAfter = 500 * time.Millisecond
 	// defaultRetryAfter applies to refusals whose cause may be resolved within a second.
 	defaultRetryAfter = 500 * time.Millisecond
 	// startupTime is the time in which this instance usually has its first configuration,
@@ -88,6 +91,8 @@
 	Crashes *CrashDetector
 	// Dial opens connections to backend servers.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// ResponseBytes bounds what all buffered responses together hold; 0 means maxBufferedTotal.
+	ResponseBytes int64
 	// Writes bounds what slow callers hold.
 	Writes WriteOpts
 }
@@ -122,7 +127,7 @@
 		startedAt:   common.Timer.Now(),
 		metrics:     newMetrics(common.Metrics),
 		unread:      newUnreadBytes(opts.Writes.MaxUnread),
-		buffers:     newBufferBudget(maxBufferedTotal),
+		buffers:     newBufferBudget(cmp.Or(opts.ResponseBytes, maxBufferedTotal)),
 		shutdown:    newShutdown(ctx),
 	}
 }
@@ -247,14 +252,22 @@
 // readBody buffers the complete body, so that later attempts can send it again, and sets
 // the fingerprints. The end of the process's shutdown ends the wait for it.
 func (h *Handler) readBody(ex *exchange) error {
+	aubbudget.FromContext(ex.request.Context()).EndBodyBy(ex.deadline)
 	defer h.shutdown.interruptRead(ex.writer)()
-	body, err := io.ReadAll(http.MaxBytesReader(ex.writer, ex.request.Body, maxBodyBytes))
+	limit := cmp.Or(ex.site.CallerLimits().MaxBodyBytes, maxBodyBytes)
+	body, err := aubbudget.ReadBody(http.MaxBytesReader(ex.writer, ex.request.Body, limit), min(ex.request.ContentLength, limit))
 	var tooLarge *http.MaxBytesError
+	var exhausted *aubbudget.ExhaustedError
+	var late *aubbudget.BodyTimeoutError
 	switch {
 	case err != nil && h.shutdown.hasEnded():
 		return h.refuseLate(ex)
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0)
+	case errors.As(err, &exhausted):
+		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeMemoryExhausted, RetryAfter: exhaustedRetryAfter}, err: err}
+	case errors.As(err, &late):
+		return &refusalError{refusal: Refusal{Status: http.StatusRequestTimeout, Code: CodeBodyTimeout}, err: err}
 	case err != nil:
 		return &disconnectedError{err: err}
 	}
--- a/internal/aubrelay/protocol.go
+++ b/internal/aubrelay/protocol.go
@@ -110,6 +110,8 @@
 	CodeNoRoute               RefusalCode = "not_found"
 	CodeInvalidKey            RefusalCode = "invalid_key"
 	CodeBodyTooLarge          RefusalCode = "body_too_large"
+	CodeBodyTimeout           RefusalCode = "body_timeout"
+	CodeMemoryExhausted       RefusalCode = "memory_exhausted"
 	CodeRateLimited           RefusalCode = "rate_limited"
 	CodeNoBackend             RefusalCode = "no_backend_server"
 	CodeOverloaded            RefusalCode = "overloaded"
--- a/internal/aubrelay/reference.go
+++ b/internal/aubrelay/reference.go
@@ -19,6 +19,8 @@
 	{CodeNoRoute, http.StatusNotFound, "No route matches host and path."},
 	{CodeInvalidKey, http.StatusUnauthorized, "The key is missing or not valid."},
 	{CodeBodyTooLarge, http.StatusRequestEntityTooLarge, "The request body is larger than allowed."},
+	{CodeBodyTimeout, http.StatusRequestTimeout, "The request body did not arrive before the deadline of the request."},
+	{CodeMemoryExhausted, http.StatusServiceUnavailable, "Requests hold all memory that the instance has for them."},
 	{CodeRateLimited, http.StatusTooManyRequests, "The workspace is over its rate."},
 	{CodeNoBackend, http.StatusServiceUnavailable, "No backend server can run the request now."},
 	{CodeNoAllowedRegion, http.StatusServiceUnavailable, "The regions that route and workspace allow have none in common, or hold no backend server of the service."},
--- a/internal/aubsettings/check.go
+++ b/internal/aubsettings/check.go
@@ -6,6 +6,12 @@
 	"strings"
 )
 
+// minMemory and minDescriptors are what a process needs to serve anything.
+const (
+	minMemory      = 16 << 20
+	minDescriptors = 64
+)
+
 // checkCombinations adds the faults of settings whose valid values depend on other
 // settings, and of URLs and counts.
 func (d *decoder) checkCombinations(s Settings) {
@@ -24,6 +30,12 @@
 	if s.Routing.MaxAttempts < 1 {
 		d.addFaultAt("routing.attempts", "allowed: 1 or more")
 	}
+	if s.Machine.Memory != 0 && s.Machine.Memory < minMemory {
+		d.addFaultAt("machine.memory", "allowed: 16MiB or more, or 0B")
+	}
+	if s.Machine.Descriptors != 0 && s.Machine.Descriptors < minDescriptors {
+		d.addFaultAt("machine.descriptors", "allowed: 64 or more, or 0")
+	}
 	if s.Queue.ConcurrencyPerBackend < 1 {
 		d.addFaultAt("queue.per_backend", "allowed: 1 or more")
 	}
--- a/internal/aubsettings/default.go
+++ b/internal/aubsettings/default.go
@@ -10,6 +10,7 @@
 		Control:    Control{HeartbeatInterval: seconds(0.08), ElectionTimeout: seconds(0.4)},
 		Caller: Caller{
 			MaxBody:        16 << 20,
+			BodyTimeout:    seconds(60),
 			RequestTimeout: seconds(600),
 			QueueTimeout:   seconds(30),
 			WriteTimeout:   seconds(30),
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -11,6 +11,7 @@
 	Regions    map[string]string `yaml:"regions" doc:"Availability zones of the deployment, each with its region. Empty means that the zones of registered backend servers are known."`
 	SecretFile string            `yaml:"secret_file" doc:"File with the secret that the site's processes share; it authenticates datagrams."`
 	Log        Log               `yaml:"log" doc:"Logging."`
+	Machine    Machine           `yaml:"machine" doc:"What the process may use of its machine; bounds what callers make it hold."`
 	Internal   Internal          `yaml:"internal" doc:"Listener for the site's own processes (gRPC)."`
 	Membership Membership        `yaml:"membership" doc:"Membership and load datagrams (UDP)."`
 	Control    Control           `yaml:"control" doc:"Replicated state."`
@@ -35,6 +36,12 @@
 	Level  Choice `yaml:"level" allowed:"debug info warn error" doc:"Lowest level that is written."`
 }
 
+// Machine holds what the process may use.
+type Machine struct {
+	Memory      Size `yaml:"memory" doc:"Memory of the process; 0B means that of the machine. A fifth of it is for heads and bodies of requests, a tenth for buffered responses, a third for callers' connections."`
+	Descriptors int  `yaml:"descriptors" doc:"Descriptors of the process; 0 means its limit. Callers' connections get half of those that files leave."`
+}
+
 // TLS holds the settings of a listener's certificates.
 type TLS struct {
 	CertFile string `yaml:"cert_file" doc:"File with the PEM certificate chain; TLS is off when empty. The file is reloaded when it changes."`
@@ -93,6 +100,7 @@
 	Listen         Address  `yaml:"listen" doc:"IP address and port for callers."`
 	TLS            TLS      `yaml:"tls" doc:"Certificates for callers."`
 	MaxBody        Size     `yaml:"max_body" doc:"Maximum size of a request body."`
+	BodyTimeout    Duration `yaml:"body_timeout" doc:"Maximum time from the head of a request to the end of its body; at a relay the deadline of the request ends it as well."`
 	RequestTimeout Duration `yaml:"request_timeout" doc:"Maximum duration of a request."`
 	QueueTimeout   Duration `yaml:"queue_timeout" doc:"Maximum time that a request waits for a backend server."`
 	WriteTimeout   Duration `yaml:"write_timeout" doc:"Maximum time that a caller may take to accept one part of a response. At a relay it applies only to configurations with deferrable routes, see admission.objective_spread, and is not below the pause objective of the route."`
--- a/internal/aubsite/site.go
+++ b/internal/aubsite/site.go
@@ -54,6 +54,9 @@
 	return s, nil
 }
 
+// CallerLimits returns the limits of callers.
+func (s *Site) CallerLimits() CallerLimits { return s.spec.Limits }
+
 func (s *Site) addRoute(route Route) error {
 	object := "route " + route.Name
 	if route.Timeout <= 0 {
--- a/internal/aubsite/spec.go
+++ b/internal/aubsite/spec.go
@@ -150,4 +150,14 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
+	Limits     CallerLimits
+}
+
+// CallerLimits are what callers may send and how long they may take. Zero values mean that the configuration has no
+// such limit.
+type CallerLimits struct {
+	MaxHeadBytes int
+	MaxBodyBytes int64
+	// HeadTimeout is the time for a head, IdleTimeout the time between two requests of a connection.
+	HeadTimeout, IdleTimeout time.Duration
 }
--- a/internal/aubtransport/grpc.go
+++ b/internal/aubtransport/grpc.go
@@ -19,6 +19,11 @@
 	keepaliveTimeout = 3 * time.Second
 	// maxMessageBytes limits the size of a gRPC message; snapshots are sent in chunks.
 	maxMessageBytes = 24 << 20
+	// maxStreams limits the concurrent calls of one connection, maxHeaderListBytes their headers.
+	maxStreams         = 1000
+	maxHeaderListBytes = 16 << 10
+	// handshakeTimeout limits the time until a new connection can be used.
+	handshakeTimeout = 10 * time.Second
 	// maxBackoff limits the delay between two connection attempts.
 	maxBackoff = 2 * time.Second
 	// minConnectTimeout is the minimum time that one connection attempt gets.
@@ -54,6 +59,9 @@
 		grpc.UnaryInterceptor(guard.unary),
 		grpc.StreamInterceptor(guard.stream),
 		grpc.Creds(t.serverCredentials()),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
