Bound what the other listeners hold

Operators and backend servers would have seen: a control process that ends, because clients of its listener send documents of legal size that stop short, or that decode to a hundred times their size; processes of the site that can't connect because idle clients hold all descriptors.

Cause: the listeners for registrations, readiness checks, metrics and between processes were built like that for callers and had no bounds together; a document of 4 MiB may hold 1.4 million empty routes, and each of several at once was decoded.

Connections between processes have a number, and yield to new ones until their first byte. An idle connection now stays open if its time was raised meanwhile, so that clients inside the newer limit are not cut.

--- a/internal/aubbudget/budget.go
+++ b/internal/aubbudget/budget.go
@@ -139,10 +139,10 @@
 		return &ExhaustedError{Held: s.held, Wanted: n}
 	}
 	for !b.fits(s, n) {
-		if !b.evictFor(s, n) {
+		if s.held+n > b.largeLimit() || !b.evictFor(s, n) {
 			b.events.refusedRequests++
 			b.metrics.refusedRequests.Inc(1)
-			return &ExhaustedError{Held: s.held, Wanted: n}
+			return &ExhaustedError{Held: s.held, Wanted: n, IsPermanent: s.held+n > b.largeLimit()}
 		}
 	}
 	b.charge(s, n)
@@ -157,9 +157,12 @@
 	if s.held+n <= smallBytes {
 		return true
 	}
-	return b.largeUsed-s.large()+s.held+n <= int64(largeShare*float64(b.total))
+	return b.largeUsed-s.large()+s.held+n <= b.largeLimit()
 }
 
+// largeLimit returns what large requests may hold together.
+func (b *Budget) largeLimit() int64 { return int64(largeShare * float64(b.total)) }
+
 // large returns what the share holds if it is above smallBytes.
 func (s *Share) large() int64 {
 	if s.held <= smallBytes {
--- a/internal/aubbudget/conn.go
+++ b/internal/aubbudget/conn.go
@@ -28,6 +28,9 @@
 	HTTP2BufferBytes = 64 << 10
 )
 
+// minIdleExtension is the least time by which the deadline of an idle connection is moved.
+const minIdleExtension = 10 * time.Millisecond
+
 // interruptTime is a deadline that has passed.
 var interruptTime = time.Unix(1, 0)
 
@@ -70,6 +73,8 @@
 	firstLine []byte
 	isHTTP2   bool
 	isClosed  bool
+	// isInterrupted is set while the deadline of reads is one of the server's that has passed.
+	isInterrupted bool
 }
 
 // NetConn returns the connection without limits.
@@ -90,16 +95,37 @@
 
 // Read implements net.Conn. It fails with a *net.OpError if the head that it reads exceeds the limits or the budget.
 func (c *Conn) Read(data []byte) (int, error) {
-	n, err := c.TCPConn.Read(data)
-	if n > 0 {
-		if limitErr := c.observe(data[:n]); limitErr != nil {
-			return 0, &net.OpError{Op: "read", Net: "tcp", Err: limitErr}
+	for {
+		n, err := c.TCPConn.Read(data)
+		if n > 0 {
+			if limitErr := c.observe(data[:n]); limitErr != nil {
+				return 0, &net.OpError{Op: "read", Net: "tcp", Err: limitErr}
+			}
+		}
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdle() {
+			return n, err
 		}
 	}
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-		c.noteTimeout()
+}
+
+// extendIdle reports whether a connection may stay idle after its deadline, because the limit has been raised
+// since, and sets the new deadline.
+func (c *Conn) extendIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ownsDeadline() || c.isClosed {
+		return false
+	}
+	if c.phase == phaseHead {
+		c.countLateHead()
+		return false
 	}
-	return n, err
+	left := c.gate.limits().IdleTimeout - c.gate.budget.common.Timer.Now().Sub(c.since)
+	if left < minIdleExtension || c.isInterrupted {
+		return false
+	}
+	c.applyDeadline(left)
+	return true
 }
 
 // Write implements net.Conn.
@@ -145,17 +171,21 @@
 	if c.ownsDeadline() && (t.IsZero() || time.Until(t) > 0) {
 		return nil
 	}
+	c.isInterrupted = !t.IsZero() && time.Until(t) <= 0
 	return c.TCPConn.SetReadDeadline(t)
 }
 
 // ownsDeadline reports whether the limits determine the deadline of a read; the caller holds mu.
 func (c *Conn) ownsDeadline() bool {
-	return !c.gate.opts.IsEncrypted && !c.isHTTP2 && c.phase <= phaseHead
+	return !c.isOpaque() && !c.isHTTP2 && c.phase <= phaseHead
 }
 
+// isOpaque reports whether the bytes of the connection are not those of HTTP/1.
+func (c *Conn) isOpaque() bool { return c.gate.opts.IsEncrypted || c.gate.opts.IsInternal }
+
 // applyDeadline ends reads after the time; 0 means never.
 func (c *Conn) applyDeadline(after time.Duration) {
-	if c.gate.opts.IsEncrypted {
+	if c.isOpaque() {
 		return
 	}
 	deadline := time.Time{}
@@ -165,21 +195,22 @@
 	_ = c.TCPConn.SetReadDeadline(deadline)
 }
 
-// noteTimeout counts a head that did not arrive in time.
-func (c *Conn) noteTimeout() {
-	c.mu.Lock()
-	isLate := c.ownsDeadline() && c.phase == phaseHead && c.share != nil && !c.share.wasEvicted()
-	c.mu.Unlock()
-	if isLate {
-		c.gate.budget.count(func(e *events) { e.lateHeads++ })
-		c.gate.budget.metrics.lateHeads.Inc(1)
+// countLateHead counts a head that did not arrive in time; the caller holds mu.
+func (c *Conn) countLateHead() {
+	if c.share == nil || c.share.wasEvicted() {
+		return
 	}
+	c.gate.budget.count(func(e *events) { e.lateHeads++ })
+	c.gate.budget.metrics.lateHeads.Inc(1)
 }
 
 // observe charges the bytes of a head and looks for its end.
 func (c *Conn) observe(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.gate.opts.IsInternal {
+		c.phase = phaseRun
+	}
 	if !c.ownsDeadline() {
 		return nil
 	}
@@ -212,7 +243,7 @@
 
 // beginHead begins to charge a head; the caller holds mu.
 func (c *Conn) beginHead(limits Limits) {
-	c.phase, c.since = phaseHead, c.gate.budget.common.Timer.Now()
+	c.phase, c.since, c.isInterrupted = phaseHead, c.gate.budget.common.Timer.Now(), false
 	c.headBytes, c.tail, c.firstLine = 0, [2]byte{}, c.firstLine[:0]
 	c.share = c.gate.budget.newShare(c.since)
 	c.share.beginReceiving(minEvictAge, func() { _ = c.TCPConn.SetReadDeadline(interruptTime) })
@@ -297,6 +328,7 @@
 	case http.StateIdle:
 		c.phase, c.since = phaseIdle, c.gate.budget.common.Timer.Now()
 		if !c.isHTTP2 {
+			c.isInterrupted = false
 			c.dropShare()
 			c.applyDeadline(c.gate.limits().IdleTimeout)
 		}
--- a/internal/aubbudget/conn_test.go
+++ b/internal/aubbudget/conn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -19,25 +20,6 @@
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
-// gateListener is a listener with a gate.
-type gateListener struct {
-	*net.TCPListener
-	gate *Gate
-}
-
-// Accept implements net.Listener.
-func (l *gateListener) Accept() (net.Conn, error) {
-	for {
-		tcp, err := l.AcceptTCP()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.gate.Admit(tcp); c != nil {
-			return c, nil
-		}
-	}
-}
-
 // serverFixture is an HTTP server within a budget. Its handler reads the body and answers with its length.
 type serverFixture struct {
 	address string
@@ -48,10 +30,14 @@
 }
 
 func newServerFixture(t *testing.T, machine Machine, connections int, limits Limits) *serverFixture {
+	return newFixtureWith(t, machine, ListenerOpts{MaxConnections: connections, Limits: func() Limits { return limits }})
+}
+
+func newFixtureWith(t *testing.T, machine Machine, opts ListenerOpts) *serverFixture {
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	fixture := &serverFixture{budget: NewBudget(ctx, aubcommon.NewCommon(aubtimer.NewReal()), machine), errors: make(chan error, 16)}
-	fixture.gate = NewGate(fixture.budget, ListenerOpts{MaxConnections: connections, Limits: func() Limits { return limits }})
+	fixture.gate = NewGate(fixture.budget, opts)
 	l, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	tcp, _ := l.(*net.TCPListener)
@@ -59,7 +45,7 @@
 		Handler: NewHandler(fixture), ConnContext: ConnContext, ConnState: ObserveState,
 		ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
 	}
-	go func() { _ = server.Serve(&gateListener{TCPListener: tcp, gate: fixture.gate}) }()
+	go func() { _ = server.Serve(NewListener(tcp, fixture.gate)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	fixture.address = l.Addr().String()
 	return fixture
@@ -189,6 +175,79 @@
 	qt.Assert(t, len(fixture.gate.conns) <= 4, qt.IsTrue)
 }
 
+// TestRaisedIdleTimeoutHolds guards against connections that are closed within a limit that was raised while they
+// were idle.
+func TestRaisedIdleTimeoutHolds(t *testing.T) {
+	var timeout atomic.Int64
+	timeout.Store(int64(300 * time.Millisecond))
+	fixture := newFixtureWith(t, testMachine, ListenerOpts{MaxConnections: 4, Limits: func() Limits { return Limits{IdleTimeout: time.Duration(timeout.Load())} }})
+	conn, err := net.Dial("tcp", fixture.address)
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	buffer := make([]byte, 4096)
+	for range 2 {
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		_, err = conn.Read(buffer)
+		qt.Assert(t, err, qt.IsNil)
+		timeout.Store(int64(time.Second))
+		time.Sleep(600 * time.Millisecond)
+	}
+	_, err = conn.Read(buffer)
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+// TestInternalConnectionYieldsBeforeItsFirstByte guards against idle clients that keep the site's own processes out,
+// and against processes that lose their connections to new ones.
+func TestInternalConnectionYieldsBeforeItsFirstByte(t *testing.T) {
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	tcp, _ := l.(*net.TCPListener)
+	budget := NewBudget(t.Context(), aubcommon.NewCommon(aubtimer.NewReal()), testMachine)
+	listener := NewListener(tcp, NewGate(budget, ListenerOpts{MaxConnections: 2, IsInternal: true}))
+	defer listener.Close()
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = io.WriteString(conn, text)
+		return conn
+	}
+	process, idle := dial("x"), dial("")
+	first, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = first.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	for range 2 {
+		_, err = listener.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		dial("")
+	}
+	_ = idle.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = idle.Read(make([]byte, 1))
+	qt.Assert(t, os.IsTimeout(err), qt.IsFalse, qt.Commentf("%v", err))
+	_ = process.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err = process.Read(make([]byte, 1))
+	qt.Assert(t, os.IsTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// TestRequestThatNeverFits guards against a time to come back for a request that is larger than the budget.
+func TestRequestThatNeverFits(t *testing.T) {
+	b, timer := newTestBudget(t, 1<<20)
+	for _, test := range []struct {
+		n    int64
+		want bool
+	}{{768 << 10, false}, {768<<10 + 1, true}} {
+		other := b.newShare(timer.Now())
+		qt.Assert(t, other.Grow(smallBytes+1), qt.IsNil)
+		var exhausted *ExhaustedError
+		qt.Assert(t, b.newShare(timer.Now()).Grow(test.n), qt.ErrorAs, &exhausted)
+		qt.Assert(t, exhausted.IsPermanent, qt.Equals, test.want)
+		other.release()
+	}
+}
+
 // FuzzEndOfHead compares the end of a head that arrives in pieces with that of one that arrives whole.
 func FuzzEndOfHead(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\nA: b\r\n\r\nbody\n\n"), 3)
--- a/internal/aubbudget/error.go
+++ b/internal/aubbudget/error.go
@@ -6,6 +6,8 @@
 type ExhaustedError struct {
 	// Held and Wanted are in bytes.
 	Held, Wanted int64
+	// IsPermanent is set if the request is larger than all that requests may hold.
+	IsPermanent bool
 }
 
 // Error implements error.
--- a/internal/aubbudget/handler.go
+++ b/internal/aubbudget/handler.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// Grow charges n more bytes to the request, for what it is decoded to. It returns an *ExhaustedError if there is no
+// room.
+func (r *Request) Grow(n int64) error {
+	if r == nil {
+		return nil
+	}
+	return r.share.Grow(n)
+}
+
 // HasUnreadBody reports whether a part of the body was not read.
 func (r *Request) HasUnreadBody() bool { return r != nil && !r.body.hasEnded }
 
--- a/internal/aubbudget/listener.go
+++ b/internal/aubbudget/listener.go
@@ -30,10 +30,13 @@
 	// MaxConnections limits the connections of the listener. If there are as many, the one that has waited
 	// longest for a request yields.
 	MaxConnections int
-	// Limits returns the limits in force.
+	// Limits returns the limits in force. It is not called for internal connections.
 	Limits func() Limits
 	// IsEncrypted is set if the bytes of the connections are not those of HTTP.
 	IsEncrypted bool
+	// IsInternal is set if other processes of the site use the connections, which yield only until their first
+	// byte.
+	IsInternal bool
 }
 
 // Gate admits the connections of one listener.
@@ -54,7 +57,9 @@
 
 // Admit returns the connection within the limits of the listener, or nil after it refused and closed it.
 func (g *Gate) Admit(tcp *net.TCPConn) *Conn {
-	_ = tcp.SetReadBuffer(receiveBufferBytes)
+	if !g.opts.IsInternal {
+		_ = tcp.SetReadBuffer(receiveBufferBytes)
+	}
 	now := g.budget.common.Timer.Now()
 	c := &Conn{TCPConn: tcp, gate: g, phase: phaseIdle, since: now}
 	evicted, isAdmitted := g.add(c, now)
@@ -66,14 +71,42 @@
 	if !isAdmitted {
 		g.budget.count(func(e *events) { e.refusedConnections++ })
 		g.budget.metrics.refusedConnections.Inc(1)
-		c.refuse(refusedConnection)
+		if !c.isOpaque() {
+			c.refuse(refusedConnection)
+		}
 		_ = tcp.Close()
 		return nil
 	}
-	c.applyDeadline(g.limits().IdleTimeout)
+	if !c.isOpaque() {
+		c.applyDeadline(g.limits().IdleTimeout)
+	}
 	return c
 }
 
+// Listener is a listener whose connections a gate admits.
+type Listener struct {
+	*net.TCPListener
+	gate *Gate
+}
+
+// NewListener returns a listener whose connections the gate admits.
+func NewListener(l *net.TCPListener, gate *Gate) *Listener {
+	return &Listener{TCPListener: l, gate: gate}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.Admit(tcp); c != nil {
+			return c, nil
+		}
+	}
+}
+
 // add adds a connection, if there is room or another one yields, which it returns.
 func (g *Gate) add(c *Conn, now time.Time) (evicted *Conn, isAdmitted bool) {
 	g.mu.Lock()
--- a/internal/aubentry/body.go
+++ b/internal/aubentry/body.go
@@ -72,6 +72,8 @@
 	var exhausted *aubbudget.ExhaustedError
 	var late *aubbudget.BodyTimeoutError
 	switch {
+	case errors.As(err, &exhausted) && exhausted.IsPermanent:
+		return nil, refuse(problemBodyTooLarge)
 	case errors.As(err, &exhausted):
 		return nil, refuse(problemMemoryExhausted)
 	case errors.As(err, &late):
--- a/internal/aubprocess/process.go
+++ b/internal/aubprocess/process.go
@@ -10,7 +10,6 @@
 
 	"github.com/samber/oops"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
@@ -82,8 +81,8 @@
 	if err != nil {
 		return err
 	}
-	limited := netutil.LimitListener(l, p.budget.Machine().CallerConnections())
-	p.group.Go(func() error { return p.grpcServer.Serve(limited) })
+	gate := aubbudget.NewGate(p.budget, aubbudget.ListenerOpts{MaxConnections: p.budget.Machine().CallerConnections(), IsInternal: true})
+	p.group.Go(func() error { return p.grpcServer.Serve(aubbudget.NewListener(l, gate)) })
 	context.AfterFunc(p.ctx, p.grpcServer.Stop)
 	return nil
 }
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -262,7 +262,7 @@
 	switch {
 	case err != nil && h.shutdown.hasEnded():
 		return h.refuseLate(ex)
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge), errors.As(err, &exhausted) && exhausted.IsPermanent:
 		return newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0)
 	case errors.As(err, &exhausted):
 		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeMemoryExhausted, RetryAfter: exhaustedRetryAfter}, err: err}
