Refuse a body that is late while the relay shuts down like other late requests

Callers would have seen 408 in place of 503 with a time to come back when their body missed the deadline of the request while the relay shuts down, although another relay can serve them at once.

Cause: since bodies have a time to arrive, the wait for one ends at its deadline and no longer at the end of the shutdown. Evidence: the code reads so; TestShutdownOfARelayLeavesNoRequestWithoutAnswer waits for such bodies and now gets 503 for each.

That test failed before this commit for another reason: two of its heads take 6 s while its configuration allows 3 s, which relays obey now. Its configuration allows 10 s, as relays did before; the cases and what they must see are unchanged.

--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -266,6 +266,8 @@
 		return newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, 0)
 	case errors.As(err, &exhausted):
 		return &refusalError{refusal: Refusal{Status: http.StatusServiceUnavailable, Code: CodeMemoryExhausted, RetryAfter: exhaustedRetryAfter}, err: err}
+	case errors.As(err, &late) && h.shutdown.hasBegun():
+		return h.refuseLate(ex)
 	case errors.As(err, &late):
 		return &refusalError{refusal: Refusal{Status: http.StatusRequestTimeout, Code: CodeBodyTimeout}, err: err}
 	case err != nil:
