Charge what entries decode to the budget for callers

Callers would have seen an entry that is killed: 40 clients that send 4 MiB of JSON with as many fields or messages as fit, or 100 that stop one byte short.

Cause: an entry decodes the fields and messages of a body, each into an entry of a map or list many times its size, without a bound on all bodies together.

The size of the body, its fields and its messages are charged before it is decoded; what never fits is refused with 413, the rest with 503. Both are given before the request is queued, so it has not run.

--- a/internal/aubentry/body.go
+++ b/internal/aubentry/body.go
@@ -21,6 +21,10 @@
 	maxPrefixHashes = 64
 	// templateTokensPerMessage bounds the tokens that a chat template adds to a message.
 	templateTokensPerMessage = 16
+	// modelBodyDepth is the depth down to which a body is decoded: fields and messages. elementCost is what each
+	// of them takes in the maps and lists that hold it, in bytes.
+	modelBodyDepth = 2
+	elementCost    = 256
 	// maxChoices bounds the choices (OpenAI's n) of one request.
 	maxChoices = 16
 )
@@ -86,6 +90,43 @@
 	return data, nil
 }
 
+// chargeDecoding charges what a body takes once it is decoded: a copy, and its fields and messages.
+func chargeDecoding(r *http.Request, data []byte) *refusal {
+	cost := int64(len(data) + countElements(data, modelBodyDepth)*elementCost)
+	var exhausted *aubbudget.ExhaustedError
+	switch err := aubbudget.FromContext(r.Context()).Grow(cost); {
+	case errors.As(err, &exhausted) && exhausted.IsPermanent:
+		return refuse(problemBodyTooLarge).WithDetail("The body has too many fields or messages.")
+	case err != nil:
+		return refuse(problemMemoryExhausted)
+	}
+	return nil
+}
+
+// countElements returns an upper bound on the number of fields and list elements of a JSON document down to the depth.
+func countElements(data []byte, depth int) int {
+	count, level, isText := 0, 0, false
+	for i := 0; i < len(data); i++ {
+		switch b := data[i]; {
+		case isText && b == '\\':
+			i++
+		case b == '"':
+			isText = !isText
+		case isText:
+		case b == '{' || b == '[':
+			level++
+			if level <= depth {
+				count++
+			}
+		case b == '}' || b == ']':
+			level--
+		case b == ',' && level <= depth:
+			count++
+		}
+	}
+	return count
+}
+
 // parseModelBody reads the fields that determine routing and cost.
 func parseModelBody(data []byte) (modelBody, *refusal) {
 	var b modelBody
--- a/internal/aubentry/model_call.go
+++ b/internal/aubentry/model_call.go
@@ -24,6 +24,9 @@
 	if refused := refuseExposedKey(ex, data); refused != nil {
 		return refused
 	}
+	if refused := chargeDecoding(ex.request, data); refused != nil {
+		return refused
+	}
 	body, refused := parseModelBody(data)
 	if refused != nil {
 		return refused
