Reset broken-off responses of HTTP/1.0 also behind a listener's own connection

Callers of HTTP/1.0 saw: a response that was broken off and whose connection ended in an orderly way, which they take for complete.

Cause: the connections of all listeners are wrapped to count what arrives, and the reset looked for the TCP connection one level deep only. Now the TCP connection is found at any depth and closed before what wraps it.

--- a/internal/aubprocess/http_shutdown_test.go
+++ b/internal/aubprocess/http_shutdown_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/auburndale/auburndale/internal/aubbudget"
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubtimer"
+	"github.com/auburndale/auburndale/internal/aubtransport"
 )
 
 // shutdownBound is the time in which a shutdown must end that waits for no request.
@@ -42,8 +44,25 @@
 	return fixture
 }
 
+// TestAbortedResponseOfHTTP10IsReset guards against a response that its caller takes for a complete one, because the
+// connection ends in an orderly way.
+func TestAbortedResponseOfHTTP10IsReset(t *testing.T) {
+	fixture := newShutdownFixture(t)
+	fixture.serve()
+	conn, err := net.Dial("tcp", fixture.server.listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(shutdownBound))
+	_, _ = io.WriteString(conn, "GET /abort HTTP/1.0\r\nHost: a\r\n\r\n")
+	_, err = io.ReadAll(conn)
+	qt.Assert(t, err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
 // ServeHTTP answers with the path, that of /slow after 300 ms.
 func (fixture *shutdownFixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/abort" {
+		aubtransport.AbortResponse(w, r)
+	}
 	if r.URL.Path == "/slow" {
 		time.Sleep(300 * time.Millisecond)
 	}
--- a/internal/aubtransport/abort.go
+++ b/internal/aubtransport/abort.go
@@ -21,11 +21,24 @@
 	if err != nil {
 		return
 	}
-	if encrypted, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = encrypted.NetConn()
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	// Whatever wraps the connection would end it in an orderly way, such as with an alert of TLS.
+	if tcp := unwrapTCP(conn); tcp != nil {
 		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
 	}
 	_ = conn.Close()
 }
+
+// unwrapTCP returns the TCP connection that others wrap, nil without one.
+func unwrapTCP(conn net.Conn) *net.TCPConn {
+	for {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return tcp
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
