Keep the connections of callers whose refused request had a short body

Cause: such a response closed its connection, so that net/http did not wait for the rest of the body.

Now a body of up to 64 KiB is read within a second and the connection kept; longer ones, those of unknown length and those whose read failed close it, and the response is sent at once.

--- a/internal/aubbudget/conn_test.go
+++ b/internal/aubbudget/conn_test.go
@@ -53,9 +53,14 @@
 
 // ServeHTTP implements http.Handler.
 func (fixture *serverFixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/refuse" {
+		FromContext(r.Context()).Refuse(w.Header())
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	data, err := ReadBody(r.Body, r.ContentLength)
 	if err != nil {
-		w.Header().Set("Connection", "close")
+		FromContext(r.Context()).Refuse(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fixture.errors <- err
 		return
@@ -140,6 +145,30 @@
 	}
 }
 
+// TestRefusedRequestKeepsItsConnection guards against refusals that cost a caller its connection although its body
+// was short, and against ones that wait for a body.
+func TestRefusedRequestKeepsItsConnection(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 100, Limits{IdleTimeout: time.Second})
+	request := func(path string, size, sent int) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", path, size) + strings.Repeat("b", sent)
+	}
+	for _, test := range []struct {
+		name, text string
+		want       int
+	}{
+		{"short body", request("/refuse", 5, 5) + request("/", 5, 5), 2},
+		{"short body that stops", request("/refuse", 5, 4), 1},
+		{"long body", request("/refuse", 70000, 70000) + request("/", 5, 5), 1},
+		{"long body that stops", request("/refuse", 70000, 1), 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			answer := fixture.exchange(t, test.text)
+			qt.Assert(t, strings.Count(answer, "HTTP/1.1 "), qt.Equals, test.want, qt.Commentf("%s", answer))
+			qt.Assert(t, answer, qt.Matches, `(?s)HTTP/1\.1 404 .*`)
+		})
+	}
+}
+
 // TestStalledBodyYields guards against stalled bodies that keep a whole one out.
 func TestStalledBodyYields(t *testing.T) {
 	fixture := newServerFixture(t, Machine{Memory: 5 << 20, Descriptors: 1024}, 100, Limits{})
--- a/internal/aubbudget/handler.go
+++ b/internal/aubbudget/handler.go
@@ -16,6 +16,10 @@
 // maxReadBytes bounds what one read of a body charges in advance.
 const maxReadBytes = 32 << 10
 
+// maxSkippedBytes is the size of the largest body that is read for a request that was refused before, so that its
+// connection can be kept.
+const maxSkippedBytes = 64 << 10
+
 // discardTime and discardBytes bound what is read of a body after its request was refused, so that the client can
 // send it and read the response.
 const (
@@ -97,8 +101,19 @@
 	return r.share.Grow(n)
 }
 
-// HasUnreadBody reports whether a part of the body was not read.
-func (r *Request) HasUnreadBody() bool { return r != nil && !r.body.hasEnded }
+// Refuse prepares the header of a refusal for what was not read of the body. The connection stays open if the rest is
+// short and arrives soon; net/http reads it before the response. Else the response closes the connection and is sent
+// at once.
+func (r *Request) Refuse(header http.Header) {
+	if r == nil || r.body.hasEnded {
+		return
+	}
+	if r.body.hasFailed || r.body.size < 0 || r.body.size > maxSkippedBytes {
+		header.Set("Connection", "close")
+		return
+	}
+	r.EndBodyBy(time.Now().Add(discardTime))
+}
 
 // interrupt ends the read of the body. It takes no lock of the connection.
 func (r *Request) interrupt() {
@@ -139,7 +154,7 @@
 	}
 	controller := http.NewResponseController(w)
 	req := &Request{share: share, conn: conn, controller: controller, isHTTP2: isHTTP2}
-	req.body = &body{ReadCloser: r.Body, request: req, hasEnded: r.Body == nil || r.Body == http.NoBody}
+	req.body = &body{ReadCloser: r.Body, request: req, size: r.ContentLength, hasEnded: r.Body == nil || r.Body == http.NoBody}
 	if req.body.hasEnded {
 		conn.endBody()
 	} else {
@@ -195,9 +210,12 @@
 // body charges the bytes of a request's body before they are read.
 type body struct {
 	io.ReadCloser
-	request  *Request
-	deadline time.Time
-	hasEnded bool
+	request *Request
+	// size is the length in bytes, negative if it is not known.
+	size      int64
+	deadline  time.Time
+	hasEnded  bool
+	hasFailed bool
 }
 
 // Read implements io.Reader.
@@ -208,10 +226,12 @@
 	data = data[:min(len(data), maxReadBytes)]
 	share := b.request.share
 	if err := share.Grow(int64(len(data))); err != nil {
+		b.hasFailed = true
 		return 0, err
 	}
 	n, err := b.ReadCloser.Read(data)
 	share.shrink(int64(len(data) - n))
+	b.hasFailed = err != nil
 	switch {
 	case err == nil:
 		return n, nil
--- a/internal/aubentry/body.go
+++ b/internal/aubentry/body.go
@@ -68,9 +68,8 @@
 // readBody reads the request body; one larger than limit bytes is refused.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
 	data, err := aubbudget.ReadBody(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit))
-	if err != nil && aubbudget.FromContext(r.Context()).HasUnreadBody() {
-		// net/http would wait for the rest of the body before it sends the response.
-		w.Header().Set("Connection", "close")
+	if err != nil {
+		aubbudget.FromContext(r.Context()).Refuse(w.Header())
 	}
 	var tooLarge *http.MaxBytesError
 	var exhausted *aubbudget.ExhaustedError
--- a/internal/aubrelay/exchange.go
+++ b/internal/aubrelay/exchange.go
@@ -128,10 +128,7 @@
 	outcome := "answered"
 	if !ex.headerWritten {
 		h.closeConnection(ex)
-		if aubbudget.FromContext(ex.request.Context()).HasUnreadBody() {
-			// net/http would wait for the rest of the body before it sends the response.
-			ex.writer.Header().Set("Connection", "close")
-		}
+		aubbudget.FromContext(ex.request.Context()).Refuse(ex.writer.Header())
 	}
 	switch {
 	case err == nil:
