Let bodies arrive in pieces without waiting for the kernel's timers

Cause: the receive buffer of 16 KiB that it set is smaller than a segment of a loopback connection, so that each window waits for a timer of 200 ms.

Now the buffer is 64 KiB, and a connection counts as 106 KiB in place of 58 KiB, with two fifths of the memory in place of a third for all of them, so that fewer connections fit: 530 at 144 MB, 1,046 at 284 MB.

--- a/internal/aubbudget/conn_test.go
+++ b/internal/aubbudget/conn_test.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// TestBodyInPiecesIsNotHeldUp guards against receive buffers so small that a client with a body of legal size waits for
+// the kernel's timers between its pieces.
+func TestBodyInPiecesIsNotHeldUp(t *testing.T) {
+	fixture := newServerFixture(t, testMachine, 100, Limits{BodyTimeout: 2 * time.Second})
+	const size = 4 << 20
+	for _, piece := range []int{1000, 4096, 10000, 64 << 10} {
+		conn, err := net.Dial("tcp", fixture.address)
+		qt.Assert(t, err, qt.IsNil)
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", size)
+		for sent := 0; sent < size; sent += piece {
+			if _, err := conn.Write(make([]byte, min(piece, size-sent))); err != nil {
+				break
+			}
+		}
+		answer, _ := io.ReadAll(conn)
+		qt.Check(t, string(answer), qt.Matches, `(?s)HTTP/1\.1 200 .*`, qt.Commentf("pieces of %d bytes", piece))
+		_ = conn.Close()
+	}
+}
+
 // TestStalledBodyYields guards against stalled bodies that keep a whole one out.
 func TestStalledBodyYields(t *testing.T) {
 	fixture := newServerFixture(t, Machine{Memory: 5 << 20, Descriptors: 1024}, 100, Limits{})
--- a/internal/aubbudget/machine.go
+++ b/internal/aubbudget/machine.go
@@ -11,20 +11,23 @@
 )
 
 const (
-	// requestShare, responseShare and connectionShare are the divisors of the memory for heads and bodies of
-	// requests, for buffered responses and for connections. heapShare is the part of the memory above which
-	// the garbage collector runs without a pause; the rest is for the program itself and the kernel's buffers.
+	// requestShare and responseShare are the divisors of the memory for heads and bodies of requests and for
+	// buffered responses, connectionShare the part for connections. heapShare is the part of the memory above
+	// which the garbage collector runs without a pause; the rest is for the program itself and the kernel's
+	// buffers.
 	requestShare    = 5
 	responseShare   = 10
-	connectionShare = 3
+	connectionShare = 0.4
 	heapShare       = 0.7
 	// maxResponseBytes limits buffered responses however large the memory is.
 	maxResponseBytes = 16 << 20
 
-	// receiveBufferBytes is the receive buffer of a caller's connection, and connectionBytes what a connection
-	// takes with it: the buffers of the server, two goroutines and the part of a response that each may buffer.
-	receiveBufferBytes = 16 << 10
-	connectionBytes    = 58 << 10
+	// receiveBufferBytes is the receive buffer of a caller's connection. Smaller ones hold no whole segment of a
+	// loopback connection, which then stalls for 200 ms at a time.
+	receiveBufferBytes = 64 << 10
+	// connectionBytes is what a connection takes with that: the buffers of the server, two goroutines and the
+	// part of a response that each may buffer.
+	connectionBytes = 106 << 10
 	// fileDescriptors are kept for files; callers get one of callerDescriptorShare of the others.
 	fileDescriptors       = 200
 	callerDescriptorShare = 2
@@ -86,7 +89,7 @@
 
 // CallerConnections is the number of connections that callers may hold.
 func (m Machine) CallerConnections() int {
-	byMemory := int(min(m.Memory/connectionShare/connectionBytes, math.MaxInt32))
+	byMemory := int(min(connectionShare*float64(m.Memory)/connectionBytes, math.MaxInt32))
 	byDescriptors := (m.Descriptors - fileDescriptors) / callerDescriptorShare
 	return max(min(byMemory, byDescriptors), minConnections)
 }
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -38,7 +38,7 @@
 
 // Machine holds what the process may use.
 type Machine struct {
-	Memory      Size `yaml:"memory" doc:"Memory of the process; 0B means that of the machine. A fifth of it is for heads and bodies of requests, a tenth for buffered responses, a third for callers' connections."`
+	Memory      Size `yaml:"memory" doc:"Memory of the process; 0B means that of the machine. A fifth of it is for heads and bodies of requests, a tenth for buffered responses, two fifths for callers' connections."`
 	Descriptors int  `yaml:"descriptors" doc:"Descriptors of the process; 0 means its limit. Callers' connections get half of those that files leave."`
 }
 
