Count the request line apart from the header fields

Cause: "head" was taken for all of it, while the limit is that of the header. The line has the same limit for itself.

--- a/internal/aubbudget/conn.go
+++ b/internal/aubbudget/conn.go
@@ -66,13 +66,15 @@
 	share *Share
 	// running is the share of the request whose handler runs; nil without one and with HTTP/2.
 	running *Share
-	// headBytes is the size of the part of the head that has arrived, tail the end of it, lines the number of
-	// its lines.
-	headBytes int
-	tail      [2]byte
-	firstLine []byte
-	isHTTP2   bool
-	isClosed  bool
+	// lineBytes is the size of the request line, as far as it has arrived, fieldBytes that of the header fields
+	// with the empty line after them, tail the end of both.
+	lineBytes  int
+	fieldBytes int
+	hasLine    bool
+	tail       [2]byte
+	firstLine  []byte
+	isHTTP2    bool
+	isClosed   bool
 	// isInterrupted is set while the deadline of reads is one of the server's that has passed.
 	isInterrupted bool
 }
@@ -222,8 +224,8 @@
 		c.beginHead(limits)
 	}
 	end, lines := c.scan(data)
-	c.headBytes += end
-	if limits.MaxHeadBytes > 0 && c.headBytes > limits.MaxHeadBytes {
+	c.countHead(data[:end])
+	if limits.MaxHeadBytes > 0 && max(c.lineBytes, c.fieldBytes) > limits.MaxHeadBytes {
 		c.gate.budget.count(func(e *events) { e.largeHeads++ })
 		c.gate.budget.metrics.largeHeads.Inc(1)
 		c.refuse(refusedHead)
@@ -244,12 +246,26 @@
 // beginHead begins to charge a head; the caller holds mu.
 func (c *Conn) beginHead(limits Limits) {
 	c.phase, c.since, c.isInterrupted = phaseHead, c.gate.budget.common.Timer.Now(), false
-	c.headBytes, c.tail, c.firstLine = 0, [2]byte{}, c.firstLine[:0]
+	c.lineBytes, c.fieldBytes, c.hasLine, c.tail, c.firstLine = 0, -len("\r\n"), false, [2]byte{}, c.firstLine[:0]
 	c.share = c.gate.budget.newShare(c.since)
 	c.share.beginReceiving(minEvictAge, func() { _ = c.TCPConn.SetReadDeadline(interruptTime) })
 	c.applyDeadline(limits.HeadTimeout)
 }
 
+// countHead counts the bytes of the request line and those of the header fields; the caller holds mu.
+func (c *Conn) countHead(data []byte) {
+	if !c.hasLine {
+		i := bytes.IndexByte(data, '\n') + 1
+		c.hasLine = i > 0
+		if !c.hasLine {
+			i = len(data)
+		}
+		c.lineBytes += i
+		data = data[i:]
+	}
+	c.fieldBytes += len(data)
+}
+
 // scan returns the number of bytes up to the end of the head, or of all, and the number of all lines. At the end
 // of the head the phase becomes phaseRun. The caller holds mu.
 func (c *Conn) scan(data []byte) (end, lines int) {
--- a/internal/aubbudget/listener.go
+++ b/internal/aubbudget/listener.go
@@ -17,6 +17,7 @@
 
 // Limits are what a client may send and how long it may take. Zero values mean no limit.
 type Limits struct {
+	// MaxHeadBytes limits the request line and, apart from it, the header fields with the ends of their lines.
 	MaxHeadBytes int
 	// HeadTimeout counts from the first byte of a head, IdleTimeout from the end of the response before or the
 	// start of the connection.
