Take the memory of the machine, at most that of the settings

They state the memory of the smallest relays and of the usual control processes instead, as an upper bound for larger machines on which other processes run as well.

--- a/internal/aubbudget/machine.go
+++ b/internal/aubbudget/machine.go
@@ -65,10 +65,10 @@
 	return m
 }
 
-// WithMemory returns a machine with the memory in bytes; 0 changes nothing.
+// WithMemory returns a machine with at most the memory in bytes; 0 changes nothing.
 func (m Machine) WithMemory(bytes int64) Machine {
 	if bytes > 0 {
-		m.Memory = bytes
+		m.Memory = min(m.Memory, bytes)
 	}
 	return m
 }
--- a/internal/aubsettings/settings.go
+++ b/internal/aubsettings/settings.go
@@ -38,8 +38,8 @@
 
 // Machine holds what the process may use.
 type Machine struct {
-	Memory      Size `yaml:"memory" doc:"Memory of the process; 0B means that of the machine. A fifth of it is for heads and bodies of requests, a tenth for buffered responses, two fifths for callers' connections."`
-	Descriptors int  `yaml:"descriptors" doc:"Descriptors of the process; 0 means its limit. Callers' connections get half of those that files leave."`
+	Memory      Size `yaml:"memory" doc:"Memory that the process uses at most of that of the machine; 0B means all. A fifth of it is for heads and bodies of requests, a tenth for buffered responses, two fifths for callers' connections."`
+	Descriptors int  `yaml:"descriptors" doc:"Descriptors that the process uses at most of its limit; 0 means all. Callers' connections get half of those that files leave."`
 }
 
 // TLS holds the settings of a listener's certificates.
