review: case 7, an engine is ordered to load more than it holds

Looked for: plans of the director that are out of date by the time their orders are sent, although each order states the sequence that it expects. Engines of 200,000 MB were ordered to hold 200,044 MB.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -25,7 +25,7 @@
 func main() { os.Exit(runCase()) }
 
 func runCase() int {
-	cases := map[string]play{"forgotten_departure": playForgottenDeparture}
+	cases := map[string]play{"forgotten_departure": playForgottenDeparture, "pending_adapter": playPendingAdapter}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE BINARY FOLDER")
 		return resultNotRun
