--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,7 @@
 		return resultNotRun
 	}
 	defer s.close()
+	closeOnSignal(s)
 	isBroken, err := cases[os.Args[1]](ctx, s, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -56,3 +59,14 @@
 	r.tell("held")
 	return resultHeld
 }
+
+// closeOnSignal ends the processes of the site if the case itself is to end.
+func closeOnSignal(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.close()
+		os.Exit(resultNotRun)
+	}()
+}
