Take no response whose status HTTP does not have

Callers saw: an answer that was none of their backend server's. A response with the status 000 (or 001, 099, -00, +20) reached them through an agent with status 000; at a relay its body came in its place if that read like a response, or whatever followed on the connection.

Cause: net/http reads any three characters that strconv takes for a number. The relay skipped every status below 200 as informational and read the next response from the bytes behind the head, which are the body. Agents, orders and reports took it for a final status.

Now package aubresponse checks the bytes of each head as they are received, before net/http reads them, for the relay, agents and the orders and reports of control processes. Such a response is a failed attempt: sent again where the route allows, else 502, or a stream that is visibly cut. Its connection is closed. Entries refuse such a status of an agent of an earlier release. "Response is broken." tells the fault, `broken_responses` counts them, also heads and bodies that net/http refuses and responses that end early. 101 stays a failure, and is one for agents now: no request asks for another protocol. 600 to 999 stay as they are, as server errors.

--- /dev/null
+++ b/internal/aubagent/broken_response_test.go
@@ -0,0 +1,55 @@
+package aubagent_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/auburndale/auburndale/pkg/aubapi"
+)
+
+// respondBytes returns a handler that sends the response with its placeholders replaced, and closes the connection.
+func respondBytes(response, contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, strings.NewReplacer("TYPE", contentType, "LENGTH", fmt.Sprint(len(body)), "CHUNKS", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), "BODY", body).Replace(response))
+	}
+}
+
+// TestBrokenResponseIsNoAnswer guards against an answer whose head is not HTTP, of an engine or a plain service.
+func TestBrokenResponseIsNoAnswer(t *testing.T) {
+	const (
+		object = `{"id":"1","choices":[{"text":"a"}]}`
+		events = "data: " + object + "\n\ndata: [DONE]\n\n"
+		head   = "Content-Type: TYPE\r\nContent-Length: LENGTH\r\n"
+		whole  = head + "\r\nBODY"
+	)
+	responses := map[string]string{
+		"status 000":                     "HTTP/1.1 000 x\r\n" + whole,
+		"status 099":                     "HTTP/1.1 099 x\r\n" + whole,
+		"status -00":                     "HTTP/1.1 -00 x\r\n" + whole,
+		"switch of protocols":            "HTTP/1.1 101 x\r\n" + whole,
+		"status 000 before the response": "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
+	}
+	for kind, body := range map[string]string{"application/json": object, "text/event-stream": events, "service": object} {
+		for name, response := range responses {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				f := newHandlerFixture(t, respondBytes(response, kind, body), http.NotFound)
+				req := chatRequest("1", "m", "1", kind == "text/event-stream")
+				if kind == "service" {
+					f.opts.EngineURL, f.opts.ServiceURL, f.opts.Services = "", f.opts.EngineURL, []string{"roster"}
+					f.startAgent(t)
+					req = serviceRequest("1", http.MethodPost, "/v1/chat/completions", nil)
+				}
+				_, _, err := f.call(req)
+				checkExecution(t, err, aubapi.ExecutionMayHaveRun)
+			})
+		}
+	}
+}
--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubheader"
+	"github.com/auburndale/auburndale/internal/aubresponse"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 )
 
@@ -43,11 +44,11 @@
 	url     string
 	timeout time.Duration
 	// pooled reuses connections whose last response was read to its end.
-	pooled *http.Transport
+	pooled *aubresponse.RoundTripper
 	// singleUse opens a connection for each request, so that net/http never sends
 	// a request again by itself, whatever its method and headers, and no copy of an
 	// earlier response arrives.
-	singleUse *http.Transport
+	singleUse *aubresponse.RoundTripper
 }
 
 // NewClient returns a client of one backend server. After ctx has ended it keeps no
@@ -56,13 +57,14 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = defaultQueryTimeout
 	}
+	broken := aubresponse.NewLog(common)
 	c := &Client{
 		ctx:       ctx,
 		timer:     common.Timer,
 		url:       opts.URL,
 		timeout:   opts.Timeout,
-		pooled:    newTransport(ctx, false),
-		singleUse: newTransport(context.WithoutCancel(ctx), true),
+		pooled:    aubresponse.NewRoundTripper(newTransport(ctx, false), broken, HeaderRequestID),
+		singleUse: aubresponse.NewRoundTripper(newTransport(context.WithoutCancel(ctx), true), broken, HeaderRequestID),
 	}
 	context.AfterFunc(ctx, c.pooled.CloseIdleConnections)
 	return c
@@ -117,9 +119,6 @@
 	}
 	if err == nil {
 		resp.Body = &responseBody{ReadCloser: resp.Body, client: c}
-		if aubheader.HasStatusLine(resp) {
-			return nil, &UncertainError{Err: errors.Join(ErrBrokenHead, resp.Body.Close())}
-		}
 		return resp, nil
 	}
 	if !gotConn.Load() {
@@ -153,7 +152,7 @@
 
 // transport returns the one that keeps no connection for calls that must not be repeated or
 // come after the end of the client.
-func (c *Client) transport(call Call) *http.Transport {
+func (c *Client) transport(call Call) *aubresponse.RoundTripper {
 	if call.NoRetry || c.ctx.Err() != nil {
 		return c.singleUse
 	}
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// respondRaw sends the bytes of a response.
+func respondRaw(response string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, response)
+			_ = conn.Close()
+		}
+	}
+}
+
 // TestOrderOutcomes checks the error type of an order for each way in which an engine responds or fails.
 func TestOrderOutcomes(t *testing.T) {
 	respond := func(status int, body string) http.HandlerFunc {
@@ -81,6 +91,7 @@
 			},
 			want: outcomeUncertain,
 		},
+		{name: "refused, status 000 before it", handler: respondRaw("HTTP/1.1 000 x\r\n\r\nHTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
 		{name: "connection refused", want: outcomeNotSent},
 	}
 	for _, test := range tests {
--- a/internal/aubengine/error.go
+++ b/internal/aubengine/error.go
@@ -37,8 +37,6 @@
 
 // Errors in an answer.
 var (
-	// ErrBrokenHead means that the head of an answer breaks off and goes on with that of another one.
-	ErrBrokenHead = errors.New("head holds another status line")
 	// ErrIncomplete means that an answer was truncated: a stream ended without its
 	// end mark, or a body before its end.
 	ErrIncomplete = errors.New("answer ended before its end mark")
--- a/internal/aubexecution/executor_test.go
+++ b/internal/aubexecution/executor_test.go
@@ -81,6 +81,13 @@
 	return f
 }
 
+// headWith returns a head with the status and a field of the name.
+func headWith(status int32, name string) *aubwire.ExecuteFrame {
+	f := newFrame(1)
+	f.Frame = &aubwire.ExecuteFrame_Head{Head: &aubwire.FrameHead{Status: status, Headers: []*aubwire.Header{{Name: name, Values: []string{"x"}}}}}
+	return f
+}
+
 func dataFrame(sequence uint64, text string) *aubwire.ExecuteFrame {
 	f := newFrame(sequence)
 	f.Frame = &aubwire.ExecuteFrame_Data{Data: &aubwire.FrameData{Data: []byte(text)}}
@@ -165,6 +172,10 @@
 			body:      "a",
 			execution: aubapi.ExecutionMayHaveRun,
 		},
+		{name: "status 000", script: []scriptedConnection{{frames: frames{headWith(0, "Name"), dataFrame(2, "a"), endFrame(3)}}}, execution: aubapi.ExecutionMayHaveRun},
+		{name: "status of four digits", script: []scriptedConnection{{frames: frames{headWith(1000, "Name"), endFrame(2)}}}, execution: aubapi.ExecutionMayHaveRun},
+		{name: "informational status", script: []scriptedConnection{{frames: frames{headWith(103, "Name"), endFrame(2)}}}, execution: aubapi.ExecutionMayHaveRun},
+		{name: "unusual status", script: []scriptedConnection{{frames: frames{headWith(799, "Name"), dataFrame(2, "a"), endFrame(3)}}}, body: "a"},
 		{name: "end without a head", script: []scriptedConnection{{frames: frames{endFrame(1)}}}, execution: aubapi.ExecutionMayHaveRun},
 		{name: "refused", script: []scriptedConnection{{frames: frames{notRun}}}, execution: aubapi.ExecutionNotRun},
 		{
--- a/internal/aubexecution/response.go
+++ b/internal/aubexecution/response.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburndale/auburndale/internal/aubresponse"
 	"github.com/auburndale/auburndale/internal/aubwire"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
@@ -137,6 +138,9 @@
 	head := frame.GetHead()
 	r.Status = int(head.GetStatus())
 	r.Header = decodeHeader(head.GetHeaders())
+	if err := aubresponse.CheckHead(r.Status); err != nil {
+		return r.newFailure(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, err.Error())
+	}
 	return nil
 }
 
--- a/internal/aubprocess/adapter.go
+++ b/internal/aubprocess/adapter.go
@@ -18,8 +18,8 @@
 	Protocol aubrelay.Protocol
 	// DecodeSite decodes a complete configuration.
 	DecodeSite aubsite.Decode
-	// Engine sends load and unload orders to model engines.
-	Engine auborder.Engine
+	// NewEngine returns a client that sends load and unload orders to model engines.
+	NewEngine func(common aubcommon.Common) auborder.Engine
 	// ReadyHandler returns the handler of the platform's readiness checks.
 	ReadyHandler func(isReady func() bool) http.Handler
 	// ControlHandler returns the handler for operators and for backend servers that
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -163,7 +163,7 @@
 	c.loads = aubregistry.NewLoadAggregator(c.common)
 	c.director = auborder.NewDirector(c.ctx, c.common, auborder.DirectorOpts{
 		Holder:     c.cfg.Name,
-		Engine:     c.adapter.Engine,
+		Engine:     c.adapter.NewEngine(c.common),
 		Leadership: c.replica,
 		Registry:   c.registry,
 		Loads:      c.loads,
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -58,6 +58,7 @@
 	if result.outcome != outcomeFinal {
 		h.logFailedAttempt(ex, choice, result, started)
 	}
+	h.recordBroken(ex, announcement.GetAddress(), resp, result.err)
 	return result
 }
 
@@ -110,6 +111,20 @@
 		zap.Error(result.err))
 }
 
+// recordBroken logs and counts the response of an attempt if it is broken; resp is nil if its head is.
+func (h *Handler) recordBroken(ex *exchange, address string, resp *http.Response, err error) {
+	status := 0
+	if resp != nil {
+		status = resp.StatusCode
+	}
+	h.broken.Record(err,
+		zap.String("request_id", ex.call.ID),
+		zap.String("backend_server", ex.backendID),
+		zap.String("address", address),
+		zap.Int("status", status),
+		zap.Bool("has_begun", ex.headerWritten))
+}
+
 // priorityOf returns the priority of a request at its backend server: defaultPriority plus
 // that of the workspace, or of the route if the workspace sets none, up to maxPriority.
 func priorityOf(ex *exchange) int {
--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubheader"
+	"github.com/auburndale/auburndale/internal/aubresponse"
 )
 
 const (
@@ -44,6 +45,7 @@
 type backendConn struct {
 	address string
 	log     *unsolicitedLog
+	checked *aubresponse.Conn
 	conn    *sentMarker
 	head    *headReader
 	reader  *bufio.Reader
@@ -76,10 +78,11 @@
 
 // newBackendConn returns a connection that is watched while it is idle, until it is closed.
 func newBackendConn(conn net.Conn, address string, log *unsolicitedLog) *backendConn {
-	sent := &sentMarker{Conn: conn}
-	head := &headReader{reader: conn, left: aubheader.MaxResponseBytes}
+	checked := aubresponse.NewConn(conn)
+	sent := &sentMarker{Conn: checked}
+	head := &headReader{reader: checked, left: aubheader.MaxResponseBytes}
 	c := &backendConn{
-		address: address, log: log, conn: sent, head: head,
+		address: address, log: log, checked: checked, conn: sent, head: head,
 		reader: bufio.NewReaderSize(head, connBufferBytes), writer: bufio.NewWriterSize(sent, connBufferBytes),
 		tasks: make(chan func(), 1), watched: make(chan bool, 1), closed: make(chan struct{}),
 	}
@@ -143,7 +146,7 @@
 		return false
 	}
 	// The watch may have been ended before it began to read.
-	received, isOpen := readAvailable(c.conn.Conn)
+	received, isOpen := readAvailable(c.checked.NetConn())
 	if len(received) > 0 {
 		c.recordUnsolicited(received)
 	}
@@ -242,13 +245,17 @@
 // readResponse reads the next response that is not informational.
 func (c *backendConn) readResponse(req *http.Request) (*http.Response, error) {
 	c.head.left = aubheader.MaxResponseBytes
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.checked.ExpectResponse(buffered); err != nil {
+		return nil, err
+	}
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
-			return nil, err
+			return nil, c.checked.HeadError(err)
 		}
-		if aubheader.HasStatusLine(resp) {
-			return nil, &brokenHeadError{}
+		if err := aubresponse.CheckResponse(resp); err != nil {
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -259,7 +266,7 @@
 		resp.Body = c.response
 		return resp, nil
 	}
-	return nil, &informationalError{count: maxInformational + 1}
+	return nil, &aubresponse.BrokenError{Fault: aubresponse.FaultHead, Err: &informationalError{count: maxInformational + 1}}
 }
 
 // hasCarried reports whether an earlier request with the id was sent on the connection.
@@ -296,13 +303,14 @@
 	isComplete atomic.Bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The error is io.EOF once the whole response was received, and *aubresponse.BrokenError if that can't be.
 func (b *responseBody) Read(data []byte) (int, error) {
 	n, err := b.reader.Read(data)
-	if errors.Is(err, io.EOF) {
-		b.isComplete.Store(true)
+	if !errors.Is(err, io.EOF) {
+		return n, aubresponse.BodyError(err)
 	}
-	return n, err
+	b.isComplete.Store(true)
+	return n, io.EOF
 }
 
 // Close implements io.Closer.
--- /dev/null
+++ b/internal/aubrelay/broken_response_test.go
@@ -0,0 +1,81 @@
+package aubrelay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// brokenResponses are responses that leave their connection open, with their faults.
+var brokenResponses = map[string]struct{ response, fault string }{
+	"status":        {"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "invalid_status"},
+	"length":        {"HTTP/1.1 200 OK\r\nContent-Length: 1, 2\r\n\r\n", "malformed_head"},
+	"chunk":         {"HTTP/1.1 200 OK\r\nHEAD\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", "malformed_body"},
+	"informational": {strings.Repeat("HTTP/1.1 103 x\r\n\r\n", 7), "malformed_head"},
+}
+
+// TestConnectionOfABrokenResponseIsClosed guards against a connection that carries a request after a broken response, and checks
+// that the response is logged and counted.
+func TestConnectionOfABrokenResponseIsClosed(t *testing.T) {
+	for name, test := range brokenResponses {
+		t.Run(name, func(t *testing.T) {
+			fixture := newRelayFixture(t, "b1")
+			fixture.removeTimeouts()
+			isClosed := make(chan bool, 1)
+			fixture.setBehaviors(func(b *backend, w http.ResponseWriter, r *http.Request) {
+				b.recordRun(r)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				head := fmt.Sprintf("%s: %s\r\n%s: b", headerID, r.Header.Get(headerID), headerSigned)
+				fmt.Fprint(conn, strings.Replace(test.response, "HEAD", head, 1))
+				_ = conn.SetReadDeadline(time.Now().Add(connTimeout))
+				_, err = bufio.NewReader(conn).ReadByte()
+				isClosed <- err != nil && !isTimeout(err)
+			})
+			checkNoAnswer(t, name, fixture.call(http.MethodPost, "/write/x", "1", nil))
+			qt.Check(t, <-isClosed, qt.IsTrue)
+			qt.Check(t, fixture.countBroken(test.fault), qt.Equals, int64(1))
+			lines := fixture.logs.FilterMessage("Response is broken.").All()
+			qt.Assert(t, lines, qt.HasLen, 1)
+			fields := lines[0].ContextMap()
+			qt.Check(t, fields["fault"], qt.Equals, any(test.fault))
+			qt.Check(t, fields["request_id"], qt.Equals, any("1"))
+			qt.Check(t, fields["backend_server"], qt.Equals, any("b1"))
+			qt.Check(t, fields["error"], qt.Not(qt.Equals), any(""))
+		})
+	}
+}
+
+// isTimeout reports whether the error is a passed deadline.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// countBroken returns the number of broken responses with the fault.
+func (fixture *relayFixture) countBroken(fault string) int64 {
+	for _, counter := range fixture.scope.Snapshot().Counters() {
+		if counter.Name() == "relay.broken_responses" && counter.Tags()["fault"] == fault {
+			return counter.Value()
+		}
+	}
+	return 0
+}
+
+// TestSoundAndMissingResponsesAreNotBroken guards against counts of broken responses for callers that leave, requests that time out and
+// connections that end without a response.
+func TestSoundAndMissingResponsesAreNotBroken(t *testing.T) {
+	fixture := newRelayFixture(t, "b1")
+	fixture.setBehaviors(respondOK, respondError, refuseNotRun, dropResponse, stallUntilCanceled)
+	for i, path := range []string{"/write/x", "/write/x", "/write/x", "/write/x", "/write/x"} {
+		fixture.call(http.MethodPost, path, fmt.Sprint(i), nil)
+	}
+	qt.Check(t, fixture.logs.FilterMessage("Response is broken.").Len(), qt.Equals, 0)
+}
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -94,12 +94,6 @@
 	return fmt.Sprintf("header of the answer has more than %d bytes", e.bytes)
 }
 
-// brokenHeadError is a response whose head breaks off and goes on with that of another one.
-type brokenHeadError struct{}
-
-// Error implements error.
-func (e *brokenHeadError) Error() string { return "header of the answer holds another status line" }
-
 // informationalError is a response that does not come after many informational ones.
 type informationalError struct{ count int }
 
--- a/internal/aubrelay/handler.go
+++ b/internal/aubrelay/handler.go
@@ -18,6 +18,7 @@
 	"github.com/auburndale/auburndale/internal/aublimit"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
+	"github.com/auburndale/auburndale/internal/aubresponse"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubsite"
@@ -105,6 +106,7 @@
 	metrics metrics
 	// unsolicited records the responses that belong to no request.
 	unsolicited *unsolicitedLog
+	broken      *aubresponse.Log
 	admitter    *admitter
 	unread      *unreadBytes
 	buffers     *bufferBudget
@@ -124,6 +126,7 @@
 		admitter:    newAdmitter(common),
 		conns:       newConnPool(ctx, common.Timer, opts.Dial, unsolicited),
 		unsolicited: unsolicited,
+		broken:      aubresponse.NewLog(common),
 		startedAt:   common.Timer.Now(),
 		metrics:     newMetrics(common.Metrics),
 		unread:      newUnreadBytes(opts.Writes.MaxUnread),
--- a/internal/aubrelay/stream.go
+++ b/internal/aubrelay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubevent"
+	"github.com/auburndale/auburndale/internal/aubresponse"
 	"github.com/auburndale/auburndale/internal/aubroute"
 	"github.com/auburndale/auburndale/internal/aubspeed"
 )
@@ -35,7 +36,7 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && lastEventAt.IsZero() && (isUnframed(resp) || ex.lastEventID != NoEventID) {
-			err = &emptyStreamError{}
+			err = &aubresponse.BrokenError{Fault: aubresponse.FaultTruncated, Err: &emptyStreamError{}}
 		}
 		if errors.Is(err, io.EOF) {
 			return h.finishStream(ex, resp)
@@ -150,7 +151,7 @@
 }
 
 // next returns the next complete event. Errors are io.EOF if the stream ends after an
-// event, io.ErrUnexpectedEOF if it ends within one, *eventSizeError for an event above
+// event, *aubresponse.BrokenError if it ends within one, *eventSizeError for an event above
 // maxEventBytes or one that finds all buffers full, and those of the connection.
 func (e *eventReader) next() (event, error) {
 	e.buffered.release()
@@ -166,7 +167,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(ev.data) > 0:
-			return event{}, io.ErrUnexpectedEOF
+			return event{}, aubresponse.BodyError(io.ErrUnexpectedEOF)
 		case err != nil:
 			return event{}, err
 		}
