Take no response whose head holds a line that is no field

Callers saw: an answer of a backend server whose head held a blank in the name of a field, and a body that was not the backend server's: with "Content-Length : 5" more than five bytes, with "Transfer-Encoding : chunked" the framing of the chunks. With a LF before a name the head ended there, and the lines behind it were the body.

Cause: net/http accepts a name with spaces and keeps it as another field, so that it frames nothing. It takes a line that begins with a space for the end of the value before it, and a LF alone for the end of a line. It also lets control bytes in the reason phrase pass. Other control bytes and separators in names, and control bytes in values, it refused before; those cases stay as tests.

Now each line of a head is checked as it is received: the names and values with httpguts, line ends for being those of the status line, and folded lines that read like a field are refused (RFC 9112, section 5.2, allows that; others are still joined by a space). A violation ends the read before net/http sees the line, so that nothing of the response is used, whatever the field would have meant. FuzzHead: the verdict doesn't depend on the parts in which a head is received.

--- a/internal/aubagent/broken_response_test.go
+++ b/internal/aubagent/broken_response_test.go
@@ -30,11 +30,20 @@
 		whole  = head + "\r\nBODY"
 	)
 	responses := map[string]string{
-		"status 000":                     "HTTP/1.1 000 x\r\n" + whole,
-		"status 099":                     "HTTP/1.1 099 x\r\n" + whole,
-		"status -00":                     "HTTP/1.1 -00 x\r\n" + whole,
-		"switch of protocols":            "HTTP/1.1 101 x\r\n" + whole,
-		"status 000 before the response": "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
+		"status 000":                       "HTTP/1.1 000 x\r\n" + whole,
+		"status 099":                       "HTTP/1.1 099 x\r\n" + whole,
+		"status -00":                       "HTTP/1.1 -00 x\r\n" + whole,
+		"switch of protocols":              "HTTP/1.1 101 x\r\n" + whole,
+		"status 000 before the response":   "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
+		"space in a name":                  "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + whole,
+		"space after a name":               "HTTP/1.1 200 OK\r\nName : x\r\n" + whole,
+		"space before a name":              "HTTP/1.1 200 OK\r\nServer: b\r\n Name: x\r\n" + whole,
+		"control byte in a name":           "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n" + whole,
+		"LF before a name":                 "HTTP/1.1 200 OK\r\n\nName: x\r\n" + whole,
+		"space after the name of a length": "HTTP/1.1 200 OK\r\nContent-Type: TYPE\r\nContent-Length : LENGTH\r\n\r\nBODY",
+		"space after the name of chunks":   "HTTP/1.1 200 OK\r\nContent-Type: TYPE\r\nTransfer-Encoding : chunked\r\n\r\nCHUNKS",
+		"informational response":           "HTTP/1.1 103 x\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
+		"error with a space in a name":     "HTTP/1.1 404 x\r\nBad Name: x\r\n" + whole,
 	}
 	for kind, body := range map[string]string{"application/json": object, "text/event-stream": events, "service": object} {
 		for name, response := range responses {
--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -92,6 +92,8 @@
 			want: outcomeUncertain,
 		},
 		{name: "refused, status 000 before it", handler: respondRaw("HTTP/1.1 000 x\r\n\r\nHTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
+		{name: "refused, space in a field name", handler: respondRaw("HTTP/1.1 400 x\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
+		{name: "succeeded, space in a field name", handler: respondRaw("HTTP/1.1 200 x\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
 		{name: "connection refused", want: outcomeNotSent},
 	}
 	for _, test := range tests {
--- a/internal/aubexecution/executor_test.go
+++ b/internal/aubexecution/executor_test.go
@@ -175,6 +175,7 @@
 		{name: "status 000", script: []scriptedConnection{{frames: frames{headWith(0, "Name"), dataFrame(2, "a"), endFrame(3)}}}, execution: aubapi.ExecutionMayHaveRun},
 		{name: "status of four digits", script: []scriptedConnection{{frames: frames{headWith(1000, "Name"), endFrame(2)}}}, execution: aubapi.ExecutionMayHaveRun},
 		{name: "informational status", script: []scriptedConnection{{frames: frames{headWith(103, "Name"), endFrame(2)}}}, execution: aubapi.ExecutionMayHaveRun},
+		{name: "space in a field name", script: []scriptedConnection{{frames: frames{headWith(200, "Bad Name"), endFrame(2)}}}, execution: aubapi.ExecutionMayHaveRun},
 		{name: "unusual status", script: []scriptedConnection{{frames: frames{headWith(799, "Name"), dataFrame(2, "a"), endFrame(3)}}}, body: "a"},
 		{name: "end without a head", script: []scriptedConnection{{frames: frames{endFrame(1)}}}, execution: aubapi.ExecutionMayHaveRun},
 		{name: "refused", script: []scriptedConnection{{frames: frames{notRun}}}, execution: aubapi.ExecutionNotRun},
--- a/internal/aubexecution/response.go
+++ b/internal/aubexecution/response.go
@@ -138,7 +138,7 @@
 	head := frame.GetHead()
 	r.Status = int(head.GetStatus())
 	r.Header = decodeHeader(head.GetHeaders())
-	if err := aubresponse.CheckHead(r.Status); err != nil {
+	if err := aubresponse.CheckHead(r.Status, r.Header); err != nil {
 		return r.newFailure(aubwire.FailureReason_FAILURE_REASON_INCOMPLETE, err.Error())
 	}
 	return nil
--- a/internal/aubrelay/broken_head_test.go
+++ b/internal/aubrelay/broken_head_test.go
@@ -121,3 +121,50 @@
 		})
 	}
 }
+
+// TestMalformedFieldIsNoResponse guards against a response whose head holds a line that is no field, which is passed on, or
+// whose body ends elsewhere than its backend server meant because the line frames it.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	for name, parts := range map[string]responseParts{
+		"space in a name":                   {lines: "Bad Name: x\r\n"},
+		"space after a name":                {lines: "Name : x\r\n"},
+		"tab in a name":                     {lines: "Bad\tName: x\r\n"},
+		"tab after a name":                  {lines: "Name\t: x\r\n"},
+		"space before a name":               {lines: "Server: b\r\n Name: x\r\n"},
+		"tab before a name":                 {lines: "Server: b\r\n\tName: x\r\n"},
+		"space before and after a name":     {lines: "Server: b\r\n Name : x\r\n"},
+		"space before the first name":       {lines: " Name: x\r\n"},
+		"NUL in a name":                     {lines: "Bad\x00Name: x\r\n"},
+		"control byte in a name":            {lines: "Bad\x01Name: x\r\n"},
+		"DEL in a name":                     {lines: "Bad\x7fName: x\r\n"},
+		"CR in a name":                      {lines: "Bad\rName: x\r\n"},
+		"CR before a name":                  {lines: "\rName: x\r\n"},
+		"LF in a name":                      {lines: "Bad\nName: x\r\n"},
+		"LF before a name":                  {lines: "\nName: x\r\n"},
+		"LF after a name":                   {lines: "Name\n: x\r\n"},
+		"LF in a value":                     {lines: "Server: b\nName: x\r\n"},
+		"separator in a name":               {lines: "Bad(Name): x\r\n"},
+		"byte above ASCII in a name":        {lines: "N\xe4me: x\r\n"},
+		"empty name":                        {lines: ": x\r\n"},
+		"no colon":                          {lines: "Name\r\n"},
+		"NUL in a value":                    {lines: "Server: a\x00b\r\n"},
+		"CR in a value":                     {lines: "Server: a\rb\r\n"},
+		"CR at the end of a value":          {lines: "Server: a\r\r\n"},
+		"control byte in the reason phrase": {status: "200 O\x01K"},
+		"space after the name of a length":  {framing: "Content-Length : 3\r\n"},
+		"folded length":                     {lines: "Server: b\r\n", framing: " Content-Length: 3\r\n"},
+		"space after the name of chunks":    {framing: "Transfer-Encoding : chunked\r\n"},
+		"tab after the name of chunks":      {framing: "Transfer-Encoding\t: chunked\r\n"},
+		"informational response":            {before: "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n"},
+		"HTTP/1.0":                          {version: "HTTP/1.0", lines: "Bad Name: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, respondBytes(parts))
+			if parts.lines != "" {
+				parts.lines, parts.lastLines = "", parts.lines
+				checkBroken(t, respondBytes(parts))
+			}
+		})
+	}
+}
--- a/internal/aubresponse/head.go
+++ b/internal/aubresponse/head.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/auburndale/auburndale/internal/aubheader"
 )
 
@@ -23,11 +25,21 @@
 	return nil
 }
 
-// CheckHead returns a *BrokenError unless a final response can have the status.
-func CheckHead(status int) error {
+// CheckHead returns a *BrokenError unless a final response can have the status and the fields.
+func CheckHead(status int, header http.Header) error {
 	if status < http.StatusOK || status > maxStatus {
 		return newBrokenError(FaultStatus, "status %d", status)
 	}
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return newBrokenError(FaultHead, "field name %q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return newBrokenError(FaultHead, "value of field %s", name)
+			}
+		}
+	}
 	return nil
 }
 
@@ -46,7 +58,9 @@
 type headScanner struct {
 	next headPart
 	// line is the beginning of a line whose end was not received yet.
-	line            []byte
+	line []byte
+	// endsWithCR is set if the status line ends with CRLF, not with LF alone.
+	endsWithCR      bool
 	isInformational bool
 	// err is the first violation.
 	err error
@@ -80,16 +94,25 @@
 
 // checkLine checks a line without its LF.
 func (s *headScanner) checkLine(line string) error {
-	line = strings.TrimSuffix(line, "\r")
+	text, hasCR := strings.CutSuffix(line, "\r")
+	if s.next == partStatusLine {
+		s.endsWithCR = hasCR
+		return s.checkStatusLine(text)
+	}
 	switch {
-	case s.next == partStatusLine:
-		return s.checkStatusLine(line)
-	case line == "" && s.isInformational:
+	case hasCR != s.endsWithCR:
+		// A line break within a line would end the head early.
+		return newBrokenError(FaultHead, "lines end differently")
+	case text == "" && s.isInformational:
 		s.next = partStatusLine
-	case line == "":
+		return nil
+	case text == "":
 		s.next = partNone
+		return nil
+	case text[0] == ' ' || text[0] == '\t':
+		return checkFolded(text)
 	}
-	return nil
+	return s.checkField(text)
 }
 
 func (s *headScanner) checkStatusLine(line string) error {
@@ -100,6 +123,8 @@
 	switch {
 	case !isVersion, !isStatus:
 		return nil
+	case !httpguts.ValidHeaderFieldValue(rest):
+		return newBrokenError(FaultHead, "status line %q", line)
 	case status < minStatus, status == http.StatusSwitchingProtocols:
 		// No request asks for another protocol.
 		return newBrokenError(FaultStatus, "status line %q", line)
@@ -115,3 +140,27 @@
 	status, err := strconv.Atoi(digits)
 	return status, err == nil
 }
+
+func (s *headScanner) checkField(line string) error {
+	name, value, ok := strings.Cut(line, ":")
+	switch {
+	case !ok || !httpguts.ValidHeaderFieldName(name):
+		return newBrokenError(FaultHead, "field name %q", name)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return newBrokenError(FaultHead, "value of field %s", name)
+	}
+	return nil
+}
+
+// checkFolded checks a line that goes on with the value of the field before it. net/http replaces the line break by a space. A
+// line that reads like a field could be one whose name begins with a space; RFC 9112, section 5.2, allows to refuse it.
+func checkFolded(line string) error {
+	name, _, hasColon := strings.Cut(strings.Trim(line, " \t"), ":")
+	if hasColon && httpguts.ValidHeaderFieldName(strings.TrimRight(name, " \t")) {
+		return newBrokenError(FaultHead, "field name %q", line[:1]+name)
+	}
+	if !httpguts.ValidHeaderFieldValue(line) {
+		return newBrokenError(FaultHead, "folded line %q", line)
+	}
+	return nil
+}
--- a/internal/aubresponse/head_test.go
+++ b/internal/aubresponse/head_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/auburndale/auburndale/internal/aubresponse"
 )
@@ -64,26 +66,35 @@
 		fault aubresponse.Fault
 		isOK  bool
 	}{
-		"whole":                   {head: ok + "Name: x\r\n\r\n", isOK: true},
-		"no field":                {head: ok + "\r\n", isOK: true},
-		"lines end with LF":       {head: "HTTP/1.1 200 OK\nName: x\n\n", isOK: true},
-		"informational":           {head: "HTTP/1.1 103 x\r\nName: x\r\n\r\n" + ok + "\r\n", isOK: true},
-		"bytes after the head":    {head: ok + "\r\nBad Name: x\r\n\r\n", isOK: true},
-		"folded":                  {head: ok + "Name: x\r\n y z\r\n\r\n", isOK: true},
-		"folded without a text":   {head: ok + "Name: x\r\n \r\n\r\n", isOK: true},
-		"status 999":              {head: "HTTP/1.1 999 x\r\n\r\n", isOK: true},
-		"status 000":              {head: "HTTP/1.1 000 x\r\n\r\n", fault: aubresponse.FaultStatus},
-		"status 000, no phrase":   {head: "HTTP/1.1 000\r\n\r\n", fault: aubresponse.FaultStatus},
-		"negative status":         {head: "HTTP/1.1 -00 x\r\n\r\n", fault: aubresponse.FaultStatus},
-		"switch of protocols":     {head: "HTTP/1.1 101 x\r\n\r\n", fault: aubresponse.FaultStatus},
-		"status after another":    {head: "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 x\r\n\r\n", fault: aubresponse.FaultStatus},
-		"control byte in a name":  {head: ok + "Bad\x01Name: x\r\n\r\n", fault: aubresponse.FaultHead},
-		"no colon":                {head: ok + "Name\r\n\r\n", fault: aubresponse.FaultHead},
-		"no status line":          {head: "Name: x\r\n\r\n", fault: aubresponse.FaultHead},
-		"no digits in the status": {head: "HTTP/1.1 2xx x\r\n\r\n", fault: aubresponse.FaultHead},
-		"empty":                   {head: "\r\n", fault: aubresponse.FaultHead},
-		"ends within a line":      {head: ok + "Name: x", fault: aubresponse.FaultTruncated},
-		"ends within the head":    {head: ok + "Name: x\r\n", fault: aubresponse.FaultTruncated},
+		"whole":                    {head: ok + "Name: x\r\n\r\n", isOK: true},
+		"no field":                 {head: ok + "\r\n", isOK: true},
+		"lines end with LF":        {head: "HTTP/1.1 200 OK\nName: x\n\n", isOK: true},
+		"informational":            {head: "HTTP/1.1 103 x\r\nName: x\r\n\r\n" + ok + "\r\n", isOK: true},
+		"bytes after the head":     {head: ok + "\r\nBad Name: x\r\n\r\n", isOK: true},
+		"folded":                   {head: ok + "Name: x\r\n y z\r\n\r\n", isOK: true},
+		"folded without a text":    {head: ok + "Name: x\r\n \r\n\r\n", isOK: true},
+		"status 999":               {head: "HTTP/1.1 999 x\r\n\r\n", isOK: true},
+		"status 000":               {head: "HTTP/1.1 000 x\r\n\r\n", fault: aubresponse.FaultStatus},
+		"status 000, no phrase":    {head: "HTTP/1.1 000\r\n\r\n", fault: aubresponse.FaultStatus},
+		"negative status":          {head: "HTTP/1.1 -00 x\r\n\r\n", fault: aubresponse.FaultStatus},
+		"switch of protocols":      {head: "HTTP/1.1 101 x\r\n\r\n", fault: aubresponse.FaultStatus},
+		"status after another":     {head: "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 000 x\r\n\r\n", fault: aubresponse.FaultStatus},
+		"reason phrase":            {head: "HTTP/1.1 200 \x01\r\n\r\n", fault: aubresponse.FaultHead},
+		"space in a name":          {head: ok + "Bad Name: x\r\n\r\n", fault: aubresponse.FaultHead},
+		"space after a name":       {head: ok + "Name : x\r\n\r\n", fault: aubresponse.FaultHead},
+		"name of another response": {head: "HTTP/1.1 103 x\r\nName : x\r\n\r\n" + ok + "\r\n", fault: aubresponse.FaultHead},
+		"LF before a name":         {head: ok + "\nName: x\r\n\r\n", fault: aubresponse.FaultHead},
+		"LF at the end":            {head: ok + "Name: x\r\n\n", fault: aubresponse.FaultHead},
+		"CRLF after LF":            {head: "HTTP/1.1 200 OK\nName: x\r\n\n", fault: aubresponse.FaultHead},
+		"folded field":             {head: ok + "Name: x\r\n Name: x\r\n\r\n", fault: aubresponse.FaultHead},
+		"folded control byte":      {head: ok + "Name: x\r\n \x01\r\n\r\n", fault: aubresponse.FaultHead},
+		"control byte in a name":   {head: ok + "Bad\x01Name: x\r\n\r\n", fault: aubresponse.FaultHead},
+		"no colon":                 {head: ok + "Name\r\n\r\n", fault: aubresponse.FaultHead},
+		"no status line":           {head: "Name: x\r\n\r\n", fault: aubresponse.FaultHead},
+		"no digits in the status":  {head: "HTTP/1.1 2xx x\r\n\r\n", fault: aubresponse.FaultHead},
+		"empty":                    {head: "\r\n", fault: aubresponse.FaultHead},
+		"ends within a line":       {head: ok + "Name: x", fault: aubresponse.FaultTruncated},
+		"ends within the head":     {head: ok + "Name: x\r\n", fault: aubresponse.FaultTruncated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for partBytes := 1; partBytes <= len(test.head); partBytes++ {
@@ -105,7 +116,7 @@
 // TestBufferedBytesOfAHeadAreChecked guards against a response whose head was received with the response before it.
 func TestBufferedBytesOfAHeadAreChecked(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-	for second, isOK := range map[string]bool{first: true, "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n": false} {
+	for second, isOK := range map[string]bool{first: true, "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n": false} {
 		for partBytes := 1; partBytes <= len(first+second); partBytes++ {
 			conn := aubresponse.NewConn(&scriptedConn{parts: inParts([]byte(first+second), partBytes)})
 			reader := bufio.NewReader(conn)
@@ -126,7 +137,7 @@
 }
 
 // FuzzHead checks that the verdict on a head doesn't depend on the parts in which it is received, and that a response which is
-// returned has a status that HTTP allows.
+// returned has a status and fields that HTTP allows.
 func FuzzHead(f *testing.F) {
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\nName: x\r\n\r\nbody", "HTTP/1.1 000 x\r\n\r\n", "HTTP/1.1 103 x\r\nLink: <x>\r\n\r\nHTTP/1.0 200 OK\r\n\r\n",
@@ -146,6 +157,10 @@
 		}
 		qt.Assert(t, whole.Header, qt.DeepEquals, inParts.Header)
 		qt.Assert(t, whole.StatusCode >= http.StatusOK && whole.StatusCode <= 999, qt.IsTrue, qt.Commentf("%d", whole.StatusCode))
+		for name, values := range whole.Header {
+			qt.Assert(t, httpguts.ValidHeaderFieldName(name), qt.IsTrue, qt.Commentf("%q", name))
+			qt.Assert(t, httpguts.ValidHeaderFieldValue(strings.Join(values, "")), qt.IsTrue, qt.Commentf("%q", values))
+		}
 		_, _ = whole.Body.Close(), inParts.Body.Close()
 	})
 }
