Take no response in chunks before HTTP/1.1 and no malformed trailer

A trailer whose field name held a blank ended an answer that was taken for whole, and its connection carried the next request.

Cause: net/http drops the transfer coding of such a response and reads up to the end of the connection, or to its length. RFC 9112, section 6.1, has it treated as faulty framing. Trailers are read with the same rules as heads, without a check afterwards.

A control byte in a trailer's name was refused before; its test stays.

Now a transfer coding below HTTP/1.1 is a violation of the head, and the end of a body counts only once the trailer was checked. A response with a transfer coding and a length stays as it is: RFC 9112, section 6.3, says where it ends.

--- a/internal/aubagent/broken_response_test.go
+++ b/internal/aubagent/broken_response_test.go
@@ -43,13 +43,21 @@
 		"space after the name of a length": "HTTP/1.1 200 OK\r\nContent-Type: TYPE\r\nContent-Length : LENGTH\r\n\r\nBODY",
 		"space after the name of chunks":   "HTTP/1.1 200 OK\r\nContent-Type: TYPE\r\nTransfer-Encoding : chunked\r\n\r\nCHUNKS",
 		"informational response":           "HTTP/1.1 103 x\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + whole,
+		"chunks before HTTP/1.1":           "HTTP/1.0 200 OK\r\nContent-Type: TYPE\r\nTransfer-Encoding: chunked\r\n\r\nCHUNKS",
+		"space in the name of a trailer":   "HTTP/1.1 200 OK\r\nContent-Type: TYPE\r\nTransfer-Encoding: chunked\r\n\r\nTRAILED",
 		"error with a space in a name":     "HTTP/1.1 404 x\r\nBad Name: x\r\n" + whole,
 	}
 	for kind, body := range map[string]string{"application/json": object, "text/event-stream": events, "service": object} {
 		for name, response := range responses {
+			if name == "space in the name of a trailer" && kind == "text/event-stream" {
+				// The end mark completes the answer.
+				continue
+			}
 			t.Run(kind+", "+name, func(t *testing.T) {
 				t.Parallel()
-				f := newHandlerFixture(t, respondBytes(response, kind, body), http.NotFound)
+				trailed := fmt.Sprintf("%x\r\n%s\r\n0\r\nBad Name: x\r\n\r\n", len(body), body)
+				handle := respondBytes(strings.Replace(response, "TRAILED", trailed, 1), kind, body)
+				f := newHandlerFixture(t, handle, http.NotFound)
 				req := chatRequest("1", "m", "1", kind == "text/event-stream")
 				if kind == "service" {
 					f.opts.EngineURL, f.opts.ServiceURL, f.opts.Services = "", f.opts.EngineURL, []string{"roster"}
--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		c.head.left = math.MaxInt64
-		c.response = &responseBody{reader: resp.Body, keepsConn: !resp.Close}
+		c.response = &responseBody{reader: resp.Body, resp: resp, keepsConn: !resp.Close}
 		c.response.isComplete.Store(resp.Body == http.NoBody)
 		resp.Body = c.response
 		return resp, nil
@@ -297,6 +297,7 @@
 // responseBody is the body of a response. Closing it neither reads the rest nor closes the connection.
 type responseBody struct {
 	reader io.Reader
+	resp   *http.Response
 	// keepsConn is set if the backend server keeps the connection open after the response.
 	keepsConn bool
 	// isComplete is set once the whole body was read.
@@ -309,6 +310,9 @@
 	if !errors.Is(err, io.EOF) {
 		return n, aubresponse.BodyError(err)
 	}
+	if err := aubresponse.CheckTrailer(b.resp.Trailer); err != nil {
+		return n, err
+	}
 	b.isComplete.Store(true)
 	return n, io.EOF
 }
--- a/internal/aubrelay/broken_head_test.go
+++ b/internal/aubrelay/broken_head_test.go
@@ -168,3 +168,35 @@
 		})
 	}
 }
+
+// TestFaultyFramingIsNoResponse guards against a response whose body reaches the caller with the coding of its transfer, because its
+// version has none, and against one whose trailer is not HTTP.
+func TestFaultyFramingIsNoResponse(t *testing.T) {
+	for name, parts := range map[string]responseParts{
+		"chunks before HTTP/1.1":              {version: "HTTP/1.0", framing: "Transfer-Encoding: chunked\r\n"},
+		"chunks and a length before HTTP/1.1": {version: "HTTP/1.0", lines: "Transfer-Encoding: chunked\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, respondBytes(parts))
+		})
+	}
+	for name, trailer := range map[string]string{"space in a name": "Bad Name: x\r\n", "space after a name": "Name : x\r\n", "control byte in a name": "Bad\x01Name: x\r\n"} {
+		for _, path := range []string{"/read/x", "/write/x"} {
+			t.Run("trailer, "+name+path, func(t *testing.T) {
+				fixture := newRelayFixture(t, "b1", "b2")
+				fixture.removeTimeouts()
+				fixture.setBehaviors(inOrder(func(b *backend, w http.ResponseWriter, r *http.Request) {
+					response := responseParts{framing: "Transfer-Encoding: chunked\r\n"}.encode(r.Header.Get(headerID), "trailed")
+					truncatedResponse(strings.TrimSuffix(response, "\r\n")+trailer+"\r\n", false)(b, w, r)
+				}, respondOK), respondOK)
+				result := fixture.call(http.MethodPost, path, "1", nil)
+				if responsePaths[path] {
+					qt.Check(t, result.body, qt.Equals, "answer to 1")
+				} else {
+					checkNoAnswer(t, path, result)
+				}
+			})
+		}
+	}
+}
--- a/internal/aubrelay/broken_response_test.go
+++ b/internal/aubrelay/broken_response_test.go
@@ -18,7 +18,9 @@
 	"status":        {"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "invalid_status"},
 	"field name":    {"HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n", "malformed_head"},
 	"length":        {"HTTP/1.1 200 OK\r\nContent-Length: 1, 2\r\n\r\n", "malformed_head"},
+	"coding":        {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "faulty_framing"},
 	"chunk":         {"HTTP/1.1 200 OK\r\nHEAD\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", "malformed_body"},
+	"trailer":       {"HTTP/1.1 200 OK\r\nHEAD\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBad Name: x\r\n\r\n", "malformed_body"},
 	"informational": {strings.Repeat("HTTP/1.1 103 x\r\n\r\n", 7), "malformed_head"},
 }
 
--- a/internal/aubresponse/fault.go
+++ b/internal/aubresponse/fault.go
@@ -21,7 +21,9 @@
 	FaultStatus Fault = "invalid_status"
 	// FaultHead is a head that the grammar does not allow.
 	FaultHead Fault = "malformed_head"
-	// FaultBody is a body that the grammar does not allow.
+	// FaultFraming is a head that contradicts itself about the end of the body.
+	FaultFraming Fault = "faulty_framing"
+	// FaultBody is a body, or a trailer, that the grammar does not allow.
 	FaultBody Fault = "malformed_body"
 	// FaultTruncated is a response that ended before its end.
 	FaultTruncated Fault = "truncated"
@@ -31,7 +33,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{FaultStatus, FaultHead, FaultBody, FaultTruncated, FaultReset}
+	return []Fault{FaultStatus, FaultHead, FaultFraming, FaultBody, FaultTruncated, FaultReset}
 }
 
 // BrokenError is a response that is not HTTP or whose end is not known. It says nothing about its request.
--- a/internal/aubresponse/head.go
+++ b/internal/aubresponse/head.go
@@ -30,13 +30,20 @@
 	if status < http.StatusOK || status > maxStatus {
 		return newBrokenError(FaultStatus, "status %d", status)
 	}
+	return checkFields(header, FaultHead)
+}
+
+// CheckTrailer returns a *BrokenError unless a trailer can have the fields.
+func CheckTrailer(trailer http.Header) error { return checkFields(trailer, FaultBody) }
+
+func checkFields(header http.Header, fault Fault) error {
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return newBrokenError(FaultHead, "field name %q", name)
+			return newBrokenError(fault, "field name %q", name)
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
-				return newBrokenError(FaultHead, "value of field %s", name)
+				return newBrokenError(fault, "value of field %s", name)
 			}
 		}
 	}
@@ -62,6 +69,8 @@
 	// endsWithCR is set if the status line ends with CRLF, not with LF alone.
 	endsWithCR      bool
 	isInformational bool
+	// isWithoutChunks is set if the version of the response has no transfer codings.
+	isWithoutChunks bool
 	// err is the first violation.
 	err error
 }
@@ -118,7 +127,7 @@
 func (s *headScanner) checkStatusLine(line string) error {
 	s.next = partNone
 	proto, rest, _ := strings.Cut(line, " ")
-	_, _, isVersion := http.ParseHTTPVersion(proto)
+	major, minor, isVersion := http.ParseHTTPVersion(proto)
 	status, isStatus := parseStatus(rest)
 	switch {
 	case !isVersion, !isStatus:
@@ -131,6 +140,7 @@
 	}
 	s.next = partFields
 	s.isInformational = status < http.StatusOK
+	s.isWithoutChunks = major < 1 || major == 1 && minor < 1
 	return nil
 }
 
@@ -148,6 +158,9 @@
 		return newBrokenError(FaultHead, "field name %q", name)
 	case !httpguts.ValidHeaderFieldValue(value):
 		return newBrokenError(FaultHead, "value of field %s", name)
+	case s.isWithoutChunks && http.CanonicalHeaderKey(name) == "Transfer-Encoding":
+		// RFC 9112, section 6.1. net/http would take the coded body for the body.
+		return newBrokenError(FaultFraming, "transfer coding before HTTP/1.1")
 	}
 	return nil
 }
--- a/internal/aubresponse/head_test.go
+++ b/internal/aubresponse/head_test.go
@@ -88,6 +88,7 @@
 		"CRLF after LF":            {head: "HTTP/1.1 200 OK\nName: x\r\n\n", fault: aubresponse.FaultHead},
 		"folded field":             {head: ok + "Name: x\r\n Name: x\r\n\r\n", fault: aubresponse.FaultHead},
 		"folded control byte":      {head: ok + "Name: x\r\n \x01\r\n\r\n", fault: aubresponse.FaultHead},
+		"chunks before HTTP/1.1":   {head: "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", fault: aubresponse.FaultFraming},
 		"control byte in a name":   {head: ok + "Bad\x01Name: x\r\n\r\n", fault: aubresponse.FaultHead},
 		"no colon":                 {head: ok + "Name\r\n\r\n", fault: aubresponse.FaultHead},
 		"no status line":           {head: "Name: x\r\n\r\n", fault: aubresponse.FaultHead},
--- a/internal/aubresponse/round_tripper.go
+++ b/internal/aubresponse/round_tripper.go
@@ -66,7 +66,7 @@
 		t.record(req, resp.StatusCode, err)
 		return nil, errors.Join(err, resp.Body.Close())
 	}
-	resp.Body = &body{ReadCloser: resp.Body, tripper: t, resp: resp}
+	resp.Body = &body{ReadCloser: resp.Body, tripper: t, resp: resp, conn: conn}
 	return resp, nil
 }
 
@@ -85,6 +85,7 @@
 
 	tripper *RoundTripper
 	resp    *http.Response
+	conn    *Conn
 	// err is the end of the body once it was read.
 	err error
 }
@@ -96,10 +97,28 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
+		if trailerErr := CheckTrailer(b.resp.Trailer); trailerErr != nil {
+			err = trailerErr
+		}
+	} else {
 		err = BodyError(err)
-		b.tripper.record(b.resp.Request, b.resp.StatusCode, err)
 	}
-	b.err = err
+	if err != nil {
+		b.end(err)
+	}
 	return n, err
 }
+
+// end records the end of the body. After a broken response the connection carries no other.
+func (b *body) end(err error) {
+	b.err = err
+	var broken *BrokenError
+	if !errors.As(err, &broken) {
+		return
+	}
+	if b.conn != nil {
+		_ = b.conn.Close()
+	}
+	b.tripper.record(b.resp.Request, b.resp.StatusCode, err)
+}
