Take no reset for the end of a response because a write was told of it

Callers saw: a part of an answer as the whole one, with a length that fitted. A backend server had answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. If the write of the upload is told of it (ECONNRESET), the next read returns what was received and then the end of the connection, as after an end in order, and a body without a length ends there. The same holds for a peer that has been silent for too long (ETIMEDOUT). Which of the two is told depends on the moment.

Now the connection remembers what its writes were told. When a read finds the end, a write in progress is interrupted, and if a write was told of a loss, that is the result of the read.

--- a/internal/aubagent/broken_response_test.go
+++ b/internal/aubagent/broken_response_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
+
+	"github.com/auburndale/auburndale/internal/aubexecution"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
 
@@ -70,3 +76,52 @@
 		}
 	}
 }
+
+const (
+	// uploadBytes is the size of a body that doesn't fit into the buffers of a connection.
+	uploadBytes       = 3 << 20
+	socketBufferBytes = 64 << 10
+)
+
+// answerEarly returns a handler that sends the response before it has read the request, and then ends the connection.
+func answerEarly(response string, end func(conn *net.TCPConn)) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(socketBufferBytes)
+			fmt.Fprint(conn, response)
+			end(tcp)
+		}
+	}
+}
+
+// uploadRequest returns a request with a long body, to an engine or a plain service.
+func uploadRequest(f *fixture, id string) aubexecution.Request {
+	if f.opts.EngineURL == "" {
+		return serviceRequest(id, http.MethodPost, "/v1/chat/completions", make([]byte, uploadBytes))
+	}
+	req := chatRequest(id, "m", strings.Repeat("x", uploadBytes), false)
+	req.Fingerprint = id
+	return req
+}
+
+// TestResetDuringAnUploadIsNoEndOfAnAnswer guards against a part of an engine's error that seems whole: its connection was reset
+// while the request was still being written, the write was told of that, and the read found the end of the connection.
+func TestResetDuringAnUploadIsNoEndOfAnAnswer(t *testing.T) {
+	const rounds, moments = 30, 6
+	var round atomic.Int64
+	f := newHandlerFixture(t, answerEarly("HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\na part of", func(conn *net.TCPConn) {
+		time.Sleep(time.Duration(round.Load()%moments) * 300 * time.Microsecond)
+		_ = conn.SetLinger(0)
+	}), http.NotFound)
+	for n := range rounds {
+		round.Store(int64(n))
+		_, body, err := f.call(uploadRequest(f, fmt.Sprint(n)))
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("round %d: %q", n, body))
+		checkExecution(t, err, aubapi.ExecutionMayHaveRun)
+	}
+}
--- a/internal/aubresponse/conn.go
+++ b/internal/aubresponse/conn.go
@@ -1,14 +1,21 @@
 package aubresponse
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
-// Conn is a connection to a backend server that checks the heads of responses while they are read. Errors of Read are *BrokenError
-// or those of the connection.
+// interruptTime is a deadline that has passed.
+var interruptTime = time.Unix(1, 0)
+
+// Conn is a connection to a backend server that checks the heads of responses while they are read, and tells the end of the
+// connection from its loss. Errors of Read are *BrokenError or those of the connection.
 //
-// Lock order: mu is a leaf lock.
+// Lock order: mu and writing are leaf locks.
 type Conn struct {
 	net.Conn
 
@@ -16,6 +23,10 @@
 	head headScanner
 	// hasReceived is set once a byte was received since the response was expected.
 	hasReceived bool
+
+	// writing is held during a write. It guards writeErr, the first error of a write that the peer or the network caused.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // NewConn returns a connection on which a response is expected.
@@ -62,6 +73,9 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasReceived = c.hasReceived || n > 0
@@ -78,3 +92,28 @@
 	defer c.mu.Unlock()
 	return c.head.err
 }
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	var errno syscall.Errno
+	if c.writeErr == nil && errors.As(err, &errno) {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endError returns io.EOF if the peer has ended the connection, and the loss of the connection otherwise. The kernel reports a loss
+// once: if a write was told of it, reads find the end of the connection. EPIPE means that the peer had ended the connection in
+// order before. A write in progress is interrupted, since nothing can follow on the connection.
+func (c *Conn) endError() error {
+	_ = c.SetWriteDeadline(interruptTime)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return c.writeErr
+}
--- a/internal/aubresponse/fault.go
+++ b/internal/aubresponse/fault.go
@@ -1,5 +1,6 @@
-// Package aubresponse checks what backend servers send as HTTP/1 responses against the grammar of RFC 9112. net/http tolerates
-// heads that frame the body otherwise than their sender meant.
+// Package aubresponse checks what backend servers send as HTTP/1 responses: their heads against the grammar of RFC 9112, and
+// their ends. net/http tolerates heads that frame the body otherwise than their sender meant, and takes a connection for ended
+// in order if its reset was reported to a write.
 package aubresponse
 
 import (
--- a/internal/aubresponse/head_test.go
+++ b/internal/aubresponse/head_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/net/http/httpguts"
@@ -32,6 +33,8 @@
 	return n, nil
 }
 
+func (*scriptedConn) SetWriteDeadline(time.Time) error { return nil }
+
 // inParts returns the data in parts of the size.
 func inParts(data []byte, size int) [][]byte {
 	var parts [][]byte
