Deliver early responses that came whole through agents

Callers saw: 502 in place of the answer of an engine or a plain service behind an agent that had answered a long upload whole, such as with 413, before it had read it, and then closed or reset the connection. Relays deliver these answers.

Cause: the write of the upload fails, and the transport of net/http gives up the request for that, unless it has read the head of the response by then.

Now the rest of a request is dropped without an error once a part of it was written and the connection is lost, so that the transport reads what came before. Without a whole response the read reports the loss. The connection takes no other request: its first write fails with nothing written.

--- a/internal/aubagent/broken_response_test.go
+++ b/internal/aubagent/broken_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -125,3 +126,42 @@
 		checkExecution(t, err, aubapi.ExecutionMayHaveRun)
 	}
 }
+
+// TestEarlyAnswerToAnUploadIsDelivered guards against the loss of an answer that came whole before the request was read, if a write
+// failed afterwards.
+func TestEarlyAnswerToAnUploadIsDelivered(t *testing.T) {
+	const rounds, object = 20, `{"a":1}`
+	for framing, response := range map[string]string{
+		"length":       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 7\r\n\r\n" + object,
+		"chunks":       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n" + object + "\r\n0\r\n\r\n",
+		"length, 413":  "HTTP/1.1 413 Too Large\r\nContent-Length: 7\r\nConnection: close\r\n\r\n" + object,
+		"no body, 204": "HTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		for name, end := range map[string]func(conn *net.TCPConn){
+			"closes":       func(*net.TCPConn) {},
+			"resets":       func(conn *net.TCPConn) { _ = conn.SetLinger(0) },
+			"resets later": func(conn *net.TCPConn) { time.Sleep(5 * time.Millisecond); _ = conn.SetLinger(0) },
+			"reads on":     func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) },
+		} {
+			for _, isService := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, service %t", framing, name, isService), func(t *testing.T) {
+					t.Parallel()
+					answer := response
+					if name == "reads on" {
+						answer = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1)
+					}
+					f := newHandlerFixture(t, answerEarly(answer, end), http.NotFound)
+					if isService {
+						f.opts.EngineURL, f.opts.ServiceURL, f.opts.Services = "", f.opts.EngineURL, []string{"roster"}
+						f.startAgent(t)
+					}
+					for n := range rounds {
+						resp, body, err := f.call(uploadRequest(f, fmt.Sprint(n)))
+						qt.Assert(t, err, qt.IsNil, qt.Commentf("round %d", n))
+						qt.Assert(t, resp.Status == http.StatusNoContent || body == object, qt.IsTrue, qt.Commentf("%d, %q", resp.Status, body))
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/aubresponse/conn.go
+++ b/internal/aubresponse/conn.go
@@ -18,15 +18,21 @@
 // Lock order: mu and writing are leaf locks.
 type Conn struct {
 	net.Conn
+	// readsOn is set if the rest of a request is dropped once the connection is lost, without an error, so that a response that
+	// came before is read.
+	readsOn bool
 
 	mu   sync.Mutex
 	head headScanner
 	// hasReceived is set once a byte was received since the response was expected.
 	hasReceived bool
 
-	// writing is held during a write. It guards writeErr, the first error of a write that the peer or the network caused.
-	writing  sync.Mutex
+	// writing is held during a write and guards the fields below.
+	writing sync.Mutex
+	// writeErr is the first error of a write that the peer or the network caused.
 	writeErr error
+	// hasWritten is set once a part of the request was written.
+	hasWritten bool
 }
 
 // NewConn returns a connection on which a response is expected.
@@ -93,16 +99,33 @@
 	return c.head.err
 }
 
+// beginRequest begins to write a request.
+func (c *Conn) beginRequest() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.hasWritten = false
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	n, err := c.Conn.Write(data)
-	var errno syscall.Errno
-	if c.writeErr == nil && errors.As(err, &errno) {
+	if c.writeErr == nil {
+		n, err := c.Conn.Write(data)
+		c.hasWritten = c.hasWritten || n > 0
+		var errno syscall.Errno
+		if !errors.As(err, &errno) {
+			return n, err
+		}
 		c.writeErr = err
+		if !c.readsOn {
+			return n, err
+		}
 	}
-	return n, err
+	if c.readsOn && c.hasWritten {
+		return len(data), nil
+	}
+	return 0, c.writeErr
 }
 
 // endError returns io.EOF if the peer has ended the connection, and the loss of the connection otherwise. The kernel reports a loss
--- a/internal/aubresponse/round_tripper.go
+++ b/internal/aubresponse/round_tripper.go
@@ -31,7 +31,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(conn), nil
+		checked := NewConn(conn)
+		checked.readsOn = true
+		return checked, nil
 	}
 	return &RoundTripper{transport: transport, log: log, requestIDHeader: requestIDHeader}
 }
@@ -49,6 +51,7 @@
 		}
 		used.Store(conn)
 		if info.Reused {
+			conn.beginRequest()
 			// Read returns the same error.
 			_ = conn.ExpectResponse(nil)
 		}
