--- a/internal/aubengine/client_test.go
+++ b/internal/aubengine/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -91,6 +92,8 @@
 			},
 			want: outcomeUncertain,
 		},
+		{name: "refused with a body too long", handler: respond(http.StatusBadRequest, strings.Repeat(" ", 5<<20)), want: outcomeUncertain},
+		{name: "succeeded with a body too long", handler: respond(http.StatusOK, strings.Repeat(" ", 5<<20)), want: outcomeUncertain},
 		{name: "refused, status 000 before it", handler: respondRaw("HTTP/1.1 000 x\r\n\r\nHTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
 		{name: "refused, space in a field name", handler: respondRaw("HTTP/1.1 400 x\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
 		{name: "succeeded, space in a field name", handler: respondRaw("HTTP/1.1 200 x\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n"), want: outcomeUncertain},
--- a/internal/aubrelay/attempt.go
+++ b/internal/aubrelay/attempt.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		result = h.noResponseResult(ctx, choice, err)
 	} else {
-		result = h.handleResponse(ex, choice, resp, started)
+		result = h.handleResponse(ex, choice, conn, resp, started)
 		result.isUnframed = isUnframed(resp)
 		result.mayHaveArrived = true
 		_ = resp.Body.Close()
@@ -166,7 +166,7 @@
 
 // handleResponse checks that a response belongs to the request and is signed, and
 // writes it to the caller. Whatever a response says, it says of the request that it names.
-func (h *Handler) handleResponse(ex *exchange, choice aubroute.Choice, resp *http.Response, started time.Time) attemptResult {
+func (h *Handler) handleResponse(ex *exchange, choice aubroute.Choice, conn *backendConn, resp *http.Response, started time.Time) attemptResult {
 	decoded := h.opts.Protocol.DecodeResponse(resp.StatusCode, resp.Header)
 	if decoded.CallID != ex.call.ID {
 		return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureBackend, err: &foreignResponseError{callID: decoded.CallID, status: resp.StatusCode}}
@@ -174,6 +174,9 @@
 	h.observeAdvice(ex, choice, decoded)
 	switch {
 	case decoded.NotRun:
+		if err := conn.readRefusal(); err != nil {
+			return attemptResult{outcome: outcomeFailed, failure: aubroute.FailureConnection, err: err}
+		}
 		h.dropMissingCopy(ex, decoded)
 		if decoded.Misdirected {
 			h.opts.Registry.RejectUnconfirmed(ex.call.ID, ex.backendID, ex.backendStartedMs)
--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -31,6 +31,8 @@
 	// unwrittenTimeout is how long a response is awaited after a failed write. It may have been sent
 	// before the backend server closed the connection.
 	unwrittenTimeout = 500 * time.Millisecond
+	// refusalTimeout limits the time to read the body of a refusal, while the request may be served elsewhere.
+	refusalTimeout = 500 * time.Millisecond
 	// maxCarriedIDs limits the requests that a connection remembers.
 	maxCarriedIDs = 16
 	// maxSkippedBytes limits the body of a response that is skipped.
@@ -283,6 +285,22 @@
 	return c.response.isComplete.Load() || errors.Is(err, io.EOF)
 }
 
+// readRefusal reads the rest of a response that states that the request did not run. It returns an error unless the whole response
+// was received.
+func (c *backendConn) readRefusal() error {
+	_ = c.conn.SetReadDeadline(time.Now().Add(refusalTimeout))
+	_, err := io.CopyN(io.Discard, c.response, maxSkippedBytes)
+	switch {
+	case c.response.isComplete.Load():
+		return c.conn.SetReadDeadline(time.Time{})
+	case err == nil:
+		return &refusalSizeError{bytes: maxSkippedBytes}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &aubresponse.BrokenError{Fault: aubresponse.FaultTruncated, Err: err}
+	}
+	return err
+}
+
 // finish ends the use of the connection by a request whose response was read. It reports whether the
 // connection can carry another request; otherwise the caller must close it.
 func (c *backendConn) finish() bool {
--- a/internal/aubrelay/broken_response_test.go
+++ b/internal/aubrelay/broken_response_test.go
@@ -13,6 +13,67 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// refuse returns a behavior that states that the request did not run, in the bytes of a response.
+func refuse(response string, isReset bool) behavior {
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		head := fmt.Sprintf("HTTP/1.1 503 x\r\n%s: %s\r\n%s: 1\r\n", headerID, r.Header.Get(headerID), headerNotRun)
+		truncatedResponse(head+response, isReset)(b, w, r)
+	}
+}
+
+// TestBrokenRefusalPromisesNothing guards against the belief that a request did not run, by a refusal that was not received whole.
+func TestBrokenRefusalPromisesNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		response string
+		isReset  bool
+		isWhole  bool
+	}{
+		"whole":                   {response: "Content-Length: 3\r\n\r\nbye", isWhole: true},
+		"whole, no body":          {response: "Content-Length: 0\r\n\r\n", isWhole: true},
+		"whole, chunks":           {response: "Transfer-Encoding: chunked\r\n\r\n3\r\nbye\r\n0\r\n\r\n", isWhole: true},
+		"whole, up to the end":    {response: "\r\nbye", isWhole: true},
+		"shorter than its length": {response: "Content-Length: 4\r\n\r\nbye"},
+		"no last chunk":           {response: "Transfer-Encoding: chunked\r\n\r\n3\r\nbye\r\n"},
+		"malformed chunk":         {response: "Transfer-Encoding: chunked\r\n\r\nx\r\nbye\r\n0\r\n\r\n"},
+		"malformed trailer":       {response: "Transfer-Encoding: chunked\r\n\r\n0\r\nBad Name: x\r\n\r\n"},
+		"up to a reset":           {response: "\r\nbye", isReset: true},
+		"space in a name":         {response: "Bad Name: x\r\nContent-Length: 0\r\n\r\n"},
+		"too long":                {response: "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 100000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for path, isRepeatable := range responsePaths {
+				fixture := newRelayFixture(t, "b1", "b2")
+				fixture.removeTimeouts()
+				fixture.setBehaviors(inOrder(refuse(test.response, test.isReset), respondOK), respondOK)
+				result := fixture.call(http.MethodPost, path, "1", nil)
+				if test.isWhole || isRepeatable {
+					qt.Check(t, result.status, qt.Equals, http.StatusOK, qt.Commentf("%s: %+v", path, result))
+					continue
+				}
+				checkNoAnswer(t, path, result)
+				qt.Check(t, fixture.countRuns("1"), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// TestStalledRefusalPromisesNothing guards against a refusal whose end doesn't come that holds the request up.
+func TestStalledRefusalPromisesNothing(t *testing.T) {
+	fixture := newRelayFixture(t, "b1", "b2")
+	fixture.removeTimeouts()
+	stalled := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		refuseNotRun(b, w, r)
+		fmt.Fprint(w, "bye")
+		_ = http.NewResponseController(w).Flush()
+		stallUntilCanceled(b, w, r)
+	}
+	fixture.setBehaviors(inOrder(stalled, respondOK), respondOK)
+	startedAt := time.Now()
+	checkNoAnswer(t, "/write/x", fixture.call(http.MethodPost, "/write/x", "1", nil))
+	qt.Check(t, time.Since(startedAt) < unhurriedTimeout/2, qt.IsTrue)
+}
+
 // brokenResponses are responses that leave their connection open, with their faults.
 var brokenResponses = map[string]struct{ response, fault string }{
 	"status":        {"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "invalid_status"},
--- a/internal/aubrelay/error.go
+++ b/internal/aubrelay/error.go
@@ -94,6 +94,14 @@
 	return fmt.Sprintf("header of the answer has more than %d bytes", e.bytes)
 }
 
+// refusalSizeError is a refusal whose end was not read because its body is above the size limit.
+type refusalSizeError struct{ bytes int }
+
+// Error implements error.
+func (e *refusalSizeError) Error() string {
+	return fmt.Sprintf("refusal has more than %d bytes", e.bytes)
+}
+
 // informationalError is a response that does not come after many informational ones.
 type informationalError struct{ count int }
 
