Count no response as broken whose request was canceled

Operators would have seen: "Response is broken." and counts of malformed heads and bodies for each caller of an agent that left, each deadline and each stalled connection. Callers saw nothing of it.

Found by reading.

Evidence: TestCanceledRequestHasNoBrokenResponse failed before for a cancellation within the head and within the body. Now errors are left as they are once the request's context has ended.

--- a/internal/aubresponse/round_tripper.go
+++ b/internal/aubresponse/round_tripper.go
@@ -59,7 +59,7 @@
 	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	conn := used.Load()
 	if err != nil {
-		if conn != nil {
+		if conn != nil && req.Context().Err() == nil {
 			err = conn.HeadError(err)
 		}
 		t.record(req, 0, err)
@@ -100,16 +100,17 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		if trailerErr := CheckTrailer(b.resp.Trailer); trailerErr != nil {
 			err = trailerErr
 		}
-	} else {
+	case b.resp.Request.Context().Err() == nil:
 		err = BodyError(err)
 	}
-	if err != nil {
-		b.end(err)
-	}
+	b.end(err)
 	return n, err
 }
 
