--- a/internal/aubagent/error.go
+++ b/internal/aubagent/error.go
@@ -7,12 +7,6 @@
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
 
-// sizeError is a response that is longer than its limit in bytes.
-type sizeError struct{ limit int64 }
-
-// Error implements error.
-func (e *sizeError) Error() string { return fmt.Sprintf("answer of more than %d bytes", e.limit) }
-
 // failure describes why an execution has no complete response.
 type failure struct {
 	execution aubwire.ExecutionState
--- a/internal/aubagent/generation.go
+++ b/internal/aubagent/generation.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/auburndale/auburndale/internal/aubengine"
+	"github.com/auburndale/auburndale/internal/aubresponse"
 	"github.com/auburndale/auburndale/internal/aubtimer"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -232,19 +233,10 @@
 	return nil
 }
 
-// readWhole reads a body of at most limit bytes. The error is *sizeError for a longer one.
-func readWhole(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(data)) > limit {
-		return nil, &sizeError{limit: limit}
-	}
-	return data, err
-}
-
 // forwardBody reads the complete body of a response that is not streamed, checks
 // that it is valid JSON and then forwards it.
 func (g *generation) forwardBody(resp *http.Response) error {
-	body, err := readWhole(resp.Body, maxResponseBytes)
+	body, err := aubresponse.ReadWhole(resp.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -260,7 +252,7 @@
 // forwardError forwards an error response of the engine, except for a missing
 // model, which it returns as an error.
 func (g *generation) forwardError(resp *http.Response) error {
-	body, err := readWhole(resp.Body, maxResponseBytes)
+	body, err := aubresponse.ReadWhole(resp.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/aubengine/client.go
+++ b/internal/aubengine/client.go
@@ -253,7 +253,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return readErrorResponse(resp)
 	}
-	body, err := readWhole(resp.Body)
+	body, err := aubresponse.ReadWhole(resp.Body, maxResponseBytes)
 	if err != nil {
 		return &UncertainError{Err: err}
 	}
@@ -266,19 +266,10 @@
 	return nil
 }
 
-// readWhole reads a body of at most maxResponseBytes. The end of a longer one is not known.
-func readWhole(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && len(data) > maxResponseBytes {
-		return nil, ErrBodyTooLong
-	}
-	return data, err
-}
-
 // readErrorResponse converts a response without a result into *RefusedError if its status is that of
 // a client's error, else into *UncertainError: only such a status means that the engine executed nothing.
 func readErrorResponse(resp *http.Response) error {
-	body, err := readWhole(resp.Body)
+	body, err := aubresponse.ReadWhole(resp.Body, maxResponseBytes)
 	if err != nil {
 		return &UncertainError{Err: err}
 	}
--- a/internal/aubengine/error.go
+++ b/internal/aubengine/error.go
@@ -42,8 +42,6 @@
 	ErrIncomplete = errors.New("answer ended before its end mark")
 	// ErrNoEvent means that an answer holds text that is no server-sent event of it.
 	ErrNoEvent = errors.New("text is no event")
-	// ErrBodyTooLong means that the body of a response to an order or query exceeded 4 MiB.
-	ErrBodyTooLong = errors.New("body too long")
 	// ErrEventTooLong means that a server-sent event exceeded MaxEventBytes.
 	ErrEventTooLong = errors.New("server-sent event too long")
 	// ErrAnswerMismatch means that an answer belongs to another request.
