Name the check of a second status line for what it does

CheckResponse said nothing of what it checks; it is CheckSingleHead now, and the connection's two views of itself are explained. Found while reading the change as a newcomer; no behaviour changes.

--- a/internal/aubrelay/backend_conn.go
+++ b/internal/aubrelay/backend_conn.go
@@ -47,6 +47,7 @@
 type backendConn struct {
 	address string
 	log     *unsolicitedLog
+	// checked checks what is received; conn writes to it and head reads from it.
 	checked *aubresponse.Conn
 	conn    *sentMarker
 	head    *headReader
@@ -256,7 +257,7 @@
 		if err != nil {
 			return nil, c.checked.HeadError(err)
 		}
-		if err := aubresponse.CheckResponse(resp); err != nil {
+		if err := aubresponse.CheckSingleHead(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
--- a/internal/aubresponse/head.go
+++ b/internal/aubresponse/head.go
@@ -17,8 +17,8 @@
 	maxStatus = 999
 )
 
-// CheckResponse returns a *BrokenError if the head of a response holds another status line.
-func CheckResponse(resp *http.Response) error {
+// CheckSingleHead returns a *BrokenError if the head of a response holds another status line.
+func CheckSingleHead(resp *http.Response) error {
 	if aubheader.HasStatusLine(resp) {
 		return &BrokenError{Fault: FaultHead, Err: errSecondHead}
 	}
--- a/internal/aubresponse/round_tripper.go
+++ b/internal/aubresponse/round_tripper.go
@@ -65,7 +65,7 @@
 		t.record(req, 0, err)
 		return nil, err
 	}
-	if err := CheckResponse(resp); err != nil {
+	if err := CheckSingleHead(resp); err != nil {
 		t.record(req, resp.StatusCode, err)
 		return nil, errors.Join(err, resp.Body.Close())
 	}
