Share backend servers among the cases of broken responses

Repeated runs of the relay's tests of broken responses failed: "listen tcp 127.0.0.1:0: bind: address already in use", 404 from a relay that knew no backend server, and a hang in TestConnectionOfABrokenResponseIsClosed. The fault is the tests': each case started backend servers and relays of its own for each path and phase, and 30 runs in a row used up the ports of the loopback. The paths and phases of a case now share them, and the test that hung fails after twice the timeout of a connection. Every case, path and check stays.

--- a/internal/aubrelay/broken_head_test.go
+++ b/internal/aubrelay/broken_head_test.go
@@ -59,16 +59,19 @@
 // responsePaths are the paths of one route of each kind, and whether it allows to send a request again.
 var responsePaths = map[string]bool{"/read/x": true, "/write/x": false, "/stream/x": true, "/stream-once/x": false}
 
-// checkBroken checks that a broken response counts as a failed attempt on each kind of route: first, in every attempt, and in the
-// middle of a stream.
+// checkBroken checks that a broken response counts as a failed attempt on each kind of route: first, in every attempt, in the middle
+// of a stream, and for a stream that its caller takes up.
 func checkBroken(t *testing.T, broken behavior) {
 	t.Helper()
+	fixture := newRelayFixture(t, "b1", "b2")
+	fixture.coverage = aubresume.CoverageAll
+	fixture.removeTimeouts()
+	always := slices.Repeat([]behavior{broken}, 8)
 	for path, isRepeatable := range responsePaths {
-		fixture := newRelayFixture(t, "b1", "b2")
-		fixture.removeTimeouts()
 		fixture.setBehaviors(inOrder(broken, respondOK), respondOK)
-		result := fixture.call(http.MethodPost, path, "1", nil)
-		runs := fixture.countRuns("1")
+		id := "first on " + path
+		result := fixture.call(http.MethodPost, path, id, nil)
+		runs := fixture.countRuns(id)
 		if isRepeatable {
 			qt.Check(t, runs, qt.Equals, 2, qt.Commentf("%s: %+v", path, result))
 			qt.Check(t, result.status, qt.Equals, http.StatusOK, qt.Commentf("%s: %+v", path, result))
@@ -77,15 +80,11 @@
 			qt.Check(t, runs, qt.Equals, 1, qt.Commentf("%s: %+v", path, result))
 			checkNoAnswer(t, path, result)
 		}
-		always := slices.Repeat([]behavior{broken}, 8)
 		fixture.setBehaviors(always...)
-		checkNoAnswer(t, path, fixture.call(http.MethodPost, path, "always", nil))
+		checkNoAnswer(t, path, fixture.call(http.MethodPost, path, "always on "+path, nil))
 	}
-	fixture := newRelayFixture(t, "b1", "b2")
-	fixture.coverage = aubresume.CoverageAll
-	fixture.removeTimeouts()
-	fixture.setBehaviors(append([]behavior{inOrder(truncateStream, broken)}, slices.Repeat([]behavior{broken}, 8)...)...)
-	result := fixture.call(http.MethodPost, "/stream/x", "1", nil)
+	fixture.setBehaviors(append([]behavior{inOrder(truncateStream, broken)}, always...)...)
+	result := fixture.call(http.MethodPost, "/stream/x", "in the middle", nil)
 	qt.Check(t, result.isBroken, qt.IsTrue, qt.Commentf("%+v", result))
 	qt.Check(t, result.body, qt.Equals, eventsText(0, 2))
 	checkNoAnswer(t, "taken up", fixture.call(http.MethodPost, "/stream/x", "taken up", takeUp("", 1)))
--- a/internal/aubrelay/broken_response_test.go
+++ b/internal/aubrelay/broken_response_test.go
@@ -107,7 +107,12 @@
 				isClosed <- err != nil && !isTimeout(err)
 			})
 			checkNoAnswer(t, name, fixture.call(http.MethodPost, "/write/x", "1", nil))
-			qt.Check(t, <-isClosed, qt.IsTrue)
+			select {
+			case closed := <-isClosed:
+				qt.Check(t, closed, qt.IsTrue)
+			case <-time.After(2 * connTimeout):
+				t.Fatal("the request has not arrived")
+			}
 			qt.Check(t, fixture.countBroken(test.fault), qt.Equals, int64(1))
 			lines := fixture.logs.FilterMessage("Response is broken.").All()
 			qt.Assert(t, lines, qt.HasLen, 1)
--- a/internal/aubrelay/sound_response_test.go
+++ b/internal/aubrelay/sound_response_test.go
@@ -41,16 +41,17 @@
 		"status 599":                {parts: responseParts{status: "599 x"}, status: 599},
 		"status 799":                {parts: responseParts{status: "799 x"}, status: 799},
 	} {
-		for path := range responsePaths {
-			isStream := strings.HasPrefix(path, "/stream")
-			if isStream && test.isNoStream {
-				continue
-			}
-			t.Run(name+path, func(t *testing.T) {
-				t.Parallel()
-				fixture := newRelayFixture(t, "b1")
-				fixture.removeTimeouts()
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newRelayFixture(t, "b1")
+			fixture.removeTimeouts()
+			for path := range responsePaths {
+				isStream := strings.HasPrefix(path, "/stream")
+				if isStream && test.isNoStream {
+					continue
+				}
 				fixture.setBehaviors(respondBytes(test.parts), respondBytes(test.parts))
+				// A part of the responses states the length of this answer.
 				result := fixture.call(http.MethodPost, path, "1", nil)
 				wantStatus, wantBody := http.StatusOK, "answer to 1"
 				if test.status != 0 {
@@ -59,12 +60,12 @@
 				if isStream {
 					wantBody = completeStream()
 				}
-				qt.Check(t, result.status, qt.Equals, wantStatus)
-				qt.Check(t, result.body, qt.Equals, wantBody)
-				qt.Check(t, result.isBroken, qt.IsFalse)
-				qt.Check(t, result.header.Get("Test"), qt.Equals, test.field)
-				qt.Check(t, result.header.Get(headerSigned), qt.Equals, "b")
-			})
-		}
+				qt.Check(t, result.status, qt.Equals, wantStatus, qt.Commentf("%s", path))
+				qt.Check(t, result.body, qt.Equals, wantBody, qt.Commentf("%s", path))
+				qt.Check(t, result.isBroken, qt.IsFalse, qt.Commentf("%s", path))
+				qt.Check(t, result.header.Get("Test"), qt.Equals, test.field, qt.Commentf("%s", path))
+				qt.Check(t, result.header.Get(headerSigned), qt.Equals, "b", qt.Commentf("%s", path))
+			}
+		})
 	}
 }
--- a/internal/aubrelay/upload_reset_test.go
+++ b/internal/aubrelay/upload_reset_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	*net.TCPConn
 	reader  *bufio.Reader
 	request *http.Request
+	// runs is how often the request has arrived, with this time.
+	runs int
 }
 
 // reset ends the connection with a reset.
@@ -38,19 +41,9 @@
 	_ = c.Close()
 }
 
-// startUploadBackends starts backend servers that answer the head of each request with one of the plays, in turn over all of them
-// and from then on with the last one. It returns their addresses.
-func startUploadBackends(t *testing.T, ledger *runLedger, n int, plays ...func(c *uploadConn)) []string {
-	var mu sync.Mutex
-	next := func() func(c *uploadConn) {
-		mu.Lock()
-		defer mu.Unlock()
-		play := plays[0]
-		if len(plays) > 1 {
-			plays = plays[1:]
-		}
-		return play
-	}
+// startUploadBackends starts backend servers that answer a request with the play once they have read its head. It returns their
+// addresses.
+func startUploadBackends(t *testing.T, ledger *runLedger, n int, play func(c *uploadConn)) []string {
 	var conns sync.WaitGroup
 	t.Cleanup(conns.Wait)
 	addresses := make([]string, 0, n)
@@ -65,15 +58,15 @@
 				if err != nil {
 					return
 				}
-				conns.Go(func() { serveUpload(conn, ledger, next) })
+				conns.Go(func() { serveUpload(conn, ledger, play) })
 			}
 		})
 	}
 	return addresses
 }
 
-// serveUpload has the next play answer the request of a connection.
-func serveUpload(conn net.Conn, ledger *runLedger, next func() func(c *uploadConn)) {
+// serveUpload has the play answer the request of a connection.
+func serveUpload(conn net.Conn, ledger *runLedger, play func(c *uploadConn)) {
 	defer conn.Close()
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
@@ -89,7 +82,10 @@
 	id := r.Header.Get(headerID)
 	ledger.recordArrival(id, arrival{backend: conn.LocalAddr().String()})
 	ledger.recordRun(id, conn.LocalAddr().String())
-	next()(&uploadConn{TCPConn: tcp, reader: reader, request: r})
+	ledger.mu.Lock()
+	runs := ledger.countRuns(id)
+	ledger.mu.Unlock()
+	play(&uploadConn{TCPConn: tcp, reader: reader, request: r, runs: runs})
 }
 
 // uploadText is the body of the response to an upload.
@@ -216,13 +212,17 @@
 				order := resetOrder{received: make(chan struct{}), told: make(chan struct{})}
 				ledger := newRunLedger()
 				addresses := startUploadBackends(t, ledger, 2, func(c *uploadConn) {
+					if c.runs > 1 {
+						answerUpload(c)
+						return
+					}
 					answerPart(c, version)
 					select {
 					case <-order.received:
 					case <-time.After(uploadTimeout):
 					}
 					c.reset()
-				}, answerUpload)
+				})
 				fixture := newUploadFixture(t, addresses)
 				var isLater sync.Once
 				dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -240,25 +240,32 @@
 }
 
 // TestResetAtAnyMomentOfAnUpload has backend servers reset uploads at several moments, without an order of the reads and writes: the
-// first one of each request, or all.
+// first send of each request, or all.
 func TestResetAtAnyMomentOfAnUpload(t *testing.T) {
 	const parts = 4
 	delays := []time.Duration{0, 20 * time.Microsecond, 100 * time.Microsecond, 500 * time.Microsecond, 2 * time.Millisecond, 10 * time.Millisecond}
 	for path := range responsePaths {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			for i := range parts * len(delays) {
-				reset := func(c *uploadConn) {
-					_, _ = io.CopyN(io.Discard, c.request.Body, int64(i%parts)*(uploadBytes/parts))
-					answerPart(c, "HTTP/1.1")
-					time.Sleep(delays[i/parts])
-					c.reset()
+			var round atomic.Int64
+			ledger := newRunLedger()
+			addresses := startUploadBackends(t, ledger, 2, func(c *uploadConn) {
+				if c.runs > 1 && !strings.HasPrefix(c.request.Header.Get(headerID), "always") {
+					answerUpload(c)
+					return
 				}
-				ledger, id := newRunLedger(), fmt.Sprint(i)
-				fixture := newUploadFixture(t, startUploadBackends(t, ledger, 2, reset, answerUpload))
+				i := int(round.Load())
+				_, _ = io.CopyN(io.Discard, c.request.Body, int64(i%parts)*(uploadBytes/parts))
+				answerPart(c, "HTTP/1.1")
+				time.Sleep(delays[i/parts])
+				c.reset()
+			})
+			for i := range parts * len(delays) {
+				round.Store(int64(i))
+				// Backend servers that fail again and again would get no requests.
+				fixture, id := newUploadFixture(t, addresses), fmt.Sprint(i)
 				checkUploadReset(t, ledger, path, id, fixture.call(http.MethodPost, path, id, withUpload))
-				fixture = newUploadFixture(t, startUploadBackends(t, ledger, 2, reset))
-				result := fixture.call(http.MethodPost, path, "always", withUpload)
+				result := fixture.call(http.MethodPost, path, fmt.Sprint("always ", i), withUpload)
 				isError := result.status == http.StatusBadGateway && result.header.Get(headerSigned) == ""
 				qt.Check(t, result.isBroken || isError, qt.IsTrue, qt.Commentf("%+v", result))
 			}
