Hold what a control process states while a test checks a suspended one

The fault is the test's. Its clock is set by hand, and a request that the client sent at the time of the last step, before the suspension, has the very time at which the suspension is noticed; if its response comes before the test's next statement, it counts as one that was asked for afterwards. A steady clock has no two such events at one time, and a response that was asked for afterwards shall count.

The control process now sends nothing while the test checks that the client isn't current, and a millisecond passes before the suspension is noticed.

--- a/internal/aubregistry/current_test.go
+++ b/internal/aubregistry/current_test.go
@@ -63,24 +63,37 @@
 	common := aubcommon.NewCommon(timer)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	client := aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
-		Process: "r1", Relay: true, Seeds: func() []string { return []string{"c1"} }, Dial: control.dial,
-		Registry: aubregistry.NewRegistry(common, time.Minute), OnZoneDrains: func(*aubwire.ZoneDrains, time.Time) {},
-		SinceBoot: func() (time.Duration, bool) {
-			return timer.Now().Sub(time.Unix(0, 0)) + time.Duration(suspended.Load()), true
-		},
+	var client *aubregistry.Client
+	checkNotCurrent := func(standStill func()) {
+		t.Helper()
+		// What the control process states afterwards would count.
+		control.sending.Lock()
+		standStill()
+		isCurrent := client.IsCurrent()
+		control.sending.Unlock()
+		qt.Assert(t, isCurrent, qt.IsFalse)
+	}
+	checkNotCurrent(func() {
+		client = aubregistry.NewClient(ctx, common, aubregistry.ClientOpts{
+			Process: "r1", Relay: true, Seeds: func() []string { return []string{"c1"} }, Dial: control.dial,
+			Registry: aubregistry.NewRegistry(common, time.Minute), OnZoneDrains: func(*aubwire.ZoneDrains, time.Time) {},
+			SinceBoot: func() (time.Duration, bool) {
+				return timer.Now().Sub(time.Unix(0, 0)) + time.Duration(suspended.Load()), true
+			},
+		})
 	})
-	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
 	step := func() bool {
 		timer.Advance(50 * time.Millisecond)
 		return client.IsCurrent()
 	}
 	await(t, "the process is current", step)
-	timer.Advance(5 * time.Second)
-	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
+	checkNotCurrent(func() { timer.Advance(5 * time.Second) })
 	await(t, "the process is current again", step)
-	suspended.Add(int64(5 * time.Second))
-	qt.Assert(t, client.IsCurrent(), qt.IsFalse)
+	checkNotCurrent(func() {
+		suspended.Add(int64(5 * time.Second))
+		// No request is sent at the very time at which the process notices.
+		timer.Advance(time.Millisecond)
+	})
 	await(t, "the process is current after a suspension that its clock doesn't show", step)
 	control.grpc.Stop()
 	await(t, "the process is cut off", func() bool { return !step() })
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,15 +61,34 @@
 	software  *aubresume.SoftwareTable
 	confirmed atomic.Bool
 	isCutOff  atomic.Bool
+	// sending is held for reading while a message is sent to a watcher.
+	sending sync.RWMutex
 	// barrier returns once the software table holds all that was committed.
 	barrier func(ctx context.Context) error
 }
 
+// watchStream is the connection to a watcher.
+type watchStream struct {
+	grpc.ServerStream
+
+	sending *sync.RWMutex
+}
+
+// SendMsg implements grpc.ServerStream.
+func (s *watchStream) SendMsg(message any) error {
+	s.sending.RLock()
+	defer s.sending.RUnlock()
+	return s.ServerStream.SendMsg(message)
+}
+
 func newControlProcess(t *testing.T, common aubcommon.Common) *controlProcess {
 	c := &controlProcess{
 		registry: aubregistry.NewRegistry(common, time.Minute), loads: aubregistry.NewLoadAggregator(common),
-		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), grpc: grpc.NewServer(), drains: aubdrain.NewTable(common.Timer), software: aubresume.NewSoftwareTable(),
+		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), drains: aubdrain.NewTable(common.Timer), software: aubresume.NewSoftwareTable(),
 	}
+	c.grpc = grpc.NewServer(grpc.StreamInterceptor(func(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+		return handle(server, &watchStream{ServerStream: stream, sending: &c.sending})
+	}))
 	c.confirmed.Store(true)
 	c.revisions.current.Store(&aubwire.SiteRevision{})
 	c.server = aubregistry.NewServer(common, aubregistry.ServerOpts{
