Limit each early response in its test, not all of them together

The fault is the test's: the context of its fixture, 20 s for a test that makes a call or two, was the limit of 20 uploads of 3 MiB, with eight cases and other packages at a time. No request was stuck.

The rounds of TestResetDuringAnUploadIsNoEndOfAnAnswer shared one limit in the same way.

Now the fixture of both tests lasts as long as the test, and the 20 s are the limit of each call. What they check is unchanged.

--- a/internal/aubagent/broken_response_test.go
+++ b/internal/aubagent/broken_response_test.go
@@ -12,7 +12,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/auburndale/auburndale/internal/aubagent"
 	"github.com/auburndale/auburndale/internal/aubexecution"
 	"github.com/auburndale/auburndale/pkg/aubapi"
 )
@@ -101,11 +100,12 @@
 	}
 }
 
-// uploadOpts returns agent options whose intervals leave time for a long body.
-func uploadOpts() aubagent.AgentOpts {
+// newUploadFixture returns a fixture whose intervals leave time for long bodies, and that lasts until the end of the test. Its
+// engine holds the model "m" and responds with handle.
+func newUploadFixture(t *testing.T, handle http.HandlerFunc) *fixture {
 	opts := fastOpts()
 	opts.Heartbeat, opts.BackendStallTimeout = 0, 0
-	return opts
+	return newHandlerFixtureWith(t.Context(), t, opts, handle, http.NotFound)
 }
 
 // uploadRequest returns a request with a long body, to an engine or a plain service.
@@ -123,10 +123,10 @@
 func TestResetDuringAnUploadIsNoEndOfAnAnswer(t *testing.T) {
 	const rounds, moments = 30, 6
 	var round atomic.Int64
-	f := newHandlerFixtureWith(t, uploadOpts(), answerEarly("HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\na part of", func(conn *net.TCPConn) {
+	f := newUploadFixture(t, answerEarly("HTTP/1.1 404 Not Found\r\nConnection: close\r\n\r\na part of", func(conn *net.TCPConn) {
 		time.Sleep(time.Duration(round.Load()%moments) * 300 * time.Microsecond)
 		_ = conn.SetLinger(0)
-	}), http.NotFound)
+	}))
 	for n := range rounds {
 		round.Store(int64(n))
 		_, body, err := f.call(uploadRequest(f, fmt.Sprint(n)))
@@ -159,10 +159,10 @@
 						answer = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1)
 					}
 					play, ended := answerEarly(answer, end), make(chan struct{}, rounds)
-					f := newHandlerFixtureWith(t, uploadOpts(), func(w http.ResponseWriter, r *http.Request) {
+					f := newUploadFixture(t, func(w http.ResponseWriter, r *http.Request) {
 						play(w, r)
 						ended <- struct{}{}
-					}, http.NotFound)
+					})
 					if isService {
 						f.opts.EngineURL, f.opts.ServiceURL, f.opts.Services = "", f.opts.EngineURL, []string{"roster"}
 						f.startAgent(t)
@@ -174,7 +174,7 @@
 						// A request that is sent before its connection ends may have no response.
 						select {
 						case <-ended:
-						case <-f.ctx.Done():
+						case <-time.After(testTimeout):
 							t.Fatal("the connection has not ended")
 						}
 					}
--- a/internal/aubagent/fixture_test.go
+++ b/internal/aubagent/fixture_test.go
@@ -47,7 +47,7 @@
 }
 
 func newContext(t testing.TB) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	return ctx
 }
@@ -195,13 +195,15 @@
 	}
 }
 
-// call runs a request and reads its complete response.
+// call runs a request and reads its complete response, for testTimeout at most.
 func (f *fixture) call(req aubexecution.Request) (*aubexecution.Response, string, error) {
-	resp, err := f.executor.Execute(f.ctx, f.target, req)
+	ctx, cancel := context.WithTimeout(f.ctx, testTimeout)
+	defer cancel()
+	resp, err := f.executor.Execute(ctx, f.target, req)
 	if err != nil {
 		return nil, "", err
 	}
 	defer resp.Close()
-	body, err := readAll(f.ctx, resp)
+	body, err := readAll(ctx, resp)
 	return resp, body, err
 }
--- a/internal/aubagent/resume_test.go
+++ b/internal/aubagent/resume_test.go
@@ -1,6 +1,7 @@
 package aubagent_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -19,11 +20,11 @@
 // newHandlerFixture returns a fixture whose engine holds the model "m", begins the response to each request with begin and
 // goes on with it as resume does.
 func newHandlerFixture(t *testing.T, begin, resume http.HandlerFunc) *fixture {
-	return newHandlerFixtureWith(t, fastOpts(), begin, resume)
+	return newHandlerFixtureWith(newContext(t), t, fastOpts(), begin, resume)
 }
 
-// newHandlerFixtureWith is newHandlerFixture with the options of the agent.
-func newHandlerFixtureWith(t *testing.T, opts aubagent.AgentOpts, begin, resume http.HandlerFunc) *fixture {
+// newHandlerFixtureWith is newHandlerFixture with a context and the options of the agent.
+func newHandlerFixtureWith(ctx context.Context, t *testing.T, opts aubagent.AgentOpts, begin, resume http.HandlerFunc) *fixture {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == aubengine.PathState:
@@ -37,7 +38,7 @@
 		}
 	}))
 	t.Cleanup(server.Close)
-	f := &fixture{ctx: newContext(t), common: aubcommon.NewCommon(aubtimer.NewReal()), opts: opts}
+	f := &fixture{ctx: ctx, common: aubcommon.NewCommon(aubtimer.NewReal()), opts: opts}
 	f.opts.EngineURL = server.URL
 	f.startAgent(t)
 	f.awaitReady(t, "m")
