Send each unusual response on a connection of its own in its test

TestUnusualResponseIsPassedOn failed beside 24 busy processes, under the race detector, in two of its 22 cases: 502 on the routes that send a request once. The fault is the test's: its backend server closes each connection after a response that does not announce it, and the relay may send the next request on a connection whose end has not arrived. The relay's log says so: the first send of the request brought "unexpected EOF". That request may have run, so that 502 is the only answer that HTTP allows. The unusual responses themselves were passed on in every case.

Evidence: on a scratch copy whose backend server closes 50 ms later, 19 of 22 cases failed so. To wait until the backend server has closed was not enough: beside the busy processes 11 of 440 cases still failed, since the end arrives later. Now each response has a relay and a backend server of its own, and 880 of 880 cases pass there. The responses and the checks are unchanged.

--- a/internal/aubrelay/sound_response_test.go
+++ b/internal/aubrelay/sound_response_test.go
@@ -43,13 +43,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			fixture := newRelayFixture(t, "b1")
-			fixture.removeTimeouts()
 			for path := range responsePaths {
 				isStream := strings.HasPrefix(path, "/stream")
 				if isStream && test.isNoStream {
 					continue
 				}
+				// A connection that the backend server is about to close must not take the next request.
+				fixture := newRelayFixture(t, "b1")
+				fixture.removeTimeouts()
 				fixture.setBehaviors(respondBytes(test.parts), respondBytes(test.parts))
 				// A part of the responses states the length of this answer.
 				result := fixture.call(http.MethodPost, path, "1", nil)
