Commit departures and later starts of backend servers before they are acknowledged

Cause: a departure was acknowledged once all relays had it in effect, but was kept in memory only. After the start a registration that the backend server had sent before and that arrived late was that of an unknown one.

Evidence: all three control processes logged GONE with sequence 8 before the kill and READY with sequence 6 of the same start after it, so the departure had reached each of them and sequences are compared while the record lives.

Fix: the replicated table "incarnations" holds the newest incarnation of each backend server that left or started after an earlier one, and its state. Draining, departures and later starts are committed before the answer, while the call waits for the relays, which act at once as before. Registrations of earlier incarnations are ignored and keep no state back, wherever they come from; a control process sends what is committed before it announces a configuration, so no relay serves without it. A heartbeat needs no commit. A DELETE without a start of a backend server that nobody knows is refused, since nothing could tell it from one of the next incarnation.

Why it works: what is in the log survives the kill of everything and the loss of a minority of the disks, and a process that was away has applied it before it is confirmed.

The tests of the registry and the table use what the fix adds.

--- a/internal/aubprocess/adapter.go
+++ b/internal/aubprocess/adapter.go
@@ -25,7 +25,6 @@
 	// ControlHandler returns the handler for operators and for backend servers that
 	// register.
 	ControlHandler func(
-		common aubcommon.Common, configs *aubsite.Configurations, backends *aubregistry.Registry, relays *aubregistry.Server,
-		drains *aubdrain.Orders,
+		common aubcommon.Common, configs *aubsite.Configurations, registryServer *aubregistry.Server, drains *aubdrain.Orders,
 	) http.Handler
 }
--- a/internal/aubprocess/controller.go
+++ b/internal/aubprocess/controller.go
@@ -11,6 +11,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
 	"github.com/auburndale/auburndale/internal/aubdrain"
+	"github.com/auburndale/auburndale/internal/aubincarnation"
 	"github.com/auburndale/auburndale/internal/auborder"
 	"github.com/auburndale/auburndale/internal/aubpoison"
 	"github.com/auburndale/auburndale/internal/aubregistry"
@@ -40,6 +41,7 @@
 	poison         *aubpoison.Table
 	software       *aubresume.SoftwareTable
 	drains         *aubdrain.Table
+	incarnations   *aubincarnation.Table
 	site           *aubsite.ActiveSite
 	registry       *aubregistry.Registry
 	loads          *aubregistry.LoadAggregator
@@ -101,7 +103,7 @@
 	configs := aubsite.NewConfigurations(c.siteTable, c.replica, c.replica)
 	_, err := c.serveHTTP(httpOpts{
 		setting: "registry.listen", listen: c.cfg.Registry.Listen,
-		handler:        c.adapter.ControlHandler(c.common, configs, c.registry, c.registryServer, c.zoneOrders()),
+		handler:        c.adapter.ControlHandler(c.common, configs, c.registryServer, c.zoneOrders()),
 		maxConnections: c.budget.Machine().CallerConnections(),
 	})
 	if err != nil {
@@ -127,6 +129,7 @@
 	c.poison = aubpoison.NewTable()
 	c.software = aubresume.NewSoftwareTable()
 	c.drains = aubdrain.NewTable(c.common.Timer)
+	c.incarnations = aubincarnation.NewTable()
 	c.site = aubsite.NewActiveSite(c.common, c.adapter.DecodeSite)
 	selfAddress := c.cfg.Internal.Address()
 	seeds := controlSeeds(c.cfg)
@@ -143,7 +146,7 @@
 		MaxVoters:       2*c.cfg.Control.FaultTolerance + 1,
 		ReplaceAfter:    c.cfg.Control.ReplaceAfter.Value(),
 		DataDir:         c.cfg.Control.DataDir,
-		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.software, c.drains},
+		Tables:          []aubcontrol.Table{c.siteTable, c.poison, c.software, c.drains, c.incarnations},
 		Dial:            c.transport.Dial,
 		Heartbeat:       c.cfg.Control.HeartbeatInterval.Value(),
 		ElectionTimeout: c.cfg.Control.ElectionTimeout.Value(),
@@ -177,6 +180,9 @@
 	software := aubresume.NewSoftwareCommitter(c.ctx, c.common, aubresume.CommitterOpts{
 		Table: c.software, Proposer: c.replica, Leadership: c.replica, Seen: c.registry.SoftwareSeen,
 	})
+	incarnations := aubincarnation.NewCommitter(c.common, aubincarnation.CommitterOpts{
+		Table: c.incarnations, Proposer: c.replica, NamesService: c.registry.NamesService,
+	})
 	c.registryServer = aubregistry.NewServer(c.common, aubregistry.ServerOpts{
 		Registry:    c.registry,
 		Loads:       c.loads,
@@ -194,6 +200,9 @@
 
 		Software:       c.software,
 		EnsureSoftware: software.Ensure,
+
+		Incarnations:      c.incarnations,
+		EnsureIncarnation: incarnations.Ensure,
 	})
 	aubwire.RegisterRegistryServer(c.grpcServer, c.registryServer)
 	c.registryClient = aubregistry.NewClient(c.ctx, c.common, aubregistry.ClientOpts{
@@ -205,6 +214,7 @@
 		Registry:    c.registry,
 	})
 	go c.followTable()
+	go c.followIncarnations()
 	c.watchDrains()
 	c.keepRegistrySnapshots()
 }
@@ -230,6 +240,20 @@
 	}
 }
 
+// followIncarnations applies committed incarnations to the registry until the process ends.
+func (c *controller) followIncarnations() {
+	for position := uint64(0); ; {
+		incarnations, index, changed := c.incarnations.ChangedSince(position)
+		c.registry.NoteIncarnations(incarnations)
+		position = index
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
 // controlAddresses returns the addresses of the control processes in the settings and
 // in the membership of the replicated log.
 func (c *controller) controlAddresses() []string {
@@ -249,6 +273,10 @@
 		if err := c.replica.WaitReady(c.ctx); err == nil {
 			// The first statement of drained zones is certain to relays.
 			c.confirmDrains()
+			// Relays serve once a confirmed process announces a configuration; no registration that
+			// arrived before may bring a departed backend server back.
+			incarnations, _, _ := c.incarnations.ChangedSince(0)
+			c.registry.NoteIncarnations(incarnations)
 			c.confirmed.Store(true)
 			c.health.ready.Store(true)
 			c.common.Log.Info("Control process is ready.", zap.Any("status", c.replica.Status()))
--- a/internal/aubregistry/client.go
+++ b/internal/aubregistry/client.go
@@ -427,6 +427,7 @@
 	if drains := resp.GetZoneDrains(); drains != nil && c.opts.OnZoneDrains != nil {
 		c.opts.OnZoneDrains(drains, askedAt)
 	}
+	c.opts.Registry.NoteIncarnations(resp.GetIncarnations())
 	c.opts.Registry.Merge(mirror.expand(resp))
 	c.opts.Registry.MergeSoftware(resp.GetSoftware())
 	if resp.GetZoneDrains() != nil {
--- a/internal/aubregistry/error.go
+++ b/internal/aubregistry/error.go
@@ -58,3 +58,23 @@
 
 // Unwrap returns the cause.
 func (e *SnapshotError) Unwrap() error { return e.Err }
+
+// DepartureError means that the departure of a backend server is not acknowledged. It takes effect as
+// far as processes have learned of it.
+type DepartureError struct {
+	ID     string
+	Reason string
+	Err    error
+}
+
+// Error implements error.
+func (e *DepartureError) Error() string {
+	text := fmt.Sprintf("departure of backend server %q is not confirmed: %s", e.ID, e.Reason)
+	if e.Err == nil {
+		return text
+	}
+	return fmt.Sprintf("%s: %v", text, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DepartureError) Unwrap() error { return e.Err }
--- a/internal/aubregistry/registry.go
+++ b/internal/aubregistry/registry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/auburndale/auburndale/internal/aubcommon"
+	"github.com/auburndale/auburndale/internal/aubincarnation"
 	"github.com/auburndale/auburndale/internal/aubmembership"
 	"github.com/auburndale/auburndale/internal/aubwire"
 )
@@ -60,6 +61,9 @@
 	// the start of the process that kept the record.
 	unconfirmedUntil time.Time
 	heardAt          time.Time
+	// hasPredecessor is set while an earlier incarnation was heard of and the start of this one is not
+	// committed.
+	hasPredecessor bool
 }
 
 // Registry holds the newest record of each backend server.
@@ -94,6 +98,8 @@
 	observe func(record *aubwire.BackendRecord)
 	// isService reports whether the configuration names a service; nil if that is not known.
 	isService func(name string) bool
+	// incarnations holds what is committed about incarnations.
+	incarnations map[aubincarnation.Key]notedIncarnation
 	// statesStart holds the services of which a backend server has stated its start.
 	statesStart map[string]bool
 	// view is the cached view, built at viewAt.
@@ -114,6 +120,7 @@
 		entries: make(map[string]*entry),
 
 		softwareSeen: make(map[softwareKey]time.Time),
+		incarnations: make(map[aubincarnation.Key]notedIncarnation),
 		statesStart:  make(map[string]bool),
 		changed:      make(chan struct{}),
 		departed:     make(chan struct{}),
@@ -131,7 +138,8 @@
 
 // Deregister marks a backend server as gone and returns the version that includes the
 // change. It does nothing if an incarnation that started after startedMs is registered; a
-// startedMs of 0 means the registered one.
+// startedMs of 0 means the registered one. An incarnation that started after the registered one is
+// noted as gone as well.
 func (r *Registry) Deregister(id string, startedMs int64) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -139,7 +147,18 @@
 	if stored == nil && r.keepsDepartures {
 		r.apply(&aubwire.BackendRecord{Id: id, StartedMs: startedMs, State: aubwire.BackendState_BACKEND_STATE_GONE}, true)
 	}
-	if stored == nil || startedMs != 0 && startedMs < stored.record.GetStartedMs() {
+	if stored == nil {
+		return r.version
+	}
+	if startedMs != 0 && startedMs < stored.record.GetStartedMs() {
+		stored.notePredecessor(startedMs)
+		return r.version
+	}
+	if startedMs > stored.record.GetStartedMs() {
+		r.apply(&aubwire.BackendRecord{
+			Id: id, Service: stored.record.GetService(), Address: stored.record.GetAddress(), Zone: stored.record.GetZone(),
+			StartedMs: startedMs, State: aubwire.BackendState_BACKEND_STATE_GONE,
+		}, true)
 		return r.version
 	}
 	if stored.isUnconfirmed() {
@@ -182,7 +201,11 @@
 // apply merges one record; the caller holds mu.
 func (r *Registry) apply(record *aubwire.BackendRecord, isLocal bool) {
 	now := r.common.Timer.Now()
-	if record.GetUnconfirmedMs() > 0 {
+	record = r.limitToCommitted(record, isLocal)
+	switch {
+	case record == nil:
+		return
+	case record.GetUnconfirmedMs() > 0:
 		r.applyUnconfirmed(record, isLocal, now)
 		return
 	}
@@ -199,6 +222,7 @@
 			r.endUnconfirmed(stored)
 			return
 		}
+		stored.notePredecessor(record.GetStartedMs())
 		r.mergeUnloading(stored, record)
 		r.mergeState(stored, record)
 		if isLocal && record.GetStartedMs() == stored.record.GetStartedMs() && record.GetSequence() == stored.record.GetSequence() {
@@ -221,6 +245,7 @@
 	}
 	if previous.GetStartedMs() != record.GetStartedMs() {
 		stored.isSuspected, stored.isSuperseded, stored.leavingSaidAt = false, false, time.Time{}
+		stored.hasPredecessor = r.isLaterStart(record, previous)
 	}
 	r.noteConfirmed(stored, record, now)
 	stored.record, stored.receivedAt, stored.isLocal = record, now, isLocal
--- a/internal/aubregistry/server.go
+++ b/internal/aubregistry/server.go
@@ -81,6 +81,10 @@
 	// to it.
 	Software       *aubresume.SoftwareTable
 	EnsureSoftware func(ctx context.Context, service, software string) error
+	// Incarnations is the replicated table of incarnations, EnsureIncarnation commits one to it. Nil
+	// if there is none.
+	Incarnations      Incarnations
+	EnsureIncarnation func(ctx context.Context, incarnation *aubwire.Incarnation) error
 	// Zone is the availability zone of this control process.
 	Zone string
 	// Confirmed reports whether a quorum has confirmed the local state since the start of
@@ -160,21 +164,6 @@
 	return err == nil
 }
 
-// Register applies a registration that this process received directly and returns the version
-// of the registry that includes it. The software version of a backend server that is ready is
-// committed first, so that no stream begins at a version that a restart of all processes would
-// forget. A departure is not delayed; the leader commits its version later. Versions of services that
-// the configuration doesn't name take no room in the replicated table: other writers may state any
-// number of them. The error is *aubresume.CommitError.
-func (s *Server) Register(ctx context.Context, record *aubwire.BackendRecord) (uint64, error) {
-	if record.GetState() == aubwire.BackendState_BACKEND_STATE_READY && s.opts.Registry.NamesService(record.GetService()) {
-		if err := s.opts.EnsureSoftware(ctx, record.GetService(), record.GetSoftware()); err != nil {
-			return 0, err
-		}
-	}
-	return s.opts.Registry.Register(record), nil
-}
-
 // Watch implements aubwire.RegistryServer.
 func (s *Server) Watch(stream grpc.BidiStreamingServer[aubwire.RegistryRequest, aubwire.RegistryResponse]) error {
 	ctx, cancel := context.WithCancel(stream.Context())
@@ -316,8 +305,10 @@
 	// sentRates is the version of the prefill rates sent on the stream since the process last
 	// began to want peers; 0 for none. Only the sending goroutine uses it.
 	sentRates uint64
-	// hasSentLimits is set once the known rate limits were sent.
-	hasSentLimits bool
+	// hasSentLimits is set once the known rate limits were sent, hasSentIncarnations once the committed
+	// incarnations were. Only the sending goroutine uses them.
+	hasSentLimits       bool
+	hasSentIncarnations bool
 	// isCompact is set while the process accepts compact answers; the server's mutex guards it.
 	isCompact bool
 	compactor responseCompactor
@@ -363,11 +354,13 @@
 	ticks := w.server.common.Timer.Subscribe(ctx, reportInterval)
 	isTickDue := true
 	for {
-		changes := w.server.opts.Registry.changesSince(w.sentVersion)
 		newest, revisionChanged := w.server.newestRevision()
+		// Read after the revision: a relay that may serve by it knows them.
+		incarnations := w.committedIncarnations()
+		changes := w.server.opts.Registry.changesSince(w.sentVersion)
 		statuses, poisonIndex, poisonChanged := w.poisonChanges()
 		drains, drainsChanged := w.zoneDrains()
-		resp := &aubwire.RegistryResponse{Update: changes.version, Records: changes.records, NewestRevision: newest, Poison: statuses, ZoneDrains: drains}
+		resp := &aubwire.RegistryResponse{Update: changes.version, Records: changes.records, NewestRevision: newest, Poison: statuses, ZoneDrains: drains, Incarnations: incarnations}
 		if isTickDue {
 			w.addPeriodic(resp)
 		}
@@ -378,7 +371,7 @@
 		if w.sentVersion == 0 {
 			resp.Software = w.server.opts.Registry.SoftwareSeen()
 		}
-		if isTickDue || len(changes.records) > 0 || newest != w.announcedRevision || len(statuses) > 0 || drains != nil && drains.GetRevision()+1 != w.sentDrains {
+		if isTickDue || len(changes.records) > 0 || len(incarnations) > 0 || newest != w.announcedRevision || len(statuses) > 0 || drains != nil && drains.GetRevision()+1 != w.sentDrains {
 			w.compact(resp)
 			if err := w.stream.Send(resp); err != nil {
 				return err
--- a/internal/aubregistry/service_test.go
+++ b/internal/aubregistry/service_test.go
@@ -103,8 +103,7 @@
 	foreign, own := foreignRecord("x", "a:9", 1, 1, ready), record("i1", "a:1", 1, 1, ready)
 	foreign.Software, own.Software = "v9", "v1"
 	for _, registered := range []*aubwire.BackendRecord{foreign, own} {
-		_, err := s.Register(t.Context(), registered)
-		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, s.Register(t.Context(), registered), qt.IsNil)
 	}
 	qt.Assert(t, committed, qt.DeepEquals, []string{"s v1"})
 	// The leader commits what it has seen as well.
--- a/internal/aubregistry/watch_test.go
+++ b/internal/aubregistry/watch_test.go
@@ -18,6 +18,7 @@
 	"github.com/auburndale/auburndale/internal/aubcommon"
 	"github.com/auburndale/auburndale/internal/aubcontrol"
 	"github.com/auburndale/auburndale/internal/aubdrain"
+	"github.com/auburndale/auburndale/internal/aubincarnation"
 	"github.com/auburndale/auburndale/internal/aubregistry"
 	"github.com/auburndale/auburndale/internal/aubresume"
 	"github.com/auburndale/auburndale/internal/aubtimer"
@@ -59,6 +60,9 @@
 	listener  *bufconn.Listener
 	grpc      *grpc.Server
 	software  *aubresume.SoftwareTable
+	// incarnations is sent to watchers once the state is confirmed.
+	incarnations *aubincarnation.Table
+
 	confirmed atomic.Bool
 	isCutOff  atomic.Bool
 	// sending is held for reading while a message is sent to a watcher.
@@ -85,6 +89,7 @@
 	c := &controlProcess{
 		registry: aubregistry.NewRegistry(common, time.Minute), loads: aubregistry.NewLoadAggregator(common),
 		revisions: &revisions{}, listener: bufconn.Listen(1 << 20), drains: aubdrain.NewTable(common.Timer), software: aubresume.NewSoftwareTable(),
+		incarnations: aubincarnation.NewTable(),
 	}
 	c.grpc = grpc.NewServer(grpc.StreamInterceptor(func(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
 		return handle(server, &watchStream{ServerStream: stream, sending: &c.sending})
@@ -95,7 +100,7 @@
 		Streams:  aubresume.NewTable(common.Timer),
 		Software: c.software,
 		Registry: c.registry, Loads: c.loads, Revisions: c.revisions, Placer: placer{isCutOff: &c.isCutOff},
-		ZoneDrains: c.drains,
+		ZoneDrains: c.drains, Incarnations: c.incarnations,
 		Barrier: func(ctx context.Context) error {
 			if c.barrier == nil {
 				return nil
