--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -40,6 +40,7 @@
 		return 0, errUsage
 	}
 	cases := map[string]func(ctx context.Context, s *site, isTroubled bool) (int, error){
+		"first-start": playFirstStart,
 		"order-turns": playOrderTurns,
 	}
 	run, ok := cases[args[0]]
